--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/command/CommandParser.java
@@ -0,0 +1,107 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.command;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+/**
+ * Reads the words of one command. The library for command lines does the parsing, so the language is the
+ * same in the tool and on the listener.
+ */
+public final class CommandParser {
+
+    /** The name under which the tool is called; usage texts begin with it. */
+    public static final String TOOL = "lupinctl";
+
+    @SuppressWarnings("unchecked")
+    private static final Cli<Supplier<OperatorCommand>> CLI = (Cli<Supplier<OperatorCommand>>) (Cli<?>) builder();
+
+    private CommandParser() {}
+
+    private static Cli<CommandWords> builder() {
+        return com.github.rvesse.airline.Cli.<CommandWords>builder(TOOL)
+                .withDescription("Asks and commands a fleet through any of its entries")
+                .withCommands(CommandWords.all())
+                .withGroup("service")
+                .withDescription("Services and their availability budgets")
+                .withCommands(ServiceWords.all())
+                .parent()
+                .withGroup("pool")
+                .withDescription("Pools of instances")
+                .withCommands(PoolWords.all())
+                .parent()
+                .withGroup("instance")
+                .withDescription("Instances and their places")
+                .withCommands(InstanceWords.all())
+                .parent()
+                .withGroup("wave")
+                .withDescription("Waves of maintenance and migration")
+                .withCommands(WaveWords.all())
+                .parent()
+                .build();
+    }
+
+    /** Returns the command that the words say, or one line that says what is wrong with them. */
+    public static Either<String, OperatorCommand> parse(List<String> words) {
+        if (words.isEmpty()) {
+            return Either.left("no command; try: " + TOOL + " help");
+        }
+        try {
+            return Either.right(CLI.parse(words.toArray(new String[0])).get());
+        } catch (ParseException | IllegalArgumentException e) {
+            return Either.left(String.valueOf(e.getMessage()).replace('\n', ' '));
+        }
+    }
+
+    /** Returns the model of the language, for help texts. */
+    public static Cli<?> cli() {
+        return CLI;
+    }
+
+    /** Returns the words of a line; quotes keep spaces together, as in a shell. */
+    public static List<String> split(String line) {
+        List<String> words = new ArrayList<>();
+        StringBuilder word = new StringBuilder();
+        boolean inWord = false;
+        char quote = 0;
+        for (char c : line.toCharArray()) {
+            if (quote != 0 && c == quote) {
+                quote = 0;
+            } else if (quote == 0 && (c == '"' || c == '\'')) {
+                quote = c;
+                inWord = true;
+            } else if (quote == 0 && Character.isWhitespace(c)) {
+                if (inWord) {
+                    words.add(word.toString());
+                    word.setLength(0);
+                }
+                inWord = false;
+            } else {
+                word.append(c);
+                inWord = true;
+            }
+        }
+        if (inWord) {
+            words.add(word.toString());
+        }
+        return words;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/common/Clock.java
@@ -0,0 +1,27 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.common;
+
+/**
+ * The only source of time. Every time and every duration of the project is a whole number of
+ * milliseconds; times count from an origin that is fixed for the life of a process.
+ */
+@FunctionalInterface
+public interface Clock {
+
+    /** Returns the time now, in milliseconds. */
+    long millis();
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/common/Urgency.java
@@ -0,0 +1,68 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.common;
+
+import java.util.Optional;
+
+/**
+ * The classes of work. A class waits as if it had arrived later by its handicap, so urgent work goes
+ * first while work that has waited longer than its handicap can not be passed over for ever.
+ */
+public enum Urgency {
+    /** A clip for the morning news, a fault check: starts before anything else. */
+    URGENT("urgent", 0, 100),
+    /** Ordinary work. */
+    NORMAL("normal", 10_000, 80),
+    /** Archive and rebroadcast work: may wait for minutes behind the others. */
+    MAY_WAIT("may-wait", 120_000, 50);
+
+    private static final int PERCENT = 100;
+
+    private final String wireName;
+    private final long handicapMillis;
+    private final int queueShare;
+
+    Urgency(String wireName, long handicapMillis, int queueShare) {
+        this.wireName = wireName;
+        this.handicapMillis = handicapMillis;
+        this.queueShare = queueShare;
+    }
+
+    /** Returns the name used in headers and commands. */
+    public String wireName() {
+        return wireName;
+    }
+
+    /** Returns the time by which this class is ordered in a queue, for work that came at {@code arrival}. */
+    public long orderTime(long arrival) {
+        return arrival + handicapMillis;
+    }
+
+    /** Returns how many of {@code places} in a queue may be taken when work of this class asks for one. */
+    public int queuePlaces(int places) {
+        return places * queueShare / PERCENT;
+    }
+
+    /** Returns the class with this wire name, or nothing. */
+    public static Optional<Urgency> ofWireName(String name) {
+        for (Urgency u : values()) {
+            if (u.wireName.equals(name)) {
+                return Optional.of(u);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/instance/InstanceRecord.java
@@ -0,0 +1,175 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.instance;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the store says of one instance. The pool is stated here and nowhere else, so an instance is in
+ * exactly one pool whatever else goes wrong.
+ *
+ * @param id the platform's name of the instance
+ * @param pool the one pool it belongs to
+ * @param hall the data hall it stands in
+ * @param rack the rack it stands in
+ * @param address the worker's IP and port
+ * @param slots how many requests it runs at once
+ * @param memoryMb memory of the worker, in megabytes
+ * @param state where it is in its life
+ * @param incarnation counts its starts, as last seen in service; 0 before it was first seen
+ * @param wave the wave that holds it while it is not in service, or null
+ * @param spentPermit the last permit that it left its service on, or declined; null before the first
+ * @param doneWaves the last waves that finished with it, newest first
+ */
+public record InstanceRecord(
+        String id,
+        String pool,
+        String hall,
+        String rack,
+        String address,
+        int slots,
+        int memoryMb,
+        InstanceState state,
+        long incarnation,
+        @Nullable String wave,
+        @Nullable String spentPermit,
+        List<String> doneWaves) {
+
+    // Waves that cover the same instance can overlap only when two operators start them at one moment.
+    private static final int DONE_WAVES_KEPT = 4;
+
+    /** Returns whether the wave has finished with the instance. */
+    public boolean isDoneBy(String waveName) {
+        return doneWaves.contains(waveName);
+    }
+
+    /** Returns whether this wave holds the instance now. */
+    public boolean isHeldBy(String waveName) {
+        return waveName.equals(wave);
+    }
+
+    /** Returns a builder that starts with nothing but the id. */
+    public static Builder builder(String id) {
+        return new Builder(id);
+    }
+
+    /** Returns a builder that starts with the values of this record. */
+    public Builder toBuilder() {
+        return new Builder(id)
+                .pool(pool)
+                .place(hall, rack)
+                .address(address)
+                .size(slots, memoryMb)
+                .state(state)
+                .incarnation(incarnation)
+                .wave(wave)
+                .spentPermit(spentPermit)
+                .doneWaves(doneWaves);
+    }
+
+    /** Builds an {@link InstanceRecord}. */
+    public static final class Builder {
+        private final String id;
+        private String pool = "";
+        private String hall = "";
+        private String rack = "";
+        private String address = "";
+        private int slots = 1;
+        private int memoryMb;
+        private InstanceState state = InstanceState.IN_SERVICE;
+        private long incarnation;
+        private @Nullable String wave;
+        private @Nullable String spentPermit;
+        private List<String> doneWaves = List.of();
+
+        private Builder(String id) {
+            this.id = id;
+        }
+
+        /** Sets the pool. */
+        public Builder pool(String p) {
+            this.pool = p;
+            return this;
+        }
+
+        /** Sets the data hall and the rack. */
+        public Builder place(String h, String r) {
+            this.hall = h;
+            this.rack = r;
+            return this;
+        }
+
+        /** Sets the worker's IP and port. */
+        public Builder address(String a) {
+            this.address = a;
+            return this;
+        }
+
+        /** Sets the number of slots and the memory in megabytes. */
+        public Builder size(int s, int mb) {
+            this.slots = s;
+            this.memoryMb = mb;
+            return this;
+        }
+
+        /** Sets the state. */
+        public Builder state(InstanceState s) {
+            this.state = s;
+            return this;
+        }
+
+        /** Sets the incarnation. */
+        public Builder incarnation(long i) {
+            this.incarnation = i;
+            return this;
+        }
+
+        /** Sets the wave that holds the instance. */
+        public Builder wave(@Nullable String w) {
+            this.wave = w;
+            return this;
+        }
+
+        /** Sets the permit that is spent. */
+        public Builder spentPermit(@Nullable String p) {
+            this.spentPermit = p;
+            return this;
+        }
+
+        /** Sets the last waves that finished with the instance. */
+        public Builder doneWaves(List<String> w) {
+            this.doneWaves = List.copyOf(w);
+            return this;
+        }
+
+        /** Adds a wave that has finished with the instance. */
+        public Builder doneBy(String w) {
+            this.doneWaves = Stream.concat(Stream.of(w), doneWaves.stream())
+                    .distinct()
+                    .limit(DONE_WAVES_KEPT)
+                    .toList();
+            return this;
+        }
+
+        /** Returns the record. */
+        public InstanceRecord build() {
+            return new InstanceRecord(
+                    id, pool, hall, rack, address, slots, memoryMb, state, incarnation, wave, spentPermit, doneWaves);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/instance/InstanceState.java
@@ -0,0 +1,51 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.instance;
+
+/**
+ * The states of an instance, in the order in which a wave takes it through them. Only an instance that
+ * is in service gets new work; all others are leaving or away.
+ */
+public enum InstanceState {
+    /** Serves its pool. */
+    IN_SERVICE(true, false),
+    /** Gets no new work; finishes what it has. */
+    LEAVING(false, true),
+    /** Idle, and the platform has been or will be asked to reboot it. There is no way back from here. */
+    REBOOTING(false, false),
+    /** Was leaving, and is being put back before its reboot. */
+    RETURNING(false, false),
+    /** Taken out of the fleet for good. */
+    RETIRED(false, false);
+
+    private final boolean takesWork;
+    private final boolean canBePutBack;
+
+    InstanceState(boolean takesWork, boolean canBePutBack) {
+        this.takesWork = takesWork;
+        this.canBePutBack = canBePutBack;
+    }
+
+    /** Returns whether new work may be sent to an instance in this state. */
+    public boolean takesWork() {
+        return takesWork;
+    }
+
+    /** Returns whether a drain in this state can still be taken back. */
+    public boolean canBePutBack() {
+        return canBePutBack;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/request/GiveUpReason.java
@@ -0,0 +1,71 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.request;
+
+/** Why a request got no answer of a worker, with the HTTP status that carries it. */
+public enum GiveUpReason {
+    /** The entry has no configuration yet, or is leaving. */
+    NOT_SERVING("not-serving", 503, 1_000),
+    /** No service has this name. */
+    UNKNOWN_SERVICE("unknown-service", 404, 0),
+    /** The queue is full. */
+    SHED("shed", 503, 2_000),
+    /** By what is known now it would not start before its deadline. */
+    HOPELESS("hopeless", 503, 5_000),
+    /** No worker of the service can be reached from here. */
+    CUT_OFF("cut-off", 503, 3_000),
+    /** No worker is large enough for what it declares. */
+    TOO_LARGE("too-large", 422, 0),
+    /** It failed on several workers that serve other work well. */
+    CAN_NOT_RUN("can-not-run", 422, 0),
+    /** Its deadline passed. */
+    EXPIRED("expired", 504, 1_000),
+    /** The caller went away. */
+    CANCELLED("cancelled", 499, 0),
+    /** The platform's store is away, so the claim that an unsafe job needs can not be taken. */
+    STORE_AWAY("store-away", 503, 5_000),
+    /** Another try with the same job id holds the claim. */
+    CLAIMED("claimed", 409, 0),
+    /** Workers refused or failed it and the retry budget is spent. */
+    NO_RETRY("no-retry", 503, 2_000),
+    /** The connection to the worker broke after it may have started. */
+    BROKEN("broken", 502, 0);
+
+    private final String wireName;
+    private final int status;
+    private final long comeBackMillis;
+
+    GiveUpReason(String wireName, int status, long comeBackMillis) {
+        this.wireName = wireName;
+        this.status = status;
+        this.comeBackMillis = comeBackMillis;
+    }
+
+    /** Returns the name used in headers and logs. */
+    public String wireName() {
+        return wireName;
+    }
+
+    /** Returns the HTTP status of the answer. */
+    public int status() {
+        return status;
+    }
+
+    /** Returns when coming back can help, in milliseconds from now; 0 where it can not. */
+    public long comeBackMillis() {
+        return comeBackMillis;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/request/RetryBudget.java
@@ -0,0 +1,44 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.request;
+
+/**
+ * Allows retries as a share of fresh requests, so that retries can not multiply a load that the workers
+ * already fail under. A token bucket: each fresh request pays in a share of a token, each retry takes a
+ * whole one; see "Handling Overload" in Site Reliability Engineering (Beyer et al., 2016).
+ */
+public final class RetryBudget {
+
+    private static final double SHARE = 0.1;
+    // Enough that a single broken worker can be retried around on an idle entry.
+    private static final double MOST = 20;
+
+    private double tokens = MOST;
+
+    /** Notes a fresh request. */
+    public void onFresh() {
+        tokens = Math.min(MOST, tokens + SHARE);
+    }
+
+    /** Takes a token if there is one. */
+    public boolean tryTake() {
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/slot/SlotDesk.java
@@ -0,0 +1,254 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.slot;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.lupinpaddle.core.common.RendezvousHash;
+import org.lupinpaddle.core.common.Urgency;
+import org.lupinpaddle.core.request.AttemptOutcome;
+import org.lupinpaddle.core.request.GiveUpReason;
+import org.lupinpaddle.core.slot.SlotMessage.Ask;
+import org.lupinpaddle.core.slot.SlotMessage.Cancel;
+import org.lupinpaddle.core.slot.SlotMessage.Grant;
+import org.lupinpaddle.core.slot.SlotMessage.InUse;
+import org.lupinpaddle.core.slot.SlotMessage.Outgoing;
+import org.lupinpaddle.core.slot.SlotMessage.Release;
+
+/**
+ * An entry's side of the slots: finds the owner of each service's slots among the entries it can reach,
+ * asks it, and asks the next one at once when the owner is gone or does not answer. A new owner is told
+ * of the grants still in use, so it does not give the same slots out twice.
+ */
+public final class SlotDesk {
+
+    // An owner in the same region answers an ask within a few milliseconds.
+    private static final long ANSWER_MILLIS = 300;
+    private static final long SUSPECT_MILLIS = 3_000;
+    // An ask or a grant that was lost with a connection is repaired after this time.
+    private static final long REPEAT_MILLIS = 2_000;
+    private static final long REPORT_MILLIS = 5_000;
+
+    private final String self;
+    private final String hall;
+    private final Set<String> reachable = new TreeSet<>();
+    private final Map<String, Long> suspectUntil = new HashMap<>();
+    private final Map<String, String> owners = new HashMap<>();
+    private final Set<String> unreported = new TreeSet<>();
+    private final Map<Long, Pending> pending = new TreeMap<>();
+    private final Map<Long, HeldGrant> grants = new HashMap<>();
+    private long lastAsk;
+    private long lastReport;
+
+    /** Makes the desk of an entry in a data hall. */
+    public SlotDesk(String self, String hall) {
+        this.self = self;
+        this.hall = hall;
+        reachable.add(self);
+    }
+
+    /** What a request needs of a slot. */
+    public record Need(String service, Urgency urgency, long arrival, long deadline, Set<String> avoid, int memoryMb) {}
+
+    /** What the desk has to say to the request that asked. */
+    public sealed interface Reply {
+        /** Returns the number that {@link #ask} gave. */
+        long ask();
+
+        /** A slot is granted. */
+        record Slot(long ask, Grant grant) implements Reply {}
+
+        /** No slot will be granted. */
+        record NoSlot(long ask, GiveUpReason reason, long comeBackMillis) implements Reply {}
+    }
+
+    /** Takes the entries that this one can reach, itself aside. */
+    public List<Outgoing> onReachable(Collection<String> entries, long now) {
+        Set<String> next = new TreeSet<>(entries);
+        next.add(self);
+        if (next.equals(reachable)) {
+            return List.of();
+        }
+        reachable.clear();
+        reachable.addAll(next);
+        return reassign(now);
+    }
+
+    /** Makes an ask for a slot and puts the message for it into {@code out}; returns the ask's number. */
+    public long ask(Need need, long now, List<Outgoing> out) {
+        long ask = ++lastAsk;
+        Pending p = new Pending(need);
+        pending.put(ask, p);
+        send(ask, p, now, out);
+        return ask;
+    }
+
+    private void send(long ask, Pending p, long now, List<Outgoing> out) {
+        Need n = p.need;
+        p.owner = ownerOf(n.service(), now, out);
+        p.answered = false;
+        p.sentAt = now;
+        unreported.add(n.service());
+        long waited = now - n.arrival();
+        long remaining = n.deadline() - now;
+        Ask message = new Ask(n.service(), ask, n.urgency(), waited, remaining, hall, n.avoid(), n.memoryMb());
+        out.add(new Outgoing(p.owner, message));
+    }
+
+    /** Takes an ask back. */
+    public List<Outgoing> cancel(long ask) {
+        Pending p = pending.remove(ask);
+        return p == null ? List.of() : List.of(new Outgoing(p.owner, new Cancel(p.need.service(), ask)));
+    }
+
+    /** Gives a grant back to the owner that gave it and, if another owner has been told of it, to that one. */
+    public List<Outgoing> release(String service, Grant grant, AttemptOutcome outcome, long now) {
+        HeldGrant mine = grants.remove(grant.id());
+        List<Outgoing> out = new ArrayList<>();
+        String owner = ownerOf(service, now, out);
+        Release release = new Release(service, grant.id(), grant.worker(), outcome);
+        out.add(new Outgoing(owner, release));
+        if (mine != null && !mine.granter.equals(owner)) {
+            out.add(new Outgoing(mine.granter, release));
+        }
+        return out;
+    }
+
+    /** Takes a message of an owner. Replies go to {@code replies}, messages come back. */
+    public List<Outgoing> onMessage(String from, SlotMessage message, List<Reply> replies) {
+        if (message instanceof SlotMessage.Queued m) {
+            Pending p = pending.get(m.ask());
+            if (p != null && p.owner.equals(from)) {
+                p.answered = true;
+            }
+        } else if (message instanceof SlotMessage.Granted m) {
+            return onGranted(from, m, replies);
+        } else if (message instanceof SlotMessage.Refused m) {
+            Pending p = pending.get(m.ask());
+            if (p != null && p.owner.equals(from)) {
+                pending.remove(m.ask());
+                replies.add(new Reply.NoSlot(m.ask(), m.reason(), m.comeBackMillis()));
+            }
+        }
+        return List.of();
+    }
+
+    private List<Outgoing> onGranted(String from, SlotMessage.Granted m, List<Reply> replies) {
+        Pending p = pending.get(m.ask());
+        if (p == null || !p.owner.equals(from)) {
+            // Cancelled or asked elsewhere meanwhile: the grant goes straight back.
+            Grant g = m.grant();
+            return List.of(new Outgoing(from, new Release(m.service(), g.id(), g.worker(), AttemptOutcome.UNUSED)));
+        }
+        pending.remove(m.ask());
+        grants.put(m.grant().id(), new HeldGrant(m.service(), m.grant(), from));
+        replies.add(new Reply.Slot(m.ask(), m.grant()));
+        return List.of();
+    }
+
+    /** Turns away from owners that have not answered an ask in time. */
+    public List<Outgoing> onTick(long now) {
+        boolean changed = suspectUntil.values().removeIf(until -> now >= until);
+        for (Pending p : pending.values()) {
+            if (!p.answered && now - p.sentAt >= ANSWER_MILLIS && !p.owner.equals(self)) {
+                suspectUntil.put(p.owner, now + SUSPECT_MILLIS);
+                changed = true;
+            }
+        }
+        List<Outgoing> out = new ArrayList<>();
+        if (changed) {
+            out.addAll(reassign(now));
+        }
+        repeatAsks(now, out);
+        report(now, out);
+        return out;
+    }
+
+    private void repeatAsks(long now, List<Outgoing> out) {
+        pending.forEach((ask, p) -> {
+            if (now - p.sentAt >= REPEAT_MILLIS) {
+                send(ask, p, now, out);
+            }
+        });
+    }
+
+    private void report(long now, List<Outgoing> out) {
+        if (now - lastReport < REPORT_MILLIS) {
+            return;
+        }
+        lastReport = now;
+        for (String service : List.copyOf(unreported)) {
+            out.add(new Outgoing(ownerOf(service, now, out), inUse(service)));
+        }
+        unreported.clear();
+        grants.values().forEach(g -> unreported.add(g.service));
+    }
+
+    private InUse inUse(String service) {
+        return new InUse(
+                service,
+                grants.values().stream()
+                        .filter(g -> g.service.equals(service))
+                        .map(HeldGrant::grant)
+                        .toList());
+    }
+
+    private List<Outgoing> reassign(long now) {
+        List<Outgoing> out = new ArrayList<>();
+        for (Map.Entry<Long, Pending> e : pending.entrySet()) {
+            Pending p = e.getValue();
+            String service = p.need.service();
+            if (!ownerOf(service, now, out).equals(p.owner)) {
+                out.add(new Outgoing(p.owner, new Cancel(service, e.getKey())));
+                send(e.getKey(), p, now, out);
+            }
+        }
+        List.copyOf(owners.keySet()).forEach(s -> ownerOf(s, now, out));
+        return out;
+    }
+
+    private String ownerOf(String service, long now, List<Outgoing> out) {
+        String owner = RendezvousHash.rank(service, reachable).stream()
+                .filter(e -> now >= suspectUntil.getOrDefault(e, Long.MIN_VALUE))
+                .findFirst()
+                .orElse(self);
+        String before = owners.put(service, owner);
+        if (before != null && !before.equals(owner)) {
+            out.add(new Outgoing(before, new InUse(service, List.of())));
+            out.add(new Outgoing(owner, inUse(service)));
+        }
+        return owner;
+    }
+
+    private record HeldGrant(String service, Grant grant, String granter) {}
+
+    private static final class Pending {
+        private final Need need;
+        private String owner = "";
+        private boolean answered;
+        private long sentAt;
+
+        private Pending(Need need) {
+            this.need = need;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/slot/SlotOwner.java
@@ -0,0 +1,356 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.slot;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.lupinpaddle.core.request.AttemptOutcome;
+import org.lupinpaddle.core.request.GiveUpReason;
+import org.lupinpaddle.core.slot.SlotMessage.Ask;
+import org.lupinpaddle.core.slot.SlotMessage.Grant;
+import org.lupinpaddle.core.slot.SlotMessage.Granted;
+import org.lupinpaddle.core.slot.SlotMessage.InUse;
+import org.lupinpaddle.core.slot.SlotMessage.Outgoing;
+import org.lupinpaddle.core.slot.SlotMessage.Queued;
+import org.lupinpaddle.core.slot.SlotMessage.Refused;
+import org.lupinpaddle.core.slot.SlotMessage.Release;
+
+/**
+ * Grants the slots of one service's workers to the entries that can reach this one. One queue orders all
+ * asks by arrival and urgency, so urgent work that comes in at any entry goes before other work that
+ * waits at any other. The owner is the entry that rendezvous hashing names; nothing is kept for it. Two
+ * entries that both think they own a service for a moment cost refusals by workers, and no promise: the
+ * worker itself is the last judge of its slots.
+ */
+public final class SlotOwner {
+
+    // Weight of the newest run time in the running mean.
+    private static final double MEAN_WEIGHT = 0.05;
+    private static final int FEWEST_RUNS = 8;
+    // Run times are often far off: only a wait twice as long as the time left is called hopeless.
+    private static final double HOPELESS_FACTOR = 0.5;
+    private static final int MOST_EJECTED_SHARE = 3;
+
+    // A grant younger than this may still be on its way to the entry that reports.
+    private static final long SETTLED_MILLIS = 4_000;
+    // Entries report every few seconds to the owner they know: what nobody reports is in use nowhere.
+    private static final long UNREPORTED_MILLIS = 15_000;
+
+    private final String service;
+    private final int places;
+    private final RandomGenerator random;
+    private final Map<String, Worker> workers = new TreeMap<>();
+    private final Map<Long, Held> held = new HashMap<>();
+    private final TreeSet<Waiting> queue =
+            new TreeSet<>(Comparator.<Waiting>comparingLong(w -> w.orderTime).thenComparingLong(w -> w.sequence));
+    private final Map<AskKey, Waiting> waiting = new HashMap<>();
+    private long sequence;
+    private double meanRunMillis;
+    private int runs;
+
+    /** Makes the owner of a service's slots whose queue has {@code places}; {@code random} makes grant ids. */
+    public SlotOwner(String service, int places, RandomGenerator random) {
+        this.service = service;
+        this.places = places;
+        this.random = random;
+    }
+
+    /** Takes the workers of the service as now known. */
+    public List<Outgoing> onWorkers(Collection<WorkerInfo> infos, long now) {
+        Map<String, Worker> old = new HashMap<>(workers);
+        workers.clear();
+        for (WorkerInfo i : infos) {
+            Worker w = old.getOrDefault(i.id(), new Worker());
+            w.info = i;
+            workers.put(i.id(), w);
+        }
+        return dispatch(now);
+    }
+
+    /** Takes an ask of an entry. */
+    public List<Outgoing> onAsk(String entry, Ask ask, long now) {
+        AskKey key = new AskKey(entry, ask.ask());
+        if (waiting.containsKey(key)) {
+            return List.of(new Outgoing(entry, new Queued(service, ask.ask())));
+        }
+        Optional<Refused> refusal = refusalFor(ask, now);
+        if (refusal.isPresent()) {
+            return List.of(new Outgoing(entry, refusal.get()));
+        }
+        Waiting w = new Waiting(key, ask, now, sequence++);
+        queue.add(w);
+        waiting.put(key, w);
+        List<Outgoing> out = dispatch(now);
+        if (waiting.containsKey(key)) {
+            out.add(new Outgoing(entry, new Queued(service, ask.ask())));
+        }
+        return out;
+    }
+
+    private Optional<Refused> refusalFor(Ask ask, long now) {
+        if (workers.values().stream().noneMatch(w -> w.info.usable())) {
+            return Optional.of(refused(ask, GiveUpReason.CUT_OFF, GiveUpReason.CUT_OFF.comeBackMillis()));
+        }
+        if (workers.values().stream().noneMatch(w -> w.info.memoryMb() >= ask.memoryMb())) {
+            return Optional.of(refused(ask, GiveUpReason.TOO_LARGE, 0));
+        }
+        if (queue.size() >= ask.urgency().queuePlaces(places)) {
+            return Optional.of(refused(ask, GiveUpReason.SHED, comeBack(GiveUpReason.SHED)));
+        }
+        long ahead = queue.stream()
+                .filter(w -> w.orderTime <= ask.urgency().orderTime(now - ask.waitedMillis()))
+                .count();
+        if (ahead > 0 && expectedWait(ahead, now) * HOPELESS_FACTOR > ask.remainingMillis()) {
+            return Optional.of(refused(ask, GiveUpReason.HOPELESS, comeBack(GiveUpReason.HOPELESS)));
+        }
+        return Optional.empty();
+    }
+
+    private Refused refused(Ask ask, GiveUpReason reason, long comeBackMillis) {
+        return new Refused(service, ask.ask(), reason, comeBackMillis);
+    }
+
+    // Spread over half again its length, so that callers told the same do not come back as one burst.
+    private long comeBack(GiveUpReason reason) {
+        long drain = (long) expectedWait(queue.size(), 0);
+        long base = Math.max(reason.comeBackMillis(), Math.min(drain, 60_000));
+        return base + random.nextLong(base / 2 + 1);
+    }
+
+    private double expectedWait(long ahead, long now) {
+        if (runs < FEWEST_RUNS) {
+            return 0;
+        }
+        int slots = workers.values().stream().mapToInt(w -> w.usableSlots(now)).sum();
+        return ahead * meanRunMillis / Math.max(1, slots);
+    }
+
+    /** Takes back an ask. */
+    public void onCancel(String entry, long ask) {
+        Waiting w = waiting.remove(new AskKey(entry, ask));
+        if (w != null) {
+            queue.remove(w);
+        }
+    }
+
+    /** Takes back a grant, also one of an earlier owner. */
+    public List<Outgoing> onRelease(Release release, long now) {
+        Held h = held.remove(release.grant());
+        Worker w = workers.get(release.worker());
+        if (h != null && release.outcome() == AttemptOutcome.ANSWERED) {
+            learnRunTime(now - h.since);
+        }
+        if (w != null) {
+            if (h != null) {
+                w.inUse--;
+            }
+            w.health.onOutcome(release.outcome(), now);
+            ejectIfBad(w, now);
+        }
+        return dispatch(now);
+    }
+
+    private void learnRunTime(long millis) {
+        runs++;
+        meanRunMillis = runs == 1 ? millis : meanRunMillis + MEAN_WEIGHT * (millis - meanRunMillis);
+    }
+
+    private void ejectIfBad(Worker w, long now) {
+        long out = workers.values().stream().filter(x -> x.health.isOut()).count();
+        long most = workers.size() < 2 ? 0 : Math.max(1, workers.size() / MOST_EJECTED_SHARE);
+        double peers = workers.values().stream()
+                .filter(x -> x != w && !x.health.isOut())
+                .mapToDouble(x -> x.health.rate())
+                .average()
+                .orElse(0);
+        if (out < most && w.health.isBad(peers, now)) {
+            w.health.eject(now);
+        }
+    }
+
+    /**
+     * Takes an entry's report of all the grants that it holds. Grants of an earlier owner are added; a
+     * grant of ours that the entry does not name was lost on the way and is let go of.
+     */
+    public List<Outgoing> onInUse(String entry, InUse report, long now) {
+        Set<Long> named = report.grants().stream().map(Grant::id).collect(Collectors.toSet());
+        letGo(h -> h.entry.equals(entry) && now - h.since >= SETTLED_MILLIS, named);
+        for (Grant g : report.grants()) {
+            takeReported(entry, g, now);
+        }
+        return dispatch(now);
+    }
+
+    private void takeReported(String entry, Grant g, long now) {
+        Held known = held.get(g.id());
+        Worker w = workers.get(g.worker());
+        if (known != null) {
+            held.put(g.id(), new Held(entry, g.worker(), known.since, now));
+        } else if (w != null) {
+            held.put(g.id(), new Held(entry, g.worker(), now, now));
+            w.inUse++;
+        }
+    }
+
+    /** Lets go of all that an entry asked for and held, since the entry is gone. */
+    public List<Outgoing> onEntryGone(String entry, long now) {
+        queue.removeIf(w -> w.key.entry.equals(entry));
+        waiting.keySet().removeIf(k -> k.entry.equals(entry));
+        letGo(h -> h.entry.equals(entry), Set.of());
+        return dispatch(now);
+    }
+
+    private void letGo(Predicate<Held> which, Set<Long> butNot) {
+        Iterator<Map.Entry<Long, Held>> it = held.entrySet().iterator();
+        while (it.hasNext()) {
+            Map.Entry<Long, Held> e = it.next();
+            if (which.test(e.getValue()) && !butNot.contains(e.getKey())) {
+                it.remove();
+                Worker w = workers.get(e.getValue().worker);
+                if (w != null) {
+                    w.inUse--;
+                }
+            }
+        }
+    }
+
+    /** Grants what has become free with time alone, and drops asks whose time has passed. */
+    public List<Outgoing> onTick(long now) {
+        queue.stream().filter(w -> now >= w.deadline).toList().forEach(this::drop);
+        letGo(h -> now - h.reportedAt >= UNREPORTED_MILLIS, Set.of());
+        return dispatch(now);
+    }
+
+    private void drop(Waiting w) {
+        queue.remove(w);
+        waiting.remove(w.key);
+    }
+
+    private List<Outgoing> dispatch(long now) {
+        List<Outgoing> out = new ArrayList<>();
+        if (queue.isEmpty()) {
+            return out;
+        }
+        if (workers.values().stream().noneMatch(w -> w.info.usable())) {
+            refuseAll(out);
+            return out;
+        }
+        for (Waiting w : List.copyOf(queue)) {
+            if (freeSlots(now) == 0) {
+                break;
+            }
+            if (now < w.deadline) {
+                choose(w.ask, now).ifPresent(worker -> grant(w, worker, now, out));
+            }
+        }
+        return out;
+    }
+
+    private void refuseAll(List<Outgoing> out) {
+        for (Waiting w : List.copyOf(queue)) {
+            drop(w);
+            out.add(new Outgoing(w.key.entry, refused(w.ask, GiveUpReason.CUT_OFF, comeBack(GiveUpReason.CUT_OFF))));
+        }
+    }
+
+    private int freeSlots(long now) {
+        return workers.values().stream().mapToInt(w -> w.free(now)).sum();
+    }
+
+    private Optional<Worker> choose(Ask ask, long now) {
+        List<Worker> fit = workers.values().stream()
+                .filter(w -> w.free(now) > 0 && w.info.memoryMb() >= ask.memoryMb())
+                .toList();
+        return fit.stream()
+                .min(Comparator.<Worker>comparingInt(w -> ask.avoid().contains(w.info.id()) ? 1 : 0)
+                        .thenComparingInt(w -> w.info.hall().equals(ask.hall()) ? 0 : 1)
+                        .thenComparingDouble(w -> (double) w.inUse / w.info.slots())
+                        .thenComparing(w -> w.info.id()));
+    }
+
+    private void grant(Waiting w, Worker worker, long now, List<Outgoing> out) {
+        drop(w);
+        long id = random.nextLong();
+        String workerId = worker.info.id();
+        held.put(id, new Held(w.key.entry, workerId, now, now));
+        worker.inUse++;
+        out.add(new Outgoing(w.key.entry, new Granted(service, w.ask.ask(), new Grant(id, workerId))));
+    }
+
+    /** Returns how many asks wait. */
+    public int queueLength() {
+        return queue.size();
+    }
+
+    /** Returns how many grants are out. */
+    public int grantsInUse() {
+        return held.size();
+    }
+
+    /** Returns the workers that are ejected or on probe. */
+    public List<String> ejected() {
+        return workers.values().stream()
+                .filter(w -> w.health.isOut())
+                .map(w -> w.info.id())
+                .toList();
+    }
+
+    private record AskKey(String entry, long ask) {}
+
+    private record Held(String entry, String worker, long since, long reportedAt) {}
+
+    private static final class Waiting {
+        private final AskKey key;
+        private final Ask ask;
+        private final long orderTime;
+        private final long deadline;
+        private final long sequence;
+
+        private Waiting(AskKey key, Ask ask, long now, long sequence) {
+            this.key = key;
+            this.ask = ask;
+            this.orderTime = ask.urgency().orderTime(now - ask.waitedMillis());
+            this.deadline = now + ask.remainingMillis();
+            this.sequence = sequence;
+        }
+    }
+
+    private static final class Worker {
+        private final WorkerHealth health = new WorkerHealth();
+        private WorkerInfo info = new WorkerInfo("", "", 0, 0, false);
+        private int inUse;
+
+        private int usableSlots(long now) {
+            return info.usable() ? health.usableSlots(info.slots(), now) : 0;
+        }
+
+        private int free(long now) {
+            return Math.max(0, usableSlots(now) - inUse);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/slot/WorkerHealth.java
@@ -0,0 +1,118 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.slot;
+
+import org.lupinpaddle.core.request.AttemptOutcome;
+
+/**
+ * What one worker's recent outcomes say of it: an outcome weighs half after {@link #HALF_LIFE_MILLIS}. A
+ * worker that fails much more than its peers is ejected for a time that doubles, then probed with one
+ * request; the first success lets it back.
+ */
+final class WorkerHealth {
+
+    private static final double HALF_LIFE_MILLIS = 10_000;
+    // Below this weight of outcomes chance alone could make a good worker look bad.
+    private static final double FEWEST_OUTCOMES = 4;
+    private static final double EJECT_BELOW = 0.5;
+    private static final double MARGIN_TO_PEERS = 0.3;
+    private static final long FIRST_EJECTION_MILLIS = 5_000;
+    private static final long LONGEST_EJECTION_MILLIS = 60_000;
+    private static final long PAUSE_FULL_MILLIS = 50;
+    private static final long PAUSE_LEAVING_MILLIS = 1_000;
+    private static final long PAUSE_UNREACHABLE_MILLIS = 250;
+
+    private double good;
+    private double bad;
+    private long weighedAt;
+    private int ejections;
+    private long ejectedUntil;
+    private boolean probing;
+    private long pausedUntil;
+
+    /** Takes the outcome of an attempt. */
+    void onOutcome(AttemptOutcome outcome, long now) {
+        decay(now);
+        switch (outcome) {
+            case ANSWERED -> {
+                good++;
+                if (probing) {
+                    clear();
+                }
+            }
+            case FAILED, BROKEN -> onBad(now);
+            case NOT_SENT -> {
+                onBad(now);
+                pausedUntil = now + PAUSE_UNREACHABLE_MILLIS;
+            }
+            case REFUSED_FULL -> pausedUntil = now + PAUSE_FULL_MILLIS;
+            case REFUSED_LEAVING -> pausedUntil = now + PAUSE_LEAVING_MILLIS;
+            case UNUSED -> {}
+        }
+    }
+
+    private void onBad(long now) {
+        bad++;
+        if (probing) {
+            eject(now);
+        }
+    }
+
+    private void clear() {
+        probing = false;
+        ejections = 0;
+        bad = 0;
+    }
+
+    /** Returns whether the worker should be ejected, its peers succeeding at {@code peerRate}. */
+    boolean isBad(double peerRate, long now) {
+        decay(now);
+        return !isOut() && good + bad >= FEWEST_OUTCOMES && rate() < EJECT_BELOW && rate() < peerRate - MARGIN_TO_PEERS;
+    }
+
+    /** Ejects the worker; each time in a row for twice as long. */
+    void eject(long now) {
+        long time = Math.min(LONGEST_EJECTION_MILLIS, FIRST_EJECTION_MILLIS << Math.min(ejections, 10));
+        ejections++;
+        ejectedUntil = now + time;
+        probing = true;
+    }
+
+    /** Returns whether the worker is ejected or still to prove itself. */
+    boolean isOut() {
+        return probing;
+    }
+
+    /** Returns how many requests the worker may have at once, its slots being {@code slots}. */
+    int usableSlots(int slots, long now) {
+        if (now < pausedUntil || now < ejectedUntil) {
+            return 0;
+        }
+        return probing ? 1 : slots;
+    }
+
+    /** Returns the share of recent outcomes that were good, from 0 to 1; 1 where there are none. */
+    double rate() {
+        return good + bad == 0 ? 1 : good / (good + bad);
+    }
+
+    private void decay(long now) {
+        double factor = Math.pow(0.5, (now - weighedAt) / HALF_LIFE_MILLIS);
+        good *= factor;
+        bad *= factor;
+        weighedAt = now;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/wave/WaveStepper.java
@@ -0,0 +1,344 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.wave;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.lupinpaddle.core.common.StoreKeys;
+import org.lupinpaddle.core.instance.InstanceRecord;
+import org.lupinpaddle.core.instance.InstanceState;
+import org.lupinpaddle.core.instance.ShardRecord;
+import org.lupinpaddle.core.service.MemberReconciler;
+import org.lupinpaddle.core.service.Permit;
+import org.lupinpaddle.core.service.ServiceRecord;
+import org.lupinpaddle.core.view.FleetView;
+
+/**
+ * Decides the next steps of a wave from the configuration and what can be seen of the workers, and from
+ * nothing else: no step depends on one that a driver remembers, so any entry can take a wave over at any
+ * point. Steps of one round go into as few writes as there are records to change.
+ *
+ * <p>The order of writes carries the budget. Out: permit in the ledger, then the instance's state, then the
+ * drain, then, once all entries have confirmed the state and the worker is idle, the state again, then the
+ * reboot. Back: the instance's state, then the permit. So whoever is out on purpose has a permit, whatever
+ * step a driver dies at. An instance that changes pools is struck off the ledger before its pool changes
+ * and counted in its new service once it serves there.
+ */
+public final class WaveStepper {
+
+    // The first instance of a wave goes alone; a wave widens only on instances that came back.
+    private static final int WIDENING = 2;
+    // With none back the first that stays away halts the wave, afterwards the second.
+    private static final int MOST_OVERDUE = 2;
+
+    private final FleetView view;
+    private final WaveRecord wave;
+    private final FleetSight sight;
+    private final Supplier<String> writeIds;
+    private final Map<String, ServiceRecord> services = new TreeMap<>();
+    private final Map<String, ShardRecord> shards = new TreeMap<>();
+    private final List<WaveAction> maintenance = new ArrayList<>();
+    private final Set<String> outRacks = new HashSet<>();
+    private final Map<String, Integer> returning = new TreeMap<>();
+    private int out;
+    private int returned;
+
+    private WaveStepper(FleetView view, WaveRecord wave, FleetSight sight, Supplier<String> writeIds) {
+        this.view = view;
+        this.wave = wave;
+        this.sight = sight;
+        this.writeIds = writeIds;
+    }
+
+    /** Returns the next steps of the wave with this name; none where all waits or is settled. */
+    public static List<WaveAction> step(FleetView view, String wave, FleetSight sight, Supplier<String> writeIds) {
+        WaveRecord record = view.waves().get(wave);
+        return record == null ? List.of() : new WaveStepper(view, record, sight, writeIds).step();
+    }
+
+    /** Returns whether the wave has ended and holds no instance and no permit any more. */
+    public static boolean isSettled(FleetView view, WaveRecord wave) {
+        return wave.state().ended() && holdsNothing(view, wave);
+    }
+
+    private static boolean holdsNothing(FleetView view, WaveRecord wave) {
+        boolean heldInstance = view.instances().values().stream().anyMatch(i -> i.isHeldBy(wave.name()));
+        boolean heldPermit = view.services().values().stream()
+                .flatMap(s -> s.permits().values().stream())
+                .anyMatch(p -> p.wave().equals(wave.name()));
+        return !heldInstance && !heldPermit;
+    }
+
+    private List<WaveAction> step() {
+        count();
+        for (WaveTarget t : wave.targets()) {
+            InstanceRecord i = view.instances().get(t.instance());
+            if (i != null) {
+                step(t, i);
+            }
+        }
+        List<WaveAction> all = new ArrayList<>();
+        services.forEach((name, s) -> all.add(new WaveAction.PutService(s, view.revisionOf(StoreKeys.service(name)))));
+        shards.forEach((key, s) -> all.add(new WaveAction.PutShard(key, s, view.revisionOf(key))));
+        all.addAll(maintenance);
+        nextState().ifPresent(w -> all.add(new WaveAction.PutWave(w, view.revisionOf(StoreKeys.wave(wave.name())))));
+        return all;
+    }
+
+    private void count() {
+        for (WaveTarget t : wave.targets()) {
+            InstanceRecord i = view.instances().get(t.instance());
+            if (i == null) {
+                continue;
+            }
+            if (i.isDoneBy(wave.name())) {
+                returned++;
+            } else if (i.isHeldBy(wave.name()) || permitOf(i).isPresent()) {
+                out++;
+                outRacks.add(rack(i));
+            }
+        }
+        view.instances().values().stream()
+                .filter(i -> i.state() == InstanceState.RETURNING)
+                .forEach(i -> view.serviceOf(i).ifPresent(s -> returning.merge(s.name(), 1, Integer::sum)));
+    }
+
+    private static String rack(InstanceRecord i) {
+        return i.hall() + "/" + i.rack();
+    }
+
+    private void step(WaveTarget t, InstanceRecord i) {
+        switch (i.state()) {
+            case IN_SERVICE -> stepInService(i);
+            case LEAVING -> {
+                if (i.isHeldBy(wave.name())) {
+                    stepLeaving(t, i);
+                }
+            }
+            case REBOOTING -> {
+                if (i.isHeldBy(wave.name())) {
+                    stepRebooting(t, i);
+                }
+            }
+            case RETURNING -> {
+                if (i.isHeldBy(wave.name())) {
+                    stepReturning(i);
+                }
+            }
+            case RETIRED -> {}
+        }
+    }
+
+    private void stepInService(InstanceRecord i) {
+        Optional<ServiceRecord> service = view.serviceOf(i);
+        Optional<Permit> permit = permitOf(i);
+        boolean wanted = wave.state().takesOut() && !i.isDoneBy(wave.name());
+        service.ifPresent(this::addJoiners);
+        if (permit.isPresent()) {
+            usePermit(i, permit.get(), wanted);
+        } else if (wanted && mayTakeOut(i)) {
+            takeOut(i, service);
+        }
+    }
+
+    private void usePermit(InstanceRecord i, Permit permit, boolean wanted) {
+        if (permit.id().equals(i.spentPermit())) {
+            releasePermit(i);
+        } else if (!wanted || view.serviceOf(i).filter(this::isBelowFloor).isPresent()) {
+            put(i.toBuilder().spentPermit(permit.id()).build());
+        } else if (sight.of(i.id()).reachable()) {
+            put(leaving(i));
+        }
+    }
+
+    private InstanceRecord leaving(InstanceRecord i) {
+        return i.toBuilder()
+                .state(InstanceState.LEAVING)
+                .wave(wave.name())
+                .incarnation(sight.of(i.id()).incarnation())
+                .build();
+    }
+
+    private boolean mayTakeOut(InstanceRecord i) {
+        int width = Math.min(wave.order().width(), Math.max(1, WIDENING * returned));
+        boolean rackFree = wave.order().mixesRacks() || outRacks.isEmpty() || outRacks.contains(rack(i));
+        return out < width && rackFree && overdue() == 0 && sight.of(i.id()).reachable();
+    }
+
+    private void takeOut(InstanceRecord i, Optional<ServiceRecord> service) {
+        if (service.isEmpty()) {
+            put(leaving(i));
+            noteOut(i);
+            return;
+        }
+        ServiceRecord s = current(service.get());
+        boolean counted = service.get().members().contains(i.id());
+        if (counted && s.mayRelease(i.id(), sight.failed(), floor(s))) {
+            String id = writeIds.get();
+            Permit p = new Permit(id, i.id(), wave.name(), sight.of(i.id()).incarnation());
+            services.put(s.name(), s.withPermit(p, id));
+            noteOut(i);
+        }
+    }
+
+    private void noteOut(InstanceRecord i) {
+        out++;
+        outRacks.add(rack(i));
+    }
+
+    private void stepLeaving(WaveTarget t, InstanceRecord i) {
+        Sight s = sight.of(i.id());
+        Optional<ServiceRecord> service = view.serviceOf(i);
+        boolean member = service.filter(x -> x.members().contains(i.id())).isPresent();
+        boolean needed = member && service.filter(this::isBelowFloor).isPresent();
+        if (!wave.state().takesOut() || needed) {
+            put(i.toBuilder().state(InstanceState.RETURNING).build());
+            service.ifPresent(x -> returning.merge(x.name(), 1, Integer::sum));
+        } else if (s.reachable() && s.incarnation() != i.incarnation()) {
+            // Restarted by itself while it was leaving: what it was told is forgotten.
+            put(i.toBuilder().incarnation(s.incarnation()).build());
+        } else if (!s.leaving()) {
+            maintain(WaveAction.Step.DRAIN, i);
+        } else if (isIdle(i)) {
+            leaveServiceOrReboot(t, i, service, member);
+        }
+    }
+
+    private boolean isIdle(InstanceRecord i) {
+        var confirmed = sight.confirmedAt().apply(fence(i));
+        return confirmed.isPresent() && sight.of(i.id()).isIdleSince(confirmed.getAsLong());
+    }
+
+    private void leaveServiceOrReboot(WaveTarget t, InstanceRecord i, Optional<ServiceRecord> service, boolean member) {
+        if (t.toPool() != null && member) {
+            service.map(this::current).ifPresent(s -> services.put(s.name(), s.withoutMember(i.id(), writeIds.get())));
+        } else {
+            put(i.toBuilder().state(InstanceState.REBOOTING).build());
+        }
+    }
+
+    private void stepRebooting(WaveTarget t, InstanceRecord i) {
+        Sight s = sight.of(i.id());
+        boolean restarted = s.reachable() && s.incarnation() > i.incarnation();
+        if (restarted && s.leaving()) {
+            maintenance.add(new WaveAction.Maintain(WaveAction.Step.UNDRAIN, i.id(), s.incarnation(), fence(i)));
+        } else if (restarted) {
+            String pool = t.toPool() == null ? i.pool() : t.toPool();
+            put(backInService(i, s).pool(pool).doneBy(wave.name()).build());
+        } else if (s.running() == 0) {
+            maintain(WaveAction.Step.REBOOT, i);
+        }
+    }
+
+    private void stepReturning(InstanceRecord i) {
+        Sight s = sight.of(i.id());
+        if (s.reachable() && !s.leaving()) {
+            put(backInService(i, s).build());
+        } else if (s.reachable()) {
+            maintenance.add(new WaveAction.Maintain(WaveAction.Step.UNDRAIN, i.id(), s.incarnation(), fence(i)));
+        }
+    }
+
+    private InstanceRecord.Builder backInService(InstanceRecord i, Sight s) {
+        String spent = permitOf(i).map(Permit::id).orElse(i.spentPermit());
+        return i.toBuilder()
+                .state(InstanceState.IN_SERVICE)
+                .incarnation(s.incarnation())
+                .wave(null)
+                .spentPermit(spent);
+    }
+
+    private void maintain(WaveAction.Step step, InstanceRecord i) {
+        maintenance.add(new WaveAction.Maintain(step, i.id(), i.incarnation(), fence(i)));
+    }
+
+    private long fence(InstanceRecord i) {
+        return view.revisionOf(StoreKeys.shardOf(i.id()));
+    }
+
+    private Optional<Permit> permitOf(InstanceRecord i) {
+        return view.serviceOf(i)
+                .map(s -> s.permits().get(i.id()))
+                .filter(p -> p.wave().equals(wave.name()));
+    }
+
+    private void releasePermit(InstanceRecord i) {
+        view.serviceOf(i)
+                .map(this::current)
+                .ifPresent(s -> services.put(s.name(), s.withoutPermit(i.id(), writeIds.get())));
+    }
+
+    private void addJoiners(ServiceRecord service) {
+        if (!services.containsKey(service.name())) {
+            MemberReconciler.withJoiners(view, service, writeIds.get()).ifPresent(s -> services.put(s.name(), s));
+        }
+    }
+
+    private ServiceRecord current(ServiceRecord s) {
+        return services.getOrDefault(s.name(), s);
+    }
+
+    private int floor(ServiceRecord s) {
+        return MemberReconciler.floor(view, s);
+    }
+
+    // Those on their way back count as back: else every look would put back one more.
+    private boolean isBelowFloor(ServiceRecord s) {
+        return s.available(sight.failed()) + returning.getOrDefault(s.name(), 0) < floor(s);
+    }
+
+    private void put(InstanceRecord next) {
+        String key = StoreKeys.shardOf(next.id());
+        ShardRecord shard = shards.getOrDefault(key, view.shardOf(next.id()));
+        shards.put(key, shard.with(next, writeIds.get()));
+    }
+
+    private long overdue() {
+        return wave.targets().stream()
+                .filter(t -> sight.overdue().contains(t.instance()))
+                .count();
+    }
+
+    private Optional<WaveRecord> nextState() {
+        if (wave.state() != WaveState.RUNNING) {
+            return Optional.empty();
+        }
+        if (overdue() >= (returned == 0 ? 1 : MOST_OVERDUE)) {
+            return Optional.of(wave.in(
+                    WaveState.HALTED,
+                    overdue() + " instances have not come back from their reboot",
+                    "lupinpaddle",
+                    writeIds.get()));
+        }
+        if (isDone() && services.isEmpty() && shards.isEmpty()) {
+            return Optional.of(wave.in(WaveState.DONE, "every instance is done", "lupinpaddle", writeIds.get()));
+        }
+        return Optional.empty();
+    }
+
+    private boolean isDone() {
+        return holdsNothing(view, wave)
+                && wave.targets().stream()
+                        .map(t -> view.instances().get(t.instance()))
+                        .allMatch(i -> i == null || i.state() == InstanceState.RETIRED || i.isDoneBy(wave.name()));
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/ToolOptions.java
@@ -0,0 +1,70 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.ctl;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The options that stand before a command: where the entries are, who asks, and how the answer looks. The
+ * words after them are the command, which the entry reads too.
+ *
+ * @param entries operator addresses of entries, tried in turn
+ * @param token the bearer token
+ * @param operator the name under which changes are made, or null for the address
+ * @param json whether the answer is printed as JSON
+ * @param command the words of the command
+ */
+record ToolOptions(
+        List<String> entries, String token, @Nullable String operator, boolean json, List<String> command) {
+
+    static final String ENTRIES_VARIABLE = "LUPINCTL_ENTRIES";
+    static final String TOKEN_VARIABLE = "LUPINCTL_TOKEN";
+
+    /** Reads the options in front of the command; fails with one line that says what is wrong. */
+    static ToolOptions parse(String[] args, @Nullable String entriesVariable, @Nullable String tokenVariable) {
+        List<String> entries = new ArrayList<>();
+        String operator = null;
+        boolean json = false;
+        int i = 0;
+        for (; i < args.length && args[i].startsWith("--"); i++) {
+            switch (args[i]) {
+                case "--json" -> json = true;
+                case "--entry" -> entries.add(value(args, ++i, "--entry IP:PORT"));
+                case "--operator" -> operator = value(args, ++i, "--operator NAME");
+                case "--help" -> {
+                    return new ToolOptions(entries, "", operator, json, List.of("help"));
+                }
+                default ->
+                    throw new IllegalArgumentException(
+                            args[i] + " is unknown; options before a command are --entry, --operator, --json, --help");
+            }
+        }
+        if (entries.isEmpty() && entriesVariable != null) {
+            entries.addAll(List.of(entriesVariable.split(",")));
+        }
+        List<String> command = List.of(args).subList(i, args.length);
+        return new ToolOptions(entries, tokenVariable == null ? "" : tokenVariable, operator, json, command);
+    }
+
+    private static String value(String[] args, int at, String usage) {
+        if (at >= args.length) {
+            throw new IllegalArgumentException("a value is missing; give " + usage);
+        }
+        return args[at];
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/caller/RequestRun.java
@@ -0,0 +1,295 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.caller;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.api.trace.StatusCode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.common.Verdict;
+import org.lupinpaddle.core.instance.InstanceRecord;
+import org.lupinpaddle.core.request.AttemptOutcome;
+import org.lupinpaddle.core.request.CallerRequest;
+import org.lupinpaddle.core.request.RequestAction;
+import org.lupinpaddle.core.request.RequestEvent;
+import org.lupinpaddle.core.request.RequestMachine;
+import org.lupinpaddle.core.slot.SlotDesk;
+import org.lupinpaddle.core.slot.SlotMessage.Grant;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.trace.Traces;
+
+/**
+ * Carries one request: takes what happens to its machine in {@code core} and does what that says. All
+ * methods are called on the event loop.
+ */
+final class RequestRun {
+
+    private static final Set<String> NOT_PASSED_ON = Set.of(
+            "connection",
+            "content-length",
+            "expect",
+            "host",
+            "keep-alive",
+            "proxy-authorization",
+            "request-id",
+            "te",
+            "traceparent",
+            "trailer",
+            "transfer-encoding",
+            "upgrade");
+
+    private final RequestServices services;
+    private final CallerRequest request;
+    private final HttpFields headers;
+    private final byte[] body;
+    private final CallerReply reply;
+    private final Runnable onOver;
+    private final RequestMachine machine;
+    private final Span span;
+    private final Deque<RequestEvent> events = new ArrayDeque<>();
+    private @Nullable Span waitSpan;
+    private EventLoop.@Nullable Timer deadline;
+    private long openAsk;
+    private @Nullable Grant grant;
+    private WorkerClient.@Nullable Attempt attempt;
+    private @Nullable WorkerAnswer answer;
+    private String workerAddress = "";
+    private String taskId = "";
+    private boolean running;
+
+    RequestRun(
+            RequestServices services,
+            CallerRequest request,
+            HttpFields headers,
+            byte[] body,
+            CallerReply reply,
+            Runnable onOver) {
+        this.services = services;
+        this.request = request;
+        this.headers = headers;
+        this.body = body;
+        this.reply = reply;
+        this.onOver = onOver;
+        this.machine = new RequestMachine(request, services.retries());
+        this.span = services.traces().request(request.id(), request.service(), headers);
+    }
+
+    void start() {
+        long left = request.deadline() - services.loop().clock().millis();
+        deadline = services.loop().after(left, () -> on(new RequestEvent.DeadlinePassed()));
+        on(new RequestEvent.Arrived());
+    }
+
+    void cancel() {
+        on(new RequestEvent.CallerGone());
+    }
+
+    // An action can cause the next event at once: events are taken in turn, not nested.
+    private void on(RequestEvent event) {
+        events.add(event);
+        if (running) {
+            return;
+        }
+        running = true;
+        try {
+            for (RequestEvent e = events.poll(); e != null; e = events.poll()) {
+                for (RequestAction a : machine.on(e, services.loop().clock().millis())) {
+                    carryOut(a);
+                }
+            }
+        } finally {
+            running = false;
+        }
+        if (machine.isOver()) {
+            onOver.run();
+        }
+    }
+
+    private void carryOut(RequestAction action) {
+        if (action instanceof RequestAction.TakeClaim) {
+            takeClaim();
+        } else if (action instanceof RequestAction.SettleClaim) {
+            services.claims().settle(request.service(), jobId(), request.id());
+        } else if (action instanceof RequestAction.AskSlot a) {
+            askSlot(a);
+        } else if (action instanceof RequestAction.CancelAsk) {
+            services.slots().cancel(openAsk);
+        } else if (action instanceof RequestAction.Send a) {
+            services.config().whenFresh(() -> send(a));
+        } else if (action instanceof RequestAction.ReleaseSlot a) {
+            services.slots().release(request.service(), new Grant(a.grant(), a.worker()), a.outcome());
+        } else if (action instanceof RequestAction.PassAnswer) {
+            passAnswer();
+        } else if (action instanceof RequestAction.GiveUp a) {
+            giveUp(a);
+        }
+    }
+
+    private String jobId() {
+        return Objects.requireNonNull(request.jobId(), "claims are for jobs with an id");
+    }
+
+    private void takeClaim() {
+        Span hop = services.traces().hop(span, request.id(), "claim", SpanKind.CLIENT);
+        services.claims().take(request.service(), jobId(), request.id(), result -> {
+            hop.setAttribute("claim.result", result.name());
+            hop.end();
+            on(new RequestEvent.ClaimAnswered(result));
+        });
+    }
+
+    private void askSlot(RequestAction.AskSlot a) {
+        Span hop = services.traces().hop(span, request.id(), "slot", SpanKind.INTERNAL);
+        waitSpan = hop;
+        SlotDesk.Need need = new SlotDesk.Need(
+                request.service(),
+                request.urgency(),
+                request.arrival(),
+                request.deadline(),
+                a.avoid(),
+                request.memoryMb());
+        openAsk = services.slots().ask(need, r -> {
+            hop.end();
+            on(event(r));
+        });
+    }
+
+    private static RequestEvent event(SlotDesk.Reply r) {
+        if (r instanceof SlotDesk.Reply.NoSlot n) {
+            return new RequestEvent.SlotRefused(n.reason(), n.comeBackMillis());
+        }
+        Grant g = ((SlotDesk.Reply.Slot) r).grant();
+        return new RequestEvent.SlotGranted(g.id(), g.worker());
+    }
+
+    private void send(RequestAction.Send a) {
+        InstanceRecord worker = services.config().view().instances().get(a.worker());
+        if (machine.isAnswered()) {
+            on(new RequestEvent.AttemptEnded(a.attempt(), AttemptOutcome.UNUSED));
+            return;
+        }
+        if (worker == null || !worker.state().takesWork()) {
+            // Granted before the owner of the slots knew that the worker is leaving.
+            on(new RequestEvent.AttemptEnded(a.attempt(), AttemptOutcome.REFUSED_LEAVING));
+            return;
+        }
+        long waited = services.loop().clock().millis() - request.arrival();
+        services.metrics()
+                .histogram("request.start.millis." + request.urgency().wireName())
+                .update(waited);
+        Span hop = services.traces().hop(span, request.id(), "attempt " + a.worker(), SpanKind.CLIENT);
+        workerAddress = worker.address();
+        taskId = request.id() + "." + a.attempt();
+        long longest = Math.max(0, request.deadline() - services.loop().clock().millis()) + services.holdMillis();
+        attempt = services.worker()
+                .send(
+                        workerAddress,
+                        "/work",
+                        workerHeaders(hop),
+                        body,
+                        longest,
+                        w -> services.loop().execute(() -> ended(a, hop, w)));
+    }
+
+    private void ended(RequestAction.Send a, Span hop, WorkerAnswer w) {
+        hop.setAttribute("outcome", w.outcome().name());
+        hop.setStatus(w.outcome() == AttemptOutcome.ANSWERED ? StatusCode.OK : StatusCode.ERROR);
+        hop.end();
+        answer = w;
+        attempt = null;
+        on(new RequestEvent.AttemptEnded(a.attempt(), w.outcome()));
+    }
+
+    private HttpFields workerHeaders(Span hop) {
+        HttpFields.Mutable out = HttpFields.build();
+        headers.forEach(f -> {
+            String name = f.getLowerCaseName();
+            if (!NOT_PASSED_ON.contains(name) && !name.startsWith(CallerHeaders.PREFIX)) {
+                out.add(f);
+            }
+        });
+        out.put(CallerHeaders.REQUEST_ID, taskId);
+        out.put("traceparent", Traces.traceparent(hop));
+        return out.asImmutable();
+    }
+
+    private void passAnswer() {
+        WorkerAnswer w = Objects.requireNonNull(answer, "an answer to pass on");
+        finish(Verdict.RAN, "answered", 0);
+        HttpFields.Mutable out = HttpFields.build();
+        w.headers().forEach(f -> {
+            if (!NOT_PASSED_ON.contains(f.getLowerCaseName())
+                    && !f.getLowerCaseName().startsWith(CallerHeaders.PREFIX)) {
+                out.add(f);
+            }
+        });
+        out.put(CallerHeaders.VERDICT, Verdict.RAN.wireName());
+        out.put(CallerHeaders.REQUEST_ID, request.id());
+        reply.answer(w.status(), out, w.body());
+    }
+
+    private void giveUp(RequestAction.GiveUp a) {
+        finish(a.verdict(), a.reason().wireName(), a.comeBackMillis());
+        HttpFields.Mutable out = HttpFields.build();
+        out.put(CallerHeaders.VERDICT, a.verdict().wireName());
+        out.put(CallerHeaders.REASON, a.reason().wireName());
+        out.put(CallerHeaders.REQUEST_ID, request.id());
+        if (a.comeBackMillis() > 0) {
+            long seconds = TimeUnit.MILLISECONDS.toSeconds(a.comeBackMillis() + 999);
+            out.put(HttpHeader.RETRY_AFTER, Long.toString(seconds));
+            out.put(CallerHeaders.COME_BACK, Long.toString(a.comeBackMillis()));
+        }
+        reply.answer(a.reason().status(), out, new byte[0]);
+        if (attempt != null) {
+            // Nobody waits for it any more: the worker may stop it, and the slot is free once it says so.
+            services.worker().stopTask(workerAddress, taskId);
+        }
+    }
+
+    private void finish(Verdict verdict, String reason, long comeBackMillis) {
+        EventLoop.Timer t = deadline;
+        if (t != null) {
+            t.cancel();
+        }
+        Span w = waitSpan;
+        if (w != null) {
+            w.end();
+        }
+        long took = services.loop().clock().millis() - request.arrival();
+        span.setAttribute("verdict", verdict.wireName());
+        span.setAttribute("reason", reason);
+        span.end();
+        services.metrics().counter("requests." + reason).inc();
+        services.metrics()
+                .histogram("request.millis." + request.urgency().wireName())
+                .update(took);
+        List<Object> fields = new ArrayList<>(List.of("request", request.id(), "service", request.service()));
+        fields.addAll(List.of("class", request.urgency().wireName(), "verdict", verdict.wireName()));
+        fields.addAll(List.of("reason", reason, "attempts", machine.attempts(), "took_ms", took));
+        fields.addAll(List.of("come_back_ms", comeBackMillis));
+        Log.info("request", fields.toArray());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/caller/WorkerAnswer.java
@@ -0,0 +1,36 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.caller;
+
+import org.eclipse.jetty.http.HttpFields;
+import org.lupinpaddle.core.request.AttemptOutcome;
+
+/**
+ * What came of one attempt at a worker.
+ *
+ * @param outcome how it ended
+ * @param status the worker's HTTP status, or 0
+ * @param headers the worker's headers
+ * @param body the whole of the worker's answer, or nothing
+ */
+record WorkerAnswer(AttemptOutcome outcome, int status, HttpFields headers, byte[] body) {
+
+    private static final byte[] NOTHING = new byte[0];
+
+    static WorkerAnswer without(AttemptOutcome outcome) {
+        return new WorkerAnswer(outcome, 0, HttpFields.EMPTY, NOTHING);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/caller/WorkerClient.java
@@ -0,0 +1,116 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.caller;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpMethod;
+import org.lupinpaddle.core.request.AttemptOutcome;
+
+/**
+ * Sends one attempt to a worker and says truly whether it may have run. The client takes no step of its
+ * own: no redirects, no authentication, and no second sending. An attempt counts as not sent only when it
+ * failed before the client began to write to a connection; a pooled connection that the worker closed at
+ * the same moment therefore gives "may have run".
+ */
+final class WorkerClient {
+
+    private static final String REFUSED = "Worker-Refused";
+    private static final String LEAVING = "leaving";
+    private static final int UNAVAILABLE = 503;
+    private static final int SERVER_ERROR = 500;
+    private static final long STOP_MILLIS = 2_000;
+
+    private final HttpClient client;
+    private final int answerBytes;
+
+    /** Makes the client; the Jetty client is set up by {@link #prepare} and started by the caller. */
+    WorkerClient(HttpClient client, int answerBytes) {
+        this.client = client;
+        this.answerBytes = answerBytes;
+    }
+
+    /** Takes from a Jetty client, after its start, every step that it would take of its own. */
+    static void prepare(HttpClient client) {
+        client.setFollowRedirects(false);
+        client.getProtocolHandlers().clear();
+        client.getContentDecoderFactories().clear();
+        client.setUserAgentField(null);
+    }
+
+    /** One attempt that is under way. */
+    interface Attempt {
+        /** Breaks the attempt off. */
+        void abort();
+    }
+
+    /** Sends an attempt; {@code onEnd} is called once, on a thread of the client. */
+    Attempt send(
+            String address,
+            String path,
+            HttpFields headers,
+            byte[] body,
+            long longestMillis,
+            Consumer<WorkerAnswer> onEnd) {
+        AtomicBoolean begun = new AtomicBoolean();
+        Request request = client.newRequest("http://" + address + path)
+                .method(HttpMethod.POST)
+                .headers(h -> h.add(headers))
+                .body(new BytesRequestContent(body))
+                .timeout(longestMillis, TimeUnit.MILLISECONDS)
+                .onRequestBegin(r -> begun.set(true));
+        request.send(new BufferingResponseListener(answerBytes) {
+            @Override
+            public void onComplete(Result result) {
+                onEnd.accept(answer(result, begun.get(), getContent()));
+            }
+        });
+        return () -> {
+            var unused = request.abort(new TimeoutException("attempt broken off"));
+        };
+    }
+
+    private static WorkerAnswer answer(Result result, boolean begun, byte[] content) {
+        if (result.isFailed()) {
+            return WorkerAnswer.without(begun ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT);
+        }
+        var response = result.getResponse();
+        String refused = response.getHeaders().get(REFUSED);
+        if (response.getStatus() == UNAVAILABLE && refused != null) {
+            return WorkerAnswer.without(
+                    refused.equals(LEAVING) ? AttemptOutcome.REFUSED_LEAVING : AttemptOutcome.REFUSED_FULL);
+        }
+        AttemptOutcome outcome = response.getStatus() >= SERVER_ERROR ? AttemptOutcome.FAILED : AttemptOutcome.ANSWERED;
+        byte[] body = content == null ? new byte[0] : content;
+        return new WorkerAnswer(outcome, response.getStatus(), response.getHeaders(), body);
+    }
+
+    /** Asks a worker to stop a task that nobody waits for; what it says does not matter. */
+    void stopTask(String address, String taskId) {
+        client.newRequest("http://" + address + "/tasks/" + taskId)
+                .method(HttpMethod.DELETE)
+                .timeout(STOP_MILLIS, TimeUnit.MILLISECONDS)
+                .send(r -> {});
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/membership/Membership.java
@@ -0,0 +1,124 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.membership;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.view.StoredRecord;
+
+/**
+ * Who the other entries are and which of them can be reached now. Names and addresses come from the store
+ * and from the entries' own greetings; whether one is reachable comes from its heartbeats alone, so it is
+ * true also while the store is away or slow.
+ */
+public final class Membership {
+
+    // An entry that is neither registered nor heard for this long is forgotten.
+    private static final long FORGET_MILLIS = 60_000;
+    // Heartbeats between regions are rarer, to stay within the bytes a node may spend on control.
+    private static final int FAR_HEARTBEAT_FACTOR = 5;
+    private static final double MISSED_HEARTBEATS = 2.5;
+
+    private final String selfId;
+    private final String region;
+    private final long heartbeatMillis;
+    private final Clock clock;
+    private final Map<String, PeerState> peers = new TreeMap<>();
+
+    /** Makes the membership as seen by entry {@code selfId} of a region. */
+    public Membership(String selfId, String region, long heartbeatMillis, Clock clock) {
+        this.selfId = selfId;
+        this.region = region;
+        this.heartbeatMillis = heartbeatMillis;
+        this.clock = clock;
+    }
+
+    /** Takes the registrations as read from the store. */
+    public void onRegistrations(List<StoredRecord> records) {
+        Set<String> registered = new HashSet<>();
+        for (StoredRecord r : records) {
+            RecordCodec.read(r.value(), EntryRecord.class).forEach(e -> {
+                if (!e.id().equals(selfId)) {
+                    registered.add(e.id());
+                    know(e.id(), e.hall(), e.region(), e.peerAddress());
+                }
+            });
+        }
+        peers.replaceAll((id, p) -> p.withRegistered(registered.contains(id)));
+        long now = clock.millis();
+        peers.values().removeIf(p -> !p.registered() && now - p.lastHeard() > FORGET_MILLIS);
+    }
+
+    /** Takes an entry's greeting. */
+    public void onHello(String id, String hall, String itsRegion, String address) {
+        if (!id.equals(selfId)) {
+            know(id, hall, itsRegion, address);
+        }
+    }
+
+    private void know(String id, String hall, String itsRegion, String address) {
+        PeerState old = peers.get(id);
+        if (old == null || !old.address().equals(address)) {
+            boolean registered = old != null && old.registered();
+            peers.put(id, PeerState.unheard(id, hall, itsRegion, address).withRegistered(registered));
+        }
+    }
+
+    /** Takes an entry's heartbeat. */
+    public void onHeartbeat(String id, long revision, boolean serving, boolean platformOk, Map<String, Long> leaving) {
+        long now = clock.millis();
+        peers.computeIfPresent(id, (k, p) -> p.heard(now, revision, serving, platformOk, leaving));
+    }
+
+    /** Notes that an entry's connection has broken off. */
+    public void onGone(String id) {
+        peers.computeIfPresent(id, (k, p) -> p.gone());
+    }
+
+    /** Returns all entries known but this one. */
+    public Collection<PeerState> peers() {
+        return List.copyOf(peers.values());
+    }
+
+    /** Returns the entries that were heard lately. */
+    public List<PeerState> reachable() {
+        return peers.values().stream().filter(this::isReachable).toList();
+    }
+
+    /** Returns whether an entry was heard lately. */
+    public boolean isReachable(PeerState p) {
+        return clock.millis() - p.lastHeard() <= heartbeatMillis(p) * MISSED_HEARTBEATS;
+    }
+
+    /** Returns the time between two heartbeats to an entry, in milliseconds. */
+    public long heartbeatMillis(PeerState p) {
+        return p.region().equals(region) ? heartbeatMillis : heartbeatMillis * FAR_HEARTBEAT_FACTOR;
+    }
+
+    /** Returns the entries of this region that are reachable and serve callers. */
+    public List<String> servingInRegion() {
+        return reachable().stream()
+                .filter(p -> p.serving() && p.region().equals(region))
+                .map(PeerState::id)
+                .toList();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/membership/Registration.java
@@ -0,0 +1,148 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.membership;
+
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.StoreKeys;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.platform.Platform;
+import org.lupinpaddle.daemon.platform.Platform.Swap;
+import org.lupinpaddle.daemon.platform.StoreWriter;
+import org.lupinpaddle.daemon.platform.WriteResult;
+
+/**
+ * Keeps this entry registered in the store under a lease: makes the lease, writes the record with it, keeps
+ * it alive, and starts anew when the lease was lost. While the platform is away the entry goes on serving
+ * unregistered. Attempts are spread by the entry's own phase, so entries do not come back in step.
+ */
+public final class Registration {
+
+    private static final long RETRY_MILLIS = 1_500;
+    private static final int KEEP_ALIVES_PER_LEASE = 3;
+
+    private final Platform platform;
+    private final StoreWriter writer;
+    private final EventLoop loop;
+    private final EntryRecord self;
+    private final long ttlSeconds;
+    private long lease;
+    private boolean registered;
+    private boolean stopped;
+    private long confirmedAt = Long.MIN_VALUE;
+
+    /** Makes the registration of {@code self} with a lease of {@code ttlSeconds}. */
+    public Registration(Platform platform, StoreWriter writer, EventLoop loop, EntryRecord self, long ttlSeconds) {
+        this.platform = platform;
+        this.writer = writer;
+        this.loop = loop;
+        this.self = self;
+        this.ttlSeconds = ttlSeconds;
+    }
+
+    /** Starts registering; call on the loop. */
+    public void start() {
+        makeLease();
+    }
+
+    /** Returns the lease that goes with this entry's life, or 0 while there is none that is known to live. */
+    public long liveLease() {
+        boolean fresh = loop.clock().millis() - confirmedAt < ttlSeconds * 1_000;
+        return registered && fresh ? lease : 0;
+    }
+
+    /** Ends the registration, so that others need not wait for the lease to lapse. */
+    public void stop() {
+        stopped = true;
+        registered = false;
+        if (lease != 0) {
+            var unused = platform.revoke(lease);
+        }
+    }
+
+    private void makeLease() {
+        if (stopped) {
+            return;
+        }
+        registered = false;
+        lease = 0;
+        long asked = loop.clock().millis();
+        var unused = platform.grantLease(ttlSeconds)
+                .whenComplete((id, failure) -> loop.execute(() -> {
+                    if (failure != null) {
+                        loop.after(RETRY_MILLIS, this::makeLease);
+                    } else {
+                        lease = id;
+                        confirmedAt = asked;
+                        findOld();
+                    }
+                }));
+    }
+
+    // A process of the same name that was killed may have left its record until its lease lapses.
+    private void findOld() {
+        String key = StoreKeys.entry(self.id());
+        var unused = platform.range(key, 0)
+                .whenComplete((r, failure) -> loop.execute(() -> {
+                    if (failure != null) {
+                        loop.after(RETRY_MILLIS, this::makeLease);
+                        return;
+                    }
+                    long old = r.records().stream()
+                            .filter(x -> x.key().equals(key))
+                            .mapToLong(x -> x.revision())
+                            .findFirst()
+                            .orElse(0);
+                    write(key, old);
+                }));
+    }
+
+    private void write(String key, long expected) {
+        Swap swap = new Swap(key, RecordCodec.write(self), expected, lease);
+        writer.write(swap, self.writeId(), result -> {
+            if (result.fate() != WriteResult.Fate.ACCEPTED) {
+                loop.after(RETRY_MILLIS, this::makeLease);
+                return;
+            }
+            registered = true;
+            Log.info("registered", "entry", self.id(), "lease", lease, "ttl_s", ttlSeconds);
+            loop.after(keepAliveMillis(), this::keepAlive);
+        });
+    }
+
+    private long keepAliveMillis() {
+        return ttlSeconds * 1_000 / KEEP_ALIVES_PER_LEASE;
+    }
+
+    private void keepAlive() {
+        if (stopped) {
+            return;
+        }
+        long asked = loop.clock().millis();
+        var unused = platform.keepAlive(lease)
+                .whenComplete((alive, failure) -> loop.execute(() -> {
+                    if (failure != null) {
+                        loop.after(RETRY_MILLIS, this::keepAlive);
+                    } else if (alive) {
+                        confirmedAt = asked;
+                        loop.after(keepAliveMillis(), this::keepAlive);
+                    } else {
+                        Log.warn("lease-lost", "entry", self.id(), "lease", lease);
+                        makeLease();
+                    }
+                }));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/operator/ChangeMaker.java
@@ -0,0 +1,106 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.operator;
+
+import com.fasterxml.jackson.databind.node.NullNode;
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.UUID;
+import java.util.function.Consumer;
+import org.lupinpaddle.core.command.OperatorCommand.Change;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.config.ConfigSync;
+import org.lupinpaddle.daemon.platform.Platform.Swap;
+import org.lupinpaddle.daemon.platform.StoreWriter;
+import org.lupinpaddle.daemon.platform.WriteResult;
+
+/**
+ * Makes the changes that operators command: one compare-and-swap against the view, decided by {@link
+ * ChangeDecider}. A swap that loses is decided again on what is then in force: where only a driver's step
+ * came between, the change still stands and is tried again; where another operator's change did, the
+ * decision says who won.
+ */
+public final class ChangeMaker {
+
+    // A ledger that drivers write often is won within a few tries; more would hide a fault.
+    private static final int MOST_TRIES = 8;
+
+    private final ConfigSync config;
+    private final StoreWriter writer;
+    private final EventLoop loop;
+
+    /** Makes the changer. */
+    public ChangeMaker(ConfigSync config, StoreWriter writer, EventLoop loop) {
+        this.config = config;
+        this.writer = writer;
+        this.loop = loop;
+    }
+
+    /** Makes a change for an operator. */
+    public void make(Change change, String operator, Consumer<CommandResult> onResult) {
+        if (!config.hasConfiguration()) {
+            onResult.accept(CommandResult.refused("no configuration is known here yet; come back in a few seconds"));
+            return;
+        }
+        // The operator may have just made another change elsewhere: decide on what the store holds now.
+        config.refresh(() -> attempt(new Attempt(change, operator, onResult), 1));
+    }
+
+    private record Attempt(Change change, String operator, Consumer<CommandResult> onResult) {}
+
+    private void attempt(Attempt a, int tries) {
+        String writeId = UUID.randomUUID().toString();
+        ChangeDecider decider = new ChangeDecider(config.view(), a.operator, writeId);
+        Either<String, ChangeDecider.Decision> decision = decider.decide(a.change);
+        if (decision.isLeft()) {
+            a.onResult.accept(result(CommandResult.REFUSED, decision.getLeft()));
+            return;
+        }
+        ChangeDecider.Decision d = decision.get();
+        Swap swap = new Swap(d.key(), d.value(), config.view().revisionOf(d.key()), 0);
+        writer.write(swap, writeId, r -> {
+            switch (r.fate()) {
+                case ACCEPTED -> accepted(a, d, r);
+                case REFUSED -> refused(a, tries);
+                case UNKNOWN ->
+                    a.onResult.accept(result(
+                            CommandResult.UNKNOWN,
+                            "the store did not say whether this was written; ask what is in force when it is back"));
+            }
+        });
+    }
+
+    private void accepted(Attempt a, ChangeDecider.Decision d, WriteResult r) {
+        CommandResult result = new CommandResult(
+                CommandResult.ACCEPTED,
+                r.revision(),
+                List.of(d.text() + ", at revision " + r.revision()),
+                NullNode.getInstance());
+        config.refresh(() -> a.onResult.accept(result));
+    }
+
+    private void refused(Attempt a, int tries) {
+        if (tries >= MOST_TRIES) {
+            a.onResult.accept(result(CommandResult.REFUSED, "others keep changing this record; try again"));
+        } else {
+            loop.execute(() -> config.refresh(() -> attempt(a, tries + 1)));
+        }
+    }
+
+    private CommandResult result(String fate, String line) {
+        return CommandResult.of(fate, config.view().revision(), line);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/operator/CommandRunner.java
@@ -0,0 +1,50 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.operator;
+
+import io.vavr.control.Either;
+import java.util.function.Consumer;
+import org.lupinpaddle.core.command.CommandParser;
+import org.lupinpaddle.core.command.OperatorCommand;
+import org.lupinpaddle.daemon.common.Log;
+
+/** Reads one command and has it answered or made. */
+public final class CommandRunner {
+
+    private final QuestionAnswerer answerer;
+    private final ChangeMaker changer;
+
+    /** Makes the runner. */
+    public CommandRunner(QuestionAnswerer answerer, ChangeMaker changer) {
+        this.answerer = answerer;
+        this.changer = changer;
+    }
+
+    /** Runs the command that the words say, for an operator; call on the loop, the result comes on the loop. */
+    public void run(String words, String operator, Consumer<CommandResult> onResult) {
+        Either<String, OperatorCommand> command = CommandParser.parse(CommandParser.split(words));
+        if (command.isLeft()) {
+            onResult.accept(CommandResult.refused(command.getLeft()));
+        } else if (command.get() instanceof OperatorCommand.Question q) {
+            onResult.accept(answerer.answer(q));
+        } else if (command.get() instanceof OperatorCommand.Change c) {
+            changer.make(c, operator, result -> {
+                Log.info("change", "operator", operator, "command", words.strip(), "fate", result.fate());
+                onResult.accept(result);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/wave/ConfirmedRevisions.java
@@ -0,0 +1,44 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.wave;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+/** Remembers when all entries had confirmed which revision of the configuration. */
+final class ConfirmedRevisions {
+
+    private static final int KEPT = 1_000;
+
+    private final TreeMap<Long, Long> times = new TreeMap<>();
+
+    /** Notes that every entry has at least {@code revision} in force at {@code now}. */
+    void note(long revision, long now) {
+        if (times.isEmpty() || revision > times.lastKey()) {
+            times.put(revision, now);
+        }
+        if (times.size() > KEPT) {
+            times.pollFirstEntry();
+        }
+    }
+
+    /** Returns when all entries were first known to have at least this revision in force. */
+    OptionalLong at(long revision) {
+        Map.Entry<Long, Long> e = times.ceilingEntry(revision);
+        return e == null ? OptionalLong.empty() : OptionalLong.of(e.getValue());
+    }
+}
