--- a/core/src/main/java/org/lupinpaddle/core/common/Urgency.java
+++ b/core/src/main/java/org/lupinpaddle/core/common/Urgency.java
@@ -25,9 +25,9 @@
     /** A clip for the morning news, a fault check: starts before anything else. */
     URGENT("urgent", 0, 100),
     /** Ordinary work. */
-    NORMAL("normal", 10_000, 80),
+    NORMAL("normal", 60_000, 80),
     /** Archive and rebroadcast work: may wait for minutes behind the others. */
-    MAY_WAIT("may-wait", 120_000, 50);
+    MAY_WAIT("may-wait", 600_000, 50);
 
     private static final int PERCENT = 100;
 
--- a/core/src/main/java/org/lupinpaddle/core/wave/FleetSight.java
+++ b/core/src/main/java/org/lupinpaddle/core/wave/FleetSight.java
@@ -15,24 +15,24 @@
  */
 package org.lupinpaddle.core.wave;
 
-import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.LongFunction;
 
-/**
- * What the driver of a wave sees of the fleet beside the configuration.
- *
- * @param workers what each worker last said, by instance
- * @param failed instances that should serve and do not, for long enough to count on it
- * @param overdue instances that have not come back from their reboot in time
- * @param confirmedAt when all entries had confirmed a revision of the configuration, if they have
- */
-public record FleetSight(
-        Map<String, Sight> workers, Set<String> failed, Set<String> overdue, LongFunction<OptionalLong> confirmedAt) {
+/** What the driver of a wave sees of the fleet beside the configuration. Times are of the driver's clock. */
+public interface FleetSight {
+
+    /** Returns what a worker last said of itself. */
+    Sight of(String instance);
+
+    /** Returns the instances that should serve and do not, for long enough to count on it. */
+    Set<String> failed();
+
+    /** Returns the instances that have not come back from their reboot in time. */
+    Set<String> overdue();
+
+    /** Returns when all entries had confirmed a revision of the configuration, if they have. */
+    OptionalLong confirmedAt(long revision);
 
-    /** Returns what a worker last said. */
-    public Sight of(String instance) {
-        return workers.getOrDefault(instance, Sight.NONE);
-    }
+    /** Returns when the platform had accepted to let an instance take work again under this fence, if it has. */
+    OptionalLong undrainedAt(String instance, long fence);
 }
--- a/core/src/main/java/org/lupinpaddle/core/wave/WaveStepper.java
+++ b/core/src/main/java/org/lupinpaddle/core/wave/WaveStepper.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
@@ -224,7 +225,7 @@
     }
 
     private boolean isIdle(InstanceRecord i) {
-        var confirmed = sight.confirmedAt().apply(fence(i));
+        OptionalLong confirmed = sight.confirmedAt(fence(i));
         return confirmed.isPresent() && sight.of(i.id()).isIdleSince(confirmed.getAsLong());
     }
 
@@ -249,9 +250,12 @@
         }
     }
 
+    // The undrain comes first in any case: its fence keeps off a drain that is still on its way, sent by a
+    // driver that was paused. Only a look after it says that the worker takes work and will go on to.
     private void stepReturning(InstanceRecord i) {
         Sight s = sight.of(i.id());
-        if (s.reachable() && !s.leaving()) {
+        OptionalLong undrained = sight.undrainedAt(i.id(), fence(i));
+        if (undrained.isPresent() && s.reachable() && !s.leaving() && s.probedAt() > undrained.getAsLong()) {
             put(backInService(i, s).build());
         } else if (s.reachable()) {
             maintenance.add(new WaveAction.Maintain(WaveAction.Step.UNDRAIN, i.id(), s.incarnation(), fence(i)));
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/wave/FakeWorker.java
@@ -0,0 +1,62 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.wave;
+
+/** One worker and what the platform knows of it. */
+final class FakeWorker {
+
+    final String id;
+    long incarnation = 1;
+    boolean up = true;
+    boolean leaving;
+    boolean rebooting;
+    boolean neverReturns;
+    int running;
+    private long fence;
+
+    FakeWorker(String id) {
+        this.id = id;
+    }
+
+    /** Carries out a step as the platform does: an old incarnation or fence is refused. */
+    boolean maintain(WaveAction.Maintain m) {
+        if (m.incarnation() != incarnation || m.fence() < fence || !up) {
+            return false;
+        }
+        fence = m.fence();
+        switch (m.step()) {
+            case DRAIN -> leaving = true;
+            case UNDRAIN -> leaving = false;
+            case REBOOT -> {
+                up = false;
+                rebooting = true;
+            }
+        }
+        return true;
+    }
+
+    void restart() {
+        incarnation++;
+        up = true;
+        leaving = false;
+        rebooting = false;
+        running = 0;
+    }
+
+    Sight look(long now) {
+        return new Sight(incarnation, up, leaving, running, now);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/wave/WaveStepperProperties.java
@@ -0,0 +1,158 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.wave;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.service.Reserve;
+import org.lupinpaddle.core.view.FleetView;
+import org.lupinpaddle.core.wave.FleetWorld.Off;
+import org.lupinpaddle.core.wave.FleetWorld.Trouble;
+
+/** Waves under races: whatever the order of things, budgets hold, no work is cut off, and waves end. */
+class WaveStepperProperties {
+
+    private static final int STEPS = 1_500;
+    private static final int SETTLE_STEPS = 20_000;
+
+    private static FleetWorld world(long seed, Set<Trouble> troubles, @Nullable Off off, WaveOrder order) {
+        FleetWorld w = new FleetWorld(seed, troubles, off);
+        w.service("clips", 4, Reserve.NONE);
+        w.service("archive", 2, Reserve.INSTANCE);
+        w.sparePool("spare");
+        List<WaveTarget> targets = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            w.instance("c" + i, "clips", "r" + i / 2);
+            targets.add(new WaveTarget("c" + i, null));
+        }
+        for (int i = 0; i < 4; i++) {
+            w.instance("a" + i, "archive", "r" + i / 2);
+            targets.add(new WaveTarget("a" + i, null));
+        }
+        for (int i = 0; i < 2; i++) {
+            w.instance("s" + i, "spare", "r9");
+            targets.add(new WaveTarget("s" + i, "clips"));
+        }
+        w.wave(wave("full", WaveKind.REBOOT, targets, order));
+        return w;
+    }
+
+    private static WaveRecord wave(String name, WaveKind kind, List<WaveTarget> targets, WaveOrder order) {
+        WaveScope all = new WaveScope(null, "north", null);
+        return new WaveRecord(name, kind, all, targets, order, WaveState.RUNNING, "started", "test", "w0");
+    }
+
+    @Group
+    class Holding {
+
+        @Property(seed = "11", tries = 150, shrinking = ShrinkingMode.OFF)
+        void budgetsHoldAndTheWaveEndsUnderAllTroubles(@ForAll long seed, @ForAll WaveOrder order) {
+            FleetWorld w = world(seed, EnumSet.allOf(Trouble.class), null, order);
+            w.run(STEPS);
+            w.settle("full", SETTLE_STEPS);
+            FleetView v = w.store.view();
+            assertEquals(
+                    WaveState.DONE,
+                    Objects.requireNonNull(v.waves().get("full")).state());
+            assertTrue(v.services().values().stream().allMatch(s -> s.permits().isEmpty()), "a permit was left over");
+            assertEquals(
+                    "clips", Objects.requireNonNull(v.instances().get("s0")).pool(), "the spare did not join");
+        }
+
+        @Property(seed = "12", tries = 60, shrinking = ShrinkingMode.OFF)
+        void twoWavesThatOverlapBothEnd(@ForAll long seed) {
+            FleetWorld w =
+                    world(seed, EnumSet.of(Trouble.PAUSED_DRIVERS, Trouble.KILLED_DRIVERS), null, WaveOrder.WIDE);
+            List<WaveTarget> some = List.of(new WaveTarget("c1", null), new WaveTarget("a1", null));
+            w.wave(wave("second", WaveKind.REBOOT, some, WaveOrder.WIDE));
+            w.run(STEPS);
+            w.settle("full", SETTLE_STEPS);
+            w.settle("second", SETTLE_STEPS);
+        }
+
+        @Property(seed = "13", tries = 40, shrinking = ShrinkingMode.OFF)
+        void aMigrationThereAndAwayHolds(@ForAll long seed) {
+            FleetWorld w = world(seed, EnumSet.of(Trouble.PAUSED_DRIVERS, Trouble.LOST_WRITES), null, WaveOrder.WIDE);
+            w.settle("full", SETTLE_STEPS);
+            List<WaveTarget> out = List.of(new WaveTarget("c0", "spare"), new WaveTarget("c1", "spare"));
+            w.wave(wave("away", WaveKind.MIGRATE, out, WaveOrder.WIDE));
+            w.run(STEPS);
+            w.settle("away", SETTLE_STEPS);
+            FleetView v = w.store.view();
+            assertEquals(
+                    "spare", Objects.requireNonNull(v.instances().get("c0")).pool());
+            assertEquals(
+                    6,
+                    Objects.requireNonNull(v.services().get("clips")).members().size());
+        }
+
+        @Example
+        void instancesThatStayAwayHaltTheWave() {
+            FleetWorld w = world(7, Set.of(), null, WaveOrder.WIDE);
+            w.workers.values().forEach(x -> x.neverReturns = true);
+            w.run(5_000);
+            assertTrue(w.worstReboots() <= 1, "the first of a wave goes alone, but " + w.worstReboots() + " went");
+        }
+    }
+
+    /** Each rule switched off in turn: the same checks must notice. */
+    @Group
+    class Noticing {
+
+        private boolean isNoticed(Off off, Set<Trouble> troubles) {
+            for (long seed = 0; seed < 300; seed++) {
+                try {
+                    world(seed, troubles, off, WaveOrder.WIDE).run(STEPS);
+                } catch (AssertionError e) {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        @Example
+        void writesWithoutComparing() {
+            assertTrue(isNoticed(Off.COMPARE_AND_SWAP, EnumSet.of(Trouble.PAUSED_DRIVERS)));
+        }
+
+        @Example
+        void permitsStruckOffWhileInUse() {
+            assertTrue(isNoticed(Off.SPENT_PERMITS, EnumSet.of(Trouble.PAUSED_DRIVERS, Trouble.BUSY_OPERATORS)));
+        }
+
+        @Example
+        void drainsWithoutFence() {
+            assertTrue(isNoticed(Off.FENCE, EnumSet.of(Trouble.PAUSED_DRIVERS, Trouble.BUSY_OPERATORS)));
+        }
+
+        @Example
+        void rebootsWithoutConfirmation() {
+            assertTrue(isNoticed(Off.CONFIRMATION_AND_IDLE, EnumSet.of(Trouble.PAUSED_DRIVERS)));
+        }
+    }
+}
--- a/ctl/src/main/java/org/lupinpaddle/ctl/LupinctlMain.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/LupinctlMain.java
@@ -112,7 +112,12 @@
     }
 
     private static String line(List<String> words) {
-        return words.stream().map(w -> '"' + w.replace("\"", "") + '"').collect(Collectors.joining(" "));
+        return words.stream().map(LupinctlMain::quoted).collect(Collectors.joining(" "));
+    }
+
+    private static String quoted(String word) {
+        boolean plain = !word.isEmpty() && word.chars().noneMatch(c -> Character.isWhitespace(c) || c == '\'');
+        return plain ? word : '"' + word + '"';
     }
 
     private ExitCode load(Path file) throws Exception {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/caller/RequestRun.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/caller/RequestRun.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -70,6 +71,7 @@
     private final RequestMachine machine;
     private final Span span;
     private final Deque<RequestEvent> events = new ArrayDeque<>();
+    private final String claimId = UUID.randomUUID().toString();
     private @Nullable Span waitSpan;
     private EventLoop.@Nullable Timer deadline;
     private long openAsk;
@@ -132,7 +134,7 @@
         if (action instanceof RequestAction.TakeClaim) {
             takeClaim();
         } else if (action instanceof RequestAction.SettleClaim) {
-            services.claims().settle(request.service(), jobId(), request.id());
+            services.claims().settle(request.service(), jobId(), claimId);
         } else if (action instanceof RequestAction.AskSlot a) {
             askSlot(a);
         } else if (action instanceof RequestAction.CancelAsk) {
@@ -154,7 +156,7 @@
 
     private void takeClaim() {
         Span hop = services.traces().hop(span, request.id(), "claim", SpanKind.CLIENT);
-        services.claims().take(request.service(), jobId(), request.id(), result -> {
+        services.claims().take(request.service(), jobId(), claimId, result -> {
             hop.setAttribute("claim.result", result.name());
             hop.end();
             on(new RequestEvent.ClaimAnswered(result));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/claim/ClaimKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/claim/ClaimKeeper.java
@@ -66,16 +66,20 @@
         this.platformOk = platformOk;
     }
 
-    private record Unsettled(String key, String requestId) {}
-
-    /** Takes the claim on a job for a request; the result is given on the loop. */
-    public void take(String service, String jobId, String requestId, Consumer<ClaimResult> onResult) {
+    private record Unsettled(String key, String claimId) {}
+
+    /**
+     * Takes the claim on a job; the result is given on the loop.
+     *
+     * @param claimId made anew for each try by this entry: what a caller sends could come twice
+     */
+    public void take(String service, String jobId, String claimId, Consumer<ClaimResult> onResult) {
         if (!platformOk.getAsBoolean()) {
             onResult.accept(ClaimResult.UNKNOWN);
             return;
         }
         String key = StoreKeys.claim(service, jobId);
-        withLease(id -> create(key, requestId, 0, id, onResult), () -> onResult.accept(ClaimResult.UNKNOWN));
+        withLease(id -> create(key, claimId, 0, id, onResult), () -> onResult.accept(ClaimResult.UNKNOWN));
     }
 
     private void withLease(Consumer<Long> use, Runnable onFailure) {
@@ -96,15 +100,15 @@
                 }));
     }
 
-    private void create(String key, String requestId, long expected, long leaseId, Consumer<ClaimResult> onResult) {
-        String value = RecordCodec.write(new ClaimRecord(requestId, self, false));
-        writer.write(new Swap(key, value, expected, leaseId), requestId, PATIENCE_MILLIS, result -> {
+    private void create(String key, String claimId, long expected, long leaseId, Consumer<ClaimResult> onResult) {
+        String value = RecordCodec.write(new ClaimRecord(claimId, self, false));
+        writer.write(new Swap(key, value, expected, leaseId), claimId, PATIENCE_MILLIS, result -> {
             switch (result.fate()) {
                 case ACCEPTED -> onResult.accept(ClaimResult.WON);
                 case UNKNOWN -> onResult.accept(ClaimResult.UNKNOWN);
                 case REFUSED -> {
                     if (expected == 0) {
-                        takeOver(key, requestId, leaseId, onResult);
+                        takeOver(key, claimId, leaseId, onResult);
                     } else {
                         onResult.accept(ClaimResult.HELD);
                     }
@@ -113,7 +117,7 @@
         });
     }
 
-    private void takeOver(String key, String requestId, long leaseId, Consumer<ClaimResult> onResult) {
+    private void takeOver(String key, String claimId, long leaseId, Consumer<ClaimResult> onResult) {
         read(
                 key,
                 held -> {
@@ -121,7 +125,7 @@
                             .map(ClaimRecord::notRun)
                             .getOrElse(false);
                     if (free) {
-                        create(key, requestId, held.revision(), leaseId, onResult);
+                        create(key, claimId, held.revision(), leaseId, onResult);
                     } else {
                         onResult.accept(ClaimResult.HELD);
                     }
@@ -146,12 +150,12 @@
     }
 
     /** Marks a claim as not run, now or when the store is back. */
-    public void settle(String service, String jobId, String requestId) {
+    public void settle(String service, String jobId, String claimId) {
         if (unsettled.size() >= MOST_UNSETTLED) {
             Log.warn("claim-left", "job", jobId, "why", "too many claims wait for the store");
             return;
         }
-        unsettled.add(new Unsettled(StoreKeys.claim(service, jobId), requestId));
+        unsettled.add(new Unsettled(StoreKeys.claim(service, jobId), claimId));
         settleNext();
     }
 
@@ -174,14 +178,14 @@
                         return;
                     }
                     r.records().stream()
-                            .filter(x -> x.key().equals(next.key) && x.value().contains(next.requestId))
+                            .filter(x -> x.key().equals(next.key) && x.value().contains(next.claimId))
                             .findFirst()
                             .ifPresentOrElse(held -> markNotRun(next, held), this::settled);
                 }));
     }
 
     private void markNotRun(Unsettled next, StoredRecord held) {
-        String value = RecordCodec.write(new ClaimRecord(next.requestId, self, false).settled());
+        String value = RecordCodec.write(new ClaimRecord(next.claimId, self, false).settled());
         withLease(
                 id -> writer.write(new Swap(next.key, value, held.revision(), id), "\"notRun\":true", result -> {
                     if (result.fate() == WriteResult.Fate.UNKNOWN) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/claim/ClaimRecord.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/claim/ClaimRecord.java
@@ -18,7 +18,7 @@
 /**
  * The claim of one try on an unsafe job.
  *
- * @param writeId the id of the request that claims
+ * @param writeId the id of the try that claims
  * @param entry the entry that claimed
  * @param notRun whether the claimant has said that it sent nothing and will send nothing
  */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/wave/WaveDriver.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/wave/WaveDriver.java
@@ -75,6 +75,7 @@
     private final Map<String, Long> heldUnder = new HashMap<>();
     private final Map<String, Long> leaseTriedAt = new HashMap<>();
     private final Map<String, Long> askedAt = new HashMap<>();
+    private final Map<DriverSight.Undrain, Long> undrained = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
     private long probedAt;
 
@@ -174,7 +175,7 @@
     }
 
     private void drive(WaveRecord w) {
-        FleetSight sight = new FleetSight(probe.sights(), probe.failed(), probe.overdue(returnMillis), confirmed::at);
+        FleetSight sight = new DriverSight(probe, confirmed, Map.copyOf(undrained), returnMillis);
         List<WaveAction> actions = WaveStepper.step(
                 config.view(), w.name(), sight, () -> UUID.randomUUID().toString());
         actions.forEach(this::carryOut);
@@ -244,7 +245,18 @@
         askedAt.put(call, now);
         MaintenanceStep step = MaintenanceStep.valueOf(a.step().name());
         var unused = platform.maintain(step, a.instance(), a.incarnation(), a.fence())
-                .whenComplete((r, failure) -> loop.execute(() -> logMaintenance(a, r, failure)));
+                .whenComplete((r, failure) -> loop.execute(() -> {
+                    if (r == MaintenanceResult.ACCEPTED && a.step() == WaveAction.Step.UNDRAIN) {
+                        noteUndrained(a);
+                    }
+                    logMaintenance(a, r, failure);
+                }));
+    }
+
+    private void noteUndrained(WaveAction.Maintain a) {
+        undrained.keySet().removeIf(u -> u.instance().equals(a.instance()));
+        undrained.put(
+                new DriverSight.Undrain(a.instance(), a.fence()), loop.clock().millis());
     }
 
     private static void logMaintenance(
--- a/daemon/src/main/java/org/lupinpaddle/daemon/wave/WorkerProbe.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/wave/WorkerProbe.java
@@ -114,8 +114,9 @@
         sights.put(id, new Sight(old.incarnation(), false, old.leaving(), old.running(), sent));
     }
 
-    Map<String, Sight> sights() {
-        return sights;
+    /** Returns what a worker last said. */
+    Sight of(String instance) {
+        return sights.getOrDefault(instance, Sight.NONE);
     }
 
     /** Returns those that have been silent for long enough to count as failed. */
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/slot/SimFigures.java
@@ -0,0 +1,64 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.slot;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.lupinpaddle.core.common.Urgency;
+
+/** What one run of the experiment counted. Waits are from a job's birth to its start on a worker, in ms. */
+final class SimFigures {
+
+    private static final long LONGEST = 3_600_000;
+
+    final Map<Urgency, Histogram> waits = new EnumMap<>(Urgency.class);
+    final Histogram poisonAttempts = new Histogram(1_000, 3);
+    long jobs;
+    long answered;
+    long failedForCaller;
+    /** Answered with the failure of a worker that fails everything. */
+    long lost;
+
+    long refusals;
+    long attempts;
+    long messages;
+    long bytes;
+    long goodEjected;
+    long[] goodputBySecond = new long[3_600];
+
+    SimFigures() {
+        for (Urgency u : Urgency.values()) {
+            waits.put(u, new Histogram(LONGEST, 3));
+        }
+    }
+
+    void waited(Urgency u, long millis) {
+        Histogram h = waits.get(u);
+        if (h != null) {
+            h.recordValue(Math.min(LONGEST, millis));
+        }
+    }
+
+    long wait(Urgency u, double percentile) {
+        Histogram h = waits.get(u);
+        return h == null ? 0 : h.getValueAtPercentile(percentile);
+    }
+
+    double perJob(long count) {
+        return jobs == 0 ? 0 : (double) count / jobs;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/slot/SimJob.java
@@ -0,0 +1,37 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.slot;
+
+import org.lupinpaddle.core.common.Urgency;
+
+/** One piece of work of a caller, which may try it several times. */
+final class SimJob {
+
+    final Urgency urgency;
+    final long runMillis;
+    final boolean poison;
+    final boolean repeatable;
+    final long bornAt;
+    int tries;
+
+    SimJob(Urgency urgency, long runMillis, boolean poison, boolean repeatable, long bornAt) {
+        this.urgency = urgency;
+        this.runMillis = runMillis;
+        this.poison = poison;
+        this.repeatable = repeatable;
+        this.bornAt = bornAt;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/slot/SimWorker.java
@@ -0,0 +1,62 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.slot;
+
+import java.util.function.Consumer;
+import org.lupinpaddle.core.request.AttemptOutcome;
+
+/** One worker with its slots: runs, refuses when full, and fails as it is told. */
+final class SimWorker {
+
+    /** How a worker behaves. */
+    enum Manner {
+        GOOD,
+        /** Fails everything after a millisecond. */
+        FAILS_FAST,
+        /** Fails everything after the time it would have run. */
+        FAILS_SLOWLY
+    }
+
+    static final int SLOTS = 8;
+
+    final String id;
+    final String hall;
+    Manner manner = Manner.GOOD;
+    long busyMillis;
+    private final SimTime time;
+    private int running;
+
+    SimWorker(String id, String hall, SimTime time) {
+        this.id = id;
+        this.hall = hall;
+        this.time = time;
+    }
+
+    void run(SimJob job, Consumer<AttemptOutcome> onEnd) {
+        if (running >= SLOTS) {
+            onEnd.accept(AttemptOutcome.REFUSED_FULL);
+            return;
+        }
+        running++;
+        long took = manner == Manner.FAILS_FAST || job.poison ? 1 : job.runMillis;
+        boolean good = manner == Manner.GOOD && !job.poison;
+        time.after(took, () -> {
+            running--;
+            busyMillis += good ? took : 0;
+            onEnd.accept(good ? AttemptOutcome.ANSWERED : AttemptOutcome.FAILED);
+        });
+    }
+}
