--- a/daemon/src/main/java/org/lupinpaddle/daemon/caller/WorkerClient.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/caller/WorkerClient.java
@@ -40,6 +40,8 @@
     private static final String LEAVING = "leaving";
     private static final int UNAVAILABLE = 503;
     private static final int SERVER_ERROR = 500;
+    // Shorter than any worker's own, so that a pooled connection is not closed just as it is used.
+    private static final long POOLED_IDLE_MILLIS = 5_000;
     private static final long STOP_MILLIS = 2_000;
 
     private final HttpClient client;
@@ -53,6 +55,7 @@
 
     /** Takes from a Jetty client, after its start, every step that it would take of its own. */
     static void prepare(HttpClient client) {
+        client.setIdleTimeout(POOLED_IDLE_MILLIS);
         client.setFollowRedirects(false);
         client.getProtocolHandlers().clear();
         client.getContentDecoderFactories().clear();
@@ -79,6 +82,7 @@
                 .headers(h -> h.add(headers))
                 .body(new BytesRequestContent(body))
                 .timeout(longestMillis, TimeUnit.MILLISECONDS)
+                .idleTimeout(longestMillis, TimeUnit.MILLISECONDS)
                 .onRequestBegin(r -> begun.set(true));
         request.send(new BufferingResponseListener(answerBytes) {
             @Override
