Probe ejected workers also under little load, and name options in errors

Cause: a test of the ejection found that a worker that was well again stayed out for ever on a service with little load: the choice took a worker of the caller's own hall and the less busy one first, so the probe never came. Ruled out: the ejection's time (it was over) and the success rate (cleared by the first good outcome, which was never asked for). Change: a worker whose ejection is over gets the next request that is not urgent.

--- a/core/src/main/java/org/lupinpaddle/core/command/InstanceWords.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/InstanceWords.java
@@ -69,11 +69,11 @@
         @Required
         private String address = "";
 
-        @Option(name = "--slots", title = "N", description = "How many requests it runs at once")
+        @Option(name = "--slots", title = "SLOTS", description = "How many requests it runs at once")
         @Required
         private int slots;
 
-        @Option(name = "--memory", title = "MB", description = "Its memory in megabytes")
+        @Option(name = "--memory", title = "MEMORY_MB", description = "Its memory in megabytes")
         @Required
         private int memoryMb;
 
--- a/core/src/main/java/org/lupinpaddle/core/command/ServiceWords.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/ServiceWords.java
@@ -61,7 +61,7 @@
         @Required
         private String service = "";
 
-        @Option(name = "--budget", title = "N", description = "Least number of instances that stay available")
+        @Option(name = "--budget", title = "BUDGET", description = "Least number of instances that stay available")
         @Required
         private int budget;
 
@@ -83,7 +83,7 @@
         @Required
         private String service = "";
 
-        @Option(name = "--budget", title = "N", description = "Least number of instances that stay available")
+        @Option(name = "--budget", title = "BUDGET", description = "Least number of instances that stay available")
         private @Nullable Integer budget;
 
         @Option(name = "--reserve", title = "KIND", description = "Held back above the budget during waves")
--- a/core/src/main/java/org/lupinpaddle/core/slot/SlotOwner.java
+++ b/core/src/main/java/org/lupinpaddle/core/slot/SlotOwner.java
@@ -29,6 +29,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.lupinpaddle.core.common.Urgency;
 import org.lupinpaddle.core.request.AttemptOutcome;
 import org.lupinpaddle.core.request.GiveUpReason;
 import org.lupinpaddle.core.slot.SlotMessage.Ask;
@@ -287,7 +288,8 @@
                 .filter(w -> w.free(now) > 0 && w.info.memoryMb() >= ask.memoryMb())
                 .toList();
         return fit.stream()
-                .min(Comparator.<Worker>comparingInt(w -> ask.avoid().contains(w.info.id()) ? 1 : 0)
+                .min(Comparator.<Worker>comparingInt(w -> w.probeRank(ask))
+                        .thenComparingInt(w -> ask.avoid().contains(w.info.id()) ? 1 : 0)
                         .thenComparingInt(w -> w.info.hall().equals(ask.hall()) ? 0 : 1)
                         .thenComparingDouble(w -> (double) w.inUse / w.info.slots())
                         .thenComparing(w -> w.info.id()));
@@ -349,6 +351,15 @@
             return info.usable() ? health.usableSlots(info.slots(), now) : 0;
         }
 
+        // A worker whose ejection is over is tried with the next request that is not urgent: on a service
+        // with little load it would else never be chosen, and stay out for ever.
+        private int probeRank(Ask ask) {
+            if (!health.isOut()) {
+                return 1;
+            }
+            return ask.urgency() == Urgency.URGENT ? 2 : 0;
+        }
+
         private int free(long now) {
             return Math.max(0, usableSlots(now) - inUse);
         }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/EntryProcess.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/EntryProcess.java
@@ -52,10 +52,15 @@
         Path log = dir.resolve(id + "-" + System.nanoTime() + ".log");
         Process p = new ProcessBuilder(List.of(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        // The flags of bin/lupinpaddle.
                         "-XX:+UseSerialGC",
+                        "-Xmx48m",
+                        "-Xss512k",
                         "-XX:TieredStopAtLevel=1",
+                        "-XX:MaxDirectMemorySize=24m",
+                        "-XX:CICompilerCount=1",
                         "-Xshare:auto",
-                        "-Xmx64m",
+                        "-Dio.netty.allocator.maxOrder=3",
                         "-cp",
                         System.getProperty("java.class.path"),
                         "org.lupinpaddle.daemon.LupinpaddleMain",
@@ -93,6 +98,10 @@
         return Files.readString(log);
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     void kill() throws InterruptedException {
         process.destroyForcibly().waitFor();
     }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/TestFleet.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/TestFleet.java
@@ -46,6 +46,9 @@
         System.setProperty("jdk.httpclient.keepalive.timeout", "5");
     }
 
+    /** The entries' periods; short, so that tests need not wait. */
+    String timing = "heartbeat_millis = 300\npoll_millis = 1000\nlease_seconds = 3\n";
+
     final Path dir = Files.createTempDirectory("lupinpaddle-test");
     final PlatformStandIn platform;
     final Map<String, WorkerStandIn> workers = new TreeMap<>();
@@ -103,10 +106,7 @@
                 waiting = 200
                 open = 400
                 [timing]
-                heartbeat_millis = 300
-                poll_millis = 1000
-                lease_seconds = 3
-                """.formatted(id, hall, quoted, platform.address(), TOKEN);
+                """.formatted(id, hall, quoted, platform.address(), TOKEN) + timing;
     }
 
     /** Makes a service with one pool that holds all workers, and waits until it is in force everywhere. */
