--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/request/ClaimExperiment.java
@@ -0,0 +1,48 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.request;
+
+import java.util.Locale;
+import org.jspecify.annotations.Nullable;
+
+/** Counts in how many histories of an unsafe job it runs twice, with claims and without. */
+public final class ClaimExperiment {
+
+    private static final int HISTORIES = 20_000;
+
+    private ClaimExperiment() {}
+
+    /** Prints the table. */
+    public static void main(String[] args) {
+        System.out.println("| claims | histories of an unsafe job tried up to 4 times | it ran more than once |");
+        System.out.println("|---|---|---|");
+        row("kept", null);
+        row("off", JobWorld.Off.NO_CLAIM);
+    }
+
+    private static void row(String name, JobWorld.@Nullable Off off) {
+        int doubled = 0;
+        for (long seed = 0; seed < HISTORIES; seed++) {
+            JobWorld w = new JobWorld(seed, false, off);
+            try {
+                w.run();
+            } catch (AssertionError e) {
+                doubled += w.runs() > 1 ? 1 : 0;
+            }
+        }
+        System.out.printf(Locale.ROOT, "| %s | %d | %d |%n", name, HISTORIES, doubled);
+    }
+}
--- a/core/src/test/java/org/lupinpaddle/core/request/JobWorld.java
+++ b/core/src/test/java/org/lupinpaddle/core/request/JobWorld.java
@@ -251,6 +251,11 @@
         }
     }
 
+    /** Returns how often the job ran. */
+    int runs() {
+        return runs;
+    }
+
     /** Returns the verdicts that callers got. */
     Set<Verdict> verdicts() {
         return tries.stream()
--- a/daemon/src/test/java/org/lupinpaddle/daemon/CapacityProbe.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/CapacityProbe.java
@@ -34,7 +34,7 @@
 public final class CapacityProbe {
 
     private static final long WINDOW_SECONDS = 15;
-    private static final long WARM_SECONDS = 5;
+    private static final long WARM_SECONDS = 15;
     private static final double TICKS_PER_SECOND = 100;
 
     private CapacityProbe() {}
