Answer a change within seconds also while the store hangs; prove more failures

Cause: a new test with a store that hangs showed that an operator's change was not answered within 20 s: a read, the write and its reading back each waited out their own 4 s and more, one after the other. Ruled out: the event loop (requests were served meanwhile) and the listener. Change: a change is refused at once where the platform is known to be away, and answered after 9 s at the latest: refused with 'nothing was written' where nothing was sent, else unknown.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/operator/ChangeMaker.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/operator/ChangeMaker.java
@@ -37,6 +37,8 @@
 
     // A ledger that drivers write often is won within a few tries; more would hide a fault.
     private static final int MOST_TRIES = 8;
+    private static final long PATIENCE_MILLIS = 9_000;
+    private static final int COME_BACK_SECONDS = 5;
 
     private final ConfigSync config;
     private final StoreWriter writer;
@@ -49,34 +51,74 @@
         this.loop = loop;
     }
 
-    /** Makes a change for an operator. */
+    /** Makes a change for an operator. The answer comes within seconds, also from a store that hangs. */
     public void make(Change change, String operator, Consumer<CommandResult> onResult) {
-        if (!config.hasConfiguration()) {
-            onResult.accept(CommandResult.refused("no configuration is known here yet; come back in a few seconds"));
+        if (!config.hasConfiguration() || !config.platformOk()) {
+            onResult.accept(result(
+                    CommandResult.REFUSED,
+                    "the platform does not answer, nothing was written; come back in " + COME_BACK_SECONDS + " s"));
             return;
         }
+        Attempt a = new Attempt(change, operator, onResult);
+        loop.after(PATIENCE_MILLIS, () -> giveUp(a));
         // The operator may have just made another change elsewhere: decide on what the store holds now.
-        config.refresh(() -> attempt(new Attempt(change, operator, onResult), 1));
+        config.refresh(() -> attempt(a, 1));
     }
 
-    private record Attempt(Change change, String operator, Consumer<CommandResult> onResult) {}
+    private void giveUp(Attempt a) {
+        if (a.sent) {
+            a.answer(result(
+                    CommandResult.UNKNOWN,
+                    "the store did not say whether this was written; ask what is in force when it is back"));
+        } else {
+            a.answer(result(
+                    CommandResult.REFUSED,
+                    "the store does not answer, nothing was written; come back in " + COME_BACK_SECONDS + " s"));
+        }
+    }
+
+    /** One change on its way; answered once. */
+    private static final class Attempt {
+        private final Change change;
+        private final String operator;
+        private final Consumer<CommandResult> onResult;
+        private boolean sent;
+        private boolean answered;
+
+        private Attempt(Change change, String operator, Consumer<CommandResult> onResult) {
+            this.change = change;
+            this.operator = operator;
+            this.onResult = onResult;
+        }
+
+        private void answer(CommandResult result) {
+            if (!answered) {
+                answered = true;
+                onResult.accept(result);
+            }
+        }
+    }
 
     private void attempt(Attempt a, int tries) {
+        if (a.answered) {
+            return;
+        }
         String writeId = UUID.randomUUID().toString();
         ChangeDecider decider = new ChangeDecider(config.view(), a.operator, writeId);
         Either<String, ChangeDecider.Decision> decision = decider.decide(a.change);
         if (decision.isLeft()) {
-            a.onResult.accept(result(CommandResult.REFUSED, decision.getLeft()));
+            a.answer(result(CommandResult.REFUSED, decision.getLeft()));
             return;
         }
         ChangeDecider.Decision d = decision.get();
         Swap swap = new Swap(d.key(), d.value(), config.view().revisionOf(d.key()), 0);
+        a.sent = true;
         writer.write(swap, writeId, r -> {
             switch (r.fate()) {
                 case ACCEPTED -> accepted(a, d, r);
                 case REFUSED -> refused(a, tries);
                 case UNKNOWN ->
-                    a.onResult.accept(result(
+                    a.answer(result(
                             CommandResult.UNKNOWN,
                             "the store did not say whether this was written; ask what is in force when it is back"));
             }
@@ -89,12 +131,13 @@
                 r.revision(),
                 List.of(d.text() + ", at revision " + r.revision()),
                 NullNode.getInstance());
-        config.refresh(() -> a.onResult.accept(result));
+        config.refresh(() -> a.answer(result));
     }
 
     private void refused(Attempt a, int tries) {
+        a.sent = false;
         if (tries >= MOST_TRIES) {
-            a.onResult.accept(result(CommandResult.REFUSED, "others keep changing this record; try again"));
+            a.answer(result(CommandResult.REFUSED, "others keep changing this record; try again"));
         } else {
             loop.execute(() -> config.refresh(() -> attempt(a, tries + 1)));
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/operator/QuestionAnswerer.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/operator/QuestionAnswerer.java
@@ -157,11 +157,17 @@
                         s.getTraceId(),
                         s.getSpanId(),
                         s.getParentSpanId(),
-                        s.getAttributes().asMap()))
+                        attributes(s)))
                 .toList();
         return result(lines, lines);
     }
 
+    private static String attributes(SpanData s) {
+        return s.getAttributes().asMap().entrySet().stream()
+                .map(e -> e.getKey().getKey() + "=" + e.getValue())
+                .collect(Collectors.joining(" "));
+    }
+
     private CommandResult services() {
         List<ServiceRecord> all = List.copyOf(view().services().values());
         List<String> lines = all.stream()
--- a/daemon/src/test/java/org/lupinpaddle/daemon/RequestFailureTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/RequestFailureTest.java
@@ -17,6 +17,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.http.HttpResponse;
@@ -299,6 +300,52 @@
             }
         }
 
+        @Test
+        void aFrozenWorkerHoldsUpNoCallerBeyondItsDeadline() throws Exception {
+            JavaProcess worker = new JavaProcess(
+                    fleet.dir,
+                    "frozen",
+                    "org.lupinpaddle.standins.StandInMain",
+                    "worker",
+                    "frozen",
+                    "north",
+                    "r9",
+                    "4",
+                    "1000",
+                    fleet.platform.address());
+            try {
+                fleet.accepted(north, "service create solo --budget 0 --reserve none");
+                fleet.accepted(north, "pool create solo --service solo --site a");
+                fleet.accepted(
+                        north,
+                        "instance add frozen --pool solo --hall north --rack r9 --address " + worker.field("address")
+                                + " --slots 4 --memory 1000");
+                Await.until("it serves", 15, () -> status("solo") == 200);
+                worker.freeze();
+                long start = System.nanoTime();
+                HttpResponse<String> r =
+                        fleet.send(fleet.request(north, "solo", "x", "Lupin-Deadline-Ms", "700", "Job-Id", "frozen-1"));
+                long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+                assertEquals("may-have-run", verdict(r));
+                assertTrue(millis < 4_000, "answered after " + millis + " ms");
+                HttpResponse<String> again = fleet.send(fleet.request(south, "solo", "x", "Job-Id", "frozen-1"));
+                assertEquals("claimed", reason(again));
+                assertEquals(200, fleet.send(fleet.request(north, "clips", "y")).statusCode());
+            } finally {
+                worker.kill();
+            }
+            HttpResponse<String> dead = fleet.send(fleet.request(north, "solo", "x", "Lupin-Deadline-Ms", "3000"));
+            assertNotEquals(200, dead.statusCode());
+        }
+
+        private int status(String service) {
+            try {
+                return fleet.send(fleet.request(north, service, "x")).statusCode();
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        }
+
         @Test
         void aPlannedStopCutsOffNoRequest() throws Exception {
             EntryProcess third = fleet.startEntry("south-2", "south", true);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/TestFleet.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/TestFleet.java
@@ -49,6 +49,9 @@
     /** The entries' periods; short, so that tests need not wait. */
     String timing = "heartbeat_millis = 300\npoll_millis = 1000\nlease_seconds = 3\n";
 
+    /** Where entries that are started from now on find the platform. */
+    String platformAddress;
+
     final Path dir = Files.createTempDirectory("lupinpaddle-test");
     final PlatformStandIn platform;
     final Map<String, WorkerStandIn> workers = new TreeMap<>();
@@ -61,6 +64,7 @@
     /** Starts a platform, and workers w0, w1, … in the halls north and south in turn. */
     TestFleet(int workerCount, int slots) throws Exception {
         platform = PlatformStandIn.start(0);
+        platformAddress = platform.address();
         for (int i = 0; i < workerCount; i++) {
             String hall = hall(i);
             WorkerPlace place = new WorkerPlace("w" + i, hall, hall + "-r" + i / 4, slots, 1_000);
