Make a look of a wave's driver grow with the fleet, not with its square

Ruled out: reading records (the view was parsed once); the store's calls. Change: the view indexes instances by service once for each state; joiners, floors and overdue instances are sought once a look; looks every 500 ms and not 250, members that are only counted are probed every 2 s and not 500 ms, those that are out still every 500 ms. Registrations are read every 15 s and not every 5: newcomers greet by themselves.

--- a/core/src/main/java/org/lupinpaddle/core/view/FleetView.java
+++ b/core/src/main/java/org/lupinpaddle/core/view/FleetView.java
@@ -48,6 +48,7 @@
     private final SortedMap<String, WaveRecord> waves = new TreeMap<>();
     private final Map<String, ShardRecord> shards = new HashMap<>();
     private final SortedMap<String, InstanceRecord> instances = new TreeMap<>();
+    private final Map<String, List<InstanceRecord>> byService = new HashMap<>();
     private final List<String> unreadable = new ArrayList<>();
     private long revision;
     private long contentRevision;
@@ -67,6 +68,9 @@
                 take(r);
             }
         }
+        if (!batch.isEmpty()) {
+            byService.clear();
+        }
         revision = upTo;
         return true;
     }
@@ -160,12 +164,21 @@
 
     /** Returns the instances whose pool runs the service. */
     public List<InstanceRecord> instancesOf(String service) {
-        return instances.values().stream()
-                .filter(i -> {
-                    PoolRecord p = pools.get(i.pool());
-                    return p != null && p.runs(service);
-                })
-                .toList();
+        if (byService.isEmpty()) {
+            index();
+        }
+        return byService.getOrDefault(service, List.of());
+    }
+
+    // Made once for a state of the view: looking through the fleet for each service would grow as its square.
+    private void index() {
+        for (InstanceRecord i : instances.values()) {
+            PoolRecord p = pools.get(i.pool());
+            String service = p == null ? null : p.service();
+            if (service != null) {
+                byService.computeIfAbsent(service, s -> new ArrayList<>()).add(i);
+            }
+        }
     }
 
     /** Returns the records that could not be read, for the log; the list is emptied. */
--- a/core/src/main/java/org/lupinpaddle/core/wave/WaveStepper.java
+++ b/core/src/main/java/org/lupinpaddle/core/wave/WaveStepper.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.core.wave;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -60,8 +61,11 @@
     private final List<WaveAction> maintenance = new ArrayList<>();
     private final Set<String> outRacks = new HashSet<>();
     private final Map<String, Integer> returning = new TreeMap<>();
+    private final Map<String, Integer> floors = new HashMap<>();
+    private final Set<String> joinersSought = new HashSet<>();
     private int out;
     private int returned;
+    private long overdue;
 
     private WaveStepper(FleetView view, WaveRecord wave, FleetSight sight, Supplier<String> writeIds) {
         this.view = view;
@@ -106,6 +110,9 @@
     }
 
     private void count() {
+        overdue = wave.targets().stream()
+                .filter(t -> sight.overdue().contains(t.instance()))
+                .count();
         for (WaveTarget t : wave.targets()) {
             InstanceRecord i = view.instances().get(t.instance());
             if (i == null) {
@@ -182,7 +189,7 @@
     private boolean mayTakeOut(InstanceRecord i) {
         int width = Math.min(wave.order().width(), Math.max(1, WIDENING * returned));
         boolean rackFree = wave.order().mixesRacks() || outRacks.isEmpty() || outRacks.contains(rack(i));
-        return out < width && rackFree && overdue() == 0 && sight.of(i.id()).reachable();
+        return out < width && rackFree && overdue == 0 && sight.of(i.id()).reachable();
     }
 
     private void takeOut(InstanceRecord i, Optional<ServiceRecord> service) {
@@ -292,7 +299,7 @@
     }
 
     private void addJoiners(ServiceRecord service) {
-        if (!services.containsKey(service.name())) {
+        if (joinersSought.add(service.name())) {
             MemberReconciler.withJoiners(view, service, writeIds.get()).ifPresent(s -> services.put(s.name(), s));
         }
     }
@@ -302,7 +309,7 @@
     }
 
     private int floor(ServiceRecord s) {
-        return MemberReconciler.floor(view, s);
+        return floors.computeIfAbsent(s.name(), n -> MemberReconciler.floor(view, s));
     }
 
     // Those on their way back count as back: else every look would put back one more.
@@ -316,20 +323,14 @@
         shards.put(key, shard.with(next, writeIds.get()));
     }
 
-    private long overdue() {
-        return wave.targets().stream()
-                .filter(t -> sight.overdue().contains(t.instance()))
-                .count();
-    }
-
     private Optional<WaveRecord> nextState() {
         if (wave.state() != WaveState.RUNNING) {
             return Optional.empty();
         }
-        if (overdue() >= (returned == 0 ? 1 : MOST_OVERDUE)) {
+        if (overdue >= (returned == 0 ? 1 : MOST_OVERDUE)) {
             return Optional.of(wave.in(
                     WaveState.HALTED,
-                    overdue() + " instances have not come back from their reboot",
+                    overdue + " instances have not come back from their reboot",
                     "lupinpaddle",
                     writeIds.get()));
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/EntryPeers.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/EntryPeers.java
@@ -51,7 +51,10 @@
  */
 final class EntryPeers implements PeerListener {
 
-    private static final long REGISTRATIONS_MILLIS = 5_000;
+    // Newcomers greet by themselves; the list is read for those that have gone. Read often it would cost
+    // most of the bytes that a node may spend on control.
+    private static final long REGISTRATIONS_MILLIS = 15_000;
+    private static final long REGISTRATIONS_RETRY_MILLIS = 2_000;
     private static final long LIST_MILLIS = 2_000;
     private static final long TICK_MILLIS = 100;
     // Beyond this the entry was frozen or starved, and others may have acted without it.
--- a/daemon/src/main/java/org/lupinpaddle/daemon/wave/WaveDriver.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/wave/WaveDriver.java
@@ -20,7 +20,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.UUID;
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.common.RendezvousHash;
 import org.lupinpaddle.core.common.StoreKeys;
+import org.lupinpaddle.core.instance.InstanceRecord;
 import org.lupinpaddle.core.service.MemberReconciler;
 import org.lupinpaddle.core.service.ServiceRecord;
 import org.lupinpaddle.core.view.FleetView;
@@ -36,6 +37,7 @@
 import org.lupinpaddle.core.wave.WaveAction;
 import org.lupinpaddle.core.wave.WaveRecord;
 import org.lupinpaddle.core.wave.WaveStepper;
+import org.lupinpaddle.core.wave.WaveTarget;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
 import org.lupinpaddle.daemon.config.ConfigSync;
@@ -56,8 +58,8 @@
  */
 public final class WaveDriver {
 
-    private static final long LOOK_MILLIS = 250;
-    private static final long PROBE_EVERY_MILLIS = 500;
+    private static final long LOOK_MILLIS = 500;
+    private static final long PROBE_ALL_MILLIS = 2_000;
     private static final long LEASE_TRY_MILLIS = 2_000;
     private static final long MAINTAIN_AGAIN_MILLIS = 2_000;
 
@@ -77,7 +79,7 @@
     private final Map<String, Long> askedAt = new HashMap<>();
     private final Map<DriverSight.Undrain, Long> undrained = new HashMap<>();
     private final Set<String> writing = new HashSet<>();
-    private long probedAt;
+    private long probedAllAt = Long.MIN_VALUE / 2;
 
     /** Makes the driver of an entry; {@code returnMillis} is how long a reboot may take. */
     public WaveDriver(
@@ -181,24 +183,28 @@
         actions.forEach(this::carryOut);
     }
 
+    // Those that are out are looked at often, for each step waits for one of them; the other members of
+    // their services more rarely, for they are only counted.
     private void probeFor(List<WaveRecord> driven) {
         long now = loop.clock().millis();
-        if (now - probedAt < PROBE_EVERY_MILLIS) {
-            return;
+        boolean all = now - probedAllAt >= PROBE_ALL_MILLIS;
+        if (all) {
+            probedAllAt = now;
         }
-        probedAt = now;
         FleetView view = config.view();
         Set<String> wanted = new TreeSet<>();
-        driven.stream().flatMap(w -> w.targets().stream()).forEach(t -> {
-            wanted.add(t.instance());
-            Optional.ofNullable(view.instances().get(t.instance()))
-                    .flatMap(view::serviceOf)
-                    .ifPresent(s -> wanted.addAll(s.members()));
-        });
-        wanted.stream()
-                .map(view.instances()::get)
-                .filter(java.util.Objects::nonNull)
-                .forEach(probe::probe);
+        for (WaveRecord w : driven) {
+            for (WaveTarget t : w.targets()) {
+                InstanceRecord i = view.instances().get(t.instance());
+                if (i != null && (all || i.isHeldBy(w.name()))) {
+                    wanted.add(i.id());
+                }
+                if (i != null && all) {
+                    view.serviceOf(i).ifPresent(s -> wanted.addAll(s.members()));
+                }
+            }
+        }
+        wanted.stream().map(view.instances()::get).filter(Objects::nonNull).forEach(probe::probe);
     }
 
     private void carryOut(WaveAction action) {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/CapacityProbe.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/CapacityProbe.java
@@ -65,15 +65,17 @@
         }
     }
 
-    /** Prints all tables. */
+    /** Prints all tables, or only the last for the argument {@code waves}. */
     public static void main(String[] args) throws Exception {
         System.out.println("| grows | size | CPU, % of a core | resident MB | bytes/s to peers | frames/s | "
                 + "platform calls/s |");
         System.out.println("|---|---|---|---|---|---|---|");
-        instances();
-        entries();
-        changes();
-        requests();
+        if (args.length == 0) {
+            instances();
+            entries();
+            changes();
+            requests();
+        }
         waves();
         System.exit(0);
     }
