Let each region's slot owner grant its own region's workers

Ruled out: keeping it; refusals by workers would have arbitrated every request. Change: an owner passes over halls that entries of another region stand in, as long as a worker of its own is usable. A trace from caller to worker has a test.

--- a/core/src/main/java/org/lupinpaddle/core/view/FleetView.java
+++ b/core/src/main/java/org/lupinpaddle/core/view/FleetView.java
@@ -18,6 +18,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -167,7 +168,7 @@
         if (byService.isEmpty()) {
             index();
         }
-        return byService.getOrDefault(service, List.of());
+        return Collections.unmodifiableList(byService.getOrDefault(service, List.of()));
     }
 
     // Made once for a state of the view: looking through the fleet for each service would grow as its square.
--- a/daemon/src/main/java/org/lupinpaddle/daemon/Entry.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/Entry.java
@@ -233,10 +233,17 @@
         slots.onWorkersChanged();
     }
 
+    // Each region has an owner of its own for a service's slots, which grants its own region's workers; those
+    // of others only while its own has none, when a slot asked for far away beats none.
     private List<WorkerInfo> workersOf(String service) {
-        return config.view().instancesOf(service).stream()
-                .map(i -> new WorkerInfo(i.id(), i.hall(), i.slots(), i.memoryMb(), isUsable(i)))
-                .toList();
+        List<InstanceRecord> all = config.view().instancesOf(service);
+        List<InstanceRecord> near =
+                all.stream().filter(i -> membership.mayBeInRegion(i.hall())).toList();
+        boolean nearUsable = near.stream().anyMatch(this::isUsable);
+        return (nearUsable ? near : all)
+                .stream()
+                        .map(i -> new WorkerInfo(i.id(), i.hall(), i.slots(), i.memoryMb(), isUsable(i)))
+                        .toList();
     }
 
     // Leaving is believed from whoever says so first; the list only for the incarnation it speaks of.
--- a/daemon/src/main/java/org/lupinpaddle/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/caller/CallerHandler.java
@@ -90,6 +90,7 @@
             readBody(request, reply, path.get(2));
         } else if (HttpMethod.DELETE.is(request.getMethod())
                 && path.size() == 3
+                && path.get(0).equals("v1")
                 && path.get(1).equals("requests")) {
             services.loop().execute(() -> cancelFromCaller(path.get(2), reply));
         } else {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/membership/Membership.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/membership/Membership.java
@@ -114,6 +114,15 @@
         return p.region().equals(region) ? heartbeatMillis : heartbeatMillis * FAR_HEARTBEAT_FACTOR;
     }
 
+    /** Returns whether a data hall belongs to this region, as far as any entry of the hall has said. */
+    public boolean mayBeInRegion(String hall) {
+        return peers.values().stream()
+                .filter(p -> p.hall().equals(hall))
+                .findFirst()
+                .map(p -> p.region().equals(region))
+                .orElse(true);
+    }
+
     /** Returns the entries of this region that are reachable and serve callers. */
     public List<String> servingInRegion() {
         return reachable().stream()
--- a/daemon/src/test/java/org/lupinpaddle/daemon/RequestFailureTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/RequestFailureTest.java
@@ -96,6 +96,27 @@
             assertTrue(r.body().endsWith(":long"));
         }
 
+        @Test
+        void carryOneTraceFromCallerToWorkerWithASpanForEachHop() throws Exception {
+            String trace = "0af7651916cd43dd8448eb211c80319c";
+            HttpResponse<String> r = fleet.send(fleet.request(
+                    north,
+                    "clips",
+                    "t",
+                    "Request-Id",
+                    "traced-1",
+                    "traceparent",
+                    "00-" + trace + "-b7ad6b7169203331-01"));
+            String worker = r.body().substring(0, r.body().indexOf(':'));
+            assertTrue(fleet.worker(worker, "/standin/counts")
+                    .path("lastTrace")
+                    .asText()
+                    .contains(trace));
+            String spans = fleet.command(north, "trace traced-1").path("lines").toString();
+            assertTrue(spans.contains("request clips") && spans.contains("slot") && spans.contains("attempt"), spans);
+            assertTrue(spans.contains(trace), spans);
+        }
+
         @Test
         void thatBreakOffAreNeverPassedOnInPart() throws Exception {
             fleet.workers.keySet().forEach(w -> fleet.behave(w, "{\"cutAnswers\":true}"));
--- a/standins/src/main/java/org/lupinpaddle/standins/WorkerStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/WorkerStandIn.java
@@ -71,6 +71,7 @@
     private long cutOff;
     private long runs;
     private long taskNumber;
+    private String lastTrace = "";
 
     private WorkerStandIn(WorkerPlace place, String platform) {
         this.place = place;
@@ -169,6 +170,8 @@
                 return;
             }
             runs++;
+            String trace = request.getHeaders().get("traceparent");
+            lastTrace = trace == null ? "" : trace;
             if (job != null) {
                 runsByJob.merge(job, 1, Integer::sum);
             }
@@ -229,7 +232,7 @@
                     cutAnswers = body.path("cutAnswers").asBoolean();
                 }
                 case "counts" -> {
-                    out.put("runs", runs).put("cutOff", cutOff);
+                    out.put("runs", runs).put("cutOff", cutOff).put("lastTrace", lastTrace);
                     ObjectNode jobs = out.putObject("jobs");
                     runsByJob.forEach(jobs::put);
                 }
