Do not forget an entry between its greeting and its first heartbeat

Ruled out: the test's expectation; the entry greets once for each connection. Change: a greeting counts as heard.

--- a/core/src/test/java/org/lupinpaddle/core/wave/FleetWorld.java
+++ b/core/src/test/java/org/lupinpaddle/core/wave/FleetWorld.java
@@ -77,6 +77,7 @@
     private long now;
     private int writeIds;
     private int cutOff;
+    private int acted;
     private int worstReboots;
 
     FleetWorld(long seed, Set<Trouble> troubles, @Nullable Off off) {
@@ -131,6 +132,26 @@
         }
     }
 
+    /** Lets everything happen until drivers have acted so often, then replaces all drivers by new processes. */
+    void killDriversAfter(int actions) {
+        while (acted < actions && !isSettled("full")) {
+            now++;
+            oneStep();
+            check();
+        }
+        drivers.forEach(FakeDriver::restart);
+    }
+
+    /** Returns how often drivers have acted. */
+    int acted() {
+        return acted;
+    }
+
+    private boolean isSettled(String wave) {
+        WaveRecord w = store.view().waves().get(wave);
+        return w != null && WaveStepper.isSettled(store.view(), w);
+    }
+
     /** Ends all trouble and runs on until the wave has ended, or fails after so many steps. */
     void settle(String wave, int steps) {
         troubles.clear();
@@ -145,8 +166,8 @@
             now++;
             oneStep();
             check();
-            FleetView v = truth;
-            if (WaveStepper.isSettled(v, Objects.requireNonNull(v.waves().get(wave)))) {
+            if (WaveStepper.isSettled(
+                    truth, Objects.requireNonNull(truth.waves().get(wave)))) {
                 return;
             }
         }
@@ -200,6 +221,7 @@
         if (d.decided.isEmpty()) {
             return;
         }
+        acted++;
         WaveAction a = d.decided.remove(random.nextInt(d.decided.size()));
         if (troubles.contains(Trouble.LOST_WRITES) && random.nextInt(3) == 0) {
             return;
--- a/core/src/test/java/org/lupinpaddle/core/wave/WaveStepperProperties.java
+++ b/core/src/test/java/org/lupinpaddle/core/wave/WaveStepperProperties.java
@@ -111,6 +111,21 @@
                     Objects.requireNonNull(v.services().get("clips")).members().size());
         }
 
+        @Example
+        void aWaveWhoseDriversDieAtEachStepInTurnStillEnds() {
+            FleetWorld whole = world(3, Set.of(), null, WaveOrder.WIDE);
+            whole.settle("full", SETTLE_STEPS);
+            for (int k = 1; k <= whole.acted(); k++) {
+                FleetWorld w = world(3, Set.of(), null, WaveOrder.WIDE);
+                w.killDriversAfter(k);
+                w.settle("full", SETTLE_STEPS);
+                assertEquals(
+                        WaveState.DONE,
+                        Objects.requireNonNull(w.store.view().waves().get("full"))
+                                .state());
+            }
+        }
+
         @Example
         void instancesThatStayAwayHaltTheWave() {
             FleetWorld w = world(7, Set.of(), null, WaveOrder.WIDE);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/membership/Membership.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/membership/Membership.java
@@ -72,6 +72,10 @@
     public void onHello(String id, String hall, String itsRegion, String address) {
         if (!id.equals(selfId)) {
             know(id, hall, itsRegion, address);
+            // A greeting counts as heard: an entry that is not registered yet must not be forgotten before
+            // its first heartbeat, since it greets only once.
+            long now = clock.millis();
+            peers.computeIfPresent(id, (k, p) -> p.heard(now, 0, p.serving(), p.platformOk(), p.leaving()));
         }
     }
 
