Mend what the linter and a read as a newcomer showed

A wave that was cancelled said 'canceld by an operator'. Conclusion: what is left of warnings is Netty's futures, ordinals on the wire and an array in a record.

--- a/core/src/main/java/org/lupinpaddle/core/command/CommandParser.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/CommandParser.java
@@ -82,7 +82,8 @@
         StringBuilder word = new StringBuilder();
         boolean inWord = false;
         char quote = 0;
-        for (char c : line.toCharArray()) {
+        for (int i = 0; i < line.length(); i++) {
+            char c = line.charAt(i);
             if (quote != 0 && c == quote) {
                 quote = 0;
             } else if (quote == 0 && (c == '"' || c == '\'')) {
--- a/core/src/main/java/org/lupinpaddle/core/command/OperatorCommand.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/OperatorCommand.java
@@ -19,6 +19,7 @@
 import org.lupinpaddle.core.service.Reserve;
 import org.lupinpaddle.core.wave.WaveOrder;
 import org.lupinpaddle.core.wave.WaveScope;
+import org.lupinpaddle.core.wave.WaveState;
 
 /** What an operator can say, as typed values. */
 public sealed interface OperatorCommand {
@@ -104,11 +105,29 @@
     /** How a wave can be steered. */
     enum Steering {
         /** Take out no more, and put back what has not reached its reboot. */
-        PAUSE,
+        PAUSE(WaveState.PAUSED, "paused"),
         /** Go on. */
-        RESUME,
+        RESUME(WaveState.RUNNING, "resumed"),
         /** End it for good. */
-        CANCEL
+        CANCEL(WaveState.CANCELLED, "cancelled");
+
+        private final WaveState state;
+        private final String past;
+
+        Steering(WaveState state, String past) {
+            this.state = state;
+            this.past = past;
+        }
+
+        /** Returns the state that a wave is in afterwards. */
+        public WaveState state() {
+            return state;
+        }
+
+        /** Returns what was done to the wave, for messages. */
+        public String past() {
+            return past;
+        }
     }
 
     /** The waves. */
--- a/core/src/main/java/org/lupinpaddle/core/service/MemberReconciler.java
+++ b/core/src/main/java/org/lupinpaddle/core/service/MemberReconciler.java
@@ -37,7 +37,7 @@
                 next = next.withMember(i.id(), writeId);
             }
         }
-        return next == service ? Optional.empty() : Optional.of(next);
+        return next.equals(service) ? Optional.empty() : Optional.of(next);
     }
 
     /** Returns how many instances must stay available: the budget and what the reserve holds back. */
--- a/core/src/main/java/org/lupinpaddle/core/view/FleetView.java
+++ b/core/src/main/java/org/lupinpaddle/core/view/FleetView.java
@@ -77,10 +77,11 @@
     }
 
     private void take(StoredRecord r) {
-        boolean read = StoreKeys.isService(r.key()) && put(r, ServiceRecord.class, (k, v) -> services.put(v.name(), v))
-                || StoreKeys.isPool(r.key()) && put(r, PoolRecord.class, (k, v) -> pools.put(v.name(), v))
-                || StoreKeys.isWave(r.key()) && put(r, WaveRecord.class, (k, v) -> waves.put(v.name(), v))
-                || StoreKeys.isShard(r.key()) && put(r, ShardRecord.class, this::putShard);
+        boolean read =
+                (StoreKeys.isService(r.key()) && put(r, ServiceRecord.class, (k, v) -> services.put(v.name(), v)))
+                        || (StoreKeys.isPool(r.key()) && put(r, PoolRecord.class, (k, v) -> pools.put(v.name(), v)))
+                        || (StoreKeys.isWave(r.key()) && put(r, WaveRecord.class, (k, v) -> waves.put(v.name(), v)))
+                        || (StoreKeys.isShard(r.key()) && put(r, ShardRecord.class, this::putShard));
         if (!read) {
             unreadable.add(r.key() + "@" + r.revision());
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/EntryPeers.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/EntryPeers.java
@@ -116,7 +116,8 @@
                         membership.onRegistrations(r.records());
                     }
                     connect();
-                    loop.after(REGISTRATIONS_MILLIS, this::readRegistrations);
+                    boolean known = failure == null && !membership.peers().isEmpty();
+                    loop.after(known ? REGISTRATIONS_MILLIS : REGISTRATIONS_RETRY_MILLIS, this::readRegistrations);
                 }));
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/caller/RequestRun.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/caller/RequestRun.java
@@ -75,7 +75,6 @@
     private @Nullable Span waitSpan;
     private EventLoop.@Nullable Timer deadline;
     private long openAsk;
-    private @Nullable Grant grant;
     private WorkerClient.@Nullable Attempt attempt;
     private @Nullable WorkerAnswer answer;
     private String workerAddress = "";
--- a/daemon/src/main/java/org/lupinpaddle/daemon/operator/ChangeDecider.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/operator/ChangeDecider.java
@@ -22,14 +22,12 @@
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.command.OperatorCommand;
 import org.lupinpaddle.core.command.OperatorCommand.Change;
-import org.lupinpaddle.core.command.OperatorCommand.Steering;
 import org.lupinpaddle.core.command.OperatorCommand.WaveDraft;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.common.StoreKeys;
 import org.lupinpaddle.core.instance.InstanceRecord;
 import org.lupinpaddle.core.instance.InstanceState;
 import org.lupinpaddle.core.pool.PoolRecord;
-import org.lupinpaddle.core.service.MemberReconciler;
 import org.lupinpaddle.core.service.Reserve;
 import org.lupinpaddle.core.service.ServiceRecord;
 import org.lupinpaddle.core.view.FleetView;
@@ -241,32 +239,19 @@
         if (w == null) {
             return Either.left("there is no wave " + c.name());
         }
-        WaveState next = target(c.steering());
+        WaveState next = c.steering().state();
         if (w.state().ended() || w.state() == next) {
             return Either.left(
                     "wave " + c.name() + " is " + w.state() + " (" + w.reason() + "), last steered by " + w.operator());
         }
-        String reason = c.steering().name().toLowerCase(java.util.Locale.ROOT) + "d by an operator";
+        String reason = c.steering().past() + " by an operator";
         return write(
                 StoreKeys.wave(c.name()),
                 w.in(next, reason, operator, writeId),
                 "wave " + c.name() + " is " + next + " (was " + w.state() + ")");
     }
 
-    private static WaveState target(Steering s) {
-        return switch (s) {
-            case PAUSE -> WaveState.PAUSED;
-            case RESUME -> WaveState.RUNNING;
-            case CANCEL -> WaveState.CANCELLED;
-        };
-    }
-
     private static String orNone(@Nullable String s) {
         return s == null ? "none" : s;
     }
-
-    /** Returns how many instances the service must keep, for messages. */
-    static int floor(FleetView view, ServiceRecord s) {
-        return MemberReconciler.floor(view, s);
-    }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/peer/PeerMesh.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/peer/PeerMesh.java
@@ -51,7 +51,6 @@
     private static final int MOST_UNSENT_BYTES = 4 << 20;
 
     private final EventLoop loop;
-    private final PeerListener listener;
     private final TrafficMeter meter;
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Map<String, Link> links = new HashMap<>();
@@ -62,7 +61,6 @@
     /** Listens on an address and gives what comes in to {@code listener}. */
     public PeerMesh(InetSocketAddress listen, EventLoop loop, PeerListener listener, MetricRegistry metrics) {
         this.loop = loop;
-        this.listener = listener;
         this.meter = new TrafficMeter(metrics);
         this.server = new ServerBootstrap()
                 .group(group)
