Measure run times that are far off what the owner has learned

A failed try: with deadlines of 30 s the urgent p99 was over a minute with both policies, since runs beyond their deadline expired and were tried again.

--- a/daemon/src/test/java/org/lupinpaddle/daemon/slot/SimFleet.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/slot/SimFleet.java
@@ -47,6 +47,11 @@
     final SimFigures figures = new SimFigures();
     double load;
     double poisonShare;
+    /** By how much each run is longer than callers and the owner's mean expect. */
+    double runFactor = 1;
+    /** Whether each run is off by up to ten times either way. */
+    boolean runsOff;
+
     long deadlineMillis = 30_000;
     private final TreeMap<String, SimEntry> entries = new TreeMap<>();
     private final TreeMap<String, SimWorker> workers = new TreeMap<>();
@@ -91,7 +96,8 @@
         time.after(Math.max(1, Math.round(exponential(1 / perMilli))), this::arrive);
         int kind = random.nextInt(10);
         Urgency u = kind == 0 ? Urgency.URGENT : kind < 7 ? Urgency.NORMAL : Urgency.MAY_WAIT;
-        long run = Math.max(1, Math.round(exponential(MEAN_RUN_MILLIS)));
+        double off = runsOff ? Math.pow(10, random.nextDouble() * 2 - 1) : 1;
+        long run = Math.max(1, Math.round(exponential(MEAN_RUN_MILLIS) * runFactor * off));
         boolean poison = random.nextDouble() < poisonShare;
         figures.jobs++;
         attempt(new SimJob(u, run, poison, random.nextBoolean(), time.now()));
--- a/daemon/src/test/java/org/lupinpaddle/daemon/slot/SlotExperiment.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/slot/SlotExperiment.java
@@ -37,11 +37,16 @@
         long[] seeds = args.length == 0
                 ? new long[] {1, 2, 3}
                 : Arrays.stream(args).mapToLong(Long::parseLong).toArray();
+        if (Boolean.getBoolean("runTimesOnly")) {
+            wrongRunTimes(seeds);
+            return;
+        }
         policies(seeds);
         badWorkers(seeds);
         overload(seeds);
         poison(seeds);
         failures(seeds);
+        wrongRunTimes(seeds);
     }
 
     private static SimFleet run(long seed, SimPolicy policy, double load, Consumer<SimFleet> setUp) {
@@ -236,6 +241,30 @@
                 }));
     }
 
+    // The load is set so that the slots' use stays near 0.7 with the longer runs.
+    private static void wrongRunTimes(long[] seeds) {
+        head("Run times far off what was learned");
+        for (SimPolicy p : new SimPolicy[] {SimPolicy.REGION_OWNER, SimPolicy.TWO_CHOICES}) {
+            // A deadline that the longer runs meet: else they expire while they run and are tried again.
+            row(p + " ten times longer from minute 2 to 4", seeds, p, 0.7, f -> {
+                f.deadlineMillis = RUN;
+                f.time.after(2 * MINUTE, () -> {
+                    f.runFactor = 10;
+                    f.load = 0.07;
+                });
+                f.time.after(4 * MINUTE, () -> {
+                    f.runFactor = 1;
+                    f.load = 0.7;
+                });
+            });
+            // The mean of ten to a power evenly from -1 to 1 is 2.15.
+            row(p + " each off by up to ten either way", seeds, p, 0.7 / 2.15, f -> {
+                f.deadlineMillis = RUN;
+                f.runsOff = true;
+            });
+        }
+    }
+
     private static String ownerOf(SimFleet f) {
         return f.busiestOwner();
     }
