--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
@@ -0,0 +1,123 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.job;
+
+import java.util.Optional;
+
+/**
+ * Where the job scheduler's records lie in the store. What the owner of a service must notice lies under one
+ * prefix, so that one watch shows all of it; what it writes itself lies elsewhere.
+ */
+public final class JobKeys {
+
+    /** Prefix of the entries and of the owners, each under the lease of an entry. */
+    public static final String MEMBERS = "lupinpaddle/member/";
+
+    private static final String ENTRIES = MEMBERS + "entry/";
+    private static final String OWNERS = MEMBERS + "owner/";
+    private static final String INPUTS = "lupinpaddle/in/";
+    private static final String PROGRESS = "lupinpaddle/progress/";
+    private static final String PENDING = "lupinpaddle/pending/";
+    private static final String JOB = "job/";
+    private static final String CANCEL = "cancel/";
+    private static final String EVACUATE = "evacuate/";
+
+    private JobKeys() {}
+
+    /** Returns the key of an entry's registration. */
+    public static String entry(String name) {
+        return ENTRIES + name;
+    }
+
+    /** Returns the name of the entry whose registration this is, or nothing. */
+    public static Optional<String> entryOf(String key) {
+        return after(ENTRIES, key);
+    }
+
+    /** Returns the key that the owner of a duty holds under its lease. */
+    public static String owner(String duty) {
+        return OWNERS + duty;
+    }
+
+    /** Returns the duty whose owner's key this is, or nothing. */
+    public static Optional<String> ownedBy(String key) {
+        return after(OWNERS, key);
+    }
+
+    /** Returns the prefix of all that the owner of a service must notice. */
+    public static String inputs(String service) {
+        return INPUTS + service + "/";
+    }
+
+    /** Returns the key of a job's immutable record. */
+    public static String job(String service, JobKey job) {
+        return inputs(service) + JOB + job;
+    }
+
+    /** Returns whether the key, under the inputs of the service, is a job's. */
+    public static boolean isJob(String service, String key) {
+        return key.startsWith(inputs(service) + JOB);
+    }
+
+    /** Returns the key that says that a caller has cancelled a job. */
+    public static String cancel(String service, JobKey job) {
+        return inputs(service) + CANCEL + job;
+    }
+
+    /** Returns the job that the key says is cancelled, or nothing. */
+    public static Optional<JobKey> cancelled(String service, String key) {
+        return after(inputs(service) + CANCEL, key).map(JobKeys::jobKey);
+    }
+
+    /** Returns the key that asks for a worker to be emptied. */
+    public static String evacuation(String service, String worker) {
+        return inputs(service) + EVACUATE + worker;
+    }
+
+    /** Returns the worker that the key asks to be emptied, or nothing. */
+    public static Optional<String> evacuated(String service, String key) {
+        return after(inputs(service) + EVACUATE, key);
+    }
+
+    /** Returns the prefix of the progress of a service's jobs. */
+    public static String progress(String service) {
+        return PROGRESS + service + "/";
+    }
+
+    /** Returns the key of a job's progress. */
+    public static String progress(String service, JobKey job) {
+        return progress(service) + job;
+    }
+
+    /** Returns the key of the counts of a service's jobs that have not begun. */
+    public static String pending(String service) {
+        return PENDING + service;
+    }
+
+    /** Returns the job whose progress lies under the key. */
+    public static Optional<JobKey> progressOf(String service, String key) {
+        return after(progress(service), key).map(JobKeys::jobKey);
+    }
+
+    private static JobKey jobKey(String text) {
+        int slash = text.lastIndexOf('/');
+        return new JobKey(text.substring(0, Math.max(0, slash)), text.substring(slash + 1));
+    }
+
+    private static Optional<String> after(String prefix, String key) {
+        return key.startsWith(prefix) ? Optional.of(key.substring(prefix.length())) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
@@ -0,0 +1,28 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.job;
+
+import java.util.List;
+
+/**
+ * How far a job is; the small record beside the immutable {@link JobSpec}, written by its service's owner.
+ *
+ * @param state as callers are told
+ * @param tasks the tasks that have been placed at least once
+ * @param reason why the job failed; empty otherwise
+ * @param changedMillis when the state last changed, in milliseconds since 1970
+ */
+public record JobProgress(JobState state, List<TaskRecord> tasks, String reason, long changedMillis) {}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
@@ -0,0 +1,38 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.job;
+
+import java.util.List;
+
+/**
+ * A job as it was accepted. It lies in the store under its key and never changes.
+ *
+ * @param key the job's name
+ * @param service whose workers run it: the service of its queue when it was accepted
+ * @param text what the caller wants each task to be told, handed on as it is
+ * @param steps the steps, in the caller's order
+ * @param repeat when the steps are run
+ * @param policy what the configuration said of its queue
+ * @param acceptedMillis when it was accepted, in milliseconds since 1970 by the accepting entry's clock
+ */
+public record JobSpec(
+        JobKey key,
+        String service,
+        String text,
+        List<StepSpec> steps,
+        Repeat repeat,
+        Policy policy,
+        long acceptedMillis) {}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
@@ -0,0 +1,37 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.job;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+
+/**
+ * What the store keeps of one task that has been placed at least once. It is written as an array: a job
+ * has dozens of them and is written often.
+ *
+ * @param time which repetition of the job
+ * @param step which step
+ * @param index which task of the step
+ * @param run the number of its newest run
+ * @param failures how many runs ended as failed
+ * @param done whether it needs no further run
+ * @param worker the id of the worker that may hold its newest run; empty when none does
+ * @param checkpoint what the newest run had saved; empty for nothing
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({"time", "step", "index", "run", "failures", "done", "worker", "checkpoint"})
+public record TaskRecord(
+        int time, int step, int index, int run, int failures, boolean done, String worker, String checkpoint) {}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/job/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.core.job;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/ownership/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.core.ownership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/placement/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.core.placement;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/queue/JobConfiguration.java
@@ -0,0 +1,46 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.queue;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The operators' configuration of queues and services, whole.
+ *
+ * @param version the operators' number of it
+ * @param queues all queues
+ * @param services all services
+ * @param bodyBytes the largest body that is taken from a caller
+ */
+public record JobConfiguration(long version, List<QueueConfig> queues, List<ServiceConfig> services, int bodyBytes) {
+
+    /** Returns the queue with this host and the longest path prefix with which the path begins. */
+    public Optional<QueueConfig> queueFor(String host, String path) {
+        return queues.stream()
+                .filter(q -> q.host().equals(host) && path.startsWith(q.pathPrefix()))
+                .max(Comparator.comparingInt(q -> q.pathPrefix().length()));
+    }
+
+    /** Returns the services whose workers may run jobs. */
+    public List<String> runningServices() {
+        return services.stream()
+                .filter(s -> !s.headroom())
+                .map(ServiceConfig::name)
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/queue/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.core.queue;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -0,0 +1,80 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.List;
+import org.lupinpaddle.core.placement.Placer;
+import org.lupinpaddle.core.run.LiveTask.Phase;
+
+/**
+ * Empties workers that are to leave. Lasting tasks move to other workers, no more of a step at one time than
+ * its caller allows to be away; finite ones end where they are, as long as the worker stays.
+ */
+final class Evacuator {
+
+    private static final int AT_WORK_PERCENT = 100;
+    // Below this a draining worker's finite tasks that can go on elsewhere are stopped, to save their work.
+    private static final long SAVE_WORK_MILLIS = 700;
+
+    private final ServiceState state;
+
+    Evacuator(ServiceState state) {
+        this.state = state;
+    }
+
+    void run() {
+        for (LiveWorker w : List.copyOf(state.workers.values())) {
+            boolean wanted = state.evacuating.contains(w.facts().id());
+            if (wanted && w.tasks.isEmpty()) {
+                state.port.emptied(w.facts().id());
+            } else if (wanted || w.facts().draining()) {
+                empty(w);
+            }
+        }
+    }
+
+    private void empty(LiveWorker w) {
+        for (LiveTask t : List.copyOf(w.tasks)) {
+            if (t.phase != Phase.RUNNING) {
+                continue;
+            }
+            if (t.step.longRunning()) {
+                moveLasting(w, t);
+            } else if (w.facts().draining()
+                    && t.step.checkpointing()
+                    && w.remainingMillis(state.now()) < SAVE_WORK_MILLIS) {
+                state.stop(t, "worker-ends-soon");
+            }
+        }
+    }
+
+    private void moveLasting(LiveWorker w, LiveTask t) {
+        boolean allowed = w.facts().draining() || othersAway(t) < Math.max(1, t.step.mayMiss());
+        if (allowed && hasPlaceElsewhere(t)) {
+            state.stop(t, w.facts().draining() ? "worker-drains" : "worker-is-emptied");
+        }
+    }
+
+    private boolean hasPlaceElsewhere(LiveTask t) {
+        return state.workers.values().stream().filter(state::isUsable).anyMatch(o -> Placer.mayCarry(o, t.wish()));
+    }
+
+    private static long othersAway(LiveTask t) {
+        return t.job.members(t.id).stream()
+                .filter(m -> m != t && !(m.phase == Phase.RUNNING && m.percent >= AT_WORK_PERCENT))
+                .count();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/HoldAnswer.java
@@ -0,0 +1,27 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.List;
+
+/**
+ * What a worker answered to a hold.
+ *
+ * @param clockMillis the worker's own clock as it answered
+ * @param running all that runs there
+ * @param ended the ends that it has not been told to forget
+ */
+public record HoldAnswer(long clockMillis, List<RunningReport> running, List<EndReport> ended) {}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/LastingRetry.java
@@ -0,0 +1,38 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+/** How long a lasting task that failed waits before it is started again. */
+final class LastingRetry {
+
+    // The first failures cost nothing; a task that fails at once every time starts every 3 s, twice as often
+    // as the 6 s after which a lasting task without a run counts as lost.
+    private static final long FIRST_MILLIS = 50;
+    private static final long MOST_MILLIS = 3_000;
+    private static final int FREE_FAILURES = 3;
+    private static final int MOST_DOUBLINGS = 6;
+
+    private LastingRetry() {}
+
+    /** Returns the delay after this many failures. */
+    static long delayMillis(int failures) {
+        if (failures <= FREE_FAILURES) {
+            return 0;
+        }
+        int doublings = Math.min(failures - FREE_FAILURES, MOST_DOUBLINGS);
+        return Math.min(MOST_MILLIS, FIRST_MILLIS << doublings);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -0,0 +1,131 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.job.TaskRecord;
+import org.lupinpaddle.core.placement.StepTime;
+import org.lupinpaddle.core.placement.Wish;
+
+/** One task at the owner of its service: where it runs and what has become of its runs. */
+final class LiveTask {
+
+    /** Where a task is between being wanted and being done. */
+    enum Phase {
+        /** No worker holds it. */
+        WAITING,
+        /** A worker is chosen; the choice is being written. */
+        PLACED,
+        /** The start has gone out and is not known to have been carried out. */
+        STARTING,
+        /** The worker has said that it runs. */
+        RUNNING,
+        /** A stop has been asked for; the worker may still run it, or start it late. */
+        STOPPING,
+        /** An earlier owner placed it; its worker has not told yet what became of it. */
+        RECOVERING,
+        /** It needs no further run. */
+        DONE;
+
+        /** Returns whether the task takes room on its worker. */
+        boolean onWorker() {
+            return this != WAITING && this != DONE;
+        }
+    }
+
+    // From the third attempt on, another rack is tried: two failures on one may be the rack's.
+    private static final int ATTEMPTS_BEFORE_OTHER_RACK = 2;
+
+    final LiveJob job;
+    final TaskId id;
+    final StepSpec step;
+    final StepTime stepTime;
+    Phase phase = Phase.WAITING;
+    int run;
+    int failures;
+    int lastFailedRun;
+    String checkpoint = "";
+
+    @Nullable
+    LiveWorker worker;
+
+    /** The job's version that must be durable before the start goes out. */
+    long placedVersion;
+    /** How often the start of this run was sent without an answer. */
+    int unanswered;
+    /** When the phase was entered, and when an order for it is due next. */
+    long since;
+
+    long orderDueAt;
+    boolean orderInFlight;
+    /** From when on a hold that does not list the run proves that it is gone. */
+    long provenFrom = Long.MAX_VALUE;
+
+    int percent;
+    /** An older run, or another member of its gang, has done the work: it is done once it is off its worker. */
+    boolean finished;
+
+    private final Set<String> failedWorkers = new HashSet<>();
+    private final Set<String> failedDomains = new HashSet<>();
+
+    LiveTask(LiveJob job, TaskId id, StepSpec step) {
+        this.job = job;
+        this.id = id;
+        this.step = step;
+        this.stepTime = new StepTime(job.spec.key(), id.time(), id.step());
+    }
+
+    void enter(Phase next, long now) {
+        phase = next;
+        since = now;
+        orderDueAt = now;
+        unanswered = 0;
+        provenFrom = Long.MAX_VALUE;
+    }
+
+    /** Takes the task off its worker; it waits for a new run, or is done. */
+    void leaveWorker(Phase next, long now) {
+        if (worker != null) {
+            worker.remove(this);
+        }
+        worker = null;
+        percent = 0;
+        enter(next, now);
+    }
+
+    void failedOn(LiveWorker w) {
+        failedWorkers.add(w.facts().id());
+        failedDomains.add(w.facts().failureDomain());
+    }
+
+    Wish wish() {
+        Set<String> domains = failures >= ATTEMPTS_BEFORE_OTHER_RACK ? failedDomains : Set.of();
+        return new Wish(step, stepTime, failedWorkers, domains);
+    }
+
+    boolean touched() {
+        return run > 0;
+    }
+
+    TaskRecord record() {
+        String w = worker == null ? "" : worker.facts().id();
+        return new TaskRecord(id.time(), id.step(), id.index(), run, failures, phase == Phase.DONE, w, checkpoint);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -0,0 +1,175 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.TreeMap;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.placement.Candidate;
+import org.lupinpaddle.core.placement.Room;
+import org.lupinpaddle.core.placement.StepTime;
+import org.lupinpaddle.core.placement.WorkerFacts;
+
+/**
+ * One life of a worker, as the owner of its service sees it: its clock, how long it may keep what it runs,
+ * what it carries and which of its ends are durable.
+ */
+final class LiveWorker implements Candidate {
+
+    // A worker's clock may run 2% slow; 3% leaves room for the rounding of both clocks.
+    private static final double SLOWEST_CLOCK = 1.03;
+    // Added to a computed moment for the same reason, when the period is short.
+    private static final long CLOCK_SLACK_MILLIS = 100;
+
+    private WorkerFacts facts;
+    private long endsAt = Long.MAX_VALUE;
+    final Set<LiveTask> tasks = new HashSet<>();
+    private Room used = Room.NONE;
+
+    /** Whether the platform's store lists it, and since when not. */
+    boolean listed = true;
+
+    long unlistedSince = Long.MAX_VALUE;
+    /** Whether it has answered a hold under this owner's fence: from then on no earlier owner's order counts. */
+    boolean fenced;
+
+    boolean holdInFlight;
+    long holdDueAt;
+    long lastAnswerAt = Long.MIN_VALUE / 2;
+    long avoidUntil = Long.MIN_VALUE;
+    /** Jobs that failed here since the last run that ended well. */
+    final Set<JobKey> failedJobs = new HashSet<>();
+
+    private long clockMillis;
+    private long clockReadAt;
+    private long furthestDeadline;
+    /** Until when an earlier owner's orders may keep something alive here. */
+    private long inheritedUntil;
+
+    /** Ends up to this number have been taken in. */
+    long takenIn;
+
+    private long durableUpTo;
+    private final TreeMap<Long, PendingEnd> pending = new TreeMap<>();
+
+    private record PendingEnd(LiveJob job, long version) {}
+
+    LiveWorker(WorkerFacts facts, long inheritedUntil) {
+        this.facts = facts;
+        this.inheritedUntil = inheritedUntil;
+    }
+
+    @Override
+    public WorkerFacts facts() {
+        return facts;
+    }
+
+    void update(WorkerFacts f, long now) {
+        if (f.draining() && !facts.draining()) {
+            endsAt = now + f.remainingMillis();
+        }
+        facts = f;
+        listed = true;
+        unlistedSince = Long.MAX_VALUE;
+    }
+
+    /** Returns the least time that a draining worker still has. */
+    long remainingMillis(long now) {
+        return endsAt - now;
+    }
+
+    void unlist(long now) {
+        if (listed) {
+            listed = false;
+            unlistedSince = now;
+        }
+    }
+
+    void add(LiveTask t) {
+        tasks.add(t);
+        used = used.plus(Room.of(t.step));
+    }
+
+    void remove(LiveTask t) {
+        if (tasks.remove(t)) {
+            used = used.minus(Room.of(t.step));
+        }
+    }
+
+    @Override
+    public Room free() {
+        return facts.room().minus(used);
+    }
+
+    @Override
+    public int carried(StepTime step) {
+        int n = 0;
+        for (LiveTask t : tasks) {
+            if (t.stepTime.equals(step)) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    void answered(long workerClock, long now) {
+        clockMillis = workerClock;
+        clockReadAt = now;
+        lastAnswerAt = now;
+        fenced = true;
+    }
+
+    /** Returns a deadline on the worker's clock this far from now; 0 while its clock is not known. */
+    long deadlineIn(long millis, long now) {
+        if (!fenced) {
+            return 0;
+        }
+        long d = clockMillis + (now - clockReadAt) + millis;
+        furthestDeadline = Math.max(furthestDeadline, d);
+        return furthestDeadline;
+    }
+
+    /** Returns from when on nothing runs here any more, if no order reaches the worker from now on. */
+    long emptyAt() {
+        long own = Math.max(0, furthestDeadline - clockMillis);
+        long byOwn = clockReadAt + (long) (own * SLOWEST_CLOCK) + CLOCK_SLACK_MILLIS;
+        return fenced ? byOwn : inheritedUntil;
+    }
+
+    void awaitDurable(long endNumber, LiveJob job, long version) {
+        pending.put(endNumber, new PendingEnd(job, version));
+    }
+
+    /** Returns the number up to which all ends are durable: what the worker may forget. */
+    long lastDurable() {
+        while (!pending.isEmpty()) {
+            var first = pending.firstEntry();
+            if (first.getValue().job().savedVersion < first.getValue().version()) {
+                return durableUpTo;
+            }
+            durableUpTo = first.getKey();
+            pending.pollFirstEntry();
+        }
+        durableUpTo = Math.max(durableUpTo, takenIn);
+        return durableUpTo;
+    }
+
+    boolean hasPendingEnds() {
+        lastDurable();
+        return !pending.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -0,0 +1,309 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.run.LiveTask.Phase;
+
+/**
+ * Follows each run from its start to its end by what workers answer. A task is free to run elsewhere only
+ * when its run is proved to be over: its end is listed, or it was stopped and a later look does not show it,
+ * or nothing can be alive on its worker any more.
+ */
+final class RunTracker {
+
+    // An order without an answer is sent again after this; workers answer within 10 ms as a rule.
+    private static final long RESEND_MILLIS = 200;
+    private static final int MOST_UNANSWERED_STARTS = 4;
+    // A worker without room sees more of it as soon as one of its tasks ends.
+    private static final long NO_ROOM_AVOID_MILLIS = 300;
+    private static final long UNHEALTHY_AVOID_MILLIS = 1_000;
+
+    private final ServiceState state;
+    private final WorkerJudge judge;
+
+    RunTracker(ServiceState state) {
+        this.state = state;
+        this.judge = new WorkerJudge(state);
+    }
+
+    void sendDueOrders() {
+        long now = state.now();
+        for (LiveWorker w : List.copyOf(state.workers.values())) {
+            for (LiveTask t : List.copyOf(w.tasks)) {
+                sendDue(w, t, now);
+            }
+        }
+    }
+
+    private void sendDue(LiveWorker w, LiveTask t, long now) {
+        if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion) {
+            t.enter(Phase.STARTING, now);
+        }
+        if (t.orderInFlight || now < t.orderDueAt || w.facts().address().isEmpty()) {
+            return;
+        }
+        if (t.phase == Phase.STARTING) {
+            t.orderInFlight = true;
+            state.port.start(new StartOrder(
+                    w.facts(),
+                    t.job.spec.key().id(),
+                    t.id,
+                    t.run,
+                    t.job.spec.text(),
+                    w.deadlineIn(state.timing.holdMillis(), now),
+                    t.checkpoint,
+                    ""));
+        } else if (t.phase == Phase.STOPPING && t.provenFrom == Long.MAX_VALUE) {
+            t.orderInFlight = true;
+            state.port.stop(new StopOrder(w.facts(), t.job.spec.key().id(), t.id, t.run));
+        }
+    }
+
+    void onStarted(StartOrder order, OrderOutcome outcome) {
+        LiveTask t = state.task(order.jobId(), order.task());
+        if (t == null || t.worker == null || t.run != order.run()) {
+            return;
+        }
+        t.orderInFlight = false;
+        if (outcome == OrderOutcome.FENCED) {
+            state.port.ownershipLost(
+                    "a start was refused by the fence of " + order.worker().id());
+        } else if (outcome == OrderOutcome.OTHER_LIFE) {
+            gone(t.worker, "another life answers at its address");
+        } else if (t.phase == Phase.STARTING) {
+            startAnswered(t, t.worker, outcome);
+        }
+    }
+
+    private void startAnswered(LiveTask t, LiveWorker w, OrderOutcome outcome) {
+        long now = state.now();
+        state.note(SchedulerEvent.Kind.START_ANSWERED, t, "outcome=" + outcome);
+        if (outcome == OrderOutcome.ACCEPTED) {
+            begun(t, now);
+        } else if (outcome == OrderOutcome.UNKNOWN) {
+            t.unanswered++;
+            t.orderDueAt = now + RESEND_MILLIS;
+            if (t.unanswered >= MOST_UNANSWERED_STARTS) {
+                state.stop(t, "start-unanswered");
+            }
+        } else if (t.unanswered > 0) {
+            // An earlier try may still be carried out; only a stop closes this run for good.
+            state.stop(t, "start-refused-after-silence");
+        } else {
+            refused(t, w, outcome);
+        }
+    }
+
+    private void refused(LiveTask t, LiveWorker w, OrderOutcome outcome) {
+        long now = state.now();
+        w.avoidUntil = now + (outcome == OrderOutcome.UNHEALTHY ? UNHEALTHY_AVOID_MILLIS : NO_ROOM_AVOID_MILLIS);
+        if (outcome == OrderOutcome.MALFORMED) {
+            t.failures++;
+        }
+        free(t, Phase.WAITING);
+        failIfExhausted(t);
+    }
+
+    private void begun(LiveTask t, long now) {
+        t.enter(Phase.RUNNING, now);
+        t.provenFrom = now;
+        t.job.begun = true;
+    }
+
+    void onStopped(StopOrder order, OrderOutcome outcome) {
+        LiveTask t = state.task(order.jobId(), order.task());
+        if (t == null || t.worker == null || t.run != order.run() || t.phase != Phase.STOPPING) {
+            return;
+        }
+        t.orderInFlight = false;
+        switch (outcome) {
+            case FENCED ->
+                state.port.ownershipLost(
+                        "a stop was refused by the fence of " + order.worker().id());
+            case OTHER_LIFE -> gone(t.worker, "another life answers at its address");
+            case ACCEPTED, OLD_RUN -> {
+                t.provenFrom = state.now();
+                t.worker.holdDueAt = Math.min(t.worker.holdDueAt, state.now());
+            }
+            case LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED, UNKNOWN -> t.orderDueAt = state.now() + RESEND_MILLIS;
+        }
+    }
+
+    void onHeld(LiveWorker w, long sentAt, HoldAnswer answer) {
+        Set<LiveTask> shown = new HashSet<>();
+        answer.running().forEach(r -> running(w, r, shown));
+        for (EndReport e : answer.ended()) {
+            if (e.number() > w.takenIn) {
+                w.takenIn = e.number();
+                ended(w, e);
+            }
+        }
+        for (LiveTask t : new ArrayList<>(w.tasks)) {
+            if (!shown.contains(t) && t.provenFrom <= sentAt) {
+                notShown(t);
+            }
+        }
+    }
+
+    private void running(LiveWorker w, RunningReport r, Set<LiveTask> shown) {
+        LiveTask t = state.task(r.jobId(), r.task());
+        if (t == null || t.worker != w || t.run != r.run()) {
+            state.note(
+                    SchedulerEvent.Kind.STOP_ORDERED, w, "unknown-run=" + r.jobId() + "." + r.task() + "/" + r.run());
+            state.port.stop(new StopOrder(w.facts(), r.jobId(), r.task(), r.run()));
+            return;
+        }
+        shown.add(t);
+        t.percent = r.percent();
+        if (!r.checkpoint().isEmpty()) {
+            t.checkpoint = r.checkpoint();
+        }
+        if (t.phase == Phase.STARTING || t.phase == Phase.RECOVERING) {
+            begun(t, state.now());
+        }
+    }
+
+    private void notShown(LiveTask t) {
+        if (t.phase == Phase.RUNNING) {
+            // Not known to happen; a stop makes sure before the task runs elsewhere.
+            state.stop(t, "run-vanished");
+        } else if (t.phase == Phase.STOPPING || t.phase == Phase.RECOVERING) {
+            state.note(SchedulerEvent.Kind.RUN_ENDED, t, "kind=NEVER_BEGAN");
+            free(t, t.finished ? Phase.DONE : Phase.WAITING);
+            completeIfDone(t.job);
+        }
+    }
+
+    private void ended(LiveWorker w, EndReport e) {
+        LiveTask t = state.task(e.jobId(), e.task());
+        if (t == null) {
+            return;
+        }
+        if (t.worker == w && t.run == e.run()) {
+            apply(w, t, e);
+        } else if (e.kind().finishes() && !t.step.longRunning() && t.phase != Phase.DONE) {
+            // An older run did the work after all: nothing is to run it again.
+            doneByOlderRun(t);
+        } else {
+            return;
+        }
+        w.awaitDurable(e.number(), t.job, t.job.version);
+    }
+
+    private void doneByOlderRun(LiveTask t) {
+        t.finished = true;
+        t.job.version++;
+        state.stop(t, "an older run ended done");
+        if (t.phase == Phase.WAITING) {
+            t.enter(Phase.DONE, state.now());
+        }
+        completeIfDone(t.job);
+    }
+
+    private void apply(LiveWorker w, LiveTask t, EndReport e) {
+        state.note(SchedulerEvent.Kind.RUN_ENDED, t, "kind=" + e.kind() + " number=" + e.number());
+        if (!e.checkpoint().isEmpty()) {
+            t.checkpoint = e.checkpoint();
+        }
+        t.job.begun = true;
+        judge.onEnd(w, t, e.kind());
+        if (e.kind().countsAsAttempt()) {
+            countFailure(w, t);
+        }
+        boolean done = t.finished || (e.kind().finishes() && !t.step.longRunning());
+        free(t, done ? Phase.DONE : Phase.WAITING);
+        if (t.step.gang()) {
+            endGang(t, done);
+        }
+        failIfExhausted(t);
+        completeIfDone(t.job);
+    }
+
+    private void countFailure(LiveWorker w, LiveTask t) {
+        boolean counted =
+                t.step.gang() && t.job.members(t.id).stream().anyMatch(m -> m != t && m.lastFailedRun == t.run);
+        t.lastFailedRun = t.run;
+        t.failedOn(w);
+        if (!counted) {
+            t.failures++;
+        }
+        if (t.step.longRunning()) {
+            t.orderDueAt = state.now() + LastingRetry.delayMillis(t.failures);
+        }
+    }
+
+    private void endGang(LiveTask t, boolean done) {
+        for (LiveTask m : t.job.members(t.id)) {
+            if (m == t) {
+                continue;
+            }
+            if (!done) {
+                state.stop(m, "gang-member-ended");
+            } else if (m.phase.onWorker()) {
+                m.finished = true;
+                state.stop(m, "gang-done");
+            } else {
+                m.enter(Phase.DONE, state.now());
+            }
+        }
+    }
+
+    private void failIfExhausted(LiveTask t) {
+        int failures = t.step.gang()
+                ? t.job.members(t.id).stream().mapToInt(m -> m.failures).sum()
+                : t.failures;
+        if (!t.step.longRunning()
+                && !t.job.state.ended()
+                && failures >= t.job.spec.policy().maxAttempts()) {
+            state.end(t.job, JobState.FAILED, "task " + t.id + " failed " + failures + " times");
+        }
+    }
+
+    private void completeIfDone(LiveJob job) {
+        if (!job.state.ended() && job.allDone()) {
+            state.end(job, JobState.COMPLETED, "");
+        }
+    }
+
+    /** Takes a task off its worker; the change becomes durable with the job's next record. */
+    private void free(LiveTask t, Phase next) {
+        long notBefore = t.orderDueAt;
+        t.leaveWorker(next, state.now());
+        t.orderDueAt = t.step.longRunning() ? Math.max(notBefore, state.now()) : state.now();
+        t.orderInFlight = false;
+        t.job.version++;
+    }
+
+    /** Frees all tasks of a worker on which nothing can be alive any more. */
+    void gone(LiveWorker w, String evidence) {
+        state.note(SchedulerEvent.Kind.WORKER_GONE, w, "tasks=" + w.tasks.size() + " evidence=" + evidence);
+        state.workers.remove(w.facts().id());
+        for (LiveTask t : new ArrayList<>(w.tasks)) {
+            state.note(SchedulerEvent.Kind.RUN_ENDED, t, "kind=" + EndKind.LAPSED + " evidence=" + evidence);
+            free(t, t.finished ? Phase.DONE : Phase.WAITING);
+            if (t.step.gang()) {
+                endGang(t, false);
+            }
+            completeIfDone(t.job);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -0,0 +1,56 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.TaskId;
+
+/**
+ * One decision of a service's scheduler, for the log.
+ *
+ * @param kind what was decided
+ * @param job the job it touches; null when it touches a worker only
+ * @param task the task it touches; null when it touches the whole job
+ * @param run the run it touches; 0 for none
+ * @param worker the worker it touches; empty for none
+ * @param detail the inputs that decided
+ */
+public record SchedulerEvent(
+        Kind kind, @Nullable JobKey job, @Nullable TaskId task, int run, String worker, String detail) {
+
+    /** What was decided. */
+    public enum Kind {
+        /** A job was taken in. */
+        JOB_TAKEN,
+        /** A job ended. */
+        JOB_ENDED,
+        /** A task was given a worker. */
+        TASK_PLACED,
+        /** A worker answered a start. */
+        START_ANSWERED,
+        /** A run ended. */
+        RUN_ENDED,
+        /** A stop was ordered. */
+        STOP_ORDERED,
+        /** A worker is taken to hold nothing any more. */
+        WORKER_GONE,
+        /** A worker answers no more, or again. */
+        WORKER_REACH,
+        /** A worker gets no new tasks for a time. */
+        WORKER_AVOIDED
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerPort.java
@@ -0,0 +1,57 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.List;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobProgress;
+
+/**
+ * What the scheduler of a service asks of its host. Every call returns at once; what became of an order is
+ * told to the {@link ServiceScheduler} later, on the same thread.
+ */
+public interface SchedulerPort {
+
+    /** Sends a start; the outcome goes to {@link ServiceScheduler#onStarted}. */
+    void start(StartOrder order);
+
+    /** Sends a stop; the outcome goes to {@link ServiceScheduler#onStopped}. */
+    void stop(StopOrder order);
+
+    /** Sends a hold; the outcome goes to {@link ServiceScheduler#onHeld} or {@link ServiceScheduler#onHoldFailed}. */
+    void hold(HoldOrder order);
+
+    /** Writes progress under the condition that this owner still owns the service. */
+    void save(List<Saving> batch);
+
+    /** Tells that a worker that was to be emptied carries nothing; told again until it is taken off the list. */
+    void emptied(String worker);
+
+    /** Tells that another entry owns the service by now. */
+    void ownershipLost(String evidence);
+
+    /** Tells a decision, for the log. */
+    void note(SchedulerEvent event);
+
+    /**
+     * One record to be written.
+     *
+     * @param job the job
+     * @param version the job's version that the record shows
+     * @param progress the record
+     */
+    record Saving(JobKey job, long version, JobProgress progress) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -0,0 +1,274 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.job.TaskRecord;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.run.LiveTask.Phase;
+
+/**
+ * Runs the jobs of one service while its entry owns the service. It decides; its host carries orders out and
+ * tells what became of them, all on one thread. Three things keep a task from running twice: a choice of
+ * worker is durable, under the condition of ownership, before the start goes out; a worker refuses orders of
+ * earlier owners once it has answered a hold of this one; and a task is placed again only when its last run
+ * is proved to be over (see {@link RunTracker}).
+ */
+public final class ServiceScheduler {
+
+    // A store call takes at most 32 rows: one for ownership, and two for each record.
+    private static final int RECORDS_PER_SAVE = 15;
+    private static final long HOLD_RETRY_MILLIS = 250;
+    // While ends are being made durable the next hold waits, but not longer than this: it also keeps tasks alive.
+    private static final long HOLD_WITH_ENDS_MILLIS = 1_000;
+    // A worker that the platform's list has dropped is kept for as long while it goes on answering.
+    private static final long UNLISTED_KEEP_MILLIS = 3_000;
+
+    private final ServiceState state;
+    private final RunTracker runs;
+    private final PlacementPass placement;
+    private final Evacuator evacuator;
+    private final long startedAt;
+    private boolean saving;
+    private long saveDueAt;
+
+    /** Makes the scheduler of a service whose ownership has just been won. */
+    public ServiceScheduler(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
+        state = new ServiceState(service, timing, port, steady, wall);
+        runs = new RunTracker(state);
+        placement = new PlacementPass(state);
+        evacuator = new Evacuator(state);
+        startedAt = state.now();
+    }
+
+    /** Takes in a job, with what an earlier owner wrote of it, if anything; a job that is known is left alone. */
+    public void onJob(JobSpec spec, @Nullable JobProgress progress) {
+        if (state.jobs.containsKey(spec.key())) {
+            return;
+        }
+        LiveJob job = new LiveJob(spec);
+        state.add(job);
+        if (progress != null) {
+            job.restore(progress).forEach(r -> recover(job, r));
+        }
+        if (job.state.ended()) {
+            job.endedAt = state.now();
+        }
+        state.port.note(
+                new SchedulerEvent(SchedulerEvent.Kind.JOB_TAKEN, spec.key(), null, 0, "", "state=" + job.state));
+    }
+
+    private void recover(LiveJob job, TaskRecord r) {
+        LiveTask t = job.task(new TaskId(r.time(), r.step(), r.index()));
+        if (t == null) {
+            return;
+        }
+        LiveWorker w = state.workerOrUnknown(r.worker(), startedAt + state.timing.inheritedMillis());
+        t.worker = w;
+        w.add(t);
+        t.enter(Phase.RECOVERING, state.now());
+        t.provenFrom = startedAt;
+        if (job.state.ended()) {
+            state.stop(t, "job-" + job.state);
+        }
+    }
+
+    /** Takes in that a caller has cancelled a job. */
+    public void onCancel(JobKey key) {
+        LiveJob job = state.jobs.get(key);
+        if (job != null && !job.state.ended()) {
+            job.cancelWanted = true;
+            state.end(job, JobState.CANCELLED, "the caller cancelled it");
+        }
+    }
+
+    /** Takes in which workers the platform lists for this service now. */
+    public void onWorkers(Collection<WorkerFacts> listed) {
+        long now = state.now();
+        Map<String, WorkerFacts> byId = new HashMap<>();
+        listed.forEach(f -> byId.put(f.id(), f));
+        byId.forEach((id, f) -> state.workers
+                .computeIfAbsent(id, i -> new LiveWorker(f, startedAt + state.timing.inheritedMillis()))
+                .update(f, now));
+        state.workers.values().stream()
+                .filter(w -> !byId.containsKey(w.facts().id()))
+                .forEach(w -> w.unlist(now));
+    }
+
+    /** Takes in which workers are to be emptied. */
+    public void onEvacuations(Set<String> workers) {
+        state.evacuating.clear();
+        state.evacuating.addAll(workers);
+    }
+
+    /** Takes in what became of a start. */
+    public void onStarted(StartOrder order, OrderOutcome outcome) {
+        runs.onStarted(order, outcome);
+    }
+
+    /** Takes in what became of a stop. */
+    public void onStopped(StopOrder order, OrderOutcome outcome) {
+        runs.onStopped(order, outcome);
+    }
+
+    /** Takes in a worker's answer to a hold that was sent at {@code sentAt}. */
+    public void onHeld(HoldOrder order, long sentAt, HoldAnswer answer) {
+        LiveWorker w = state.workers.get(order.worker().id());
+        if (w == null) {
+            return;
+        }
+        long now = state.now();
+        w.holdInFlight = false;
+        w.answered(answer.clockMillis(), now);
+        runs.onHeld(w, sentAt, answer);
+        w.holdDueAt = w.hasPendingEnds() ? now + HOLD_WITH_ENDS_MILLIS : now;
+    }
+
+    /** Takes in that a hold was refused or not answered. */
+    public void onHoldFailed(HoldOrder order, OrderOutcome outcome) {
+        LiveWorker w = state.workers.get(order.worker().id());
+        if (w == null) {
+            return;
+        }
+        w.holdInFlight = false;
+        w.holdDueAt = state.now() + HOLD_RETRY_MILLIS;
+        if (outcome == OrderOutcome.OTHER_LIFE) {
+            runs.gone(w, "another life answers at its address");
+        } else if (outcome == OrderOutcome.FENCED) {
+            state.port.ownershipLost(
+                    "a hold was refused by the fence of " + order.worker().id());
+        }
+    }
+
+    /** Takes in that records are durable. */
+    public void onSaved(List<SchedulerPort.Saving> batch) {
+        saving = false;
+        for (SchedulerPort.Saving s : batch) {
+            LiveJob job = state.jobs.get(s.job());
+            if (job != null) {
+                job.savedVersion = Math.max(job.savedVersion, s.version());
+            }
+        }
+        for (LiveWorker w : state.workers.values()) {
+            if (!w.hasPendingEnds()) {
+                w.holdDueAt = Math.min(w.holdDueAt, Math.max(state.now(), w.lastAnswerAt));
+            }
+        }
+    }
+
+    /** Takes in that records may not be durable; they are written again after a time. */
+    public void onSaveFailed(long retryMillis) {
+        saving = false;
+        saveDueAt = state.now() + retryMillis;
+    }
+
+    /** Does all that is due. Call after each event, and every few dozen milliseconds. */
+    public void tick() {
+        dropWorkers();
+        evacuator.run();
+        placement.run();
+        save();
+        runs.sendDueOrders();
+        sendHolds();
+    }
+
+    private void dropWorkers() {
+        long now = state.now();
+        for (LiveWorker w : List.copyOf(state.workers.values())) {
+            boolean silent = now - w.lastAnswerAt > state.timing.silentMillis();
+            if (silent && now > w.emptyAt() && (!w.tasks.isEmpty() || !w.listed)) {
+                freeOrForget(w);
+            } else if (!w.listed && w.tasks.isEmpty() && now - w.unlistedSince > UNLISTED_KEEP_MILLIS) {
+                state.workers.remove(w.facts().id());
+            }
+        }
+    }
+
+    private void freeOrForget(LiveWorker w) {
+        boolean keep = w.listed;
+        runs.gone(w, "silent, and past every deadline it was given");
+        if (keep) {
+            LiveWorker again = new LiveWorker(w.facts(), state.now());
+            again.takenIn = w.takenIn;
+            again.holdInFlight = w.holdInFlight;
+            state.workers.put(w.facts().id(), again);
+        }
+    }
+
+    private void sendHolds() {
+        long now = state.now();
+        for (LiveWorker w : state.workers.values()) {
+            if (w.holdInFlight || now < w.holdDueAt || w.facts().address().isEmpty()) {
+                continue;
+            }
+            w.holdInFlight = true;
+            long wait = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
+            boolean look = !w.fenced || w.hasPendingEnds() || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
+            state.port.hold(new HoldOrder(
+                    w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.lastDurable(), look ? 0 : wait));
+        }
+    }
+
+    private void save() {
+        if (saving || state.now() < saveDueAt) {
+            return;
+        }
+        List<SchedulerPort.Saving> batch = new ArrayList<>();
+        for (LiveJob job : state.jobs.values()) {
+            if (job.version > job.savedVersion && batch.size() < RECORDS_PER_SAVE) {
+                batch.add(new SchedulerPort.Saving(job.spec.key(), job.version, job.progress(state.wallNow())));
+            }
+        }
+        if (!batch.isEmpty()) {
+            saving = true;
+            state.port.save(batch);
+        }
+    }
+
+    /** Returns how many accepted jobs of each queue have no task that has begun. */
+    public Map<String, Integer> pendingByQueue() {
+        Map<String, Integer> counts = new TreeMap<>();
+        for (LiveJob job : state.jobs.values()) {
+            if (!job.begun && !job.state.ended()) {
+                counts.merge(job.spec.key().queue(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
+    /** Returns the jobs that ended longer ago than {@code millis} and hold nothing on workers; they are forgotten. */
+    public List<JobKey> forgetEnded(long millis) {
+        long before = state.now() - millis;
+        List<LiveJob> old = state.jobs.values().stream()
+                .filter(j -> j.state.ended() && j.endedAt < before && !j.onWorkers() && j.savedVersion >= j.version)
+                .toList();
+        old.forEach(state::remove);
+        return old.stream().map(j -> j.spec.key()).toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -0,0 +1,144 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.placement.Room;
+import org.lupinpaddle.core.placement.WorkerFacts;
+
+/** What the owner of a service believes: the jobs, the workers, and the steps that several parts share. */
+final class ServiceState {
+
+    final String service;
+    final SchedulerTiming timing;
+    final SchedulerPort port;
+    final Map<JobKey, LiveJob> jobs = new LinkedHashMap<>();
+    final Map<String, LiveWorker> workers = new HashMap<>();
+    final Set<String> evacuating = new HashSet<>();
+    private final Map<String, LiveJob> byCallerId = new HashMap<>();
+    private final Clock steady;
+    private final Clock wall;
+
+    ServiceState(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
+        this.service = service;
+        this.timing = timing;
+        this.port = port;
+        this.steady = steady;
+        this.wall = wall;
+    }
+
+    long now() {
+        return steady.millis();
+    }
+
+    long wallNow() {
+        return wall.millis();
+    }
+
+    void add(LiveJob job) {
+        jobs.put(job.spec.key(), job);
+        byCallerId.putIfAbsent(job.spec.key().id(), job);
+    }
+
+    void remove(LiveJob job) {
+        jobs.remove(job.spec.key());
+        byCallerId.remove(job.spec.key().id(), job);
+    }
+
+    /** Returns the job that workers mean by this id, or null. */
+    @Nullable
+    LiveJob byCallerId(String id) {
+        return byCallerId.get(id);
+    }
+
+    /** Returns whether workers can tell this job from all others: two queues of a service may use one id. */
+    boolean hasOwnName(LiveJob job) {
+        return byCallerId.get(job.spec.key().id()) == job;
+    }
+
+    /** Returns the worker with this id, made up without an address when nothing else is known of it. */
+    LiveWorker workerOrUnknown(String id, long inheritedUntil) {
+        return workers.computeIfAbsent(id, i -> {
+            LiveWorker w = new LiveWorker(unknown(i), inheritedUntil);
+            w.unlist(now());
+            return w;
+        });
+    }
+
+    private WorkerFacts unknown(String id) {
+        return new WorkerFacts(id, service, "", "", true, 0, Room.NONE, List.of());
+    }
+
+    /** Returns whether new tasks may go to the worker now. */
+    boolean isUsable(LiveWorker w) {
+        long now = now();
+        return w.listed
+                && w.fenced
+                && !w.facts().draining()
+                && !evacuating.contains(w.facts().id())
+                && w.facts().service().equals(service)
+                && now - w.lastAnswerAt <= timing.silentMillis()
+                && now >= w.avoidUntil;
+    }
+
+    /** Asks for a stop of what may run, and takes a task back that has not gone out yet. */
+    void stop(LiveTask t, String why) {
+        switch (t.phase) {
+            case PLACED -> t.leaveWorker(LiveTask.Phase.WAITING, now());
+            case STARTING, RUNNING, RECOVERING -> {
+                note(SchedulerEvent.Kind.STOP_ORDERED, t, why);
+                t.enter(LiveTask.Phase.STOPPING, now());
+            }
+            case WAITING, STOPPING, DONE -> {}
+        }
+    }
+
+    /** Ends a job for good and stops what it still has on workers. */
+    void end(LiveJob job, JobState state, String reason) {
+        job.state = state;
+        job.reason = reason;
+        job.version++;
+        job.endedAt = now();
+        job.tasks.forEach(t -> stop(t, "job-" + state));
+        port.note(new SchedulerEvent(
+                SchedulerEvent.Kind.JOB_ENDED, job.spec.key(), null, 0, "", "state=" + state + " reason=" + reason));
+    }
+
+    void note(SchedulerEvent.Kind kind, LiveTask t, String detail) {
+        String w = t.worker == null ? "" : t.worker.facts().id();
+        port.note(new SchedulerEvent(kind, t.job.spec.key(), t.id, t.run, w, detail));
+    }
+
+    void note(SchedulerEvent.Kind kind, LiveWorker w, String detail) {
+        port.note(new SchedulerEvent(kind, null, null, 0, w.facts().id(), detail));
+    }
+
+    @Nullable
+    LiveTask task(String callerId, TaskId id) {
+        LiveJob job = byCallerId.get(callerId);
+        return job == null ? null : job.task(id);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/StartOrder.java
@@ -0,0 +1,41 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.placement.WorkerFacts;
+
+/**
+ * An order to start a run.
+ *
+ * @param worker the life of a worker that is meant
+ * @param jobId the caller's id of the job
+ * @param task which task of it
+ * @param run the number of the run
+ * @param text what the caller wants the task to be told
+ * @param deadlineMillis until when the worker may keep what it runs, on its own clock
+ * @param checkpoint from where to go on; empty for the beginning
+ * @param ticket the advice service's leave; empty where none is needed
+ */
+public record StartOrder(
+        WorkerFacts worker,
+        String jobId,
+        TaskId task,
+        int run,
+        String text,
+        long deadlineMillis,
+        String checkpoint,
+        String ticket) {}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/WorkerJudge.java
@@ -0,0 +1,58 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import org.lupinpaddle.core.job.EndKind;
+
+/**
+ * Finds workers that fail what they run. Failures of different jobs, with no success between them, speak
+ * against the worker; a job that fails on several workers speaks against itself.
+ */
+final class WorkerJudge {
+
+    // Three different jobs in a row: at one run in a hundred that fails by itself, chance makes one in 10^6.
+    private static final int JOBS_AGAINST_WORKER = 3;
+    private static final long AVOID_MILLIS = 4_000;
+
+    private final ServiceState state;
+
+    WorkerJudge(ServiceState state) {
+        this.state = state;
+    }
+
+    void onEnd(LiveWorker w, LiveTask t, EndKind kind) {
+        if (kind.finishes()) {
+            w.failedJobs.clear();
+            w.avoidUntil = Math.min(w.avoidUntil, state.now());
+            return;
+        }
+        if (!kind.countsAsAttempt()) {
+            return;
+        }
+        w.failedJobs.add(t.job.spec.key());
+        if (w.failedJobs.size() >= JOBS_AGAINST_WORKER && !othersAreAvoided()) {
+            w.avoidUntil = state.now() + AVOID_MILLIS;
+            state.note(SchedulerEvent.Kind.WORKER_AVOIDED, w, "failed-jobs=" + w.failedJobs.size());
+        }
+    }
+
+    private boolean othersAreAvoided() {
+        long avoided = state.workers.values().stream()
+                .filter(o -> o.avoidUntil > state.now())
+                .count();
+        return avoided * 2 >= state.workers.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.core.run;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/upkeep/EvacuationRecord.java
@@ -0,0 +1,41 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.upkeep;
+
+import io.vavr.control.Either;
+import org.lupinpaddle.core.common.RecordCodec;
+
+/**
+ * The fleet owner asks the owner of a service to empty a worker; the answer is written into the same record.
+ * While the record exists the worker gets no new tasks.
+ *
+ * @param worker the life of a worker that is to be emptied
+ * @param instance the instance it runs on
+ * @param purpose why, for people
+ * @param empty whether it carries nothing and will not be given anything
+ */
+public record EvacuationRecord(String worker, String instance, String purpose, boolean empty) {
+
+    /** Returns the record, or what is wrong with the text. */
+    public static Either<String, EvacuationRecord> read(String text) {
+        return RecordCodec.read(text, EvacuationRecord.class);
+    }
+
+    /** Returns the answer: the worker is empty. */
+    public EvacuationRecord toEmpty() {
+        return new EvacuationRecord(worker, instance, purpose, true);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/upkeep/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.core.upkeep;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/Addresses.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/Addresses.java
@@ -18,12 +18,12 @@
 import java.net.InetSocketAddress;
 
 /** Addresses as settings write them: IP:PORT. */
-final class Addresses {
+public final class Addresses {
 
     private Addresses() {}
 
     /** Returns the address that a checked text names. */
-    static InetSocketAddress parse(String text) {
+    public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -0,0 +1,122 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreChanges;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/**
+ * The operators' configuration in force at this entry. It never goes back: an item with an older revision
+ * than the one in force is dropped.
+ */
+final class ConfigurationFeed implements PrefixWatch.Listener, AutoCloseable {
+
+    // Short, so that a watch that hears nothing is noticed within the time in which a change must be in force.
+    private static final long WAIT_MILLIS = 1_500;
+
+    private final KeyValueStore store;
+    private final EventLoop loop;
+    private final PlatformRecords records;
+    private final PrefixWatch watch;
+    private final Runnable onChange;
+    private @Nullable JobConfiguration configuration;
+    private long revision;
+
+    ConfigurationFeed(KeyValueStore store, EventLoop loop, PlatformRecords records, Runnable onChange) {
+        this.store = store;
+        this.loop = loop;
+        this.records = records;
+        this.onChange = onChange;
+        watch = new PrefixWatch(store, loop, records.configurationKey(), WAIT_MILLIS, this);
+    }
+
+    void start() {
+        watch.start();
+    }
+
+    /** Returns the configuration in force; nothing before the first was read. */
+    Optional<JobConfiguration> current() {
+        return Optional.ofNullable(configuration);
+    }
+
+    /** Returns the store's revision of the configuration in force. */
+    long revision() {
+        return revision;
+    }
+
+    /** Returns since when a newer configuration may exist that is not known here. */
+    long confirmedAt() {
+        return watch.confirmedAt();
+    }
+
+    /** Reads the configuration; when the future ends well, the newest one is in force here. */
+    CompletableFuture<Optional<JobConfiguration>> refresh() {
+        return store.read(records.configurationKey())
+                .thenApplyAsync(
+                        item -> {
+                            item.ifPresent(this::take);
+                            return current();
+                        },
+                        loop::execute);
+    }
+
+    @Override
+    public void onRead() {
+        watch.items().forEach(this::take);
+    }
+
+    @Override
+    public void onChanges(List<StoreChanges.Change> changes) {
+        watch.items().forEach(this::take);
+    }
+
+    private void take(StoreItem item) {
+        if (!item.key().equals(records.configurationKey()) || item.revision() <= revision) {
+            return;
+        }
+        Either<String, JobConfiguration> read = records.configuration(item);
+        if (read.isLeft()) {
+            Log.warn("configuration-unreadable", "revision", item.revision(), "why", read.getLeft());
+            return;
+        }
+        revision = item.revision();
+        configuration = read.get();
+        Log.info(
+                "configuration-in-force",
+                "version",
+                read.get().version(),
+                "revision",
+                revision,
+                "queues",
+                read.get().queues().size());
+        onChange.run();
+    }
+
+    @Override
+    public void close() {
+        watch.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobAnswer.java
@@ -0,0 +1,35 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.Optional;
+import org.lupinpaddle.core.job.JobState;
+
+/**
+ * What a caller is told of a job.
+ *
+ * @param known whether the store answered; if not, nothing can be said of the job now
+ * @param state the job's state; nothing when there is no such job
+ */
+public record JobAnswer(boolean known, Optional<JobState> state) {
+
+    static final JobAnswer STORE_AWAY = new JobAnswer(false, Optional.empty());
+    static final JobAnswer NO_JOB = new JobAnswer(true, Optional.empty());
+
+    static JobAnswer of(JobState state) {
+        return new JobAnswer(true, Optional.of(state));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -0,0 +1,271 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.Submission;
+import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.queue.QueueConfig;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.CommitResult;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreCommit;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/**
+ * What callers ask of an entry: to take a job, to tell its state, to cancel it, to count what waits. All of it
+ * goes by the store, so any entry can answer, and the loss of an entry loses nothing.
+ */
+public final class JobIntake {
+
+    // An accept is tried this often while the store's answers are lost; then the caller is told so.
+    private static final int MOST_TRIES = 4;
+    // A 404 is said only when the configuration was read not longer ago than this.
+    private static final long FRESH_MILLIS = 200;
+
+    private final KeyValueStore store;
+    private final EventLoop loop;
+    private final PlatformRecords records;
+    private final ConfigurationFeed configuration;
+    private final Clock wall;
+
+    JobIntake(
+            KeyValueStore store, EventLoop loop, PlatformRecords records, ConfigurationFeed configuration, Clock wall) {
+        this.store = store;
+        this.loop = loop;
+        this.records = records;
+        this.configuration = configuration;
+        this.wall = wall;
+    }
+
+    /** Returns the largest body that is taken; nothing before a configuration is in force. */
+    public OptionalInt bodyBytes() {
+        return configuration.current().stream()
+                .mapToInt(JobConfiguration::bodyBytes)
+                .findFirst();
+    }
+
+    /** Returns whether a configuration is in force here. */
+    public boolean isConfigured() {
+        return configuration.current().isPresent();
+    }
+
+    /**
+     * Returns the queue for a host and path. A queue that is not known is looked for in the newest
+     * configuration before it is said not to exist; the future fails when the store can not be asked.
+     */
+    public CompletableFuture<Optional<QueueConfig>> queue(String host, String path) {
+        Optional<QueueConfig> known = configuration.current().flatMap(c -> c.queueFor(host, path));
+        long age = loop.clock().millis() - configuration.confirmedAt();
+        if (known.isPresent() || (isConfigured() && age <= FRESH_MILLIS)) {
+            return CompletableFuture.completedFuture(known);
+        }
+        return configuration.refresh().thenApply(c -> c.flatMap(f -> f.queueFor(host, path)));
+    }
+
+    /** Takes a job. The answer is true at the moment the store decided. */
+    public CompletableFuture<SubmitOutcome> submit(String host, String path, String id, Submission s) {
+        return queue(host, path)
+                .thenCompose(q -> q.isEmpty()
+                        ? CompletableFuture.completedFuture(SubmitOutcome.NO_QUEUE)
+                        : accept(host, path, id, s, q.get(), 1, false))
+                .exceptionally(why -> {
+                    Log.info("accept-refused", "job", id, "why", StoreFailure.text(why));
+                    return SubmitOutcome.NOT_TAKEN;
+                });
+    }
+
+    private CompletableFuture<SubmitOutcome> accept(
+            String host, String path, String id, Submission s, QueueConfig q, int attempt, boolean mayBeWritten) {
+        JobKey key = new JobKey(q.name(), id);
+        String at = JobKeys.job(q.service(), key);
+        JobSpec spec = new JobSpec(key, q.service(), s.text(), s.steps(), s.repeat(), q.policy(), wall.millis());
+        // The write holds only under the configuration that was looked at: no entry takes a job by an old one.
+        StoreCommit commit = StoreCommit.builder()
+                .when(records.configurationKey(), configuration.revision())
+                .when(at, 0)
+                .put(at, RecordCodec.write(spec))
+                .build();
+        return store.commit(commit)
+                .thenComposeAsync(r -> decided(host, path, id, s, at, r, attempt, mayBeWritten), loop::execute);
+    }
+
+    private CompletableFuture<SubmitOutcome> decided(
+            String host,
+            String path,
+            String id,
+            Submission s,
+            String at,
+            CommitResult r,
+            int attempt,
+            boolean mayBeWritten) {
+        boolean unknown = mayBeWritten || r.outcome() == CommitResult.Outcome.UNKNOWN;
+        if (r.outcome() == CommitResult.Outcome.MADE
+                || (r.outcome() == CommitResult.Outcome.CONFLICT && r.revisionOf(at) != 0)) {
+            return CompletableFuture.completedFuture(SubmitOutcome.ACCEPTED);
+        }
+        if (attempt >= MOST_TRIES || (r.outcome() == CommitResult.Outcome.REFUSED && !unknown)) {
+            Log.info("accept-undecided", "job", id, "outcome", r.outcome(), "attempt", attempt);
+            return CompletableFuture.completedFuture(unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN);
+        }
+        CompletableFuture<Optional<JobConfiguration>> newest = r.outcome() == CommitResult.Outcome.CONFLICT
+                ? configuration.refresh()
+                : CompletableFuture.completedFuture(configuration.current());
+        return newest.thenComposeAsync(
+                        c -> {
+                            Optional<QueueConfig> q = c.flatMap(f -> f.queueFor(host, path));
+                            if (q.isEmpty()) {
+                                return CompletableFuture.completedFuture(
+                                        unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NO_QUEUE);
+                            }
+                            return accept(host, path, id, s, q.get(), attempt + 1, unknown);
+                        },
+                        loop::execute)
+                .exceptionally(why -> unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN);
+    }
+
+    /** Tells the state of a job. */
+    public CompletableFuture<JobAnswer> state(QueueConfig q, String id) {
+        return stateIn(services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
+            Log.info("state-unknown", "job", id, "why", StoreFailure.text(why));
+            return JobAnswer.STORE_AWAY;
+        });
+    }
+
+    /** The queue's own service first; a job stays with the service that its queue had when it was accepted. */
+    private List<String> services(QueueConfig q) {
+        Set<String> all = new LinkedHashSet<>();
+        all.add(q.service());
+        configuration
+                .current()
+                .ifPresent(c -> c.services().stream().map(ServiceConfig::name).forEach(all::add));
+        return new ArrayList<>(all);
+    }
+
+    private CompletableFuture<JobAnswer> stateIn(List<String> services, int index, JobKey key) {
+        if (index == services.size()) {
+            return CompletableFuture.completedFuture(JobAnswer.NO_JOB);
+        }
+        String service = services.get(index);
+        return store.read(JobKeys.progress(service, key))
+                .thenComposeAsync(
+                        p -> p.isPresent()
+                                ? CompletableFuture.completedFuture(JobAnswer.of(stateOf(p.get())))
+                                : queuedIn(services, index, key),
+                        loop::execute);
+    }
+
+    private CompletableFuture<JobAnswer> queuedIn(List<String> services, int index, JobKey key) {
+        return store.read(JobKeys.job(services.get(index), key))
+                .thenComposeAsync(
+                        j -> j.isPresent()
+                                ? CompletableFuture.completedFuture(JobAnswer.of(JobState.QUEUED))
+                                : stateIn(services, index + 1, key),
+                        loop::execute);
+    }
+
+    private static JobState stateOf(StoreItem progress) {
+        return RecordCodec.read(progress.value(), JobProgress.class)
+                .map(JobProgress::state)
+                .getOrElse(JobState.RUNNING);
+    }
+
+    /** Cancels a job; the future tells whether there is such a job, and is known only when that is durable. */
+    public CompletableFuture<JobAnswer> cancel(QueueConfig q, String id) {
+        return cancelIn(services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
+            Log.info("cancel-unknown", "job", id, "why", StoreFailure.text(why));
+            return JobAnswer.STORE_AWAY;
+        });
+    }
+
+    private CompletableFuture<JobAnswer> cancelIn(List<String> services, int index, JobKey key) {
+        if (index == services.size()) {
+            return CompletableFuture.completedFuture(JobAnswer.NO_JOB);
+        }
+        String service = services.get(index);
+        return store.read(JobKeys.job(service, key))
+                .thenComposeAsync(
+                        j -> j.isPresent() ? writeCancel(service, key, 1) : cancelIn(services, index + 1, key),
+                        loop::execute);
+    }
+
+    private CompletableFuture<JobAnswer> writeCancel(String service, JobKey key, int attempt) {
+        StoreCommit commit = StoreCommit.builder()
+                .put(JobKeys.cancel(service, key), key.toString())
+                .build();
+        return store.commit(commit)
+                .thenComposeAsync(
+                        r -> {
+                            if (r.outcome() == CommitResult.Outcome.MADE) {
+                                return CompletableFuture.completedFuture(JobAnswer.of(JobState.CANCELLED));
+                            }
+                            return attempt < MOST_TRIES
+                                    ? writeCancel(service, key, attempt + 1)
+                                    : CompletableFuture.completedFuture(JobAnswer.STORE_AWAY);
+                        },
+                        loop::execute);
+    }
+
+    /** Counts the accepted jobs of a queue that have not begun; nothing when the store can not be asked. */
+    public CompletableFuture<OptionalInt> pending(QueueConfig q) {
+        return store.read(JobKeys.owner(q.service()))
+                .thenComposeAsync(owner -> owner.isPresent() ? countedByOwner(q) : countedHere(q), loop::execute)
+                .exceptionally(why -> {
+                    Log.info("pending-unknown", "queue", q.name(), "why", StoreFailure.text(why));
+                    return OptionalInt.empty();
+                });
+    }
+
+    private CompletableFuture<OptionalInt> countedByOwner(QueueConfig q) {
+        return store.read(JobKeys.pending(q.service()))
+                .thenApply(item -> OptionalInt.of(item.map(i -> RecordCodec.read(i.value(), PendingCounts.class)
+                                .map(c -> c.byQueue().getOrDefault(q.name(), 0))
+                                .getOrElse(0))
+                        .orElse(0)));
+    }
+
+    /** Without an owner nothing begins: the jobs that have no progress are those that wait. */
+    private CompletableFuture<OptionalInt> countedHere(QueueConfig q) {
+        String jobs = JobKeys.job(q.service(), new JobKey(q.name(), ""));
+        String begun = JobKeys.progress(q.service(), new JobKey(q.name(), ""));
+        return store.range(jobs).thenCombine(store.range(begun), (j, p) -> {
+            Map<String, Boolean> known = new HashMap<>();
+            p.items().forEach(i -> known.put(i.key().substring(begun.length()), true));
+            long waiting = j.items().stream()
+                    .filter(i -> !known.containsKey(i.key().substring(jobs.length())))
+                    .count();
+            return OptionalInt.of((int) waiting);
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -0,0 +1,162 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.run.SchedulerTiming;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.WorkerOrders;
+
+/**
+ * One entry on a platform: takes jobs from callers, and owns the services that fall to it. It keeps nothing
+ * that the store does not hold.
+ */
+public final class JobNode implements OwnershipKeeper.Listener, AutoCloseable {
+
+    // An owner that hears nothing of the store goes on keeping its workers' tasks alive for this long: the
+    // store's outages last 3 to 9 s. A new owner waits as long for workers that it can not reach.
+    private static final long BLIND_MILLIS = 10_000;
+    private static final long CHECK_MILLIS = 250;
+    // Readiness follows the store: an entry that can not reach it can accept nothing.
+    private static final long READY_MILLIS = 2_500;
+
+    private final EventLoop loop;
+    private final ConfigurationFeed configuration;
+    private final WorkerFeed workers;
+    private final OwnershipKeeper ownership;
+    private final JobIntake intake;
+    private final SchedulerHost.Entry shared;
+    private final Map<String, SchedulerHost> hosts = new HashMap<>();
+    private volatile boolean ready;
+    private boolean stopping;
+
+    /**
+     * What a node is made of.
+     *
+     * @param name the entry's name
+     * @param store the platform's store
+     * @param records the records of operators and workers
+     * @param orders orders to workers
+     * @param longestHoldMillis how far ahead the platform lets a hold reach
+     * @param wall the time of day
+     */
+    public record Parts(
+            String name,
+            KeyValueStore store,
+            PlatformRecords records,
+            WorkerOrders orders,
+            long longestHoldMillis,
+            Clock wall) {}
+
+    /** Makes a node; it does nothing until {@link #start}. */
+    public JobNode(EventLoop loop, Parts p) {
+        this.loop = loop;
+        configuration = new ConfigurationFeed(p.store(), loop, p.records(), this::configurationChanged);
+        workers = new WorkerFeed(p.store(), loop, p.records(), this::workersChanged);
+        ownership = new OwnershipKeeper(p.store(), loop, p.name(), this);
+        intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall());
+        SchedulerTiming timing = SchedulerTiming.usual(p.longestHoldMillis(), BLIND_MILLIS);
+        shared = new SchedulerHost.Entry(p.store(), p.orders(), loop, p.wall(), timing);
+    }
+
+    /** Begins. */
+    public void start() {
+        loop.execute(() -> {
+            configuration.start();
+            workers.start();
+            ownership.start();
+        });
+        loop.every(CHECK_MILLIS, this::check);
+    }
+
+    /** Returns what callers ask. Use it on the event loop. */
+    public JobIntake intake() {
+        return intake;
+    }
+
+    /** Returns whether callers had better come to this entry. Any thread may ask. */
+    public boolean isReady() {
+        return ready;
+    }
+
+    private void check() {
+        long now = loop.clock().millis();
+        boolean reached = now - ownership.confirmedAt() <= READY_MILLIS;
+        boolean next = !stopping && reached && intake.isConfigured();
+        if (next != ready) {
+            ready = next;
+            Log.info("readiness", "ready", next, "store-heard-millis-ago", now - ownership.confirmedAt());
+        }
+        if (now - ownership.confirmedAt() > BLIND_MILLIS) {
+            for (String service : Set.copyOf(hosts.keySet())) {
+                ownership.giveUp(service, "nothing heard of the store for " + BLIND_MILLIS + " ms");
+            }
+        }
+    }
+
+    private void configurationChanged() {
+        configuration.current().ifPresent(c -> ownership.setDuties(duties(c)));
+    }
+
+    private static Set<String> duties(JobConfiguration c) {
+        return new TreeSet<>(c.runningServices());
+    }
+
+    private void workersChanged() {
+        hosts.forEach((service, host) -> host.onWorkers(workers.of(service)));
+    }
+
+    @Override
+    public void won(String duty, long fence) {
+        Log.info("ownership-won", "duty", duty, "fence", fence);
+        SchedulerHost host = new SchedulerHost(shared, duty, fence, () -> ownership.giveUp(duty, "fenced"));
+        hosts.put(duty, host);
+        host.start(workers.of(duty));
+    }
+
+    @Override
+    public void lost(String duty, String why) {
+        Log.info("ownership-ended", "duty", duty, "why", why);
+        SchedulerHost host = hosts.remove(duty);
+        if (host != null) {
+            host.close();
+        }
+    }
+
+    /** Hands all duties over; callers are served on until {@link #close}. */
+    public void stop() {
+        loop.execute(() -> {
+            stopping = true;
+            ready = false;
+            ownership.stop();
+        });
+    }
+
+    @Override
+    public void close() {
+        configuration.close();
+        workers.close();
+        ownership.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -0,0 +1,286 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.ownership.OwnerRank;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.CommitResult;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.StoreChanges;
+import org.lupinpaddle.daemon.port.StoreCommit;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/**
+ * Keeps this entry's lease, and takes duties that nobody owns. A duty is owned by whoever holds its key under
+ * a live lease; the revision of the write that took it is the owner's fence.
+ */
+final class OwnershipKeeper implements PrefixWatch.Listener, AutoCloseable {
+
+    // An entry that dies is followed after this and a renewal's time; the store gives no lease under 1 s.
+    private static final long TTL_MILLIS = 2_000;
+    private static final long RENEW_MILLIS = 600;
+    private static final long RETRY_MILLIS = 200;
+    private static final long WAIT_MILLIS = 3_000;
+    // An entry takes a duty this much later for each one that comes before it: a write takes 10 ms.
+    private static final long STAGGER_MILLIS = 100;
+
+    private final KeyValueStore store;
+    private final EventLoop loop;
+    private final String entry;
+    private final Listener listener;
+    private final PrefixWatch watch;
+    private final Map<String, Long> owned = new TreeMap<>();
+    private final Set<String> duties = new TreeSet<>();
+    private final Set<String> attempts = new HashSet<>();
+    private long lease;
+    private long keptAt = Long.MIN_VALUE / 2;
+    private boolean stopping;
+
+    /** What is told of duties. */
+    interface Listener {
+        /** This entry owns the duty from now on. */
+        void won(String duty, long fence);
+
+        /** This entry does not own the duty any more. */
+        void lost(String duty, String why);
+    }
+
+    OwnershipKeeper(KeyValueStore store, EventLoop loop, String entry, Listener listener) {
+        this.store = store;
+        this.loop = loop;
+        this.entry = entry;
+        this.listener = listener;
+        watch = new PrefixWatch(store, loop, JobKeys.MEMBERS, WAIT_MILLIS, this);
+    }
+
+    void start() {
+        openLease();
+        watch.start();
+    }
+
+    /** Sets the duties that are to have an owner. */
+    void setDuties(Set<String> wanted) {
+        duties.clear();
+        duties.addAll(wanted);
+        seekDuties();
+    }
+
+    /** Returns since when this entry's ownership may have ended: when the newest renewal was sent. */
+    long confirmedAt() {
+        return keptAt;
+    }
+
+    /** Returns until when the lease lives for certain, by this entry's clock. */
+    long leaseEndsAt() {
+        return keptAt + TTL_MILLIS;
+    }
+
+    /** Returns the fence under which this entry owns the duty; 0 when it does not. */
+    long fence(String duty) {
+        return owned.getOrDefault(duty, 0L);
+    }
+
+    /** Returns the entries that are registered. */
+    Set<String> entries() {
+        Set<String> all = new TreeSet<>();
+        watch.items().forEach(i -> JobKeys.entryOf(i.key()).ifPresent(all::add));
+        all.add(entry);
+        return all;
+    }
+
+    /** Gives a duty up because of evidence that it is owned elsewhere, or that it can not be fulfilled here. */
+    void giveUp(String duty, String why) {
+        if (owned.remove(duty) != null) {
+            listener.lost(duty, why);
+        }
+    }
+
+    private void openLease() {
+        if (stopping) {
+            return;
+        }
+        long sentAt = loop.clock().millis();
+        store.openLease(TTL_MILLIS)
+                .whenComplete((id, why) -> loop.execute(() -> {
+                    if (why != null) {
+                        loop.after(RETRY_MILLIS, this::openLease);
+                    } else {
+                        leaseOpened(id, sentAt);
+                    }
+                }));
+    }
+
+    private void leaseOpened(long id, long sentAt) {
+        lease = id;
+        keptAt = sentAt;
+        Log.info("lease-opened", "lease", id, "ttl-millis", TTL_MILLIS);
+        register();
+        loop.after(RENEW_MILLIS, this::renew);
+        seekDuties();
+    }
+
+    private void register() {
+        long forLease = lease;
+        store.commit(StoreCommit.builder()
+                        .put(JobKeys.entry(entry), entry, forLease)
+                        .build())
+                .thenAcceptAsync(
+                        r -> {
+                            boolean again = r.outcome() == CommitResult.Outcome.REFUSED
+                                    || r.outcome() == CommitResult.Outcome.UNKNOWN;
+                            if (again && forLease == lease) {
+                                loop.after(RETRY_MILLIS, this::register);
+                            }
+                        },
+                        loop::execute);
+    }
+
+    private void renew() {
+        if (stopping) {
+            return;
+        }
+        long sentAt = loop.clock().millis();
+        store.keepLease(lease)
+                .whenComplete((alive, why) -> loop.execute(() -> {
+                    if (why != null) {
+                        loop.after(RETRY_MILLIS, this::renew);
+                    } else if (alive) {
+                        keptAt = sentAt;
+                        loop.after(Math.max(0, RENEW_MILLIS - (loop.clock().millis() - sentAt)), this::renew);
+                    } else {
+                        leaseEnded();
+                    }
+                }));
+    }
+
+    private void leaseEnded() {
+        Log.warn("lease-ended", "lease", lease, "owned", owned.size());
+        lease = 0;
+        for (String duty : new ArrayList<>(owned.keySet())) {
+            giveUp(duty, "the store has ended the lease");
+        }
+        openLease();
+    }
+
+    @Override
+    public void onRead() {
+        review();
+    }
+
+    @Override
+    public void onChanges(List<StoreChanges.Change> changes) {
+        review();
+    }
+
+    private void review() {
+        Map<String, StoreItem> owners = owners();
+        for (Map.Entry<String, Long> o : new ArrayList<>(owned.entrySet())) {
+            StoreItem i = owners.get(o.getKey());
+            boolean seen = watch.revision() >= o.getValue();
+            if (seen && (i == null || i.revision() != o.getValue())) {
+                giveUp(o.getKey(), i == null ? "its key is gone" : "owned by " + i.value());
+            }
+        }
+        owners.forEach(this::adopt);
+        seekDuties();
+    }
+
+    /** Takes up a duty whose taking got no answer, but was made. */
+    private void adopt(String duty, StoreItem i) {
+        boolean mine = i.value().equals(entry) && i.lease() == lease && lease != 0;
+        if (mine && !owned.containsKey(duty) && !attempts.contains(duty)) {
+            won(duty, i.revision());
+        }
+    }
+
+    private Map<String, StoreItem> owners() {
+        Map<String, StoreItem> owners = new HashMap<>();
+        watch.items().forEach(i -> JobKeys.ownedBy(i.key()).ifPresent(d -> owners.put(d, i)));
+        return owners;
+    }
+
+    private void seekDuties() {
+        if (stopping || lease == 0) {
+            return;
+        }
+        Map<String, StoreItem> owners = owners();
+        for (String duty : duties) {
+            if (!owners.containsKey(duty) && !owned.containsKey(duty) && attempts.add(duty)) {
+                int rank = OwnerRank.of(entry, duty, entries(), ownedCounts(owners));
+                loop.after(rank * STAGGER_MILLIS, () -> take(duty));
+            }
+        }
+    }
+
+    private Map<String, Integer> ownedCounts(Map<String, StoreItem> owners) {
+        Map<String, Integer> counts = new HashMap<>();
+        owners.values().forEach(i -> counts.merge(i.value(), 1, Integer::sum));
+        return counts;
+    }
+
+    private void take(String duty) {
+        boolean free = !owners().containsKey(duty) && !owned.containsKey(duty);
+        if (!free || stopping || lease == 0 || !duties.contains(duty)) {
+            attempts.remove(duty);
+            return;
+        }
+        String key = JobKeys.owner(duty);
+        store.commit(StoreCommit.builder().when(key, 0).put(key, entry, lease).build())
+                .thenAcceptAsync(r -> taken(duty, r), loop::execute);
+    }
+
+    private void taken(String duty, CommitResult r) {
+        attempts.remove(duty);
+        if (r.outcome() == CommitResult.Outcome.MADE && !stopping) {
+            won(duty, r.revision());
+        } else if (r.outcome() != CommitResult.Outcome.CONFLICT) {
+            loop.after(RETRY_MILLIS, this::review);
+        }
+    }
+
+    private void won(String duty, long fence) {
+        owned.put(duty, fence);
+        listener.won(duty, fence);
+    }
+
+    /** Gives up all duties and ends the lease, so that others follow at once. */
+    void stop() {
+        stopping = true;
+        for (String duty : new ArrayList<>(owned.keySet())) {
+            giveUp(duty, "this entry stops");
+        }
+        if (lease != 0) {
+            store.endLease(lease)
+                    .whenComplete(
+                            (ended, why) -> Log.info("lease-given-back", "lease", lease, "done", why == null && ended));
+        }
+    }
+
+    @Override
+    public void close() {
+        watch.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
@@ -0,0 +1,176 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.StoreChanges;
+import org.lupinpaddle.daemon.port.StoreException;
+import org.lupinpaddle.daemon.port.StoreItem;
+import org.lupinpaddle.daemon.port.StoreRange;
+
+/**
+ * Keeps a copy of all items under a prefix: reads them, then watches. When the store has dropped its history,
+ * all is read anew. All calls and callbacks are on the event loop.
+ */
+final class PrefixWatch implements AutoCloseable {
+
+    private static final long RETRY_MILLIS = 200;
+
+    private final KeyValueStore store;
+    private final EventLoop loop;
+    private final String prefix;
+    private final long waitMillis;
+    private final Listener listener;
+    private final Map<String, StoreItem> items = new LinkedHashMap<>();
+    private long revision;
+    private long confirmedAt = Long.MIN_VALUE / 2;
+    private boolean reachable = true;
+    private boolean closed;
+
+    /** What is told of the items. */
+    interface Listener {
+        /** All items have been read; what is not among them is gone. */
+        void onRead();
+
+        /** Some items have changed, or have gone. */
+        void onChanges(List<StoreChanges.Change> changes);
+    }
+
+    PrefixWatch(KeyValueStore store, EventLoop loop, String prefix, long waitMillis, Listener listener) {
+        this.store = store;
+        this.loop = loop;
+        this.prefix = prefix;
+        this.waitMillis = waitMillis;
+        this.listener = listener;
+    }
+
+    /** Reads everything, then watches until closed. */
+    void start() {
+        if (closed) {
+            return;
+        }
+        long sentAt = loop.clock().millis();
+        store.range(prefix)
+                .whenComplete((r, why) -> loop.execute(() -> {
+                    if (why != null) {
+                        failed(why, this::start);
+                    } else {
+                        readAll(r, sentAt);
+                    }
+                }));
+    }
+
+    private void readAll(StoreRange r, long sentAt) {
+        if (closed) {
+            return;
+        }
+        answered(sentAt);
+        items.clear();
+        r.items().forEach(i -> items.put(i.key(), i));
+        revision = r.revision();
+        listener.onRead();
+        watch();
+    }
+
+    private void watch() {
+        if (closed) {
+            return;
+        }
+        long sentAt = loop.clock().millis();
+        store.watch(prefix, revision, waitMillis)
+                .whenComplete((c, why) -> loop.execute(() -> {
+                    if (why != null) {
+                        watchFailed(why);
+                    } else {
+                        changed(c, sentAt);
+                    }
+                }));
+    }
+
+    private void watchFailed(Throwable why) {
+        boolean gone = StoreFailure.kind(why) == StoreException.Kind.HISTORY_GONE;
+        if (gone) {
+            Log.info("watch-history-gone", "prefix", prefix, "revision", revision);
+            start();
+        } else {
+            failed(why, this::start);
+        }
+    }
+
+    private void changed(StoreChanges c, long sentAt) {
+        if (closed) {
+            return;
+        }
+        answered(sentAt);
+        revision = Math.max(revision, c.revision());
+        for (StoreChanges.Change change : c.changes()) {
+            if (change.item() == null) {
+                items.remove(change.key());
+            } else {
+                items.put(change.key(), change.item());
+            }
+        }
+        if (!c.changes().isEmpty()) {
+            listener.onChanges(c.changes());
+        }
+        watch();
+    }
+
+    private void answered(long sentAt) {
+        confirmedAt = sentAt;
+        if (!reachable) {
+            reachable = true;
+            Log.info("watch-regained", "prefix", prefix);
+        }
+    }
+
+    private void failed(Throwable why, Runnable again) {
+        if (closed) {
+            return;
+        }
+        if (reachable) {
+            reachable = false;
+            Log.warn("watch-lost", "prefix", prefix, "why", StoreFailure.text(why));
+        }
+        loop.after(RETRY_MILLIS, again);
+    }
+
+    /** Returns the items as last seen. */
+    Collection<StoreItem> items() {
+        return items.values();
+    }
+
+    /** Returns the store's revision up to which the items are known. */
+    long revision() {
+        return revision;
+    }
+
+    /** Returns since when the items may be out of date: when the newest call that was answered was sent. */
+    long confirmedAt() {
+        return confirmedAt;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -0,0 +1,376 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import io.vavr.control.Either;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.run.HoldOrder;
+import org.lupinpaddle.core.run.SchedulerEvent;
+import org.lupinpaddle.core.run.SchedulerPort;
+import org.lupinpaddle.core.run.SchedulerTiming;
+import org.lupinpaddle.core.run.ServiceScheduler;
+import org.lupinpaddle.core.run.StartOrder;
+import org.lupinpaddle.core.run.StopOrder;
+import org.lupinpaddle.core.upkeep.EvacuationRecord;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.StoreChanges;
+import org.lupinpaddle.daemon.port.StoreCommit;
+import org.lupinpaddle.daemon.port.StoreItem;
+import org.lupinpaddle.daemon.port.StoreRange;
+import org.lupinpaddle.daemon.port.WorkerOrders;
+
+/**
+ * Runs the scheduler of one service while this entry owns it: reads what earlier owners left, watches for new
+ * jobs, carries orders out and makes progress durable. All on the event loop.
+ */
+final class SchedulerHost implements SchedulerPort, PrefixWatch.Listener, AutoCloseable {
+
+    private static final long TICK_MILLIS = 25;
+    private static final long RETRY_MILLIS = 150;
+    private static final long WAIT_MILLIS = 5_000;
+    // Counts of waiting jobs may be 2 s old when they are told.
+    private static final long PENDING_MILLIS = 700;
+    private static final long FORGET_EVERY_MILLIS = 5_000;
+    // Callers may ask for 120 s after a job's end.
+    private static final long FORGET_AFTER_MILLIS = 130_000;
+    // Three keys a job, and a call takes 32 rows.
+    private static final int FORGET_AT_ONCE = 10;
+
+    private final Entry entry;
+    private final String service;
+    private final long fence;
+    private final Runnable ownershipGone;
+    private final ProgressStore progress;
+    private final PrefixWatch inputs;
+    private final Map<String, StoreItem> evacuations = new HashMap<>();
+    private final Set<String> emptied = new HashSet<>();
+    private final Map<JobKey, JobProgress> inherited = new HashMap<>();
+    private @Nullable ServiceScheduler scheduler;
+    private Collection<WorkerFacts> workers = List.of();
+    private Map<String, Integer> pendingWritten = Map.of();
+    private boolean pendingKnown;
+    private boolean tickQueued;
+    private boolean closed;
+
+    /**
+     * What all schedulers of an entry share.
+     *
+     * @param store the platform's store
+     * @param orders orders to workers
+     * @param loop the event loop
+     * @param wall the time of day
+     * @param timing the scheduler's times
+     */
+    record Entry(KeyValueStore store, WorkerOrders orders, EventLoop loop, Clock wall, SchedulerTiming timing) {}
+
+    SchedulerHost(Entry entry, String service, long fence, Runnable ownershipGone) {
+        this.entry = entry;
+        this.service = service;
+        this.fence = fence;
+        this.ownershipGone = ownershipGone;
+        progress = new ProgressStore(entry.store, entry.loop, service, fence);
+        inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), WAIT_MILLIS, this);
+    }
+
+    /** Reads what earlier owners left, then begins. */
+    void start(Collection<WorkerFacts> listed) {
+        workers = listed;
+        readProgress();
+    }
+
+    private void readProgress() {
+        if (closed) {
+            return;
+        }
+        entry.store
+                .range(JobKeys.progress(service))
+                .whenComplete((r, why) -> entry.loop.execute(() -> {
+                    if (why != null) {
+                        Log.warn("progress-unread", "service", service, "why", StoreFailure.text(why));
+                        entry.loop.after(RETRY_MILLIS, this::readProgress);
+                    } else {
+                        inherit(r);
+                    }
+                }));
+    }
+
+    private void inherit(StoreRange r) {
+        for (StoreItem i : r.items()) {
+            JobKeys.progressOf(service, i.key()).ifPresent(job -> {
+                progress.known(job, i.revision());
+                Either<String, JobProgress> p = RecordCodec.read(i.value(), JobProgress.class);
+                p.peek(good -> inherited.put(job, good))
+                        .peekLeft(why -> Log.warn("progress-unreadable", "key", i.key(), "why", why));
+            });
+        }
+        inputs.start();
+    }
+
+    @Override
+    public void onRead() {
+        if (closed) {
+            return;
+        }
+        if (scheduler == null) {
+            begin();
+        }
+        evacuations.clear();
+        inputs.items().forEach(this::take);
+        evacuationsChanged();
+    }
+
+    private void begin() {
+        scheduler = new ServiceScheduler(service, entry.timing, this, entry.loop.clock(), entry.wall);
+        scheduler.onWorkers(workers);
+        Log.info(
+                "scheduler-started",
+                "service",
+                service,
+                "fence",
+                fence,
+                "workers",
+                workers.size(),
+                "jobs",
+                inherited.size());
+        repeat(TICK_MILLIS, this::tick);
+        repeat(PENDING_MILLIS, this::writePending);
+        repeat(FORGET_EVERY_MILLIS, this::forgetEnded);
+    }
+
+    private void repeat(long millis, Runnable step) {
+        entry.loop.after(millis, () -> {
+            if (!closed) {
+                step.run();
+                repeat(millis, step);
+            }
+        });
+    }
+
+    @Override
+    public void onChanges(List<StoreChanges.Change> changes) {
+        if (closed) {
+            return;
+        }
+        for (StoreChanges.Change c : changes) {
+            if (c.item() != null) {
+                take(c.item());
+            } else {
+                JobKeys.evacuated(service, c.key()).ifPresent(evacuations::remove);
+            }
+        }
+        evacuationsChanged();
+    }
+
+    private void take(StoreItem i) {
+        ServiceScheduler s = scheduler;
+        if (s == null) {
+            return;
+        }
+        if (JobKeys.isJob(service, i.key())) {
+            Either<String, JobSpec> spec = RecordCodec.read(i.value(), JobSpec.class);
+            spec.peek(good -> s.onJob(good, inherited.remove(good.key())))
+                    .peekLeft(why -> Log.warn("job-unreadable", "key", i.key(), "why", why));
+        }
+        JobKeys.cancelled(service, i.key()).ifPresent(s::onCancel);
+        JobKeys.evacuated(service, i.key()).ifPresent(w -> evacuations.put(w, i));
+    }
+
+    private void evacuationsChanged() {
+        emptied.retainAll(evacuations.keySet());
+        if (scheduler != null) {
+            scheduler.onEvacuations(evacuations.keySet());
+            requestTick();
+        }
+    }
+
+    /** Takes in which workers of the service are listed. */
+    void onWorkers(Collection<WorkerFacts> listed) {
+        workers = listed;
+        if (scheduler != null) {
+            scheduler.onWorkers(listed);
+            requestTick();
+        }
+    }
+
+    private void requestTick() {
+        if (!tickQueued) {
+            tickQueued = true;
+            entry.loop.execute(this::tick);
+        }
+    }
+
+    private void tick() {
+        tickQueued = false;
+        if (!closed && scheduler != null) {
+            scheduler.tick();
+        }
+    }
+
+    private void told(Consumer<ServiceScheduler> event) {
+        if (!closed && scheduler != null) {
+            event.accept(scheduler);
+            requestTick();
+        }
+    }
+
+    @Override
+    public void start(StartOrder order) {
+        entry.orders.start(order, fence).thenAcceptAsync(o -> told(s -> s.onStarted(order, o)), entry.loop::execute);
+    }
+
+    @Override
+    public void stop(StopOrder order) {
+        entry.orders.stop(order, fence).thenAcceptAsync(o -> told(s -> s.onStopped(order, o)), entry.loop::execute);
+    }
+
+    @Override
+    public void hold(HoldOrder order) {
+        long sentAt = entry.loop.clock().millis();
+        entry.orders
+                .hold(order, fence)
+                .thenAcceptAsync(
+                        r -> told(s -> {
+                            if (r.answer() == null) {
+                                s.onHoldFailed(order, r.outcome());
+                            } else {
+                                s.onHeld(order, sentAt, r.answer());
+                            }
+                        }),
+                        entry.loop::execute);
+    }
+
+    @Override
+    public void save(List<Saving> batch) {
+        progress.save(
+                batch,
+                outcome -> told(s -> {
+                    switch (outcome) {
+                        case SAVED -> s.onSaved(batch);
+                        case RETRY -> s.onSaveFailed(RETRY_MILLIS);
+                        case NOT_OWNER -> ownershipLost("the store refused a write: not the owner any more");
+                    }
+                }));
+    }
+
+    @Override
+    public void emptied(String worker) {
+        StoreItem asked = evacuations.get(worker);
+        if (asked == null || !emptied.add(worker)) {
+            return;
+        }
+        EvacuationRecord.read(asked.value()).peek(record -> {
+            StoreCommit commit = StoreCommit.builder()
+                    .when(JobKeys.owner(service), fence)
+                    .when(asked.key(), asked.revision())
+                    .put(asked.key(), RecordCodec.write(record.toEmpty()))
+                    .build();
+            entry.store
+                    .commit(commit)
+                    .thenAcceptAsync(
+                            r -> {
+                                Log.info("worker-emptied", "worker", worker, "outcome", r.outcome());
+                                if (r.revision() == 0) {
+                                    entry.loop.after(RETRY_MILLIS, () -> emptied.remove(worker));
+                                }
+                            },
+                            entry.loop::execute);
+        });
+    }
+
+    @Override
+    public void ownershipLost(String evidence) {
+        if (!closed) {
+            Log.warn("ownership-lost", "service", service, "fence", fence, "evidence", evidence);
+            entry.loop.execute(ownershipGone);
+        }
+    }
+
+    @Override
+    public void note(SchedulerEvent e) {
+        Log.info(
+                "decision",
+                "kind",
+                e.kind(),
+                "service",
+                service,
+                "job",
+                e.job() == null ? "" : e.job(),
+                "task",
+                e.task() == null
+                        ? ""
+                        : e.task().time() + "." + e.task().step() + "."
+                                + e.task().index(),
+                "run",
+                e.run(),
+                "worker",
+                e.worker(),
+                "why",
+                e.detail());
+    }
+
+    private void writePending() {
+        if (scheduler == null) {
+            return;
+        }
+        Map<String, Integer> counts = scheduler.pendingByQueue();
+        if (pendingKnown && counts.equals(pendingWritten)) {
+            return;
+        }
+        entry.store
+                .commit(StoreCommit.builder()
+                        .when(JobKeys.owner(service), fence)
+                        .put(JobKeys.pending(service), RecordCodec.write(new PendingCounts(counts)))
+                        .build())
+                .thenAcceptAsync(
+                        r -> {
+                            pendingKnown = r.revision() != 0;
+                            pendingWritten = counts;
+                        },
+                        entry.loop::execute);
+    }
+
+    private void forgetEnded() {
+        if (scheduler != null) {
+            List<JobKey> old = scheduler.forgetEnded(FORGET_AFTER_MILLIS);
+            for (int i = 0; i < old.size(); i += FORGET_AT_ONCE) {
+                progress.forget(old.subList(i, Math.min(old.size(), i + FORGET_AT_ONCE)));
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        inputs.close();
+        Log.info("scheduler-stopped", "service", service, "fence", fence);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
@@ -0,0 +1,28 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+/** What a caller is told of a job it hands in. */
+public enum SubmitOutcome {
+    /** The job is kept. */
+    ACCEPTED,
+    /** There is no such queue. */
+    NO_QUEUE,
+    /** Not taken, and it never will be by this call; come back later. */
+    NOT_TAKEN,
+    /** Not known: the store did not say whether it is kept. Sending the same id again is safe. */
+    UNKNOWN
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
@@ -0,0 +1,88 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreChanges;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/** The workers that the platform lists now. */
+final class WorkerFeed implements PrefixWatch.Listener, AutoCloseable {
+
+    private static final long WAIT_MILLIS = 5_000;
+
+    private final PlatformRecords records;
+    private final PrefixWatch watch;
+    private final Runnable onChange;
+    private final Map<String, WorkerFacts> byKey = new HashMap<>();
+
+    WorkerFeed(KeyValueStore store, EventLoop loop, PlatformRecords records, Runnable onChange) {
+        this.records = records;
+        this.onChange = onChange;
+        watch = new PrefixWatch(store, loop, records.workerPrefix(), WAIT_MILLIS, this);
+    }
+
+    void start() {
+        watch.start();
+    }
+
+    /** Returns the workers of a service. */
+    List<WorkerFacts> of(String service) {
+        return byKey.values().stream().filter(w -> w.service().equals(service)).toList();
+    }
+
+    @Override
+    public void onRead() {
+        byKey.clear();
+        new ArrayList<>(watch.items()).forEach(this::take);
+        onChange.run();
+    }
+
+    @Override
+    public void onChanges(List<StoreChanges.Change> changes) {
+        for (StoreChanges.Change c : changes) {
+            if (c.item() == null) {
+                byKey.remove(c.key());
+            } else {
+                take(c.item());
+            }
+        }
+        onChange.run();
+    }
+
+    private void take(StoreItem item) {
+        Either<String, WorkerFacts> w = records.worker(item);
+        if (w.isLeft()) {
+            Log.warn("worker-record-unreadable", "key", item.key(), "why", w.getLeft());
+        } else {
+            byKey.put(item.key(), w.get());
+        }
+    }
+
+    @Override
+    public void close() {
+        watch.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.daemon.jobs;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.daemon.port;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
@@ -0,0 +1,90 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.settings;
+
+import java.nio.file.Path;
+
+/**
+ * Settings of an entry that schedules jobs on a platform.
+ *
+ * @param entry who the entry is
+ * @param listen where it listens
+ * @param platform where the platform's parts are
+ * @param bounds what the platform holds the entry to
+ */
+public record JobSettings(Entry entry, Listen listen, PlatformParts platform, Bounds bounds) {
+
+    private static final long MOST_MILLIS = 86_400_000;
+
+    /**
+     * Who the entry is.
+     *
+     * @param name its name, unlike all others
+     * @param hall the data hall it stands in
+     */
+    public record Entry(String name, String hall) {}
+
+    /**
+     * Where the entry listens, each as IP and port.
+     *
+     * @param callers for callers
+     * @param ready for the balancer that asks whether callers may come
+     */
+    public record Listen(String callers, String ready) {}
+
+    /**
+     * Where the platform's parts are, each as IP and port.
+     *
+     * @param store the key-value store
+     * @param instances the list of instances, and orders on them
+     * @param advice the service that says which workers may run a step
+     */
+    public record PlatformParts(String store, String instances, String advice) {}
+
+    /**
+     * What the platform holds the entry to.
+     *
+     * @param longestHoldMillis how far ahead a hold may reach
+     * @param graceSeconds from SIGTERM until the process is killed
+     * @param ownerLeaseMillis how long after an owner of the fleet its successor waits with its first order
+     * @param fencedInstances whether the platform checks fences of orders on instances
+     */
+    public record Bounds(long longestHoldMillis, long graceSeconds, long ownerLeaseMillis, boolean fencedInstances) {}
+
+    /** Returns the settings in a file, or says what is wrong with them. */
+    public static JobSettings read(Path path) throws SettingsException {
+        return parse(path.toString(), TomlChecks.load(path));
+    }
+
+    /** Returns the settings in a text; the file's name is for messages. */
+    static JobSettings parse(String file, String text) throws SettingsException {
+        TomlChecks t = TomlChecks.parse(file, text);
+        JobSettings s = new JobSettings(
+                new Entry(t.name("entry.name"), t.name("entry.hall")),
+                new Listen(t.address("listen.callers", true), t.address("listen.ready", true)),
+                new PlatformParts(
+                        t.address("platform.store", false),
+                        t.address("platform.instances", false),
+                        t.address("platform.advice", false)),
+                new Bounds(
+                        t.number("bounds.longest_hold_millis", 1_000, MOST_MILLIS),
+                        t.number("bounds.grace_seconds", 1, 3_600),
+                        t.number("bounds.owner_lease_millis", 0, MOST_MILLIS),
+                        t.flag("bounds.fenced_instances")));
+        t.refuseUnknown();
+        return s;
+    }
+}
