Drive waves of upkeep and keep pools as large as their work needs

Ruled out: commits as the cause of the calls (2,168 of 17,226); it was the watch of worker records in each entry (11,060): records change at every heartbeat. Found on the way: an owner went on extending the deadline of a worker that did not answer, so its tasks were never free; and a worker whose instance had been ordered away got tasks until its record lapsed. Change: owner of the fleet with errands of instances; reports of owners; evacuation by a record; packing of finite tasks; worker records are followed by owners only, and gathered; orders that never left are told apart.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PendingCounts.java
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/WorkerLoad.java
@@ -13,13 +13,13 @@
  * See the License for the specific language governing permissions and
  * limitations under the License.
  */
-package org.lupinpaddle.daemon.jobs;
-
-import java.util.Map;
+package org.lupinpaddle.core.capacity;
 
 /**
- * How many accepted jobs of each queue have no task that has begun.
+ * What a worker carries.
  *
- * @param byQueue the counts by the queue's name; queues without such jobs are left out
+ * @param worker its id
+ * @param lasting tasks that run until they are cancelled
+ * @param finite tasks that end by themselves
  */
-record PendingCounts(Map<String, Integer> byQueue) {}
+public record WorkerLoad(String worker, int lasting, int finite) {}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.core.capacity;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/Errand.java
@@ -0,0 +1,71 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.fleet;
+
+import java.util.Optional;
+
+/**
+ * What an instance is to be taken out of its pool for.
+ *
+ * @param kind upkeep or a move
+ * @param target the wave's number for upkeep, the pool for a move
+ */
+public record Errand(Kind kind, String target) {
+
+    private static final char SEPARATOR = ':';
+
+    /** Upkeep or a move. */
+    public enum Kind {
+        /** The instance is maintained and comes back to its pool. */
+        UPKEEP,
+        /** The instance goes to another pool. */
+        MOVE
+    }
+
+    /** Returns the upkeep of a wave. */
+    public static Errand upkeep(long wave) {
+        return new Errand(Kind.UPKEEP, Long.toString(wave));
+    }
+
+    /** Returns a move to a pool. */
+    public static Errand move(String pool) {
+        return new Errand(Kind.MOVE, pool);
+    }
+
+    /** Returns whether this is the upkeep of the wave. */
+    public boolean isUpkeepOf(long wave) {
+        return kind == Kind.UPKEEP && target.equals(Long.toString(wave));
+    }
+
+    /** Returns the errand in a text written by {@link #toString}, or nothing. */
+    public static Optional<Errand> parse(String text) {
+        int at = text.indexOf(SEPARATOR);
+        if (at < 0) {
+            return Optional.empty();
+        }
+        for (Kind k : Kind.values()) {
+            if (k.name().equals(text.substring(0, at))) {
+                return Optional.of(new Errand(k, text.substring(at + 1)));
+            }
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public String toString() {
+        return kind.name() + SEPARATOR + target;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -0,0 +1,207 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import org.lupinpaddle.core.capacity.ServiceReport;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.fleet.InstanceErrand.Phase;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.core.upkeep.EvacuationRecord;
+import org.lupinpaddle.core.upkeep.UpkeepRecord;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+
+/**
+ * Decides which instance leaves which pool when: for upkeep, and to keep pools as large as their work needs.
+ * An instance is ordered away only after the owner of its service has said that its worker is empty. Orders
+ * may be given again: the platform takes one that is done already for done.
+ */
+public final class FleetPlanner {
+
+    private static final long RETRY_MILLIS = 300;
+    // The platform's list lags by about a second; after this an instance that is up is taken to be back.
+    private static final long LIST_LAG_MILLIS = 2_500;
+    // A move is a matter of cost only: where emptying takes so long, it is not worth it.
+    private static final long MOVE_PATIENCE_MILLIS = 8_000;
+
+    private final FleetState state;
+    private final PoolSizer sizer;
+    private final WavePass waves;
+    private boolean listed;
+
+    /** Makes the planner of a fleet whose ownership has just been won. */
+    public FleetPlanner(FleetTiming timing, FleetPort port, Clock clock) {
+        state = new FleetState(timing, port, clock);
+        sizer = new PoolSizer(state);
+        waves = new WavePass(state);
+    }
+
+    /** Takes in the platform's list, whole. */
+    public void onInstances(List<PlatformInstance> all) {
+        listed = true;
+        state.instances.clear();
+        all.forEach(i -> state.instances.put(i.id(), i));
+    }
+
+    /** Takes in the services of the configuration. */
+    public void onServices(List<ServiceConfig> services) {
+        state.services = List.copyOf(services);
+    }
+
+    /** Takes in a report of a service's owner. */
+    public void onReport(String service, ServiceReport report) {
+        state.reports.put(service, report);
+    }
+
+    /** Takes in all evacuations that are asked for; those of an earlier owner's errands are gone on with. */
+    public void onEvacuations(Map<EvacuationRecord, String> serviceByRecord) {
+        state.evacuations.clear();
+        serviceByRecord.keySet().forEach(r -> state.evacuations.put(r.worker(), r));
+        serviceByRecord.forEach(this::inherit);
+    }
+
+    private void inherit(EvacuationRecord r, String service) {
+        boolean known = state.errands.values().stream().anyMatch(e -> e.worker.equals(r.worker()));
+        if (known || !listed) {
+            return;
+        }
+        PlatformInstance i = state.instances.get(r.instance());
+        boolean current = i != null
+                && i.worker().equals(r.worker())
+                && i.pool().equals(service)
+                && !state.errands.containsKey(r.instance());
+        Errand.parse(r.errand())
+                .filter(e -> current)
+                .ifPresentOrElse(
+                        e -> state.errands.put(
+                                r.instance(), new InstanceErrand(r.instance(), e, service, r.worker(), state.now())),
+                        () -> state.port.endEvacuation(service, r.worker()));
+    }
+
+    /** Takes in the waves that the operators ask for. */
+    public void onWaves(Collection<UpkeepWave> all) {
+        all.forEach(w -> state.waves.put(w.number(), w));
+    }
+
+    /** Takes in how far an earlier owner has brought a wave. */
+    public void onUpkeep(long wave, UpkeepRecord record) {
+        state.begun(wave).addAll(record.begun());
+        if (record.completed()) {
+            state.completed.add(wave);
+        }
+    }
+
+    /** Takes in what became of an order. */
+    public void onOrdered(String instance, Errand errand, InstanceOrderOutcome outcome) {
+        InstanceErrand e = state.errands.get(instance);
+        if (e == null || !e.errand.equals(errand)) {
+            return;
+        }
+        e.orderInFlight = false;
+        state.port.note("errand-ordered", instance, "errand=" + errand + " outcome=" + outcome);
+        switch (outcome) {
+            case TAKEN -> taken(e);
+            case BUSY, REFUSED, UNKNOWN, FENCED -> e.orderDueAt = state.now() + RETRY_MILLIS;
+            case NOT_OF_WAVE -> {
+                begun(e);
+                state.end(e, "not of the wave");
+            }
+            case IMPOSSIBLE -> {
+                state.impossibleMoves.add(instance + ">" + errand.target());
+                begun(e);
+                state.end(e, "the platform says it is impossible");
+            }
+        }
+    }
+
+    private void taken(InstanceErrand e) {
+        e.phase = Phase.AWAITING;
+        e.takenAt = state.now();
+        begun(e);
+    }
+
+    private void begun(InstanceErrand e) {
+        if (e.errand.kind() == Errand.Kind.UPKEEP) {
+            long wave = Long.parseLong(e.errand.target());
+            state.begun(wave).add(e.instance);
+            state.port.writeUpkeep(wave, new UpkeepRecord(List.copyOf(state.begun(wave)), false));
+        }
+    }
+
+    /** Does all that is due. Call after each event, and every few hundred milliseconds. */
+    public void tick() {
+        if (!listed) {
+            return;
+        }
+        new ArrayList<>(state.errands.values()).forEach(this::step);
+        waves.run();
+        sizer.run();
+    }
+
+    private void step(InstanceErrand e) {
+        switch (e.phase) {
+            case EMPTYING -> stepEmptying(e);
+            case ORDERING -> stepOrdering(e);
+            case AWAITING -> stepAwaiting(e);
+        }
+    }
+
+    private void stepEmptying(InstanceErrand e) {
+        PlatformInstance i = state.instances.get(e.instance);
+        if (i == null || !i.worker().equals(e.worker) || i.state() != PlatformInstance.State.UP) {
+            state.end(e, "the instance changed while it was emptied");
+            return;
+        }
+        EvacuationRecord r = state.evacuations.get(e.worker);
+        if (r != null && r.empty()) {
+            e.phase = Phase.ORDERING;
+            stepOrdering(e);
+        } else if (e.errand.kind() == Errand.Kind.MOVE && state.now() - e.begunAt > MOVE_PATIENCE_MILLIS) {
+            state.end(e, "emptying takes too long for a move");
+        }
+    }
+
+    private void stepOrdering(InstanceErrand e) {
+        if (!e.orderInFlight && state.now() >= e.orderDueAt) {
+            e.orderInFlight = true;
+            state.port.order(e.instance, e.errand);
+        }
+    }
+
+    private void stepAwaiting(InstanceErrand e) {
+        PlatformInstance i = state.instances.get(e.instance);
+        if (i == null) {
+            state.end(e, "the instance is gone from the list");
+            return;
+        }
+        long waited = state.now() - e.takenAt;
+        boolean up = i.state() == PlatformInstance.State.UP;
+        boolean arrived =
+                switch (e.errand.kind()) {
+                    case MOVE -> up && i.pool().equals(e.errand.target());
+                    case UPKEEP ->
+                        up
+                                && ((!e.worker.isEmpty() && !i.worker().equals(e.worker))
+                                        || waited > state.timing.upkeepMillis() + LIST_LAG_MILLIS);
+                };
+        if (arrived) {
+            state.end(e, "done");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -0,0 +1,135 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.lupinpaddle.core.capacity.ServiceReport;
+import org.lupinpaddle.core.capacity.WorkerLoad;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.core.upkeep.EvacuationRecord;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+
+/** What the owner of the fleet believes. */
+final class FleetState {
+
+    final FleetTiming timing;
+    final FleetPort port;
+    final Clock clock;
+    final Map<String, PlatformInstance> instances = new TreeMap<>();
+    final Map<String, InstanceErrand> errands = new LinkedHashMap<>();
+    final Map<String, ServiceReport> reports = new HashMap<>();
+    final Map<String, EvacuationRecord> evacuations = new HashMap<>();
+    final Map<Long, UpkeepWave> waves = new TreeMap<>();
+    final Map<Long, Set<String>> begun = new HashMap<>();
+    final Set<Long> completed = new HashSet<>();
+    /** Moves that the platform has said to be impossible, as instance and pool. */
+    final Set<String> impossibleMoves = new HashSet<>();
+
+    List<ServiceConfig> services = List.of();
+
+    FleetState(FleetTiming timing, FleetPort port, Clock clock) {
+        this.timing = timing;
+        this.port = port;
+        this.clock = clock;
+    }
+
+    long now() {
+        return clock.millis();
+    }
+
+    Optional<String> headroomPool() {
+        return services.stream()
+                .filter(ServiceConfig::headroom)
+                .map(ServiceConfig::name)
+                .findFirst();
+    }
+
+    boolean isHeadroom(String pool) {
+        return headroomPool().filter(pool::equals).isPresent();
+    }
+
+    List<String> runningPools() {
+        return services.stream()
+                .filter(s -> !s.headroom())
+                .map(ServiceConfig::name)
+                .toList();
+    }
+
+    /** Returns the instances of a pool that are up and are not about to leave it. */
+    List<PlatformInstance> staying(String pool) {
+        return instances.values().stream()
+                .filter(i ->
+                        i.pool().equals(pool) && i.state() == PlatformInstance.State.UP && !errands.containsKey(i.id()))
+                .toList();
+    }
+
+    /** Returns how many instances are on their way into a pool: by a move, or back from upkeep. */
+    int coming(String pool) {
+        return (int) errands.values().stream().filter(e -> e.isMoveTo(pool)).count();
+    }
+
+    /** Returns how many tasks an instance's worker carries, lasting ones counted several times. */
+    int load(PlatformInstance i) {
+        ServiceReport r = reports.get(i.pool());
+        if (r == null) {
+            return 0;
+        }
+        return r.workers().stream()
+                .filter(w -> w.worker().equals(i.worker()))
+                .mapToInt(FleetState::weight)
+                .findFirst()
+                .orElse(0);
+    }
+
+    // A lasting task has to be moved and is away meanwhile; a finite one ends by itself.
+    private static final int LASTING_WEIGHT = 10;
+
+    private static int weight(WorkerLoad w) {
+        return w.lasting() * LASTING_WEIGHT + w.finite();
+    }
+
+    Set<String> begun(long wave) {
+        return begun.computeIfAbsent(wave, w -> new HashSet<>());
+    }
+
+    /** Sends an instance on an errand. */
+    void begin(PlatformInstance i, Errand errand) {
+        boolean off = isHeadroom(i.pool()) || i.worker().isEmpty();
+        InstanceErrand e = new InstanceErrand(i.id(), errand, i.pool(), off ? "" : i.worker(), now());
+        errands.put(i.id(), e);
+        port.note("errand-begun", i.id(), "errand=" + errand + " pool=" + i.pool() + " load=" + load(i));
+        if (!e.worker.isEmpty()) {
+            port.askEvacuation(i.pool(), new EvacuationRecord(e.worker, i.id(), errand.toString(), false));
+        }
+    }
+
+    /** Ends an errand, done or not. */
+    void end(InstanceErrand e, String why) {
+        errands.remove(e.instance);
+        port.note("errand-ended", e.instance, "errand=" + e.errand + " millis=" + (now() - e.begunAt) + " why=" + why);
+        if (!e.worker.isEmpty()) {
+            port.endEvacuation(e.service, e.worker);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
@@ -0,0 +1,115 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.lupinpaddle.core.capacity.ServiceReport;
+import org.lupinpaddle.core.upkeep.UpkeepRecord;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+
+/**
+ * Drives waves of upkeep: never more of a wave out at one time than its operators allow, instances that run
+ * nothing first, and from a pool that works no more at one time than its work can do without.
+ */
+final class WavePass {
+
+    private final FleetState state;
+    private final Set<Long> told = new HashSet<>();
+
+    WavePass(FleetState state) {
+        this.state = state;
+    }
+
+    void run() {
+        for (UpkeepWave w : state.waves.values()) {
+            if (!state.completed.contains(w.number())) {
+                drive(w);
+            }
+        }
+    }
+
+    private void drive(UpkeepWave w) {
+        if (told.add(w.number())) {
+            state.port.tellWave(w.number(), false);
+        }
+        long out = state.errands.values().stream()
+                .filter(e -> e.errand.isUpkeepOf(w.number()))
+                .count();
+        List<PlatformInstance> next = candidates(w);
+        for (PlatformInstance i : next) {
+            if (out >= w.most()) {
+                break;
+            }
+            if (mayLeave(i)) {
+                state.begin(i, Errand.upkeep(w.number()));
+                out++;
+            }
+        }
+        if (out == 0 && isDone(w)) {
+            complete(w);
+        }
+    }
+
+    private List<PlatformInstance> candidates(UpkeepWave w) {
+        List<PlatformInstance> all = new ArrayList<>();
+        for (String id : w.instances()) {
+            PlatformInstance i = state.instances.get(id);
+            boolean free = i != null
+                    && i.state() == PlatformInstance.State.UP
+                    && !state.errands.containsKey(id)
+                    && !state.begun(w.number()).contains(id);
+            if (free) {
+                all.add(i);
+            }
+        }
+        all.sort(Comparator.<PlatformInstance>comparingInt(i -> state.isHeadroom(i.pool()) ? 0 : 1)
+                .thenComparingInt(state::load));
+        return all;
+    }
+
+    private boolean mayLeave(PlatformInstance i) {
+        if (state.isHeadroom(i.pool())) {
+            return true;
+        }
+        ServiceReport r = state.reports.get(i.pool());
+        if (r == null) {
+            return false;
+        }
+        long out = state.errands.values().stream()
+                .filter(e -> e.service.equals(i.pool()))
+                .count();
+        int spare = state.staying(i.pool()).size() - r.needed();
+        // One may always leave: a wave goes on, however busy its pools are.
+        return spare > 0 || out == 0;
+    }
+
+    private boolean isDone(UpkeepWave w) {
+        return !state.instances.isEmpty()
+                && w.instances().stream()
+                        .allMatch(i -> state.begun(w.number()).contains(i) || !state.instances.containsKey(i));
+    }
+
+    private void complete(UpkeepWave w) {
+        state.completed.add(w.number());
+        state.port.note("wave-completed", "", "wave=" + w.number());
+        state.port.writeUpkeep(w.number(), new UpkeepRecord(List.copyOf(state.begun(w.number())), true));
+        state.port.tellWave(w.number(), true);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.lupinpaddle.core.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
@@ -26,14 +26,16 @@
     /** Prefix of the entries and of the owners, each under the lease of an entry. */
     public static final String MEMBERS = "lupinpaddle/member/";
 
+    private static final String FLEET = "lupinpaddle/fleet/";
     private static final String ENTRIES = MEMBERS + "entry/";
     private static final String OWNERS = MEMBERS + "owner/";
     private static final String INPUTS = "lupinpaddle/in/";
     private static final String PROGRESS = "lupinpaddle/progress/";
-    private static final String PENDING = "lupinpaddle/pending/";
+    private static final String REPORTS = FLEET + "report/";
     private static final String JOB = "job/";
     private static final String CANCEL = "cancel/";
-    private static final String EVACUATE = "evacuate/";
+    private static final String EVACUATIONS = FLEET + "evacuate/";
+    private static final String UPKEEP = FLEET + "upkeep/";
 
     private JobKeys() {}
 
@@ -82,14 +84,29 @@
         return after(inputs(service) + CANCEL, key).map(JobKeys::jobKey);
     }
 
-    /** Returns the key that asks for a worker to be emptied. */
-    public static String evacuation(String service, String worker) {
-        return inputs(service) + EVACUATE + worker;
+    /** Returns the prefix of all that the owner of the fleet must notice. */
+    public static String fleet() {
+        return FLEET;
+    }
+
+    /** Returns whether the key asks for a worker to be emptied. */
+    public static boolean isEvacuation(String key) {
+        return key.startsWith(EVACUATIONS);
+    }
+
+    /** Returns the service of whose worker the key asks that it be emptied. */
+    public static String evacuatedService(String key) {
+        return key.substring(EVACUATIONS.length(), key.lastIndexOf('/'));
+    }
+
+    /** Returns the prefix of what asks for workers of a service to be emptied. */
+    public static String evacuations(String service) {
+        return EVACUATIONS + service + "/";
     }
 
-    /** Returns the worker that the key asks to be emptied, or nothing. */
-    public static Optional<String> evacuated(String service, String key) {
-        return after(inputs(service) + EVACUATE, key);
+    /** Returns the key that asks for a worker to be emptied. */
+    public static String evacuation(String service, String worker) {
+        return evacuations(service) + worker;
     }
 
     /** Returns the prefix of the progress of a service's jobs. */
@@ -102,9 +119,24 @@
         return progress(service) + job;
     }
 
-    /** Returns the key of the counts of a service's jobs that have not begun. */
-    public static String pending(String service) {
-        return PENDING + service;
+    /** Returns the key of the report of a service's owner. */
+    public static String report(String service) {
+        return REPORTS + service;
+    }
+
+    /** Returns the service whose report lies under the key, or nothing. */
+    public static Optional<String> reportOf(String key) {
+        return after(REPORTS, key);
+    }
+
+    /** Returns the key of how far a wave of upkeep is. */
+    public static String upkeep(long wave) {
+        return UPKEEP + wave;
+    }
+
+    /** Returns the wave whose record lies under the key, or nothing. */
+    public static Optional<Long> upkeepOf(String key) {
+        return after(UPKEEP, key).map(Long::valueOf);
     }
 
     /** Returns the job whose progress lies under the key. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -35,6 +35,9 @@
     // Added to a computed moment for the same reason, when the period is short.
     private static final long CLOCK_SLACK_MILLIS = 100;
 
+    // The longest regular pause between two answers, and the call.
+    private static final long EXTEND_WITHIN_MILLIS = 2_600;
+
     private WorkerFacts facts;
     private long endsAt = Long.MAX_VALUE;
     final Set<LiveTask> tasks = new HashSet<>();
@@ -133,16 +136,26 @@
         fenced = true;
     }
 
-    /** Returns a deadline on the worker's clock this far from now; 0 while its clock is not known. */
+    /**
+     * Returns a deadline on the worker's clock this far from now; 0 while its clock is not known. A worker that
+     * does not answer is given no later ones than before: each might reach it, and would put off the moment
+     * from which its tasks may run elsewhere.
+     */
     long deadlineIn(long millis, long now) {
         if (!fenced) {
             return 0;
         }
-        long d = clockMillis + (now - clockReadAt) + millis;
-        furthestDeadline = Math.max(furthestDeadline, d);
+        if (now - lastAnswerAt <= EXTEND_WITHIN_MILLIS) {
+            furthestDeadline = Math.max(furthestDeadline, clockMillis + (now - clockReadAt) + millis);
+        }
         return furthestDeadline;
     }
 
+    /** Takes back that the worker has answered: it gets new tasks only after it has answered again. */
+    void mustAnswerAgain() {
+        lastAnswerAt = Long.MIN_VALUE / 2;
+    }
+
     /** Returns from when on nothing runs here any more, if no order reaches the worker from now on. */
     long emptyAt() {
         long own = Math.max(0, furthestDeadline - clockMillis);
--- a/core/src/main/java/org/lupinpaddle/core/run/OrderOutcome.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/OrderOutcome.java
@@ -35,13 +35,15 @@
     MALFORMED,
     /** Another life of the worker answers at this address. */
     OTHER_LIFE,
+    /** The order never left: no connection could be made. */
+    NOT_SENT,
     /** No answer: it may have been carried out, or may be carried out later. */
     UNKNOWN;
 
-    /** Returns whether the worker has said that it did not carry the order out. */
+    /** Returns whether this order, by itself, is certain not to have been carried out. */
     public boolean refused() {
         return switch (this) {
-            case OLD_RUN, LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED -> true;
+            case OLD_RUN, LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED, NOT_SENT -> true;
             case ACCEPTED, FENCED, OTHER_LIFE, UNKNOWN -> false;
         };
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -115,7 +115,7 @@
 
     private void refused(LiveTask t, LiveWorker w, OrderOutcome outcome) {
         long now = state.now();
-        w.avoidUntil = now + (outcome == OrderOutcome.UNHEALTHY ? UNHEALTHY_AVOID_MILLIS : NO_ROOM_AVOID_MILLIS);
+        w.avoidUntil = now + (outcome == OrderOutcome.NO_ROOM ? NO_ROOM_AVOID_MILLIS : UNHEALTHY_AVOID_MILLIS);
         if (outcome == OrderOutcome.MALFORMED) {
             t.failures++;
         }
@@ -144,7 +144,8 @@
                 t.provenFrom = state.now();
                 t.worker.holdDueAt = Math.min(t.worker.holdDueAt, state.now());
             }
-            case LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED, UNKNOWN -> t.orderDueAt = state.now() + RESEND_MILLIS;
+            case LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED, NOT_SENT, UNKNOWN ->
+                t.orderDueAt = state.now() + RESEND_MILLIS;
         }
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -20,9 +20,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
-import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
@@ -44,6 +45,8 @@
 
     // A store call takes at most 32 rows: one for ownership, and two for each record.
     private static final int RECORDS_PER_SAVE = 15;
+    // Each write has its price; what gathers meanwhile goes into one.
+    private static final long SAVE_EVERY_MILLIS = 40;
     private static final long HOLD_RETRY_MILLIS = 250;
     // While ends are being made durable the next hold waits, but not longer than this: it also keeps tasks alive.
     private static final long HOLD_WITH_ENDS_MILLIS = 1_000;
@@ -123,6 +126,11 @@
 
     /** Takes in which workers are to be emptied. */
     public void onEvacuations(Set<String> workers) {
+        state.evacuating.stream()
+                .filter(w -> !workers.contains(w))
+                .map(state.workers::get)
+                .filter(Objects::nonNull)
+                .forEach(LiveWorker::mustAnswerAgain);
         state.evacuating.clear();
         state.evacuating.addAll(workers);
     }
@@ -247,19 +255,14 @@
         }
         if (!batch.isEmpty()) {
             saving = true;
+            saveDueAt = state.now() + SAVE_EVERY_MILLIS;
             state.port.save(batch);
         }
     }
 
-    /** Returns how many accepted jobs of each queue have no task that has begun. */
-    public Map<String, Integer> pendingByQueue() {
-        Map<String, Integer> counts = new TreeMap<>();
-        for (LiveJob job : state.jobs.values()) {
-            if (!job.begun && !job.state.ended()) {
-                counts.merge(job.spec.key().queue(), 1, Integer::sum);
-            }
-        }
-        return counts;
+    /** Returns what the rest of the system is to know of this service. */
+    public ServiceReport report() {
+        return new DemandReport(state).make();
     }
 
     /** Returns the jobs that ended longer ago than {@code millis} and hold nothing on workers; they are forgotten. */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -24,6 +24,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.job.JobKey;
@@ -248,9 +249,9 @@
     }
 
     private CompletableFuture<OptionalInt> countedByOwner(QueueConfig q) {
-        return store.read(JobKeys.pending(q.service()))
-                .thenApply(item -> OptionalInt.of(item.map(i -> RecordCodec.read(i.value(), PendingCounts.class)
-                                .map(c -> c.byQueue().getOrDefault(q.name(), 0))
+        return store.read(JobKeys.report(q.service()))
+                .thenApply(item -> OptionalInt.of(item.map(i -> RecordCodec.read(i.value(), ServiceReport.class)
+                                .map(c -> c.pendingByQueue().getOrDefault(q.name(), 0))
                                 .getOrElse(0))
                         .orElse(0)));
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -16,17 +16,23 @@
 package org.lupinpaddle.daemon.jobs;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.fleet.FleetTiming;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.run.SchedulerTiming;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
 import org.lupinpaddle.daemon.port.WorkerOrders;
+import org.lupinpaddle.daemon.settings.JobSettings;
 
 /**
  * One entry on a platform: takes jobs from callers, and owns the services that fall to it. It keeps nothing
@@ -41,13 +47,19 @@
     // Readiness follows the store: an entry that can not reach it can accept nothing.
     private static final long READY_MILLIS = 2_500;
 
+    /** The duty of the fleet's owner; no service can have this name. */
+    static final String FLEET = "@fleet";
+
     private final EventLoop loop;
     private final ConfigurationFeed configuration;
-    private final WorkerFeed workers;
+    private final Supplier<WorkerFeed> feeds;
+    private @Nullable WorkerFeed workers;
     private final OwnershipKeeper ownership;
     private final JobIntake intake;
     private final SchedulerHost.Entry shared;
+    private final FleetHost.Entry fleetShared;
     private final Map<String, SchedulerHost> hosts = new HashMap<>();
+    private @Nullable FleetHost fleet;
     private volatile boolean ready;
     private boolean stopping;
 
@@ -58,7 +70,8 @@
      * @param store the platform's store
      * @param records the records of operators and workers
      * @param orders orders to workers
-     * @param longestHoldMillis how far ahead the platform lets a hold reach
+     * @param instances the list of instances and orders on them
+     * @param limits what the platform holds the entry to
      * @param wall the time of day
      */
     public record Parts(
@@ -66,25 +79,34 @@
             KeyValueStore store,
             PlatformRecords records,
             WorkerOrders orders,
-            long longestHoldMillis,
+            InstanceOrders instances,
+            JobSettings.Bounds limits,
             Clock wall) {}
 
     /** Makes a node; it does nothing until {@link #start}. */
     public JobNode(EventLoop loop, Parts p) {
         this.loop = loop;
         configuration = new ConfigurationFeed(p.store(), loop, p.records(), this::configurationChanged);
-        workers = new WorkerFeed(p.store(), loop, p.records(), this::workersChanged);
+        feeds = () -> new WorkerFeed(p.store(), loop, p.records(), this::workersChanged);
         ownership = new OwnershipKeeper(p.store(), loop, p.name(), this);
         intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall());
-        SchedulerTiming timing = SchedulerTiming.usual(p.longestHoldMillis(), BLIND_MILLIS);
+        SchedulerTiming timing = SchedulerTiming.usual(p.limits().longestHoldMillis(), BLIND_MILLIS);
         shared = new SchedulerHost.Entry(p.store(), p.orders(), loop, p.wall(), timing);
+        fleetShared = new FleetHost.Entry(
+                p.name(),
+                p.store(),
+                p.instances(),
+                p.records(),
+                loop,
+                ownership,
+                FleetTiming.usual(p.limits().upkeepMillis()),
+                p.limits().ownerLeaseMillis());
     }
 
     /** Begins. */
     public void start() {
         loop.execute(() -> {
             configuration.start();
-            workers.start();
             ownership.start();
         });
         loop.every(CHECK_MILLIS, this::check);
@@ -116,32 +138,66 @@
     }
 
     private void configurationChanged() {
-        configuration.current().ifPresent(c -> ownership.setDuties(duties(c)));
+        configuration.current().ifPresent(c -> {
+            ownership.setDuties(duties(c));
+            if (fleet != null) {
+                fleet.onServices(c.services());
+            }
+        });
     }
 
     private static Set<String> duties(JobConfiguration c) {
-        return new TreeSet<>(c.runningServices());
+        Set<String> all = new TreeSet<>(c.runningServices());
+        all.add(FLEET);
+        return all;
     }
 
     private void workersChanged() {
-        hosts.forEach((service, host) -> host.onWorkers(workers.of(service)));
+        WorkerFeed feed = workers;
+        if (feed != null) {
+            hosts.forEach((service, host) -> host.onWorkers(feed.of(service)));
+        }
+    }
+
+    /** Workers' records change all the time; only owners of services follow them. */
+    private WorkerFeed followWorkers() {
+        WorkerFeed feed = workers;
+        if (feed == null) {
+            feed = feeds.get();
+            workers = feed;
+            feed.start();
+        }
+        return feed;
     }
 
     @Override
     public void won(String duty, long fence) {
         Log.info("ownership-won", "duty", duty, "fence", fence);
+        if (duty.equals(FLEET)) {
+            fleet = new FleetHost(fleetShared, fence);
+            fleet.start(configuration.current().map(JobConfiguration::services).orElse(List.of()));
+            return;
+        }
         SchedulerHost host = new SchedulerHost(shared, duty, fence, () -> ownership.giveUp(duty, "fenced"));
         hosts.put(duty, host);
-        host.start(workers.of(duty));
+        host.start(followWorkers().of(duty));
     }
 
     @Override
     public void lost(String duty, String why) {
         Log.info("ownership-ended", "duty", duty, "why", why);
+        if (duty.equals(FLEET) && fleet != null) {
+            fleet.close();
+            fleet = null;
+        }
         SchedulerHost host = hosts.remove(duty);
         if (host != null) {
             host.close();
         }
+        if (hosts.isEmpty() && workers != null) {
+            workers.close();
+            workers = null;
+        }
     }
 
     /** Hands all duties over; callers are served on until {@link #close}. */
@@ -156,7 +212,9 @@
     @Override
     public void close() {
         configuration.close();
-        workers.close();
+        if (workers != null) {
+            workers.close();
+        }
         ownership.close();
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
@@ -39,6 +39,7 @@
     private final EventLoop loop;
     private final String prefix;
     private final long waitMillis;
+    private final long pauseMillis;
     private final Listener listener;
     private final Map<String, StoreItem> items = new LinkedHashMap<>();
     private long revision;
@@ -53,13 +54,35 @@
 
         /** Some items have changed, or have gone. */
         void onChanges(List<StoreChanges.Change> changes);
+
+        /** Returns a listener that does the same whatever happened. */
+        static Listener same(Runnable step) {
+            return new Listener() {
+                @Override
+                public void onRead() {
+                    step.run();
+                }
+
+                @Override
+                public void onChanges(List<StoreChanges.Change> changes) {
+                    step.run();
+                }
+            };
+        }
     }
 
     PrefixWatch(KeyValueStore store, EventLoop loop, String prefix, long waitMillis, Listener listener) {
+        this(store, loop, prefix, waitMillis, 0, listener);
+    }
+
+    /** Makes a watch that, after changes, lets more of them gather for a time: each answer has its price. */
+    PrefixWatch(
+            KeyValueStore store, EventLoop loop, String prefix, long waitMillis, long pauseMillis, Listener listener) {
         this.store = store;
         this.loop = loop;
         this.prefix = prefix;
         this.waitMillis = waitMillis;
+        this.pauseMillis = pauseMillis;
         this.listener = listener;
     }
 
@@ -129,10 +152,16 @@
                 items.put(change.key(), change.item());
             }
         }
-        if (!c.changes().isEmpty()) {
-            listener.onChanges(c.changes());
+        if (c.changes().isEmpty()) {
+            watch();
+            return;
+        }
+        listener.onChanges(c.changes());
+        if (pauseMillis == 0) {
+            watch();
+        } else {
+            loop.after(pauseMillis, this::watch);
         }
-        watch();
     }
 
     private void answered(long sentAt) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -24,6 +24,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.job.JobKey;
@@ -57,8 +58,8 @@
     private static final long TICK_MILLIS = 25;
     private static final long RETRY_MILLIS = 150;
     private static final long WAIT_MILLIS = 5_000;
-    // Counts of waiting jobs may be 2 s old when they are told.
-    private static final long PENDING_MILLIS = 700;
+    // Counts of waiting jobs may be 2 s old when they are told; pools are sized by the same report.
+    private static final long REPORT_MILLIS = 400;
     private static final long FORGET_EVERY_MILLIS = 5_000;
     // Callers may ask for 120 s after a job's end.
     private static final long FORGET_AFTER_MILLIS = 130_000;
@@ -71,13 +72,13 @@
     private final Runnable ownershipGone;
     private final ProgressStore progress;
     private final PrefixWatch inputs;
+    private final PrefixWatch asked;
     private final Map<String, StoreItem> evacuations = new HashMap<>();
     private final Set<String> emptied = new HashSet<>();
     private final Map<JobKey, JobProgress> inherited = new HashMap<>();
     private @Nullable ServiceScheduler scheduler;
     private Collection<WorkerFacts> workers = List.of();
-    private Map<String, Integer> pendingWritten = Map.of();
-    private boolean pendingKnown;
+    private @Nullable ServiceReport reported;
     private boolean tickQueued;
     private boolean closed;
 
@@ -99,6 +100,12 @@
         this.ownershipGone = ownershipGone;
         progress = new ProgressStore(entry.store, entry.loop, service, fence);
         inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), WAIT_MILLIS, this);
+        asked = new PrefixWatch(
+                entry.store,
+                entry.loop,
+                JobKeys.evacuations(service),
+                WAIT_MILLIS,
+                PrefixWatch.Listener.same(this::evacuationsChanged));
     }
 
     /** Reads what earlier owners left, then begins. */
@@ -143,14 +150,14 @@
         if (scheduler == null) {
             begin();
         }
-        evacuations.clear();
         inputs.items().forEach(this::take);
-        evacuationsChanged();
+        requestTick();
     }
 
     private void begin() {
         scheduler = new ServiceScheduler(service, entry.timing, this, entry.loop.clock(), entry.wall);
         scheduler.onWorkers(workers);
+        asked.start();
         Log.info(
                 "scheduler-started",
                 "service",
@@ -162,7 +169,7 @@
                 "jobs",
                 inherited.size());
         repeat(TICK_MILLIS, this::tick);
-        repeat(PENDING_MILLIS, this::writePending);
+        repeat(REPORT_MILLIS, this::writeReport);
         repeat(FORGET_EVERY_MILLIS, this::forgetEnded);
     }
 
@@ -183,11 +190,9 @@
         for (StoreChanges.Change c : changes) {
             if (c.item() != null) {
                 take(c.item());
-            } else {
-                JobKeys.evacuated(service, c.key()).ifPresent(evacuations::remove);
             }
         }
-        evacuationsChanged();
+        requestTick();
     }
 
     private void take(StoreItem i) {
@@ -201,15 +206,16 @@
                     .peekLeft(why -> Log.warn("job-unreadable", "key", i.key(), "why", why));
         }
         JobKeys.cancelled(service, i.key()).ifPresent(s::onCancel);
-        JobKeys.evacuated(service, i.key()).ifPresent(w -> evacuations.put(w, i));
     }
 
     private void evacuationsChanged() {
+        evacuations.clear();
+        asked.items()
+                .forEach(i -> EvacuationRecord.read(i.value())
+                        .peek(r -> evacuations.put(r.worker(), i))
+                        .peekLeft(why -> Log.warn("evacuation-unreadable", "key", i.key(), "why", why)));
         emptied.retainAll(evacuations.keySet());
-        if (scheduler != null) {
-            scheduler.onEvacuations(evacuations.keySet());
-            requestTick();
-        }
+        told(s -> s.onEvacuations(evacuations.keySet()));
     }
 
     /** Takes in which workers of the service are listed. */
@@ -283,15 +289,15 @@
 
     @Override
     public void emptied(String worker) {
-        StoreItem asked = evacuations.get(worker);
-        if (asked == null || !emptied.add(worker)) {
+        StoreItem item = evacuations.get(worker);
+        if (item == null || !emptied.add(worker)) {
             return;
         }
-        EvacuationRecord.read(asked.value()).peek(record -> {
+        EvacuationRecord.read(item.value()).peek(record -> {
             StoreCommit commit = StoreCommit.builder()
                     .when(JobKeys.owner(service), fence)
-                    .when(asked.key(), asked.revision())
-                    .put(asked.key(), RecordCodec.write(record.toEmpty()))
+                    .when(item.key(), item.revision())
+                    .put(item.key(), RecordCodec.write(record.toEmpty()))
                     .build();
             entry.store
                     .commit(commit)
@@ -337,25 +343,20 @@
                 e.detail());
     }
 
-    private void writePending() {
+    private void writeReport() {
         if (scheduler == null) {
             return;
         }
-        Map<String, Integer> counts = scheduler.pendingByQueue();
-        if (pendingKnown && counts.equals(pendingWritten)) {
+        ServiceReport report = scheduler.report();
+        if (report.equals(reported)) {
             return;
         }
         entry.store
                 .commit(StoreCommit.builder()
                         .when(JobKeys.owner(service), fence)
-                        .put(JobKeys.pending(service), RecordCodec.write(new PendingCounts(counts)))
+                        .put(JobKeys.report(service), RecordCodec.write(report))
                         .build())
-                .thenAcceptAsync(
-                        r -> {
-                            pendingKnown = r.revision() != 0;
-                            pendingWritten = counts;
-                        },
-                        entry.loop::execute);
+                .thenAcceptAsync(r -> reported = r.revision() == 0 ? null : report, entry.loop::execute);
     }
 
     private void forgetEnded() {
@@ -371,6 +372,7 @@
     public void close() {
         closed = true;
         inputs.close();
+        asked.close();
         Log.info("scheduler-stopped", "service", service, "fence", fence);
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
@@ -32,6 +32,8 @@
 final class WorkerFeed implements PrefixWatch.Listener, AutoCloseable {
 
     private static final long WAIT_MILLIS = 5_000;
+    // Some worker's record changes every few dozen milliseconds; a leaving worker gives 2 s notice.
+    private static final long PAUSE_MILLIS = 250;
 
     private final PlatformRecords records;
     private final PrefixWatch watch;
@@ -41,7 +43,7 @@
     WorkerFeed(KeyValueStore store, EventLoop loop, PlatformRecords records, Runnable onChange) {
         this.records = records;
         this.onChange = onChange;
-        watch = new PrefixWatch(store, loop, records.workerPrefix(), WAIT_MILLIS, this);
+        watch = new PrefixWatch(store, loop, records.workerPrefix(), WAIT_MILLIS, PAUSE_MILLIS, this);
     }
 
     void start() {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/PlatformRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/PlatformRecords.java
@@ -18,6 +18,7 @@
 import io.vavr.control.Either;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
 
 /** Where the records lie that the operators and the workers write to the store, and what they say. */
 public interface PlatformRecords {
@@ -33,4 +34,16 @@
 
     /** Returns what a worker says of itself, or what is wrong with it. */
     Either<String, WorkerFacts> worker(StoreItem item);
+
+    /** Returns the prefix of the waves of upkeep that the operators ask for. */
+    String wavePrefix();
+
+    /** Returns the wave of upkeep that the item holds, or what is wrong with it. */
+    Either<String, UpkeepWave> wave(StoreItem item);
+
+    /** Returns the key under which the operators look for how a wave stands. */
+    String waveStatusKey(long wave);
+
+    /** Returns what the operators are told of a wave. */
+    String waveStatus(long wave, boolean completed);
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
@@ -60,9 +60,15 @@
      * @param longestHoldMillis how far ahead a hold may reach
      * @param graceSeconds from SIGTERM until the process is killed
      * @param ownerLeaseMillis how long after an owner of the fleet its successor waits with its first order
+     * @param upkeepMillis how long the platform takes for the upkeep of an instance
      * @param fencedInstances whether the platform checks fences of orders on instances
      */
-    public record Bounds(long longestHoldMillis, long graceSeconds, long ownerLeaseMillis, boolean fencedInstances) {}
+    public record Bounds(
+            long longestHoldMillis,
+            long graceSeconds,
+            long ownerLeaseMillis,
+            long upkeepMillis,
+            boolean fencedInstances) {}
 
     /** Returns the settings in a file, or says what is wrong with them. */
     public static JobSettings read(Path path) throws SettingsException {
@@ -83,6 +89,7 @@
                         t.number("bounds.longest_hold_millis", 1_000, MOST_MILLIS),
                         t.number("bounds.grace_seconds", 1, 3_600),
                         t.number("bounds.owner_lease_millis", 0, MOST_MILLIS),
+                        t.seconds("bounds.upkeep_seconds"),
                         t.flag("bounds.fenced_instances")));
         t.refuseUnknown();
         return s;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/TomlChecks.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/TomlChecks.java
@@ -36,6 +36,7 @@
 final class TomlChecks {
 
     private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+    private static final double MILLIS_PER_SECOND = 1_000;
     private static final int MOST_PORT = 65_535;
 
     private final String file;
@@ -168,6 +169,15 @@
         return at(key).isMissingNode() ? otherwise : number(key, least, most);
     }
 
+    /** Returns a time, given in seconds with or without a fraction, in milliseconds. */
+    long seconds(String key) throws SettingsException {
+        JsonNode n = at(key);
+        if (!n.isNumber() || n.doubleValue() < 0) {
+            throw new SettingsException(file, key, "is missing or has the wrong type; give seconds, 0 or more");
+        }
+        return Math.round(n.doubleValue() * MILLIS_PER_SECOND);
+    }
+
     boolean flag(String key) throws SettingsException {
         JsonNode n = at(key);
         if (n.isMissingNode()) {
