--- a/daemon/src/main/java/org/lupinpaddle/daemon/Entry.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/Entry.java
@@ -34,6 +34,7 @@
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.HttpListener;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.common.ThreadEventLoop;
 import org.lupinpaddle.daemon.config.ConfigSync;
 import org.lupinpaddle.daemon.membership.EntryRecord;
 import org.lupinpaddle.daemon.membership.Membership;
@@ -68,7 +69,7 @@
     private static final long LEAVING_NOTICE_MILLIS = 300;
 
     private final Settings settings;
-    private final EventLoop loop = new EventLoop();
+    private final EventLoop loop = new ThreadEventLoop();
     private final MetricRegistry metrics = new MetricRegistry();
     private final Traces traces = new Traces();
     private final HttpClient platformClient = client("platform");
--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/EventLoop.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/EventLoop.java
@@ -15,73 +15,32 @@
  */
 package org.lupinpaddle.daemon.common;
 
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import org.lupinpaddle.core.common.Clock;
 
 /**
- * The one thread on which all decisions of an entry are taken. Every part of {@code core} is used on this
- * thread only, so the daemon needs no locks around decisions. Work given to it must not block.
+ * The one thread on which decisions are taken, one after the other, so that they need no locks. The model runs
+ * the same decisions on virtual time.
  */
-public final class EventLoop implements AutoCloseable {
-
-    private final ScheduledThreadPoolExecutor executor;
-    private final Clock clock;
-
-    /** Makes the loop and starts its thread. */
-    public EventLoop() {
-        long origin = System.nanoTime();
-        clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - origin);
-        executor = new ScheduledThreadPoolExecutor(1, r -> {
-            Thread t = new Thread(r, "decisions");
-            t.setDaemon(true);
-            return t;
-        });
-        executor.setRemoveOnCancelPolicy(true);
-        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
-    }
+public interface EventLoop extends AutoCloseable {
 
     /** Returns the clock by which decisions are taken. */
-    public Clock clock() {
-        return clock;
-    }
+    Clock clock();
 
     /** Runs a step on the loop, soon. */
-    public void execute(Runnable step) {
-        if (!executor.isShutdown()) {
-            executor.execute(() -> guarded(step));
-        }
-    }
+    void execute(Runnable step);
 
     /** Runs a step on the loop after a time; the returned handle cancels it. */
-    public Timer after(long millis, Runnable step) {
-        var f = executor.schedule(() -> guarded(step), millis, TimeUnit.MILLISECONDS);
-        return () -> f.cancel(false);
-    }
+    Timer after(long millis, Runnable step);
 
     /** Runs a step on the loop again and again, with a time between the end of one run and the next. */
-    public Timer every(long millis, Runnable step) {
-        var f = executor.scheduleWithFixedDelay(() -> guarded(step), millis, millis, TimeUnit.MILLISECONDS);
-        return () -> f.cancel(false);
-    }
-
-    private static void guarded(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            // One bad step must not end the loop, nor a repeated step its repetition.
-            Log.error("step-failed", e);
-        }
-    }
+    Timer every(long millis, Runnable step);
 
     @Override
-    public void close() {
-        executor.shutdownNow();
-    }
+    void close();
 
     /** A step that has been put off. */
     @FunctionalInterface
-    public interface Timer {
+    interface Timer {
         /** Cancels the step if it has not begun. */
         void cancel();
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/Log.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/Log.java
@@ -27,12 +27,16 @@
 
     /** Logs an ordinary event; the fields are keys and values in turn. */
     public static void info(String event, Object... fields) {
-        Logger.info(line(event, fields));
+        if (Logger.isInfoEnabled()) {
+            Logger.info(line(event, fields));
+        }
     }
 
     /** Logs an event that an operator should look at when awake. */
     public static void warn(String event, Object... fields) {
-        Logger.warn(line(event, fields));
+        if (Logger.isWarnEnabled()) {
+            Logger.warn(line(event, fields));
+        }
     }
 
     /** Logs a fault of this program. */
--- a/daemon/src/test/java/org/lupinpaddle/daemon/platform/StoreWriterTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/platform/StoreWriterTest.java
@@ -29,10 +29,11 @@
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.view.StoredRecord;
 import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.ThreadEventLoop;
 
 class StoreWriterTest {
 
-    private final EventLoop loop = new EventLoop();
+    private final EventLoop loop = new ThreadEventLoop();
 
     @AfterEach
     void close() {
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -0,0 +1,95 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.LongStream;
+
+/**
+ * Runs histories by hand. Exit codes: 0 every rule held, 1 one was broken, 2 wrong words. To see an entry's own
+ * log of one seed, set {@code -Dtinylog.level=info}.
+ */
+@Command(name = "lupinpaddle-model", description = "Runs seeded histories on virtual time and checks the rules")
+public final class ModelMain {
+
+    private static final int EXIT_HELD = 0;
+    private static final int EXIT_BROKEN = 1;
+    private static final int EXIT_WRONG = 2;
+    private static final double MILLIS_PER_MINUTE = 60_000;
+
+    @Option(name = "--seed", title = "N", description = "The first seed (default 1)")
+    private long seed = 1;
+
+    @Option(name = "--count", title = "N", description = "How many seeds, counted up (default 1)")
+    private long count = 1;
+
+    @Option(name = "--faults", title = "N", description = "At most so many faults a history (default 4)")
+    private int faults = 4;
+
+    /** Runs the histories that the arguments name. */
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    private static int run(String[] args) {
+        try {
+            return SingleCommand.singleCommand(ModelMain.class).parse(args).execute();
+        } catch (ParseException e) {
+            System.err.println("lupinpaddle-model: " + e.getMessage());
+            return EXIT_WRONG;
+        }
+    }
+
+    private int execute() {
+        long begun = System.nanoTime();
+        AtomicInteger broken = new AtomicInteger();
+        LongStream.range(seed, seed + count).parallel().forEach(s -> {
+            if (!holds(s)) {
+                broken.incrementAndGet();
+            }
+        });
+        double minutes = (System.nanoTime() - begun) / 1e6 / MILLIS_PER_MINUTE;
+        System.out.printf("histories=%d broken=%d per-minute=%.0f%n", count, broken.get(), count / minutes);
+        return broken.get() == 0 ? EXIT_HELD : EXIT_BROKEN;
+    }
+
+    private boolean holds(long s) {
+        World w = new World(s, faults);
+        try {
+            w.run();
+            return true;
+        } catch (RuleBrokenException e) {
+            report(s, w, String.valueOf(e.getMessage()));
+        } catch (RuntimeException e) {
+            report(s, w, e.toString());
+            e.printStackTrace();
+        }
+        return false;
+    }
+
+    private void report(long s, World w, String what) {
+        synchronized (System.out) {
+            System.out.println("seed=" + s + " broken: " + what);
+            if (count == 1) {
+                w.history().forEach(System.out::println);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/RuleBrokenException.java
@@ -0,0 +1,27 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+/** A history broke a rule; the message says which and how. */
+public final class RuleBrokenException extends RuntimeException {
+
+    private static final long serialVersionUID = 1L;
+
+    /** Makes the exception. */
+    RuleBrokenException(String rule, String how) {
+        super(rule + ": " + how);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -0,0 +1,298 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.Submission;
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.run.StartOrder;
+
+/** Holds what workers and callers see against the rules, and ends a history at the first that is broken. */
+final class Rules {
+
+    /** A rule; one that is switched off is not checked. */
+    enum Rule {
+        /** A task runs at most once at a time, and not again after it was done. */
+        TWICE,
+        /** A task starts after the steps before its own. */
+        ORDER,
+        /** Nothing starts that nobody asked for, or that was cancelled a while ago. */
+        UNASKED,
+        /** Nothing starts of a job all of whose submissions were refused. */
+        REFUSED,
+        /** No more starts than attempts. */
+        BUDGET,
+        /** Tasks start on workers of their service, with the label, within the most of one worker. */
+        ROUTE,
+        /** A worker that does not guard its room is not taken beyond it. */
+        LIMIT,
+        /** Lasting tasks at work are not taken away by more than their caller allows. */
+        AVAIL,
+        /** A worker that drains gets nothing new. */
+        DRAIN,
+        /** Orders on instances come from one owner at a time. */
+        ONE,
+        /** Callers are told the truth. */
+        MIXED,
+        /** Accepted work is done in the end. */
+        LOST,
+        /** No more instances of a wave are down than allowed. */
+        WAVE
+    }
+
+    private static final long CANCEL_MILLIS = 3_000;
+
+    private final VirtualTime time;
+    private final Set<Rule> off = EnumSet.noneOf(Rule.class);
+    private final Map<String, JobTruth> jobs = new HashMap<>();
+
+    /** What is true of a job, whoever knows it. */
+    static final class JobTruth {
+        final String id;
+        final String service;
+        final int maxAttempts;
+        final Submission submission;
+        final Map<TaskId, TaskTruth> tasks = new HashMap<>();
+        boolean hopeless;
+        boolean accepted;
+        long acceptedAt;
+        boolean allRefused;
+        long cancelAnsweredAt = World.NEVER;
+        boolean cancelSent;
+
+        JobTruth(String id, String service, int maxAttempts, Submission submission) {
+            this.id = id;
+            this.service = service;
+            this.maxAttempts = maxAttempts;
+            this.submission = submission;
+        }
+
+        TaskTruth task(TaskId t) {
+            return tasks.computeIfAbsent(t, k -> new TaskTruth());
+        }
+
+        StepSpec step(TaskId t) {
+            return submission.steps().get(t.step());
+        }
+
+        boolean lasting() {
+            return submission.steps().stream().anyMatch(StepSpec::longRunning);
+        }
+
+        boolean allDone() {
+            for (int s = 0; s < submission.steps().size(); s++) {
+                for (int i = 0; i < submission.steps().get(s).count(); i++) {
+                    if (!task(new TaskId(0, s, i)).done) {
+                        return false;
+                    }
+                }
+            }
+            return true;
+        }
+    }
+
+    /** What is true of a task. */
+    static final class TaskTruth {
+        @Nullable
+        SimWorker runsOn;
+
+        boolean done;
+        boolean doneNoted;
+        boolean startedAfterDone;
+        int failedNoted;
+        int failed;
+        boolean atWork;
+        long awaySince;
+    }
+
+    Rules(VirtualTime time) {
+        this.time = time;
+    }
+
+    void switchOff(Rule r) {
+        off.add(r);
+    }
+
+    JobTruth submitted(String id, String service, int maxAttempts, Submission s) {
+        return jobs.computeIfAbsent(id, i -> new JobTruth(i, service, maxAttempts, s));
+    }
+
+    Iterable<JobTruth> jobs() {
+        return jobs.values();
+    }
+
+    void broken(Rule r, String how) {
+        if (!off.contains(r)) {
+            throw new RuleBrokenException(r.name(), "at " + time.now() + " ms: " + how);
+        }
+    }
+
+    void require(Rule r, boolean holds, String how) {
+        if (!holds) {
+            broken(r, how);
+        }
+    }
+
+    /** A worker begins a run. */
+    void started(SimWorker w, StartOrder o) {
+        String what = o.jobId() + "." + o.task() + " run " + o.run() + " on " + w.id();
+        JobTruth job = jobs.get(o.jobId());
+        if (job == null) {
+            broken(Rule.UNASKED, what + ": no such job");
+            return;
+        }
+        require(Rule.UNASKED, o.text().equals(job.submission.text()), what + ": another text");
+        require(Rule.REFUSED, !job.allRefused, what + ": every submission was refused");
+        require(
+                Rule.UNASKED,
+                time.now() <= job.cancelAnsweredAt + CANCEL_MILLIS,
+                what + ": cancelled at " + job.cancelAnsweredAt);
+        require(Rule.ROUTE, job.service.equals(w.service()), what + ": worker of " + w.service());
+        require(Rule.ROUTE, w.facts().hasLabel(job.step(o.task()).label()), what + ": label missing");
+        require(Rule.DRAIN, time.now() <= w.drainsSince() + World.DRAIN_MILLIS, what + ": draining");
+        checkOrder(job, o.task(), what);
+        checkSpread(job, o.task(), w, what);
+        TaskTruth t = job.task(o.task());
+        require(
+                Rule.TWICE,
+                t.runsOn == null || !t.runsOn.isUp(),
+                what + ": it runs already on " + (t.runsOn == null ? "" : t.runsOn.id()));
+        if (t.done) {
+            require(Rule.TWICE, !t.doneNoted, what + ": it was done and that was noted");
+            t.startedAfterDone = true;
+        }
+        if (!job.step(o.task()).longRunning()) {
+            require(Rule.BUDGET, t.failedNoted < job.maxAttempts, what + ": failed " + t.failedNoted + " times");
+        }
+        t.runsOn = w;
+        t.atWork = false;
+    }
+
+    private void checkOrder(JobTruth job, TaskId id, String what) {
+        for (int before : job.step(id).after()) {
+            for (int i = 0; i < job.submission.steps().get(before).count(); i++) {
+                require(Rule.ORDER, job.task(new TaskId(id.time(), before, i)).done, what + ": step " + before);
+            }
+        }
+    }
+
+    private void checkSpread(JobTruth job, TaskId id, SimWorker w, String what) {
+        int most = job.step(id).perWorkerMost();
+        if (most == 0) {
+            return;
+        }
+        long there = job.tasks.entrySet().stream()
+                .filter(e -> e.getKey().step() == id.step() && e.getValue().runsOn == w)
+                .count();
+        require(Rule.ROUTE, there < most, what + ": " + there + " of its step are there");
+    }
+
+    /** A run is over on its worker. */
+    void ended(SimWorker w, String jobId, TaskId id, EndKind kind) {
+        JobTruth job = jobs.get(jobId);
+        if (job == null) {
+            return;
+        }
+        TaskTruth t = job.task(id);
+        if (t.runsOn == w) {
+            t.runsOn = null;
+            setAtWork(t, false);
+        }
+        if (kind == EndKind.DONE) {
+            t.done = true;
+        } else if (kind == EndKind.FAILED) {
+            t.failed++;
+        }
+    }
+
+    /** A worker has been told to forget an end. */
+    void noted(String jobId, TaskId id, EndKind kind, boolean lapsedSince) {
+        JobTruth job = jobs.get(jobId);
+        if (job == null) {
+            return;
+        }
+        TaskTruth t = job.task(id);
+        if (kind == EndKind.DONE) {
+            t.doneNoted = true;
+            require(
+                    Rule.TWICE,
+                    !t.startedAfterDone || lapsedSince,
+                    jobId + "." + id + ": started again after the end that is noted now");
+        } else if (kind == EndKind.FAILED) {
+            t.failedNoted++;
+        }
+    }
+
+    void atWork(String jobId, TaskId id) {
+        JobTruth job = jobs.get(jobId);
+        if (job != null) {
+            setAtWork(job.task(id), true);
+        }
+    }
+
+    private void setAtWork(TaskTruth t, boolean yes) {
+        if (t.atWork && !yes) {
+            t.awaySince = time.now();
+        }
+        t.atWork = yes;
+    }
+
+    /** A lasting task that is at work is about to be ended by an order. */
+    void takenAway(SimWorker w, String jobId, TaskId id, String by) {
+        JobTruth job = jobs.get(jobId);
+        if (job == null || job.cancelSent) {
+            return;
+        }
+        StepSpec step = job.step(id);
+        boolean covered =
+                step.longRunning() && step.mayMiss() > 0 && job.task(id).atWork && w.drainsSince() == World.NEVER;
+        if (!covered) {
+            return;
+        }
+        Set<Integer> away = new HashSet<>();
+        for (int i = 0; i < step.count(); i++) {
+            TaskId other = new TaskId(id.time(), id.step(), i);
+            if (i != id.index() && !job.task(other).atWork) {
+                away.add(i);
+            }
+        }
+        require(
+                Rule.AVAIL,
+                away.size() < step.mayMiss(),
+                jobId + "." + id + " taken from " + w.id() + " by " + by + " while " + away + " are away");
+    }
+
+    /** A caller is told that a job has come to an end. */
+    void toldCompleted(JobTruth job) {
+        require(Rule.MIXED, job.allDone(), job.id + " is said to be completed, and is not");
+    }
+
+    void toldFailed(JobTruth job) {
+        boolean cause = job.tasks.entrySet().stream().anyMatch(e -> e.getValue().failed >= job.maxAttempts);
+        require(Rule.LOST, cause, job.id + " is said to have failed, without cause");
+    }
+
+    void toldUnknown(JobTruth job) {
+        require(Rule.LOST, !job.accepted, job.id + " was accepted at " + job.acceptedAt + " and is said not to exist");
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -0,0 +1,112 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import org.lupinpaddle.daemon.jobs.JobNode;
+import org.lupinpaddle.daemon.settings.JobSettings;
+
+/** One entry: its place, and the life of the process that runs there now. */
+final class SimEntry {
+
+    private static final long SERVE_ON_MILLIS = 3_000;
+
+    final String name;
+    final String hall;
+    private final World world;
+    private VirtualLoop loop;
+    private JobNode node;
+    private boolean up;
+
+    SimEntry(World world, String name, String hall) {
+        this.world = world;
+        this.name = name;
+        this.hall = hall;
+        loop = new VirtualLoop(world.time);
+        node = life();
+    }
+
+    private JobNode life() {
+        loop = new VirtualLoop(world.time);
+        up = true;
+        JobSettings.Bounds bounds =
+                new JobSettings.Bounds(SimWorker.MOST_HOLD_MILLIS, 6, World.LEASE_MILLIS, World.UPKEEP_MILLIS, false);
+        return new JobNode(
+                loop,
+                new JobNode.Parts(
+                        name,
+                        new SimStorePort(world.time, world.store, world.net, name, hall),
+                        new SimRecords(),
+                        new SimWorkerPort(world, hall),
+                        new SimInstancePort(world),
+                        bounds,
+                        () -> World.EPOCH + world.time.now()));
+    }
+
+    void start() {
+        node.start();
+    }
+
+    boolean isUp() {
+        return up && !loop.isFrozen();
+    }
+
+    VirtualLoop loop() {
+        return loop;
+    }
+
+    JobNode node() {
+        return node;
+    }
+
+    void kill(long downMillis) {
+        if (!up) {
+            return;
+        }
+        up = false;
+        loop.close();
+        world.time.after(downMillis, this::restart);
+    }
+
+    private void restart() {
+        if (!up) {
+            node = life();
+            node.start();
+        }
+    }
+
+    /** Stops as on SIGTERM: hands over, serves on for a while, ends, and comes back. */
+    void stopGracefully() {
+        if (!isUp()) {
+            return;
+        }
+        node.stop();
+        VirtualLoop ending = loop;
+        world.time.after(SERVE_ON_MILLIS, () -> {
+            if (loop == ending) {
+                kill(500);
+            }
+        });
+    }
+
+    void freeze(long millis) {
+        if (!isUp()) {
+            return;
+        }
+        VirtualLoop frozen = loop;
+        frozen.freeze();
+        world.time.after(millis, frozen::thaw);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/SimFleet.java
@@ -0,0 +1,277 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
+import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.core.fleet.PlatformInstance.State;
+import org.lupinpaddle.core.placement.Room;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+
+/** The instances with the workers that live on them, and the platform's orders on instances. */
+final class SimFleet {
+
+    private static final long LIST_LAG_MILLIS = 800;
+    private static final long LAPSE_MILLIS = 4_500;
+    private static final Room ROOM = new Room(8_000, 16_000, 0);
+
+    private final VirtualTime time;
+    private final SimStore store;
+    private final Rules rules;
+    private final Random random;
+    private final Map<String, Machine> machines = new TreeMap<>();
+    private final Set<String> maintained = new HashSet<>();
+    private final Map<Long, UpkeepWave> waves = new TreeMap<>();
+    private List<PlatformInstance> shown = List.of();
+    private int lives;
+    private String lastHolder = "";
+    private long lastFence;
+    private long lastOrderAt = Long.MIN_VALUE / 2;
+
+    private static final class Machine {
+        final String id;
+        final String hall;
+        final String rack;
+        final String address;
+        String pool;
+        State state = State.UP;
+
+        @Nullable
+        SimWorker worker;
+
+        Machine(String id, String hall, String rack, String address, String pool) {
+            this.id = id;
+            this.hall = hall;
+            this.rack = rack;
+            this.address = address;
+            this.pool = pool;
+        }
+    }
+
+    SimFleet(VirtualTime time, SimStore store, Rules rules, Random random) {
+        this.time = time;
+        this.store = store;
+        this.rules = rules;
+        this.random = random;
+    }
+
+    void add(String hall, String rack, String pool) {
+        String id = "m-" + machines.size();
+        Machine m = new Machine(id, hall, rack, "a-" + machines.size(), pool);
+        machines.put(id, m);
+        bringUp(m);
+    }
+
+    void startLagging() {
+        List<PlatformInstance> now = snapshot();
+        time.after(LIST_LAG_MILLIS, () -> shown = now);
+        time.after(LIST_LAG_MILLIS / 4, this::startLagging);
+    }
+
+    private List<PlatformInstance> snapshot() {
+        List<PlatformInstance> all = new ArrayList<>();
+        for (Machine m : machines.values()) {
+            all.add(new PlatformInstance(m.id, m.pool, m.state, m.hall, m.worker == null ? "" : m.worker.id()));
+        }
+        return all;
+    }
+
+    private void bringUp(Machine m) {
+        m.state = State.UP;
+        if (m.pool.equals(World.HEADROOM)) {
+            m.worker = null;
+            return;
+        }
+        WorkerFacts f =
+                new WorkerFacts("w-" + lives++, m.pool, m.address, m.hall, false, 0, ROOM, List.of("kind", m.rack));
+        m.worker = new SimWorker(time, rules, random, f);
+        list(m.worker);
+    }
+
+    private void list(SimWorker w) {
+        store.set(World.WORKERS + w.id(), RecordCodec.write(w.facts()));
+    }
+
+    private void unlistLater(SimWorker w) {
+        time.after(LAPSE_MILLIS, () -> store.clear(World.WORKERS + w.id()));
+    }
+
+    @Nullable
+    SimWorker atAddress(String address) {
+        for (Machine m : machines.values()) {
+            if (m.address.equals(address)) {
+                return m.worker;
+            }
+        }
+        return null;
+    }
+
+    List<SimWorker> workers() {
+        return machines.values().stream()
+                .map(m -> m.worker)
+                .filter(w -> w != null && w.isUp())
+                .toList();
+    }
+
+    /** A worker crashes; its instance comes back with another life, or never. */
+    void crash(SimWorker w, long downMillis) {
+        Machine m = machineOf(w);
+        if (m == null || !w.isUp()) {
+            return;
+        }
+        w.crash();
+        unlistLater(w);
+        m.state = State.DOWN;
+        time.after(downMillis, () -> {
+            if (m.state == State.DOWN && m.worker == w) {
+                bringUp(m);
+            }
+        });
+    }
+
+    /** A worker drains, leaves, and another comes. */
+    void drain(SimWorker w, long remainingMillis) {
+        Machine m = machineOf(w);
+        if (m == null || !w.isUp() || w.drainsSince() != World.NEVER) {
+            return;
+        }
+        w.drain(remainingMillis);
+        list(w);
+        time.after(remainingMillis, () -> {
+            if (m.worker == w && w.isUp()) {
+                w.crash();
+                store.clear(World.WORKERS + w.id());
+                m.state = State.DOWN;
+                time.after(1_000, () -> {
+                    if (m.state == State.DOWN) {
+                        bringUp(m);
+                    }
+                });
+            }
+        });
+    }
+
+    /** The store forgets a worker that lives on, for a while. */
+    void lapse(SimWorker w, long millis) {
+        store.clear(World.WORKERS + w.id());
+        time.after(millis, () -> {
+            if (w.isUp()) {
+                list(w);
+            }
+        });
+    }
+
+    private @Nullable Machine machineOf(SimWorker w) {
+        return machines.values().stream().filter(m -> m.worker == w).findFirst().orElse(null);
+    }
+
+    void ask(UpkeepWave w) {
+        waves.put(w.number(), w);
+        store.set(World.WAVES + w.number(), RecordCodec.write(w));
+    }
+
+    List<String> machineIds() {
+        return List.copyOf(machines.keySet());
+    }
+
+    boolean isMaintained(long wave) {
+        UpkeepWave w = waves.get(wave);
+        return w == null || w.instances().stream().allMatch(i -> maintained.contains(i + "/" + wave));
+    }
+
+    CompletableFuture<List<PlatformInstance>> list(Net net) {
+        CompletableFuture<List<PlatformInstance>> f = new CompletableFuture<>();
+        net.deliver(net.latency() * 2, () -> f.complete(shown));
+        return f;
+    }
+
+    CompletableFuture<InstanceOrderOutcome> order(Net net, String id, Errand errand, String holder, long fence) {
+        CompletableFuture<InstanceOrderOutcome> f = new CompletableFuture<>();
+        net.deliver(net.latency(), () -> {
+            InstanceOrderOutcome o = carryOut(machines.get(id), errand, holder, fence);
+            net.deliver(net.latency(), () -> f.complete(o));
+        });
+        return f;
+    }
+
+    private InstanceOrderOutcome carryOut(@Nullable Machine m, Errand errand, String holder, long fence) {
+        checkOne(holder, fence);
+        if (m == null) {
+            return InstanceOrderOutcome.IMPOSSIBLE;
+        }
+        boolean upkeep = errand.kind() == Errand.Kind.UPKEEP;
+        if (upkeep ? maintained.contains(m.id + "/" + errand.target()) : m.pool.equals(errand.target())) {
+            return InstanceOrderOutcome.TAKEN;
+        }
+        if (m.state != State.UP || (m.worker != null && m.worker.drainsSince() != World.NEVER)) {
+            return InstanceOrderOutcome.BUSY;
+        }
+        if (upkeep) {
+            checkWave(m, Long.parseLong(errand.target()));
+        }
+        takeAway(m, errand);
+        return InstanceOrderOutcome.TAKEN;
+    }
+
+    private void takeAway(Machine m, Errand errand) {
+        boolean upkeep = errand.kind() == Errand.Kind.UPKEEP;
+        SimWorker w = m.worker;
+        if (w != null) {
+            w.takeAway(errand.toString());
+            unlistLater(w);
+            m.worker = null;
+        }
+        if (upkeep) {
+            maintained.add(m.id + "/" + errand.target());
+        } else {
+            m.pool = errand.target();
+        }
+        m.state = upkeep ? State.UPKEEP : State.MOVING;
+        time.after(upkeep ? World.UPKEEP_MILLIS : World.MOVE_MILLIS, () -> bringUp(m));
+    }
+
+    private void checkOne(String holder, long fence) {
+        boolean other = !holder.equals(lastHolder) || fence != lastFence;
+        boolean turns = other && time.now() - lastOrderAt < World.LEASE_MILLIS && !lastHolder.isEmpty();
+        rules.require(Rules.Rule.ONE, !turns, holder + " orders right after " + lastHolder);
+        rules.require(Rules.Rule.ONE, fence >= lastFence, holder + " orders with an older fence");
+        lastHolder = holder;
+        lastFence = fence;
+        lastOrderAt = time.now();
+    }
+
+    private void checkWave(Machine m, long number) {
+        UpkeepWave w = Objects.requireNonNull(waves.get(number), "an order names a wave that was asked for");
+        long down = w.instances().stream()
+                .map(machines::get)
+                .filter(o -> o != null && o.state == State.UPKEEP)
+                .count();
+        rules.require(Rules.Rule.WAVE, down < w.most(), m.id + " goes down while " + down + " of the wave are");
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/SimInstancePort.java
@@ -0,0 +1,43 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
+import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.daemon.port.InstanceOrders;
+
+/** One entry's way to the instances. */
+final class SimInstancePort implements InstanceOrders {
+
+    private final World world;
+
+    SimInstancePort(World world) {
+        this.world = world;
+    }
+
+    @Override
+    public CompletableFuture<List<PlatformInstance>> list() {
+        return world.fleet.list(world.net);
+    }
+
+    @Override
+    public CompletableFuture<InstanceOrderOutcome> order(String instance, Errand errand, String holder, long fence) {
+        return world.fleet.order(world.net, instance, errand, holder, fence);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/SimRecords.java
@@ -0,0 +1,68 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import io.vavr.control.Either;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/** The records of operators and workers, in the product's own form. */
+final class SimRecords implements PlatformRecords {
+
+    @Override
+    public String configurationKey() {
+        return World.CONFIGURATION;
+    }
+
+    @Override
+    public String workerPrefix() {
+        return World.WORKERS;
+    }
+
+    @Override
+    public Either<String, JobConfiguration> configuration(StoreItem item) {
+        return RecordCodec.read(item.value(), JobConfiguration.class);
+    }
+
+    @Override
+    public Either<String, WorkerFacts> worker(StoreItem item) {
+        return RecordCodec.read(item.value(), WorkerFacts.class);
+    }
+
+    @Override
+    public String wavePrefix() {
+        return World.WAVES;
+    }
+
+    @Override
+    public Either<String, UpkeepWave> wave(StoreItem item) {
+        return RecordCodec.read(item.value(), UpkeepWave.class);
+    }
+
+    @Override
+    public String waveStatusKey(long wave) {
+        return World.WAVE_STATUS + wave;
+    }
+
+    @Override
+    public String waveStatus(long wave, boolean completed) {
+        return completed ? World.COMPLETED : "running";
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/SimStore.java
@@ -0,0 +1,226 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.daemon.port.CommitResult;
+import org.lupinpaddle.daemon.port.StoreChanges;
+import org.lupinpaddle.daemon.port.StoreCommit;
+import org.lupinpaddle.daemon.port.StoreItem;
+import org.lupinpaddle.daemon.port.StoreRange;
+
+/** The platform's store: items with revisions, leases, history, and commits that are whole or not at all. */
+final class SimStore {
+
+    private final VirtualTime time;
+    private final TreeMap<String, StoreItem> items = new TreeMap<>();
+    private final List<Event> history = new ArrayList<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
+    private final List<Runnable> watchers = new ArrayList<>();
+    private long revision = 1;
+    private long compactedUpTo;
+    private long nextLease = 1;
+    /** While leases wait, none runs out. */
+    private boolean leasesWait;
+
+    private record Event(
+            long revision, String key, @Nullable StoreItem item) {}
+
+    private static final class Lease {
+        final long ttl;
+        long endsAt;
+        final Set<String> keys = new HashSet<>();
+
+        Lease(long ttl, long endsAt) {
+            this.ttl = ttl;
+            this.endsAt = endsAt;
+        }
+    }
+
+    SimStore(VirtualTime time) {
+        this.time = time;
+    }
+
+    Optional<StoreItem> read(String key) {
+        return Optional.ofNullable(items.get(key));
+    }
+
+    StoreRange range(String prefix) {
+        return new StoreRange(
+                items.tailMap(prefix).values().stream()
+                        .takeWhile(i -> i.key().startsWith(prefix))
+                        .toList(),
+                revision);
+    }
+
+    /** Returns what has changed, or null when that is not kept any more. */
+    @Nullable
+    StoreChanges changes(String prefix, long after) {
+        if (after < compactedUpTo) {
+            return null;
+        }
+        List<StoreChanges.Change> all = new ArrayList<>();
+        long at = after;
+        for (Event e : history) {
+            if (e.revision > after) {
+                at = Math.max(at, e.revision);
+                if (e.key.startsWith(prefix)) {
+                    all.add(new StoreChanges.Change(e.key, e.item));
+                }
+            }
+        }
+        return new StoreChanges(all, at);
+    }
+
+    /** Runs a step at the next change. */
+    void atNextChange(Runnable r) {
+        watchers.add(r);
+    }
+
+    void compact() {
+        compactedUpTo = revision;
+        history.clear();
+        wake();
+    }
+
+    CommitResult commit(StoreCommit c) {
+        boolean holds = c.conditions().stream().allMatch(w -> revisionOf(w.key()) == w.revision());
+        if (!holds) {
+            List<StoreItem> current = c.conditions().stream()
+                    .map(w -> items.get(w.key()))
+                    .filter(i -> i != null)
+                    .toList();
+            return new CommitResult(CommitResult.Outcome.CONFLICT, 0, current);
+        }
+        if (c.puts().stream().anyMatch(p -> p.lease() != 0 && !leases.containsKey(p.lease()))) {
+            return new CommitResult(CommitResult.Outcome.LEASE_ENDED, 0, List.of());
+        }
+        revision++;
+        for (StoreCommit.Put p : c.puts()) {
+            put(new StoreItem(p.key(), p.value(), revision, p.lease()));
+        }
+        c.removals().forEach(this::remove);
+        wake();
+        return new CommitResult(CommitResult.Outcome.MADE, revision, List.of());
+    }
+
+    private long revisionOf(String key) {
+        StoreItem i = items.get(key);
+        return i == null ? 0 : i.revision();
+    }
+
+    private void put(StoreItem i) {
+        items.put(i.key(), i);
+        history.add(new Event(i.revision(), i.key(), i));
+        Lease l = leases.get(i.lease());
+        if (l != null) {
+            l.keys.add(i.key());
+        }
+    }
+
+    private void remove(String key) {
+        if (items.remove(key) != null) {
+            history.add(new Event(revision, key, null));
+        }
+    }
+
+    /** Writes what operators and workers write. */
+    void set(String key, String value) {
+        revision++;
+        put(new StoreItem(key, value, revision, 0));
+        wake();
+    }
+
+    void clear(String key) {
+        revision++;
+        remove(key);
+        wake();
+    }
+
+    private void wake() {
+        List<Runnable> all = List.copyOf(watchers);
+        watchers.clear();
+        all.forEach(Runnable::run);
+    }
+
+    long openLease(long ttl) {
+        long id = nextLease++;
+        leases.put(id, new Lease(ttl, time.now() + ttl));
+        expireLater(id, ttl);
+        return id;
+    }
+
+    private void expireLater(long id, long millis) {
+        time.after(millis, () -> {
+            Lease l = leases.get(id);
+            if (l == null) {
+                return;
+            }
+            if (leasesWait) {
+                l.endsAt = Math.max(l.endsAt, time.now() + l.ttl);
+            }
+            if (time.now() >= l.endsAt) {
+                endLease(id);
+            } else {
+                expireLater(id, l.endsAt - time.now());
+            }
+        });
+    }
+
+    boolean keepLease(long id) {
+        Lease l = leases.get(id);
+        if (l == null) {
+            return false;
+        }
+        l.endsAt = time.now() + l.ttl;
+        return true;
+    }
+
+    boolean endLease(long id) {
+        Lease l = leases.remove(id);
+        if (l == null) {
+            return false;
+        }
+        revision++;
+        l.keys.stream()
+                .filter(k -> items.containsKey(k) && items.get(k).lease() == id)
+                .toList()
+                .forEach(this::remove);
+        wake();
+        return true;
+    }
+
+    /** Ends the leases of the keys whose value is this, and nobody is told. */
+    void revoke(String value) {
+        Set<Long> ids = new HashSet<>();
+        items.values().stream()
+                .filter(i -> i.lease() != 0 && i.value().equals(value))
+                .forEach(i -> ids.add(i.lease()));
+        ids.forEach(this::endLease);
+    }
+
+    void leasesWait(boolean wait) {
+        leasesWait = wait;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -0,0 +1,114 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.run.HoldOrder;
+import org.lupinpaddle.core.run.OrderOutcome;
+import org.lupinpaddle.core.run.StartOrder;
+import org.lupinpaddle.core.run.StopOrder;
+import org.lupinpaddle.daemon.port.HoldResult;
+import org.lupinpaddle.daemon.port.WorkerOrders;
+
+/** One entry's way to the workers. */
+final class SimWorkerPort implements WorkerOrders {
+
+    private static final long CALL_MILLIS = 500;
+
+    private final World world;
+    private final String hall;
+
+    SimWorkerPort(World world, String hall) {
+        this.world = world;
+        this.hall = hall;
+    }
+
+    @Override
+    public CompletableFuture<OrderOutcome> start(StartOrder o, long fence) {
+        return order(o.worker(), (w, f) -> w.start(o, f), fence);
+    }
+
+    @Override
+    public CompletableFuture<OrderOutcome> stop(StopOrder o, long fence) {
+        return order(o.worker(), (w, f) -> w.stop(o, f), fence);
+    }
+
+    private CompletableFuture<OrderOutcome> order(
+            WorkerFacts to, BiFunction<SimWorker, Long, OrderOutcome> action, long fence) {
+        CompletableFuture<OrderOutcome> f = new CompletableFuture<>();
+        SimWorker w = world.fleet.atAddress(to.address());
+        if (w == null) {
+            // Whoever is down keeps silent here; a port that refuses is the easier case.
+            world.time.after(CALL_MILLIS, () -> f.complete(OrderOutcome.UNKNOWN));
+            return f;
+        }
+        Trouble t = world.net.toWorker(hall, w, true);
+        if (t == Trouble.NONE) {
+            world.net.deliver(world.net.latency(), () -> {
+                OrderOutcome o = carryOut(w, to, action, fence);
+                if (o != OrderOutcome.UNKNOWN && world.net.toWorker(hall, w, false) == Trouble.NONE) {
+                    world.net.deliver(world.net.latency(), () -> f.complete(o));
+                }
+            });
+        } else if (t == Trouble.LATE) {
+            world.net.deliver(world.net.lateness(), () -> carryOut(w, to, action, fence));
+        }
+        world.time.after(CALL_MILLIS, () -> f.complete(OrderOutcome.UNKNOWN));
+        return f;
+    }
+
+    private static OrderOutcome carryOut(
+            SimWorker w, WorkerFacts to, BiFunction<SimWorker, Long, OrderOutcome> action, long fence) {
+        if (!w.isUp()) {
+            return OrderOutcome.UNKNOWN;
+        }
+        return w.id().equals(to.id()) ? action.apply(w, fence) : OrderOutcome.OTHER_LIFE;
+    }
+
+    @Override
+    public CompletableFuture<HoldResult> hold(HoldOrder o, long fence) {
+        CompletableFuture<HoldResult> f = new CompletableFuture<>();
+        SimWorker w = world.fleet.atAddress(o.worker().address());
+        if (w != null && world.net.toWorker(hall, w, false) == Trouble.NONE) {
+            world.net.deliver(world.net.latency(), () -> arrive(w, o, fence, f));
+        }
+        world.time.after(o.waitMillis() + CALL_MILLIS, () -> f.complete(new HoldResult(OrderOutcome.UNKNOWN, null)));
+        return f;
+    }
+
+    private void arrive(SimWorker w, HoldOrder o, long fence, CompletableFuture<HoldResult> f) {
+        if (!w.isUp()) {
+            return;
+        }
+        if (!w.id().equals(o.worker().id())) {
+            reply(w, f, new HoldResult(OrderOutcome.OTHER_LIFE, null));
+            return;
+        }
+        w.hold(
+                o,
+                fence,
+                a -> reply(w, f, new HoldResult(OrderOutcome.ACCEPTED, a)),
+                () -> reply(w, f, new HoldResult(OrderOutcome.FENCED, null)));
+    }
+
+    private void reply(SimWorker w, CompletableFuture<HoldResult> f, HoldResult r) {
+        if (world.net.toWorker(hall, w, false) == Trouble.NONE) {
+            world.net.deliver(world.net.latency(), () -> f.complete(r));
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/VirtualTime.java
@@ -0,0 +1,53 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.PriorityQueue;
+
+/** Time that passes only when nothing is left to be done: steps run in the order of their moments. */
+final class VirtualTime {
+
+    private final PriorityQueue<Step> steps = new PriorityQueue<>();
+    private long now;
+    private long sequence;
+
+    private record Step(long at, long sequence, Runnable what) implements Comparable<Step> {
+        @Override
+        public int compareTo(Step o) {
+            int c = Long.compare(at, o.at);
+            return c != 0 ? c : Long.compare(sequence, o.sequence);
+        }
+    }
+
+    long now() {
+        return now;
+    }
+
+    /** Runs a step so many milliseconds from now. */
+    void after(long millis, Runnable what) {
+        steps.add(new Step(now + Math.max(0, millis), sequence++, what));
+    }
+
+    /** Lets time pass up to a moment. */
+    void runUntil(long end) {
+        while (!steps.isEmpty() && steps.peek().at <= end) {
+            Step s = steps.poll();
+            now = s.at;
+            s.what.run();
+        }
+        now = end;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -0,0 +1,238 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.Policy;
+import org.lupinpaddle.core.job.Repeat;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.Submission;
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.queue.QueueConfig;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+
+/** One history: a platform with its workers, entries and callers, made and driven by a seed. */
+public final class World {
+
+    static final long NEVER = Long.MAX_VALUE / 2;
+    static final long EPOCH = 1_700_000_000_000L;
+    static final long DRAIN_MILLIS = 2_000;
+    static final long LEASE_MILLIS = 3_000;
+    static final long UPKEEP_MILLIS = 2_000;
+    static final long MOVE_MILLIS = 1_500;
+    static final String HEADROOM = "spare";
+    static final String CONFIGURATION = "model/configuration";
+    static final String WORKERS = "model/worker/";
+    static final String WAVES = "model/wave/";
+    static final String WAVE_STATUS = "model/wave-status/";
+    static final String COMPLETED = "completed";
+
+    private static final List<String> SERVICES = List.of("clips", "archive");
+    private static final List<String> HALLS = List.of("north", "south", "west");
+    private static final int ENTRIES = 4;
+    private static final int MACHINES = 12;
+    private static final int JOBS = 16;
+    private static final int MAX_ATTEMPTS = 3;
+    private static final long TRAFFIC_FROM = 5_000;
+    private static final long TRAFFIC_MILLIS = 20_000;
+    private static final long CALM_MILLIS = 40_000;
+    private static final long WAVE_AT = 7_000;
+    private static final long LASTING_AWAY_MILLIS = 6_000;
+
+    final VirtualTime time = new VirtualTime();
+    final Random random;
+    final Net net;
+    final SimStore store;
+    final Rules rules;
+    final SimFleet fleet;
+    final List<SimEntry> entries = new ArrayList<>();
+    private final FaultPlan faults;
+    private final History history = new History(time);
+    private long version;
+
+    /** Makes the world of a seed, with at most so many faults. */
+    public World(long seed, int mostFaults) {
+        random = new Random(seed);
+        net = new Net(time, random);
+        store = new SimStore(time);
+        rules = new Rules(time);
+        fleet = new SimFleet(time, store, rules, random);
+        faults = new FaultPlan(this, history, mostFaults);
+    }
+
+    /** Lets a history happen; throws a {@link RuleBrokenException} at the first rule that is broken. */
+    public void run() {
+        build();
+        time.runUntil(TRAFFIC_FROM + TRAFFIC_MILLIS + CALM_MILLIS);
+        checkEnd();
+    }
+
+    /** Returns what has happened so far: faults, and what callers did. */
+    public List<String> history() {
+        return history.lines();
+    }
+
+    /** Leaves a rule unchecked. */
+    void switchOff(Rules.Rule r) {
+        rules.switchOff(r);
+    }
+
+    private void build() {
+        configure();
+        for (int i = 0; i < MACHINES; i++) {
+            String hall = HALLS.get(i % HALLS.size());
+            String pool = i < MACHINES * 2 / 3 ? SERVICES.get(i % SERVICES.size()) : HEADROOM;
+            fleet.add(hall, "rack-" + hall + "-" + i % 2, pool);
+        }
+        fleet.startLagging();
+        for (int i = 0; i < ENTRIES; i++) {
+            entries.add(new SimEntry(this, "entry-" + i, HALLS.get(i % HALLS.size())));
+        }
+        entries.forEach(e -> time.after(random.nextInt(300), e::start));
+        for (int i = 0; i < JOBS; i++) {
+            long at = TRAFFIC_FROM + random.nextInt((int) TRAFFIC_MILLIS);
+            SimCaller caller = new SimCaller(this, history, i);
+            time.after(at, caller::submit);
+        }
+        time.after(WAVE_AT, this::askWave);
+        faults.plan(TRAFFIC_FROM, TRAFFIC_MILLIS);
+    }
+
+    /** Writes a configuration: the queues and services are the same, its version is new. */
+    void configure() {
+        version++;
+        List<QueueConfig> queues = new ArrayList<>();
+        for (String s : SERVICES) {
+            Policy policy = new Policy(queues.size(), MAX_ATTEMPTS, 1.5, 500, false);
+            queues.add(new QueueConfig("q-" + s, "host", "/" + s + "/", s, policy));
+        }
+        List<ServiceConfig> services = new ArrayList<>();
+        SERVICES.forEach(s -> services.add(new ServiceConfig(s, false, true)));
+        services.add(new ServiceConfig(HEADROOM, true, true));
+        store.set(CONFIGURATION, RecordCodec.write(new JobConfiguration(version, queues, services, 1 << 18)));
+    }
+
+    private void askWave() {
+        List<String> some =
+                fleet.machineIds().stream().filter(m -> random.nextInt(3) == 0).toList();
+        if (!some.isEmpty()) {
+            history.add("wave of " + some);
+            fleet.ask(new UpkeepWave(1, some, 20_000, 2));
+        }
+    }
+
+    /** Returns a job to be handed in; its text says what it is. */
+    Submission submission(int number) {
+        boolean lasting = number % 6 == 0;
+        StepSpec.Need need = new StepSpec.Need(500 + random.nextInt(2_000), 200, 0);
+        List<StepSpec> steps = new ArrayList<>();
+        if (lasting) {
+            steps.add(StepSpec.builder(3, need)
+                    .longRunning(true, 1)
+                    .perWorkerMost(1 + random.nextInt(2))
+                    .build());
+        } else {
+            int count = 1 + random.nextInt(3);
+            for (int i = 0; i < count; i++) {
+                List<Integer> after = i == 0 ? List.of() : List.of(i - 1);
+                steps.add(StepSpec.builder(1 + random.nextInt(5), need)
+                        .estimateMillis(500)
+                        .after(after)
+                        .checkpointing(random.nextBoolean())
+                        .build());
+            }
+        }
+        boolean hopeless = !lasting && random.nextInt(12) == 0;
+        return new Submission((hopeless ? "hopeless " : "job ") + number, steps, Repeat.ONCE);
+    }
+
+    String service(int number) {
+        return SERVICES.get(number % SERVICES.size());
+    }
+
+    int maxAttempts() {
+        return MAX_ATTEMPTS;
+    }
+
+    static boolean isHopeless(Rules rules, String jobId) {
+        Rules.JobTruth j = find(rules, jobId);
+        return j != null && j.hopeless;
+    }
+
+    static @Nullable StepSpec step(Rules rules, String jobId, TaskId t) {
+        Rules.JobTruth j = find(rules, jobId);
+        return j == null ? null : j.step(t);
+    }
+
+    /** Returns how long a task takes on a sound worker: between 300 and 2,300 ms, the same each time. */
+    static long trueMillis(Rules rules, String jobId, TaskId t) {
+        return 300 + Math.floorMod((jobId + t).hashCode(), 2_000);
+    }
+
+    private static Rules.@Nullable JobTruth find(Rules rules, String jobId) {
+        for (Rules.JobTruth j : rules.jobs()) {
+            if (j.id.equals(jobId)) {
+                return j;
+            }
+        }
+        return null;
+    }
+
+    private void checkEnd() {
+        for (Rules.JobTruth j : rules.jobs()) {
+            if (!j.accepted || j.cancelSent || j.hopeless) {
+                continue;
+            }
+            if (j.lasting()) {
+                checkLasting(j);
+            } else {
+                rules.require(Rules.Rule.LOST, j.allDone(), j.id + " was accepted and is not done: " + unfinished(j));
+            }
+        }
+        boolean asked = store.read(WAVES + 1).isPresent();
+        if (asked) {
+            boolean told = store.read(WAVE_STATUS + 1)
+                    .filter(i -> i.value().equals(COMPLETED))
+                    .isPresent();
+            rules.require(Rules.Rule.WAVE, fleet.isMaintained(1), "the wave has not been done");
+            rules.require(Rules.Rule.WAVE, told, "the wave is done and not said to be");
+        }
+    }
+
+    private void checkLasting(Rules.JobTruth j) {
+        for (int i = 0; i < j.submission.steps().get(0).count(); i++) {
+            Rules.TaskTruth t = j.task(new TaskId(0, 0, i));
+            boolean fine = t.atWork || (t.runsOn != null && time.now() - t.awaySince < LASTING_AWAY_MILLIS);
+            rules.require(Rules.Rule.LOST, fine, j.id + " task " + i + " lasts and is not at work");
+        }
+    }
+
+    private static String unfinished(Rules.JobTruth j) {
+        List<String> left = new ArrayList<>();
+        j.tasks.forEach((id, t) -> {
+            if (!t.done) {
+                left.add(id + (t.runsOn == null ? "" : " on " + t.runsOn.id()));
+            }
+        });
+        return left.toString();
+    }
+}
