--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -178,6 +178,16 @@
     }
 
     private void stepOrdering(InstanceErrand e) {
+        PlatformInstance i = state.instances.get(e.instance);
+        boolean otherLife = i != null
+                && !e.worker.isEmpty()
+                && i.state() == PlatformInstance.State.UP
+                && !i.worker().equals(e.worker);
+        if (otherLife && !e.orderInFlight) {
+            // Whoever lives there now has not been emptied.
+            state.end(e, "another worker lives on the instance");
+            return;
+        }
         if (!e.orderInFlight && state.now() >= e.orderDueAt) {
             e.orderInFlight = true;
             state.port.order(e.instance, e.errand);
@@ -204,4 +214,10 @@
             state.end(e, "done");
         }
     }
+
+    /** A new worker shows that the instance is back, but only after the time that the upkeep takes. */
+    private long upkeepEnds(InstanceErrand e, PlatformInstance i) {
+        boolean newLife = !e.worker.isEmpty() && !i.worker().equals(e.worker);
+        return state.timing.upkeepMillis() + (newLife ? 0 : LIST_LAG_MILLIS);
+    }
 }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPort.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPort.java
@@ -33,8 +33,11 @@
     /** Writes how far a wave is. */
     void writeUpkeep(long wave, UpkeepRecord record);
 
-    /** Tells the operators how a wave stands. */
-    void tellWave(long wave, boolean completed);
+    /** Tells the operators that a wave has begun. */
+    void tellWaveRunning(long wave);
+
+    /** Writes that a wave is done and tells the operators, in one. */
+    void tellWaveCompleted(long wave, UpkeepRecord record);
 
     /** Tells a decision, for the log. */
     void note(String kind, String instance, String detail);
--- a/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
@@ -47,7 +47,7 @@
 
     private void drive(UpkeepWave w) {
         if (told.add(w.number())) {
-            state.port.tellWave(w.number(), false);
+            state.port.tellWaveRunning(w.number());
         }
         long out = state.errands.values().stream()
                 .filter(e -> e.errand.isUpkeepOf(w.number()))
@@ -109,7 +109,6 @@
     private void complete(UpkeepWave w) {
         state.completed.add(w.number());
         state.port.note("wave-completed", "", "wave=" + w.number());
-        state.port.writeUpkeep(w.number(), new UpkeepRecord(List.copyOf(state.begun(w.number())), true));
-        state.port.tellWave(w.number(), true);
+        state.port.tellWaveCompleted(w.number(), new UpkeepRecord(List.copyOf(state.begun(w.number())), true));
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/placement/Placer.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Placer.java
@@ -38,6 +38,8 @@
         int most = wish.step().perWorkerMost();
         return c.free().holds(Room.of(wish.step()))
                 && c.facts().hasLabel(wish.step().label())
+                && !(wish.onlyElsewhere()
+                        && wish.avoidWorkers().contains(c.facts().id()))
                 && (most == 0 || c.carried(wish.of()) < most);
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/placement/Wish.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Wish.java
@@ -24,6 +24,8 @@
  * @param step the task's step
  * @param of names the step's tasks of one time
  * @param avoidWorkers workers on which the task has failed
+ * @param onlyElsewhere whether those workers are out of the question for now
  * @param avoidDomains racks on which it had better not be tried again
  */
-public record Wish(StepSpec step, StepTime of, Set<String> avoidWorkers, Set<String> avoidDomains) {}
+public record Wish(
+        StepSpec step, StepTime of, Set<String> avoidWorkers, boolean onlyElsewhere, Set<String> avoidDomains) {}
--- a/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
@@ -59,6 +59,7 @@
             }
             if (job.stepReady(t.id, wall)) {
                 demand.addPresent(Room.of(t.step));
+                demand.spreadOver(t.workersWanted());
             } else {
                 demand.addFollowing(Room.of(t.step));
             }
--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -26,6 +26,8 @@
 final class Evacuator {
 
     private static final int AT_WORK_PERCENT = 100;
+    // A call to a worker takes some milliseconds; when it is slow, tasks had better stay.
+    private static final long ANSWER_SLACK_MILLIS = 500;
     // Below this a draining worker's finite tasks that can go on elsewhere are stopped, to save their work.
     private static final long SAVE_WORK_MILLIS = 700;
 
@@ -69,12 +71,21 @@
     }
 
     private boolean hasPlaceElsewhere(LiveTask t) {
-        return state.workers.values().stream().filter(state::isUsable).anyMatch(o -> Placer.mayCarry(o, t.wish()));
+        return state.workers.values().stream()
+                .filter(state::isUsable)
+                .anyMatch(o -> Placer.mayCarry(o, t.wish(state.now())));
     }
 
-    private static long othersAway(LiveTask t) {
-        return t.job.members(t.id).stream()
-                .filter(m -> m != t && !(m.phase == Phase.RUNNING && m.percent >= AT_WORK_PERCENT))
-                .count();
+    private long othersAway(LiveTask t) {
+        return t.job.members(t.id).stream().filter(m -> m != t && !isAtWork(m)).count();
+    }
+
+    /** A worker that has not answered for a while may be gone with all that it ran. */
+    private boolean isAtWork(LiveTask t) {
+        LiveWorker w = t.worker;
+        return t.phase == Phase.RUNNING
+                && t.percent >= AT_WORK_PERCENT
+                && w != null
+                && state.now() - w.lastAnswerAt <= state.timing.busyWaitMillis() + ANSWER_SLACK_MILLIS;
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -53,6 +53,9 @@
     // From the third attempt on, another rack is tried: two failures on one may be the rack's.
     private static final int ATTEMPTS_BEFORE_OTHER_RACK = 2;
 
+    // An instance comes into a pool within 2 s: so long a task waits for a worker on which it has not failed.
+    private static final long ELSEWHERE_MILLIS = 4_000;
+
     final LiveJob job;
     final TaskId id;
     final StepSpec step;
@@ -82,6 +85,7 @@
     /** An older run, or another member of its gang, has done the work: it is done once it is off its worker. */
     boolean finished;
 
+    private long elsewhereUntil = Long.MIN_VALUE;
     private final Set<String> failedWorkers = new HashSet<>();
     private final Set<String> failedDomains = new HashSet<>();
 
@@ -110,14 +114,20 @@
         enter(next, now);
     }
 
-    void failedOn(LiveWorker w) {
+    void failedOn(LiveWorker w, long now) {
         failedWorkers.add(w.facts().id());
         failedDomains.add(w.facts().failureDomain());
+        elsewhereUntil = now + ELSEWHERE_MILLIS;
     }
 
-    Wish wish() {
+    Wish wish(long now) {
         Set<String> domains = failures >= ATTEMPTS_BEFORE_OTHER_RACK ? failedDomains : Set.of();
-        return new Wish(step, stepTime, failedWorkers, domains);
+        return new Wish(step, stepTime, failedWorkers, now < elsewhereUntil, domains);
+    }
+
+    /** Returns how many workers there must be for the task to find one on which it has not failed. */
+    int workersWanted() {
+        return phase == Phase.WAITING ? failedWorkers.size() + 1 : 0;
     }
 
     boolean touched() {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -16,9 +16,9 @@
 package org.lupinpaddle.core.run;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.TreeMap;
-import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.placement.Candidate;
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.StepTime;
@@ -40,7 +40,7 @@
 
     private WorkerFacts facts;
     private long endsAt = Long.MAX_VALUE;
-    final Set<LiveTask> tasks = new HashSet<>();
+    final Set<LiveTask> tasks = new LinkedHashSet<>();
     private Room used = Room.NONE;
 
     /** Whether the platform's store lists it, and since when not. */
@@ -54,8 +54,8 @@
     long holdDueAt;
     long lastAnswerAt = Long.MIN_VALUE / 2;
     long avoidUntil = Long.MIN_VALUE;
-    /** Jobs that failed here since the last run that ended well. */
-    final Set<JobKey> failedJobs = new HashSet<>();
+    /** What speaks against the worker since the last run that ended well, each piece once. */
+    final Set<String> evidence = new HashSet<>();
 
     private long clockMillis;
     private long clockReadAt;
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -59,7 +59,7 @@
             if (t.step.gang()) {
                 placeGang(job, t, usable);
             } else {
-                Placer.choose(usable, t.wish()).ifPresent(w -> assign(t, w, t.run + 1));
+                Placer.choose(usable, t.wish(state.now())).ifPresent(w -> assign(t, w, t.run + 1));
             }
         }
     }
@@ -72,7 +72,7 @@
         int run = members.stream().mapToInt(m -> m.run).max().orElse(0) + 1;
         List<LiveTask> assigned = new ArrayList<>();
         for (LiveTask m : members) {
-            Optional<LiveWorker> w = Placer.choose(usable, m.wish());
+            Optional<LiveWorker> w = Placer.choose(usable, m.wish(state.now()));
             if (w.isEmpty()) {
                 assigned.forEach(this::takeBack);
                 return;
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -243,7 +243,7 @@
         boolean counted =
                 t.step.gang() && t.job.members(t.id).stream().anyMatch(m -> m != t && m.lastFailedRun == t.run);
         t.lastFailedRun = t.run;
-        t.failedOn(w);
+        t.failedOn(w, state.now());
         if (!counted) {
             t.failures++;
         }
--- a/core/src/main/java/org/lupinpaddle/core/run/WorkerJudge.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/WorkerJudge.java
@@ -18,13 +18,14 @@
 import org.lupinpaddle.core.job.EndKind;
 
 /**
- * Finds workers that fail what they run. Failures of different jobs, with no success between them, speak
- * against the worker; a job that fails on several workers speaks against itself.
+ * Finds workers that fail what they run. Failures of different jobs, or of different tasks of a job that does
+ * well elsewhere, with no success between them, speak against the worker; a job that fails everywhere speaks
+ * against itself.
  */
 final class WorkerJudge {
 
-    // Three different jobs in a row: at one run in a hundred that fails by itself, chance makes one in 10^6.
-    private static final int JOBS_AGAINST_WORKER = 3;
+    // Three in a row: at one run in a hundred that fails by itself, chance makes one in 10^6.
+    private static final int EVIDENCE_AGAINST_WORKER = 3;
     private static final long AVOID_MILLIS = 4_000;
 
     private final ServiceState state;
@@ -35,17 +36,18 @@
 
     void onEnd(LiveWorker w, LiveTask t, EndKind kind) {
         if (kind.finishes()) {
-            w.failedJobs.clear();
+            w.evidence.clear();
             w.avoidUntil = Math.min(w.avoidUntil, state.now());
             return;
         }
         if (!kind.countsAsAttempt()) {
             return;
         }
-        w.failedJobs.add(t.job.spec.key());
-        if (w.failedJobs.size() >= JOBS_AGAINST_WORKER && !othersAreAvoided()) {
+        boolean wellElsewhere = t.job.tasks.stream().anyMatch(o -> o.phase == LiveTask.Phase.DONE);
+        w.evidence.add(t.job.spec.key() + (wellElsewhere ? "." + t.id : ""));
+        if (w.evidence.size() >= EVIDENCE_AGAINST_WORKER && !othersAreAvoided()) {
             w.avoidUntil = state.now() + AVOID_MILLIS;
-            state.note(SchedulerEvent.Kind.WORKER_AVOIDED, w, "failed-jobs=" + w.failedJobs.size());
+            state.note(SchedulerEvent.Kind.WORKER_AVOIDED, w, "evidence=" + w.evidence.size());
         }
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -34,26 +34,26 @@
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
-import org.lupinpaddle.daemon.port.StoreCommit;
 import org.lupinpaddle.daemon.port.StoreItem;
 
 /**
  * Runs the planner of the fleet while this entry owns it. The platform need not check fences of orders, so an
- * order goes out only while the lease, counted from when its newest renewal was sent, outlasts the call; and
- * the first one waits until no order of an earlier owner can still be on its way.
+ * order goes out only while the lease, counted from when its newest renewal was sent, outlasts the call. The
+ * first one waits for the time in which an earlier owner may still have given one, for a lease can be taken
+ * away without its owner being told; and then for the time that the platform asks between two owners' orders.
  */
 final class FleetHost implements FleetPort, AutoCloseable {
 
     private static final long TICK_MILLIS = 100;
     private static final long WAIT_MILLIS = 5_000;
     private static final long LIST_MILLIS = 500;
-    // Added to the time that the platform asks between two owners' orders.
-    private static final long SLACK_MILLIS = 200;
-    private static final long RETRY_MILLIS = 300;
+    // Between the check of the lease and the order's way out.
+    private static final long SLACK_MILLIS = 100;
 
     private final Entry entry;
     private final long fence;
     private final long firstOrderAt;
+    private final OwnedRecords owned;
     private final PrefixWatch records;
     private final PrefixWatch waves;
     private final FleetPlanner planner;
@@ -84,8 +84,12 @@
     FleetHost(Entry entry, long fence) {
         this.entry = entry;
         this.fence = fence;
-        firstOrderAt = entry.loop.clock().millis() + entry.ownerLeaseMillis + SLACK_MILLIS;
+        firstOrderAt = entry.loop.clock().millis()
+                + OwnershipKeeper.TTL_MILLIS
+                - InstanceOrders.CALL_MILLIS
+                + entry.ownerLeaseMillis;
         planner = new FleetPlanner(entry.timing, this, entry.loop.clock());
+        owned = new OwnedRecords(entry.store, entry.loop, JobNode.FLEET, fence);
         records = new PrefixWatch(
                 entry.store, entry.loop, JobKeys.fleet(), WAIT_MILLIS, PrefixWatch.Listener.same(this::recordsChanged));
         waves = new PrefixWatch(
@@ -168,46 +172,37 @@
 
     @Override
     public void askEvacuation(String service, EvacuationRecord record) {
-        write(StoreCommit.builder().put(JobKeys.evacuation(service, record.worker()), RecordCodec.write(record)));
+        write(Map.of(JobKeys.evacuation(service, record.worker()), RecordCodec.write(record)));
     }
 
     @Override
     public void endEvacuation(String service, String worker) {
-        write(StoreCommit.builder().remove(JobKeys.evacuation(service, worker)));
+        write(Map.of(JobKeys.evacuation(service, worker), ""));
     }
 
     @Override
     public void writeUpkeep(long wave, UpkeepRecord record) {
-        write(StoreCommit.builder().put(JobKeys.upkeep(wave), RecordCodec.write(record)));
+        write(Map.of(JobKeys.upkeep(wave), RecordCodec.write(record)));
     }
 
     @Override
-    public void tellWave(long wave, boolean completed) {
-        write(StoreCommit.builder().put(entry.names.waveStatusKey(wave), entry.names.waveStatus(wave, completed)));
+    public void tellWaveRunning(long wave) {
+        write(Map.of(entry.names.waveStatusKey(wave), entry.names.waveStatus(wave, false)));
     }
 
-    /** Writes until it is durable, as long as this entry owns the fleet. */
-    private void write(StoreCommit.Builder b) {
-        StoreCommit commit = b.when(JobKeys.owner(JobNode.FLEET), fence).build();
-        writeAgain(commit);
+    @Override
+    public void tellWaveCompleted(long wave, UpkeepRecord record) {
+        write(Map.of(
+                JobKeys.upkeep(wave),
+                RecordCodec.write(record),
+                entry.names.waveStatusKey(wave),
+                entry.names.waveStatus(wave, true)));
     }
 
-    private void writeAgain(StoreCommit commit) {
-        if (closed) {
-            return;
+    private void write(Map<String, String> values) {
+        if (!closed) {
+            owned.writeInOrder(values, () -> entry.ownership.giveUp(JobNode.FLEET, "the store refused a write"));
         }
-        entry.store
-                .commit(commit)
-                .thenAcceptAsync(
-                        r -> {
-                            switch (r.outcome()) {
-                                case MADE -> {}
-                                case CONFLICT -> entry.ownership.giveUp(JobNode.FLEET, "the store refused a write");
-                                case LEASE_ENDED, REFUSED, UNKNOWN ->
-                                    entry.loop.after(RETRY_MILLIS, () -> writeAgain(commit));
-                            }
-                        },
-                        entry.loop::execute);
     }
 
     @Override
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -40,7 +40,9 @@
 final class OwnershipKeeper implements PrefixWatch.Listener, AutoCloseable {
 
     // An entry that dies is followed after this and a renewal's time; the store gives no lease under 1 s.
-    private static final long TTL_MILLIS = 2_000;
+    /** How long a lease lasts after its newest renewal, in milliseconds. */
+    static final long TTL_MILLIS = 2_000;
+
     private static final long RENEW_MILLIS = 600;
     private static final long RETRY_MILLIS = 200;
     private static final long WAIT_MILLIS = 3_000;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -19,10 +19,13 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
@@ -44,7 +47,6 @@
 import org.lupinpaddle.daemon.common.Log;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreChanges;
-import org.lupinpaddle.daemon.port.StoreCommit;
 import org.lupinpaddle.daemon.port.StoreItem;
 import org.lupinpaddle.daemon.port.StoreRange;
 import org.lupinpaddle.daemon.port.WorkerOrders;
@@ -70,7 +72,7 @@
     private final String service;
     private final long fence;
     private final Runnable ownershipGone;
-    private final ProgressStore progress;
+    private final OwnedRecords records;
     private final PrefixWatch inputs;
     private final PrefixWatch asked;
     private final Map<String, StoreItem> evacuations = new HashMap<>();
@@ -98,7 +100,7 @@
         this.service = service;
         this.fence = fence;
         this.ownershipGone = ownershipGone;
-        progress = new ProgressStore(entry.store, entry.loop, service, fence);
+        records = new OwnedRecords(entry.store, entry.loop, service, fence);
         inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), WAIT_MILLIS, this);
         asked = new PrefixWatch(
                 entry.store,
@@ -133,7 +135,7 @@
     private void inherit(StoreRange r) {
         for (StoreItem i : r.items()) {
             JobKeys.progressOf(service, i.key()).ifPresent(job -> {
-                progress.known(job, i.revision());
+                records.known(i.key(), i.revision());
                 Either<String, JobProgress> p = RecordCodec.read(i.value(), JobProgress.class);
                 p.peek(good -> inherited.put(job, good))
                         .peekLeft(why -> Log.warn("progress-unreadable", "key", i.key(), "why", why));
@@ -150,8 +152,7 @@
         if (scheduler == null) {
             begin();
         }
-        inputs.items().forEach(this::take);
-        requestTick();
+        takeAll(List.copyOf(inputs.items()));
     }
 
     private void begin() {
@@ -187,15 +188,20 @@
         if (closed) {
             return;
         }
-        for (StoreChanges.Change c : changes) {
-            if (c.item() != null) {
-                take(c.item());
-            }
-        }
+        takeAll(changes.stream()
+                .map(StoreChanges.Change::item)
+                .filter(Objects::nonNull)
+                .toList());
+    }
+
+    /** Jobs first: a cancellation is lost on a scheduler that does not know the job yet. */
+    private void takeAll(List<StoreItem> items) {
+        items.forEach(this::takeJob);
+        items.forEach(this::takeCancellation);
         requestTick();
     }
 
-    private void take(StoreItem i) {
+    private void takeJob(StoreItem i) {
         ServiceScheduler s = scheduler;
         if (s == null) {
             return;
@@ -205,7 +211,12 @@
             spec.peek(good -> s.onJob(good, inherited.remove(good.key())))
                     .peekLeft(why -> Log.warn("job-unreadable", "key", i.key(), "why", why));
         }
-        JobKeys.cancelled(service, i.key()).ifPresent(s::onCancel);
+    }
+
+    private void takeCancellation(StoreItem i) {
+        if (scheduler != null) {
+            JobKeys.cancelled(service, i.key()).ifPresent(scheduler::onCancel);
+        }
     }
 
     private void evacuationsChanged() {
@@ -276,39 +287,43 @@
 
     @Override
     public void save(List<Saving> batch) {
-        progress.save(
-                batch,
+        Map<String, String> values = new LinkedHashMap<>();
+        batch.forEach(s -> values.put(JobKeys.progress(service, s.job()), RecordCodec.write(s.progress())));
+        records.write(
+                values,
                 outcome -> told(s -> {
                     switch (outcome) {
                         case SAVED -> s.onSaved(batch);
                         case RETRY -> s.onSaveFailed(RETRY_MILLIS);
-                        case NOT_OWNER -> ownershipLost("the store refused a write: not the owner any more");
+                        case NOT_OWNER -> notOwner();
                     }
                 }));
     }
 
+    private void notOwner() {
+        ownershipLost("the store refused a write: not the owner any more");
+    }
+
     @Override
     public void emptied(String worker) {
         StoreItem item = evacuations.get(worker);
         if (item == null || !emptied.add(worker)) {
             return;
         }
-        EvacuationRecord.read(item.value()).peek(record -> {
-            StoreCommit commit = StoreCommit.builder()
-                    .when(JobKeys.owner(service), fence)
-                    .when(item.key(), item.revision())
-                    .put(item.key(), RecordCodec.write(record.toEmpty()))
-                    .build();
-            entry.store
-                    .commit(commit)
-                    .thenAcceptAsync(
-                            r -> {
-                                Log.info("worker-emptied", "worker", worker, "outcome", r.outcome());
-                                if (r.revision() == 0) {
-                                    entry.loop.after(RETRY_MILLIS, () -> emptied.remove(worker));
-                                }
-                            },
-                            entry.loop::execute);
+        EvacuationRecord.read(item.value())
+                .peek(record -> {
+                    Log.info("worker-emptied", "worker", worker, "errand", record.errand());
+                    answerEvacuation(worker, item, RecordCodec.write(record.toEmpty()));
+                })
+                .peekLeft(why -> Log.warn("evacuation-unreadable", "key", item.key(), "why", why));
+    }
+
+    private void answerEvacuation(String worker, StoreItem asked, String answer) {
+        records.known(asked.key(), asked.revision());
+        records.write(Map.of(asked.key(), answer), outcome -> {
+            if (outcome == OwnedRecords.Outcome.RETRY) {
+                entry.loop.after(RETRY_MILLIS, () -> emptied.remove(worker));
+            }
         });
     }
 
@@ -351,23 +366,26 @@
         if (report.equals(reported)) {
             return;
         }
-        entry.store
-                .commit(StoreCommit.builder()
-                        .when(JobKeys.owner(service), fence)
-                        .put(JobKeys.report(service), RecordCodec.write(report))
-                        .build())
-                .thenAcceptAsync(r -> reported = r.revision() == 0 ? null : report, entry.loop::execute);
+        records.write(
+                Map.of(JobKeys.report(service), RecordCodec.write(report)),
+                outcome -> reported = outcome == OwnedRecords.Outcome.SAVED ? report : null);
     }
 
     private void forgetEnded() {
         if (scheduler != null) {
             List<JobKey> old = scheduler.forgetEnded(FORGET_AFTER_MILLIS);
             for (int i = 0; i < old.size(); i += FORGET_AT_ONCE) {
-                progress.forget(old.subList(i, Math.min(old.size(), i + FORGET_AT_ONCE)));
+                records.forget(old.subList(i, Math.min(old.size(), i + FORGET_AT_ONCE)).stream()
+                        .flatMap(this::keysOf)
+                        .toList());
             }
         }
     }
 
+    private Stream<String> keysOf(JobKey job) {
+        return Stream.of(JobKeys.job(service, job), JobKeys.cancel(service, job), JobKeys.progress(service, job));
+    }
+
     @Override
     public void close() {
         closed = true;
