--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -37,6 +37,8 @@
     private static final long RETRY_MILLIS = 300;
     // The platform's list lags by about a second; after this an instance that is up is taken to be back.
     private static final long LIST_LAG_MILLIS = 2_500;
+    // A request is in the store, and seen there, within some dozens of milliseconds of a store that works.
+    private static final long ASK_MILLIS = 10_000;
     // A move is a matter of cost only: where emptying takes so long, it is not worth it.
     private static final long MOVE_PATIENCE_MILLIS = 8_000;
 
@@ -78,7 +80,7 @@
 
     private void inherit(EvacuationRecord r, String service) {
         boolean known = state.errands.values().stream().anyMatch(e -> e.worker.equals(r.worker()));
-        if (known || !listed) {
+        if (known || !listed || state.released.contains(r.worker())) {
             return;
         }
         PlatformInstance i = state.instances.get(r.instance());
@@ -169,7 +171,9 @@
             return;
         }
         EvacuationRecord r = state.evacuations.get(e.worker);
-        if (r != null && r.empty()) {
+        if (r == null && state.now() - e.begunAt > ASK_MILLIS) {
+            state.end(e, "the request to empty its worker is gone");
+        } else if (r != null && r.empty()) {
             e.phase = Phase.ORDERING;
             stepOrdering(e);
         } else if (e.errand.kind() == Errand.Kind.MOVE && state.now() - e.begunAt > MOVE_PATIENCE_MILLIS) {
@@ -205,10 +209,7 @@
         boolean arrived =
                 switch (e.errand.kind()) {
                     case MOVE -> up && i.pool().equals(e.errand.target());
-                    case UPKEEP ->
-                        up
-                                && ((!e.worker.isEmpty() && !i.worker().equals(e.worker))
-                                        || waited > state.timing.upkeepMillis() + LIST_LAG_MILLIS);
+                    case UPKEEP -> up && waited >= upkeepEnds(e, i);
                 };
         if (arrived) {
             state.end(e, "done");
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -43,6 +43,8 @@
     final Map<Long, UpkeepWave> waves = new TreeMap<>();
     final Map<Long, Set<String>> begun = new HashMap<>();
     final Set<Long> completed = new HashSet<>();
+    /** Workers whose evacuation this planner has ended: their records go a moment later. */
+    final Set<String> released = new HashSet<>();
     /** Moves that the platform has said to be impossible, as instance and pool. */
     final Set<String> impossibleMoves = new HashSet<>();
 
@@ -120,6 +122,7 @@
         errands.put(i.id(), e);
         port.note("errand-begun", i.id(), "errand=" + errand + " pool=" + i.pool() + " load=" + load(i));
         if (!e.worker.isEmpty()) {
+            released.remove(e.worker);
             port.askEvacuation(i.pool(), new EvacuationRecord(e.worker, i.id(), errand.toString(), false));
         }
     }
@@ -129,6 +132,7 @@
         errands.remove(e.instance);
         port.note("errand-ended", e.instance, "errand=" + e.errand + " millis=" + (now() - e.begunAt) + " why=" + why);
         if (!e.worker.isEmpty()) {
+            released.add(e.worker);
             port.endEvacuation(e.service, e.worker);
         }
     }
--- a/model/src/main/java/org/lupinpaddle/model/SimInstancePort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimInstancePort.java
@@ -38,6 +38,9 @@
 
     @Override
     public CompletableFuture<InstanceOrderOutcome> order(String instance, Errand errand, String holder, long fence) {
-        return world.fleet.order(world.net, instance, errand, holder, fence);
+        return world.fleet.order(world.net, instance, errand, holder, fence).thenApply(o -> {
+            world.history.add("order " + instance + " " + errand + " by " + holder + ": " + o);
+            return o;
+        });
     }
 }
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -66,7 +66,7 @@
     final SimFleet fleet;
     final List<SimEntry> entries = new ArrayList<>();
     private final FaultPlan faults;
-    private final History history = new History(time);
+    final History history = new History(time);
     private long version;
 
     /** Makes the world of a seed, with at most so many faults. */
