--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -53,7 +53,8 @@
     // From the third attempt on, another rack is tried: two failures on one may be the rack's.
     private static final int ATTEMPTS_BEFORE_OTHER_RACK = 2;
 
-    // An instance comes into a pool within 2 s: so long a task waits for a worker on which it has not failed.
+    // So long a task waits for a worker on which it has not failed, and longer with each failure: an instance
+    // comes into a pool within 2 s, and a worker that fails everything had better not get the last attempt.
     private static final long ELSEWHERE_MILLIS = 4_000;
 
     final LiveJob job;
@@ -117,7 +118,7 @@
     void failedOn(LiveWorker w, long now) {
         failedWorkers.add(w.facts().id());
         failedDomains.add(w.facts().failureDomain());
-        elsewhereUntil = now + ELSEWHERE_MILLIS;
+        elsewhereUntil = now + ELSEWHERE_MILLIS * Math.max(1, failures);
     }
 
     Wish wish(long now) {
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -243,10 +243,10 @@
         boolean counted =
                 t.step.gang() && t.job.members(t.id).stream().anyMatch(m -> m != t && m.lastFailedRun == t.run);
         t.lastFailedRun = t.run;
-        t.failedOn(w, state.now());
         if (!counted) {
             t.failures++;
         }
+        t.failedOn(w, state.now());
         if (t.step.longRunning()) {
             t.orderDueAt = state.now() + LastingRetry.delayMillis(t.failures);
         }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -124,6 +124,28 @@
                 .forEach(w -> w.unlist(now));
     }
 
+    /** Returns whether tasks wait for a worker that does not answer: the list of instances may tell of its end. */
+    public boolean missesWorkers() {
+        return state.workers.values().stream().anyMatch(this::isMissed);
+    }
+
+    private boolean isMissed(LiveWorker w) {
+        long heard = Math.max(w.lastAnswerAt, startedAt);
+        return !w.tasks.isEmpty() && state.now() - heard > state.timing.silentMillis();
+    }
+
+    /**
+     * Takes in which workers live on instances that are up, by the platform's own list. One that is missed and
+     * lives on none is over, whatever deadline it had. The list lags, but by less than a worker must be silent.
+     */
+    public void onLiving(Set<String> workers) {
+        for (LiveWorker w : List.copyOf(state.workers.values())) {
+            if (isMissed(w) && !workers.contains(w.facts().id())) {
+                runs.gone(w, "silent, and the platform lists it on no instance that is up");
+            }
+        }
+    }
+
     /** Takes in which workers are to be emptied. */
     public void onEvacuations(Set<String> workers) {
         state.evacuating.stream()
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -91,7 +91,7 @@
         ownership = new OwnershipKeeper(p.store(), loop, p.name(), this);
         intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall());
         SchedulerTiming timing = SchedulerTiming.usual(p.limits().longestHoldMillis(), BLIND_MILLIS);
-        shared = new SchedulerHost.Entry(p.store(), p.orders(), loop, p.wall(), timing);
+        shared = new SchedulerHost.Entry(p.store(), p.orders(), p.instances(), loop, p.wall(), timing);
         fleetShared = new FleetHost.Entry(
                 p.name(),
                 p.store(),
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -25,11 +25,13 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobProgress;
@@ -45,6 +47,7 @@
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreChanges;
 import org.lupinpaddle.daemon.port.StoreItem;
@@ -62,6 +65,7 @@
     private static final long WAIT_MILLIS = 5_000;
     // Counts of waiting jobs may be 2 s old when they are told; pools are sized by the same report.
     private static final long REPORT_MILLIS = 400;
+    private static final long LOOK_FOR_MISSED_MILLIS = 700;
     private static final long FORGET_EVERY_MILLIS = 5_000;
     // Callers may ask for 120 s after a job's end.
     private static final long FORGET_AFTER_MILLIS = 130_000;
@@ -89,11 +93,18 @@
      *
      * @param store the platform's store
      * @param orders orders to workers
+     * @param instances the list of instances
      * @param loop the event loop
      * @param wall the time of day
      * @param timing the scheduler's times
      */
-    record Entry(KeyValueStore store, WorkerOrders orders, EventLoop loop, Clock wall, SchedulerTiming timing) {}
+    record Entry(
+            KeyValueStore store,
+            WorkerOrders orders,
+            InstanceOrders instances,
+            EventLoop loop,
+            Clock wall,
+            SchedulerTiming timing) {}
 
     SchedulerHost(Entry entry, String service, long fence, Runnable ownershipGone) {
         this.entry = entry;
@@ -172,6 +183,7 @@
         repeat(TICK_MILLIS, this::tick);
         repeat(REPORT_MILLIS, this::writeReport);
         repeat(FORGET_EVERY_MILLIS, this::forgetEnded);
+        repeat(LOOK_FOR_MISSED_MILLIS, this::lookForMissed);
     }
 
     private void repeat(long millis, Runnable step) {
@@ -238,6 +250,28 @@
         }
     }
 
+    private void lookForMissed() {
+        if (scheduler == null || !scheduler.missesWorkers()) {
+            return;
+        }
+        entry.instances
+                .list()
+                .whenComplete((all, why) -> entry.loop.execute(() -> {
+                    if (why != null) {
+                        Log.info("instances-unread", "service", service, "why", StoreFailure.text(why));
+                    } else if (!all.isEmpty()) {
+                        told(s -> s.onLiving(living(all)));
+                    }
+                }));
+    }
+
+    private static Set<String> living(List<PlatformInstance> all) {
+        return all.stream()
+                .filter(i -> i.state() == PlatformInstance.State.UP)
+                .map(PlatformInstance::worker)
+                .collect(Collectors.toSet());
+    }
+
     private void requestTick() {
         if (!tickQueued) {
             tickQueued = true;
