--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -201,7 +201,7 @@
 
     private void write(Map<String, String> values) {
         if (!closed) {
-            owned.writeInOrder(values, () -> entry.ownership.giveUp(JobNode.FLEET, "the store refused a write"));
+            owned.writeInOrder(values, () -> entry.ownership.giveUp(JobNode.FLEET, fence, "the store refused a write"));
         }
     }
 
@@ -223,7 +223,7 @@
             return;
         }
         if (o == InstanceOrderOutcome.FENCED) {
-            entry.ownership.giveUp(JobNode.FLEET, "an order was refused by a fence");
+            entry.ownership.giveUp(JobNode.FLEET, fence, "an order was refused by a fence");
         }
         planner.onOrdered(instance, errand, o);
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -42,7 +42,7 @@
 
     // An owner that hears nothing of the store goes on keeping its workers' tasks alive for this long: the
     // store's outages last 3 to 9 s. A new owner waits as long for workers that it can not reach.
-    private static final long BLIND_MILLIS = 10_000;
+    private static final long BLIND_MILLIS = 12_000;
     private static final long CHECK_MILLIS = 250;
     // Readiness follows the store: an entry that can not reach it can accept nothing.
     private static final long READY_MILLIS = 2_500;
@@ -131,9 +131,8 @@
             Log.info("readiness", "ready", next, "store-heard-millis-ago", now - ownership.confirmedAt());
         }
         if (now - ownership.confirmedAt() > BLIND_MILLIS) {
-            for (String service : Set.copyOf(hosts.keySet())) {
-                ownership.giveUp(service, "nothing heard of the store for " + BLIND_MILLIS + " ms");
-            }
+            String why = "nothing heard of the store for " + BLIND_MILLIS + " ms";
+            ownership.owned().forEach((duty, fence) -> ownership.giveUp(duty, fence, why));
         }
     }
 
@@ -178,7 +177,7 @@
             fleet.start(configuration.current().map(JobConfiguration::services).orElse(List.of()));
             return;
         }
-        SchedulerHost host = new SchedulerHost(shared, duty, fence, () -> ownership.giveUp(duty, "fenced"));
+        SchedulerHost host = new SchedulerHost(shared, duty, fence, () -> ownership.giveUp(duty, fence, "fenced"));
         hosts.put(duty, host);
         host.start(followWorkers().of(duty));
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -100,9 +100,9 @@
         return keptAt + TTL_MILLIS;
     }
 
-    /** Returns the fence under which this entry owns the duty; 0 when it does not. */
-    long fence(String duty) {
-        return owned.getOrDefault(duty, 0L);
+    /** Returns the duties that this entry owns, with their fences. */
+    Map<String, Long> owned() {
+        return Map.copyOf(owned);
     }
 
     /** Returns the entries that are registered. */
@@ -113,10 +113,15 @@
         return all;
     }
 
-    /** Gives a duty up because of evidence that it is owned elsewhere, or that it can not be fulfilled here. */
-    void giveUp(String duty, String why) {
-        if (owned.remove(duty) != null) {
+    /**
+     * Gives a duty up that was won with this fence, because it is owned elsewhere or can not be fulfilled here. A
+     * duty that has been won anew since is kept. If the key turns out to be still this entry's, it is taken up
+     * again: nobody else could.
+     */
+    void giveUp(String duty, long fence, String why) {
+        if (owned.remove(duty, fence)) {
             listener.lost(duty, why);
+            loop.after(RETRY_MILLIS, this::review);
         }
     }
 
@@ -181,9 +186,7 @@
     private void leaseEnded() {
         Log.warn("lease-ended", "lease", lease, "owned", owned.size());
         lease = 0;
-        for (String duty : new ArrayList<>(owned.keySet())) {
-            giveUp(duty, "the store has ended the lease");
-        }
+        Map.copyOf(owned).forEach((duty, fence) -> giveUp(duty, fence, "the store has ended the lease"));
         openLease();
     }
 
@@ -203,7 +206,7 @@
             StoreItem i = owners.get(o.getKey());
             boolean seen = watch.revision() >= o.getValue();
             if (seen && (i == null || i.revision() != o.getValue())) {
-                giveUp(o.getKey(), i == null ? "its key is gone" : "owned by " + i.value());
+                giveUp(o.getKey(), o.getValue(), i == null ? "its key is gone" : "owned by " + i.value());
             }
         }
         owners.forEach(this::adopt);
@@ -212,6 +215,9 @@
 
     /** Takes up a duty whose taking got no answer, but was made. */
     private void adopt(String duty, StoreItem i) {
+        if (stopping) {
+            return;
+        }
         boolean mine = i.value().equals(entry) && i.lease() == lease && lease != 0;
         if (mine && !owned.containsKey(duty) && !attempts.contains(duty)) {
             won(duty, i.revision());
@@ -271,9 +277,7 @@
     /** Gives up all duties and ends the lease, so that others follow at once. */
     void stop() {
         stopping = true;
-        for (String duty : new ArrayList<>(owned.keySet())) {
-            giveUp(duty, "this entry stops");
-        }
+        Map.copyOf(owned).forEach((duty, fence) -> giveUp(duty, fence, "this entry stops"));
         if (lease != 0) {
             store.endLease(lease)
                     .whenComplete(
