Read the fleet's ownership before each order; notice a lost watch within 2.5 s

Change: each order is preceded by a read of the owner's key, and goes out within 400 ms of it; watches wait 1.5 s at most; an entry whose registration is taken away registers again; the model takes keys without their lease.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -34,9 +34,6 @@
  */
 final class ConfigurationFeed implements PrefixWatch.Listener, AutoCloseable {
 
-    // Short, so that a watch that hears nothing is noticed within the time in which a change must be in force.
-    private static final long WAIT_MILLIS = 1_500;
-
     private final KeyValueStore store;
     private final EventLoop loop;
     private final PlatformRecords records;
@@ -50,7 +47,7 @@
         this.loop = loop;
         this.records = records;
         this.onChange = onChange;
-        watch = new PrefixWatch(store, loop, records.configurationKey(), WAIT_MILLIS, this);
+        watch = new PrefixWatch(store, loop, records.configurationKey(), this);
     }
 
     void start() {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -45,8 +45,10 @@
 final class FleetHost implements FleetPort, AutoCloseable {
 
     private static final long TICK_MILLIS = 100;
-    private static final long WAIT_MILLIS = 5_000;
     private static final long LIST_MILLIS = 500;
+    // What was read of the ownership counts for so long; an entry that was frozen meanwhile reads again. With the
+    // call it fits into the time that a successor waits.
+    private static final long READ_FRESH_MILLIS = 400;
     // Between the check of the lease and the order's way out.
     private static final long SLACK_MILLIS = 100;
 
@@ -91,13 +93,9 @@
         planner = new FleetPlanner(entry.timing, this, entry.loop.clock());
         owned = new OwnedRecords(entry.store, entry.loop, JobNode.FLEET, fence);
         records = new PrefixWatch(
-                entry.store, entry.loop, JobKeys.fleet(), WAIT_MILLIS, PrefixWatch.Listener.same(this::recordsChanged));
+                entry.store, entry.loop, JobKeys.fleet(), PrefixWatch.Listener.same(this::recordsChanged));
         waves = new PrefixWatch(
-                entry.store,
-                entry.loop,
-                entry.names.wavePrefix(),
-                WAIT_MILLIS,
-                PrefixWatch.Listener.same(this::wavesChanged));
+                entry.store, entry.loop, entry.names.wavePrefix(), PrefixWatch.Listener.same(this::wavesChanged));
     }
 
     void start(List<ServiceConfig> services) {
@@ -205,12 +203,34 @@
         }
     }
 
+    /** Reads that this entry still owns the fleet, then orders: a lease can be renewed after its keys are gone. */
     @Override
     public void order(String instance, Errand errand) {
+        long readAt = entry.loop.clock().millis();
+        if (closed || readAt < firstOrderAt) {
+            refused(instance, errand);
+            return;
+        }
+        entry.store
+                .read(JobKeys.owner(JobNode.FLEET))
+                .whenComplete((item, why) -> entry.loop.execute(() -> {
+                    if (why != null) {
+                        Log.info("fleet-ownership-unread", "why", StoreFailure.text(why));
+                        refused(instance, errand);
+                    } else if (item.isEmpty() || item.get().revision() != fence) {
+                        refused(instance, errand);
+                        entry.ownership.giveUp(JobNode.FLEET, fence, "its key is not this owner's any more");
+                    } else {
+                        orderAsOwner(instance, errand, readAt);
+                    }
+                }));
+    }
+
+    private void orderAsOwner(String instance, Errand errand, long readAt) {
         long now = entry.loop.clock().millis();
         boolean lasts = entry.ownership.leaseEndsAt() - now > InstanceOrders.CALL_MILLIS + SLACK_MILLIS;
-        if (now < firstOrderAt || !lasts || closed) {
-            entry.loop.execute(() -> planner.onOrdered(instance, errand, InstanceOrderOutcome.REFUSED));
+        if (closed || !lasts || now - readAt > READ_FRESH_MILLIS) {
+            refused(instance, errand);
             return;
         }
         entry.instances
@@ -218,6 +238,10 @@
                 .thenAcceptAsync(o -> ordered(instance, errand, o), entry.loop::execute);
     }
 
+    private void refused(String instance, Errand errand) {
+        entry.loop.execute(() -> planner.onOrdered(instance, errand, InstanceOrderOutcome.REFUSED));
+    }
+
     private void ordered(String instance, Errand errand, InstanceOrderOutcome o) {
         if (closed) {
             return;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -45,7 +45,6 @@
 
     private static final long RENEW_MILLIS = 600;
     private static final long RETRY_MILLIS = 200;
-    private static final long WAIT_MILLIS = 3_000;
     // An entry takes a duty this much later for each one that comes before it: a write takes 10 ms.
     private static final long STAGGER_MILLIS = 100;
 
@@ -59,6 +58,7 @@
     private final Set<String> attempts = new HashSet<>();
     private long lease;
     private long keptAt = Long.MIN_VALUE / 2;
+    private boolean registered;
     private boolean stopping;
 
     /** What is told of duties. */
@@ -75,7 +75,7 @@
         this.loop = loop;
         this.entry = entry;
         this.listener = listener;
-        watch = new PrefixWatch(store, loop, JobKeys.MEMBERS, WAIT_MILLIS, this);
+        watch = new PrefixWatch(store, loop, JobKeys.MEMBERS, this);
     }
 
     void start() {
@@ -158,6 +158,7 @@
                         r -> {
                             boolean again = r.outcome() == CommitResult.Outcome.REFUSED
                                     || r.outcome() == CommitResult.Outcome.UNKNOWN;
+                            registered = r.outcome() == CommitResult.Outcome.MADE && forLease == lease;
                             if (again && forLease == lease) {
                                 loop.after(RETRY_MILLIS, this::register);
                             }
@@ -210,9 +211,20 @@
             }
         }
         owners.forEach(this::adopt);
+        registerAgain();
         seekDuties();
     }
 
+    /** The store may take keys away while their lease lives on. */
+    private void registerAgain() {
+        boolean known =
+                watch.items().stream().anyMatch(i -> i.key().equals(JobKeys.entry(entry)) && i.lease() == lease);
+        if (!known && registered && lease != 0 && !stopping) {
+            registered = false;
+            register();
+        }
+    }
+
     /** Takes up a duty whose taking got no answer, but was made. */
     private void adopt(String duty, StoreItem i) {
         if (stopping) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
@@ -34,11 +34,13 @@
 final class PrefixWatch implements AutoCloseable {
 
     private static final long RETRY_MILLIS = 200;
+    // A watch whose answer is lost is noticed after this and a call's time: sooner than the 3 s of calm after
+    // which the platform holds an entry to its bounds.
+    private static final long WAIT_MILLIS = 1_500;
 
     private final KeyValueStore store;
     private final EventLoop loop;
     private final String prefix;
-    private final long waitMillis;
     private final long pauseMillis;
     private final Listener listener;
     private final Map<String, StoreItem> items = new LinkedHashMap<>();
@@ -71,17 +73,15 @@
         }
     }
 
-    PrefixWatch(KeyValueStore store, EventLoop loop, String prefix, long waitMillis, Listener listener) {
-        this(store, loop, prefix, waitMillis, 0, listener);
+    PrefixWatch(KeyValueStore store, EventLoop loop, String prefix, Listener listener) {
+        this(store, loop, prefix, 0, listener);
     }
 
     /** Makes a watch that, after changes, lets more of them gather for a time: each answer has its price. */
-    PrefixWatch(
-            KeyValueStore store, EventLoop loop, String prefix, long waitMillis, long pauseMillis, Listener listener) {
+    PrefixWatch(KeyValueStore store, EventLoop loop, String prefix, long pauseMillis, Listener listener) {
         this.store = store;
         this.loop = loop;
         this.prefix = prefix;
-        this.waitMillis = waitMillis;
         this.pauseMillis = pauseMillis;
         this.listener = listener;
     }
@@ -119,7 +119,7 @@
             return;
         }
         long sentAt = loop.clock().millis();
-        store.watch(prefix, revision, waitMillis)
+        store.watch(prefix, revision, WAIT_MILLIS)
                 .whenComplete((c, why) -> loop.execute(() -> {
                     if (why != null) {
                         watchFailed(why);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -62,7 +62,6 @@
 
     private static final long TICK_MILLIS = 25;
     private static final long RETRY_MILLIS = 150;
-    private static final long WAIT_MILLIS = 5_000;
     // Counts of waiting jobs may be 2 s old when they are told; pools are sized by the same report.
     private static final long REPORT_MILLIS = 400;
     private static final long LOOK_FOR_MISSED_MILLIS = 700;
@@ -112,12 +111,11 @@
         this.fence = fence;
         this.ownershipGone = ownershipGone;
         records = new OwnedRecords(entry.store, entry.loop, service, fence);
-        inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), WAIT_MILLIS, this);
+        inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), this);
         asked = new PrefixWatch(
                 entry.store,
                 entry.loop,
                 JobKeys.evacuations(service),
-                WAIT_MILLIS,
                 PrefixWatch.Listener.same(this::evacuationsChanged));
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
@@ -31,7 +31,6 @@
 /** The workers that the platform lists now. */
 final class WorkerFeed implements PrefixWatch.Listener, AutoCloseable {
 
-    private static final long WAIT_MILLIS = 5_000;
     // Some worker's record changes every few dozen milliseconds; a leaving worker gives 2 s notice.
     private static final long PAUSE_MILLIS = 250;
 
@@ -43,7 +42,7 @@
     WorkerFeed(KeyValueStore store, EventLoop loop, PlatformRecords records, Runnable onChange) {
         this.records = records;
         this.onChange = onChange;
-        watch = new PrefixWatch(store, loop, records.workerPrefix(), WAIT_MILLIS, PAUSE_MILLIS, this);
+        watch = new PrefixWatch(store, loop, records.workerPrefix(), PAUSE_MILLIS, this);
     }
 
     void start() {
--- a/model/src/main/java/org/lupinpaddle/model/SimStore.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimStore.java
@@ -211,13 +211,15 @@
         return true;
     }
 
-    /** Ends the leases of the keys whose value is this, and nobody is told. */
+    /** Takes the keys away that are under a lease and have this value; the lease lives on, and nobody is told. */
     void revoke(String value) {
-        Set<Long> ids = new HashSet<>();
+        revision++;
         items.values().stream()
                 .filter(i -> i.lease() != 0 && i.value().equals(value))
-                .forEach(i -> ids.add(i.lease()));
-        ids.forEach(this::endLease);
+                .map(StoreItem::key)
+                .toList()
+                .forEach(this::remove);
+        wake();
     }
 
     void leasesWait(boolean wait) {
