--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -0,0 +1,102 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.upkeep.EvacuationRecord;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/** Which workers of a service the owner of the fleet asks to be emptied, and the answers to that. */
+final class EvacuationFeed implements AutoCloseable {
+
+    private static final long RETRY_MILLIS = 150;
+
+    private final EventLoop loop;
+    private final OwnedRecords records;
+    private final PrefixWatch watch;
+    private final Consumer<Set<String>> onChange;
+    private final Map<String, StoreItem> asked = new HashMap<>();
+    private final Set<String> answered = new HashSet<>();
+
+    /**
+     * Makes the feed.
+     *
+     * @param records writes the answers
+     * @param onChange is told the workers that are to be empty
+     */
+    EvacuationFeed(
+            KeyValueStore store, EventLoop loop, String service, OwnedRecords records, Consumer<Set<String>> onChange) {
+        this.loop = loop;
+        this.records = records;
+        this.onChange = onChange;
+        watch = new PrefixWatch(store, loop, JobKeys.evacuations(service), PrefixWatch.Listener.same(this::changed));
+    }
+
+    void start() {
+        watch.start();
+    }
+
+    private void changed() {
+        asked.clear();
+        watch.items()
+                .forEach(i -> EvacuationRecord.read(i.value())
+                        .peek(r -> asked.put(r.worker(), i))
+                        .peekLeft(why -> unreadable(i, why)));
+        answered.retainAll(asked.keySet());
+        onChange.accept(asked.keySet());
+    }
+
+    /** Answers that a worker carries nothing; asked again, it does so only when the first answer was lost. */
+    void answerEmpty(String worker) {
+        StoreItem item = asked.get(worker);
+        if (item == null || !answered.add(worker)) {
+            return;
+        }
+        EvacuationRecord.read(item.value())
+                .peek(record -> {
+                    Log.info("worker-emptied", "worker", worker, "errand", record.errand());
+                    write(worker, item, RecordCodec.write(record.toEmpty()));
+                })
+                .peekLeft(why -> unreadable(item, why));
+    }
+
+    private void write(String worker, StoreItem item, String answer) {
+        records.known(item.key(), item.revision());
+        records.write(Map.of(item.key(), answer), outcome -> {
+            if (outcome == OwnedRecords.Outcome.RETRY) {
+                loop.after(RETRY_MILLIS, () -> answered.remove(worker));
+            }
+        });
+    }
+
+    private static void unreadable(StoreItem i, String why) {
+        Log.warn("evacuation-unreadable", "key", i.key(), "why", why);
+    }
+
+    @Override
+    public void close() {
+        watch.close();
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -18,7 +18,6 @@
 import io.vavr.control.Either;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,7 +43,6 @@
 import org.lupinpaddle.core.run.ServiceScheduler;
 import org.lupinpaddle.core.run.StartOrder;
 import org.lupinpaddle.core.run.StopOrder;
-import org.lupinpaddle.core.upkeep.EvacuationRecord;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
 import org.lupinpaddle.daemon.port.InstanceOrders;
@@ -77,9 +75,7 @@
     private final Runnable ownershipGone;
     private final OwnedRecords records;
     private final PrefixWatch inputs;
-    private final PrefixWatch asked;
-    private final Map<String, StoreItem> evacuations = new HashMap<>();
-    private final Set<String> emptied = new HashSet<>();
+    private final EvacuationFeed evacuations;
     private final Map<JobKey, JobProgress> inherited = new HashMap<>();
     private @Nullable ServiceScheduler scheduler;
     private Collection<WorkerFacts> workers = List.of();
@@ -112,11 +108,8 @@
         this.ownershipGone = ownershipGone;
         records = new OwnedRecords(entry.store, entry.loop, service, fence);
         inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), this);
-        asked = new PrefixWatch(
-                entry.store,
-                entry.loop,
-                JobKeys.evacuations(service),
-                PrefixWatch.Listener.same(this::evacuationsChanged));
+        evacuations = new EvacuationFeed(
+                entry.store, entry.loop, service, records, workers -> told(s -> s.onEvacuations(workers)));
     }
 
     /** Reads what earlier owners left, then begins. */
@@ -167,7 +160,7 @@
     private void begin() {
         scheduler = new ServiceScheduler(service, entry.timing, this, entry.loop.clock(), entry.wall);
         scheduler.onWorkers(workers);
-        asked.start();
+        evacuations.start();
         Log.info(
                 "scheduler-started",
                 "service",
@@ -229,16 +222,6 @@
         }
     }
 
-    private void evacuationsChanged() {
-        evacuations.clear();
-        asked.items()
-                .forEach(i -> EvacuationRecord.read(i.value())
-                        .peek(r -> evacuations.put(r.worker(), i))
-                        .peekLeft(why -> Log.warn("evacuation-unreadable", "key", i.key(), "why", why)));
-        emptied.retainAll(evacuations.keySet());
-        told(s -> s.onEvacuations(evacuations.keySet()));
-    }
-
     /** Takes in which workers of the service are listed. */
     void onWorkers(Collection<WorkerFacts> listed) {
         workers = listed;
@@ -338,25 +321,7 @@
 
     @Override
     public void emptied(String worker) {
-        StoreItem item = evacuations.get(worker);
-        if (item == null || !emptied.add(worker)) {
-            return;
-        }
-        EvacuationRecord.read(item.value())
-                .peek(record -> {
-                    Log.info("worker-emptied", "worker", worker, "errand", record.errand());
-                    answerEvacuation(worker, item, RecordCodec.write(record.toEmpty()));
-                })
-                .peekLeft(why -> Log.warn("evacuation-unreadable", "key", item.key(), "why", why));
-    }
-
-    private void answerEvacuation(String worker, StoreItem asked, String answer) {
-        records.known(asked.key(), asked.revision());
-        records.write(Map.of(asked.key(), answer), outcome -> {
-            if (outcome == OwnedRecords.Outcome.RETRY) {
-                entry.loop.after(RETRY_MILLIS, () -> emptied.remove(worker));
-            }
-        });
+        evacuations.answerEmpty(worker);
     }
 
     @Override
@@ -422,7 +387,7 @@
     public void close() {
         closed = true;
         inputs.close();
-        asked.close();
+        evacuations.close();
         Log.info("scheduler-stopped", "service", service, "fence", fence);
     }
 }
