Prove the conditions of an owner's writes directly; the model does not notice them

Ruled out: load; it fails alike without. Change: OwnedRecordsTest tells the two conditions as stories. Each was taken out by hand: without the owner's condition 3 of 6 tests fail, without the record's 1 of 6. No product code changed.

--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -0,0 +1,117 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lupinpaddle.daemon.port.CommitResult;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.StoreChanges;
+import org.lupinpaddle.daemon.port.StoreCommit;
+import org.lupinpaddle.daemon.port.StoreItem;
+import org.lupinpaddle.daemon.port.StoreRange;
+
+/** A store in memory that can leave commits unanswered and carry them out later. */
+final class FakeKeyValueStore implements KeyValueStore {
+
+    private final Map<String, StoreItem> items = new HashMap<>();
+    private final List<StoreCommit> held = new ArrayList<>();
+    private long revision;
+
+    /** Whether commits get no answer, and are kept to be carried out later. */
+    boolean holdsCommits;
+
+    long set(String key, String value) {
+        revision++;
+        items.put(key, new StoreItem(key, value, revision, 0));
+        return revision;
+    }
+
+    String value(String key) {
+        StoreItem i = items.get(key);
+        return i == null ? "" : i.value();
+    }
+
+    /** Carries out the commits that were kept, if their conditions still hold. */
+    void carryOutHeld() {
+        held.forEach(this::carryOut);
+        held.clear();
+    }
+
+    @Override
+    public CompletableFuture<CommitResult> commit(StoreCommit c) {
+        if (holdsCommits) {
+            held.add(c);
+            return CompletableFuture.completedFuture(new CommitResult(CommitResult.Outcome.UNKNOWN, 0, List.of()));
+        }
+        return CompletableFuture.completedFuture(carryOut(c));
+    }
+
+    private CommitResult carryOut(StoreCommit c) {
+        boolean holds = c.conditions().stream().allMatch(w -> revisionOf(w.key()) == w.revision());
+        if (!holds) {
+            List<StoreItem> current = c.conditions().stream()
+                    .map(w -> items.get(w.key()))
+                    .filter(Objects::nonNull)
+                    .toList();
+            return new CommitResult(CommitResult.Outcome.CONFLICT, 0, current);
+        }
+        revision++;
+        c.puts().forEach(p -> items.put(p.key(), new StoreItem(p.key(), p.value(), revision, p.lease())));
+        c.removals().forEach(items::remove);
+        return new CommitResult(CommitResult.Outcome.MADE, revision, List.of());
+    }
+
+    private long revisionOf(String key) {
+        StoreItem i = items.get(key);
+        return i == null ? 0 : i.revision();
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoreItem>> read(String key) {
+        return CompletableFuture.completedFuture(Optional.ofNullable(items.get(key)));
+    }
+
+    @Override
+    public CompletableFuture<StoreRange> range(String prefix) {
+        throw new UnsupportedOperationException("not needed here");
+    }
+
+    @Override
+    public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
+        throw new UnsupportedOperationException("not needed here");
+    }
+
+    @Override
+    public CompletableFuture<Long> openLease(long ttlMillis) {
+        throw new UnsupportedOperationException("not needed here");
+    }
+
+    @Override
+    public CompletableFuture<Boolean> keepLease(long lease) {
+        throw new UnsupportedOperationException("not needed here");
+    }
+
+    @Override
+    public CompletableFuture<Boolean> endLease(long lease) {
+        throw new UnsupportedOperationException("not needed here");
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OwnedRecordsTest.java
@@ -0,0 +1,137 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.daemon.common.EventLoop;
+
+/** The two conditions of an owner's writes: without either, one of these tests fails. */
+class OwnedRecordsTest {
+
+    private static final String KEY = "record";
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final List<OwnedRecords.Outcome> outcomes = new ArrayList<>();
+    private final long fence = store.set(JobKeys.owner("clips"), "entry-1");
+    private final OwnedRecords records = new OwnedRecords(store, new DirectLoop(), "clips", fence);
+
+    private void write(String value) {
+        records.write(Map.of(KEY, value), outcomes::add);
+    }
+
+    @Nested
+    class Ownership {
+
+        @Test
+        void isNeededForAWrite() {
+            write("mine");
+            store.set(JobKeys.owner("clips"), "entry-2");
+            write("not mine any more");
+            assertEquals("mine", store.value(KEY));
+            assertEquals(List.of(OwnedRecords.Outcome.SAVED, OwnedRecords.Outcome.NOT_OWNER), outcomes);
+        }
+
+        @Test
+        void thatWasLostMakesALateWriteFail() {
+            store.holdsCommits = true;
+            write("late");
+            store.set(JobKeys.owner("clips"), "entry-2");
+            store.carryOutHeld();
+            assertEquals("", store.value(KEY));
+        }
+    }
+
+    @Nested
+    class LateWrites {
+
+        @Test
+        void doNotReplaceNewerOnes() {
+            store.holdsCommits = true;
+            write("old");
+            store.holdsCommits = false;
+            write("new");
+            store.carryOutHeld();
+            assertEquals("new", store.value(KEY));
+            assertEquals(List.of(OwnedRecords.Outcome.RETRY, OwnedRecords.Outcome.SAVED), outcomes);
+        }
+
+        @Test
+        void thatWereMadeAreLearntOfAndWrittenOver() {
+            store.holdsCommits = true;
+            write("first");
+            store.carryOutHeld();
+            store.holdsCommits = false;
+            write("second");
+            write("second");
+            assertEquals("second", store.value(KEY));
+            assertEquals(OwnedRecords.Outcome.SAVED, outcomes.get(2));
+        }
+    }
+
+    @Nested
+    class WritesInOrder {
+
+        @Test
+        void arriveInTheOrderOfTheCalls() {
+            records.writeInOrder(Map.of(KEY, "running"), () -> {});
+            records.writeInOrder(Map.of(KEY, "completed"), () -> {});
+            assertEquals("completed", store.value(KEY));
+        }
+
+        @Test
+        void endWhenTheDutyIsOwnedElsewhere() {
+            int[] lost = new int[1];
+            store.set(JobKeys.owner("clips"), "entry-2");
+            records.writeInOrder(Map.of(KEY, "running"), () -> lost[0]++);
+            assertEquals(1, lost[0]);
+            assertEquals("", store.value(KEY));
+        }
+    }
+
+    /** Runs each step at once. */
+    private static final class DirectLoop implements EventLoop {
+        @Override
+        public Clock clock() {
+            return () -> 0;
+        }
+
+        @Override
+        public void execute(Runnable step) {
+            step.run();
+        }
+
+        @Override
+        public Timer after(long millis, Runnable step) {
+            return () -> {};
+        }
+
+        @Override
+        public Timer every(long millis, Runnable step) {
+            return () -> {};
+        }
+
+        @Override
+        public void close() {}
+    }
+}
