Hand a job through the intake as one value, and drop what nothing reads

JobIntake passed eight values from step to step; a task's time of its phase was written and never read; cancelWanted said what the job's state says; the model looked jobs up one by one. A failed re-read of the configuration while a job is taken ended without a log line; it has one now. Behaviour is as before otherwise; no test was changed.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -34,7 +34,6 @@
     final List<LiveTask> tasks = new ArrayList<>();
     JobState state = JobState.QUEUED;
     String reason = "";
-    boolean cancelWanted;
     /** Whether a worker has begun one of its tasks. */
     boolean begun;
     /** Counts changes that must become durable; the saved one is the newest known to be in the store. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -74,10 +74,9 @@
     long placedVersion;
     /** How often the start of this run was sent without an answer. */
     int unanswered;
-    /** When the phase was entered, and when an order for it is due next. */
-    long since;
-
+    /** When an order for it is due next. */
     long orderDueAt;
+
     boolean orderInFlight;
     /** From when on a hold that does not list the run proves that it is gone. */
     long provenFrom = Long.MAX_VALUE;
@@ -99,7 +98,6 @@
 
     void enter(Phase next, long now) {
         phase = next;
-        since = now;
         orderDueAt = now;
         unanswered = 0;
         provenFrom = Long.MAX_VALUE;
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -44,7 +44,7 @@
             return;
         }
         state.jobs.values().stream()
-                .filter(j -> !j.state.ended() && !j.cancelWanted && state.hasOwnName(j))
+                .filter(j -> !j.state.ended() && state.hasOwnName(j))
                 .sorted(ORDER)
                 .forEach(j -> place(j, usable));
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -106,7 +106,6 @@
     public void onCancel(JobKey key) {
         LiveJob job = state.jobs.get(key);
         if (job != null && !job.state.ended()) {
-            job.cancelWanted = true;
             state.end(job, JobState.CANCELLED, "the caller cancelled it");
         }
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -97,20 +97,24 @@
 
     /** Takes a job. The answer is true at the moment the store decided. */
     public CompletableFuture<SubmitOutcome> submit(String host, String path, String id, Submission s) {
+        Handing h = new Handing(host, path, id, s);
         return queue(host, path)
                 .thenCompose(q -> q.isEmpty()
                         ? CompletableFuture.completedFuture(SubmitOutcome.NO_QUEUE)
-                        : accept(host, path, id, s, q.get(), 1, false))
+                        : accept(h, q.get(), 1, false))
                 .exceptionally(why -> {
                     Log.info("accept-refused", "job", id, "why", StoreFailure.text(why));
                     return SubmitOutcome.NOT_TAKEN;
                 });
     }
 
-    private CompletableFuture<SubmitOutcome> accept(
-            String host, String path, String id, Submission s, QueueConfig q, int attempt, boolean mayBeWritten) {
-        JobKey key = new JobKey(q.name(), id);
+    /** A job as a caller hands it in, and where. */
+    private record Handing(String host, String path, String id, Submission job) {}
+
+    private CompletableFuture<SubmitOutcome> accept(Handing h, QueueConfig q, int attempt, boolean mayBeWritten) {
+        JobKey key = new JobKey(q.name(), h.id);
         String at = JobKeys.job(q.service(), key);
+        Submission s = h.job;
         JobSpec spec = new JobSpec(key, q.service(), s.text(), s.steps(), s.repeat(), q.policy(), wall.millis());
         // The write holds only under the configuration that was looked at: no entry takes a job by an old one.
         StoreCommit commit = StoreCommit.builder()
@@ -118,42 +122,36 @@
                 .when(at, 0)
                 .put(at, RecordCodec.write(spec))
                 .build();
-        return store.commit(commit)
-                .thenComposeAsync(r -> decided(host, path, id, s, at, r, attempt, mayBeWritten), loop::execute);
+        return store.commit(commit).thenComposeAsync(r -> decided(h, at, r, attempt, mayBeWritten), loop::execute);
     }
 
     private CompletableFuture<SubmitOutcome> decided(
-            String host,
-            String path,
-            String id,
-            Submission s,
-            String at,
-            CommitResult r,
-            int attempt,
-            boolean mayBeWritten) {
+            Handing h, String at, CommitResult r, int attempt, boolean mayBeWritten) {
         boolean unknown = mayBeWritten || r.outcome() == CommitResult.Outcome.UNKNOWN;
         if (r.outcome() == CommitResult.Outcome.MADE
                 || (r.outcome() == CommitResult.Outcome.CONFLICT && r.revisionOf(at) != 0)) {
             return CompletableFuture.completedFuture(SubmitOutcome.ACCEPTED);
         }
         if (attempt >= MOST_TRIES || (r.outcome() == CommitResult.Outcome.REFUSED && !unknown)) {
-            Log.info("accept-undecided", "job", id, "outcome", r.outcome(), "attempt", attempt);
+            Log.info("accept-undecided", "job", h.id, "outcome", r.outcome(), "attempt", attempt);
             return CompletableFuture.completedFuture(unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN);
         }
         CompletableFuture<Optional<JobConfiguration>> newest = r.outcome() == CommitResult.Outcome.CONFLICT
                 ? configuration.refresh()
                 : CompletableFuture.completedFuture(configuration.current());
-        return newest.thenComposeAsync(
-                        c -> {
-                            Optional<QueueConfig> q = c.flatMap(f -> f.queueFor(host, path));
-                            if (q.isEmpty()) {
-                                return CompletableFuture.completedFuture(
-                                        unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NO_QUEUE);
-                            }
-                            return accept(host, path, id, s, q.get(), attempt + 1, unknown);
-                        },
-                        loop::execute)
-                .exceptionally(why -> unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN);
+        return newest.thenComposeAsync(c -> acceptAgain(h, c, attempt + 1, unknown), loop::execute)
+                .exceptionally(why -> {
+                    Log.info("accept-undecided", "job", h.id, "why", StoreFailure.text(why), "attempt", attempt);
+                    return unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN;
+                });
+    }
+
+    private CompletableFuture<SubmitOutcome> acceptAgain(
+            Handing h, Optional<JobConfiguration> c, int attempt, boolean unknown) {
+        return c.flatMap(f -> f.queueFor(h.host, h.path))
+                .map(q -> accept(h, q, attempt, unknown))
+                .orElseGet(() ->
+                        CompletableFuture.completedFuture(unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NO_QUEUE));
     }
 
     /** Tells the state of a job. */
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -146,6 +146,11 @@
         return jobs.computeIfAbsent(id, i -> new JobTruth(i, service, maxAttempts, s));
     }
 
+    @Nullable
+    JobTruth job(String id) {
+        return jobs.get(id);
+    }
+
     Iterable<JobTruth> jobs() {
         return jobs.values();
     }
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -176,12 +176,12 @@
     }
 
     static boolean isHopeless(Rules rules, String jobId) {
-        Rules.JobTruth j = find(rules, jobId);
+        Rules.JobTruth j = rules.job(jobId);
         return j != null && j.hopeless;
     }
 
     static @Nullable StepSpec step(Rules rules, String jobId, TaskId t) {
-        Rules.JobTruth j = find(rules, jobId);
+        Rules.JobTruth j = rules.job(jobId);
         return j == null ? null : j.step(t);
     }
 
@@ -190,15 +190,6 @@
         return 300 + Math.floorMod((jobId + t).hashCode(), 2_000);
     }
 
-    private static Rules.@Nullable JobTruth find(Rules rules, String jobId) {
-        for (Rules.JobTruth j : rules.jobs()) {
-            if (j.id.equals(jobId)) {
-                return j;
-            }
-        }
-        return null;
-    }
-
     private void checkEnd() {
         for (Rules.JobTruth j : rules.jobs()) {
             if (!j.accepted || j.cancelSent || j.hopeless) {
