--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -19,6 +19,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.fleet.InstanceErrand.Phase;
@@ -61,6 +62,11 @@
         all.forEach(i -> state.instances.put(i.id(), i));
     }
 
+    /** Takes in which instances an earlier owner has ordered lately; until this is known nothing is ordered. */
+    public void onEarlierOrders(Set<String> lately) {
+        state.earlierOrders = Set.copyOf(lately);
+    }
+
     /** Takes in the services of the configuration. */
     public void onServices(List<ServiceConfig> services) {
         state.services = List.copyOf(services);
@@ -148,11 +154,14 @@
 
     /** Does all that is due. Call after each event, and every few hundred milliseconds. */
     public void tick() {
-        if (!listed) {
+        if (!listed || state.earlierOrders == null) {
             return;
         }
         new ArrayList<>(state.errands.values()).forEach(this::step);
-        waves.run();
+        if (state.isAlone()) {
+            // Only then is it known how many instances an earlier owner's orders have taken down.
+            waves.run();
+        }
         sizer.run();
         // Instances that run nothing need no emptying: their orders go out at once.
         state.errands.values().stream()
@@ -197,7 +206,8 @@
             state.end(e, "another worker lives on the instance");
             return;
         }
-        if (!e.orderInFlight && state.now() >= e.orderDueAt) {
+        boolean free = e.errand.kind() == Errand.Kind.MOVE ? state.mayOrder(e.instance) : state.isAlone();
+        if (free && !e.orderInFlight && state.now() >= e.orderDueAt) {
             e.orderInFlight = true;
             state.port.order(e.instance, e.errand);
         }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
 import org.lupinpaddle.core.common.Clock;
@@ -49,11 +50,28 @@
     final Set<String> impossibleMoves = new HashSet<>();
 
     List<ServiceConfig> services = List.of();
+    /** Instances that an earlier owner has ordered lately; null while that is not known. */
+    @Nullable
+    Set<String> earlierOrders;
+
+    private final long startedAt;
 
     FleetState(FleetTiming timing, FleetPort port, Clock clock) {
         this.timing = timing;
         this.port = port;
         this.clock = clock;
+        this.startedAt = clock.millis();
+    }
+
+    /** Returns whether an earlier owner's orders are long past. */
+    boolean isAlone() {
+        return now() - startedAt >= timing.takeOverMillis();
+    }
+
+    /** Returns whether the instance may be ordered: no earlier owner has done so lately. */
+    boolean mayOrder(String instance) {
+        Set<String> earlier = earlierOrders;
+        return isAlone() || (earlier != null && !earlier.contains(instance));
     }
 
     long now() {
@@ -86,9 +104,15 @@
                 .toList();
     }
 
-    /** Returns how many instances are on their way into a pool: by a move, or back from upkeep. */
+    /** Returns how many instances are on their way into a pool, by this planner's order or an earlier one's. */
     int coming(String pool) {
-        return (int) errands.values().stream().filter(e -> e.isMoveTo(pool)).count();
+        long ordered = errands.values().stream().filter(e -> e.isMoveTo(pool)).count();
+        long byOthers = instances.values().stream()
+                .filter(i -> i.state() == PlatformInstance.State.MOVING
+                        && i.pool().equals(pool)
+                        && !errands.containsKey(i.id()))
+                .count();
+        return (int) (ordered + byOthers);
     }
 
     /** Returns how many tasks an instance's worker carries, lasting ones counted several times. */
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetTiming.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetTiming.java
@@ -19,11 +19,12 @@
  * Times and sizes that the planner of the fleet goes by.
  *
  * @param upkeepMillis how long the platform takes for the upkeep of an instance
+ * @param takeOverMillis how long a new owner leaves instances alone that its predecessor has ordered lately
  * @param shrinkAfterMillis a pool must have been too large for so long before instances leave it
  * @param fewest the fewest workers that a pool keeps
  * @param reserve workers that a pool keeps beyond what its work needs: the buffer for losses and bursts
  */
-public record FleetTiming(long upkeepMillis, long shrinkAfterMillis, int fewest, int reserve) {
+public record FleetTiming(long upkeepMillis, long takeOverMillis, long shrinkAfterMillis, int fewest, int reserve) {
 
     // A move costs as much as an instance for one second, and there are two until it is back.
     private static final long SHRINK_AFTER_MILLIS = 1_500;
@@ -32,7 +33,7 @@
     private static final int RESERVE = 1;
 
     /** Returns the usual times. */
-    public static FleetTiming usual(long upkeepMillis) {
-        return new FleetTiming(upkeepMillis, SHRINK_AFTER_MILLIS, FEWEST, RESERVE);
+    public static FleetTiming usual(long upkeepMillis, long takeOverMillis) {
+        return new FleetTiming(upkeepMillis, takeOverMillis, SHRINK_AFTER_MILLIS, FEWEST, RESERVE);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -85,7 +85,7 @@
     }
 
     private boolean mayMove(PlatformInstance i, String pool) {
-        return !state.impossibleMoves.contains(i.id() + ">" + pool);
+        return state.mayOrder(i.id()) && !state.impossibleMoves.contains(i.id() + ">" + pool);
     }
 
     private long inHall(String pool, String hall) {
--- a/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
@@ -36,6 +36,7 @@
     private static final String CANCEL = "cancel/";
     private static final String EVACUATIONS = FLEET + "evacuate/";
     private static final String UPKEEP = FLEET + "upkeep/";
+    private static final String RECENT_ORDERS = FLEET + "recent-orders";
 
     private JobKeys() {}
 
@@ -69,9 +70,9 @@
         return inputs(service) + JOB + job;
     }
 
-    /** Returns whether the key, under the inputs of the service, is a job's. */
-    public static boolean isJob(String service, String key) {
-        return key.startsWith(inputs(service) + JOB);
+    /** Returns the job whose immutable record lies under the key, or nothing. */
+    public static Optional<JobKey> jobOf(String service, String key) {
+        return after(inputs(service) + JOB, key).map(JobKeys::jobKey);
     }
 
     /** Returns the key that says that a caller has cancelled a job. */
@@ -139,6 +140,11 @@
         return after(UPKEEP, key).map(Long::valueOf);
     }
 
+    /** Returns the key of which instances were ordered lately. */
+    public static String recentOrders() {
+        return RECENT_ORDERS;
+    }
+
     /** Returns the job whose progress lies under the key. */
     public static Optional<JobKey> progressOf(String service, String key) {
         return after(progress(service), key).map(JobKeys::jobKey);
--- a/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
@@ -21,8 +21,14 @@
  * How far a job is; the small record beside the immutable {@link JobSpec}, written by its service's owner.
  *
  * @param state as callers are told
- * @param tasks the tasks that have been placed at least once
+ * @param tasks the tasks that have been placed at least once; of a job that has ended, those still on workers
  * @param reason why the job failed; empty otherwise
  * @param changedMillis when the state last changed, in milliseconds since 1970
  */
-public record JobProgress(JobState state, List<TaskRecord> tasks, String reason, long changedMillis) {}
+public record JobProgress(JobState state, List<TaskRecord> tasks, String reason, long changedMillis) {
+
+    /** Returns whether the job has ended and no worker holds anything of it. */
+    public boolean over() {
+        return state.ended() && tasks.isEmpty();
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
@@ -23,13 +23,14 @@
 import org.lupinpaddle.core.capacity.Demand;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
-import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
 /** Puts together what the owner of a service tells of it. */
 final class DemandReport {
 
+    private static final int ALL_PERCENT = 100;
+
     private final ServiceState state;
 
     DemandReport(ServiceState state) {
@@ -53,24 +54,41 @@
 
     private void add(LiveJob job, Demand demand) {
         long wall = state.wallNow();
-        for (LiveTask t : job.tasks) {
-            if (t.phase == Phase.DONE || wall < job.spec.repeat().dueMillis(t.id.time())) {
+        for (LiveStep s : job.steps) {
+            if (wall >= job.spec.repeat().dueMillis(s.time)) {
+                add(s, wall, demand);
+            }
+        }
+    }
+
+    private void add(LiveStep s, long wall, Demand demand) {
+        long expected = state.times.expectedMillis(s.job.spec.key().queue(), s.spec.estimateMillis());
+        long available = available(s, wall);
+        for (LiveTask t : s.tasks) {
+            if (t.phase == Phase.DONE) {
                 continue;
             }
-            if (job.stepReady(t.id, wall)) {
-                demand.addPresent(Room.of(t.step));
-                demand.spreadOver(t.workersWanted());
+            Room room = Room.of(s.spec);
+            demand.spreadOver(t.workersWanted());
+            if (s.spec.longRunning()) {
+                demand.addLasting(room);
             } else {
-                demand.addFollowing(Room.of(t.step));
+                demand.addFinite(
+                        room, expected * (ALL_PERCENT - t.percent) / ALL_PERCENT, available, t.phase.onWorker());
             }
         }
-        for (StepSpec s : job.spec.steps()) {
-            if (s.longRunning() && s.perWorkerMost() > 0) {
-                demand.spreadOver((s.count() + s.perWorkerMost() - 1) / s.perWorkerMost());
-            }
+        if (s.spec.longRunning() && s.spec.perWorkerMost() > 0) {
+            demand.spreadOver((s.spec.count() + s.spec.perWorkerMost() - 1) / s.spec.perWorkerMost());
         }
     }
 
+    /** Returns within which time a step's job is to do all that is left of it: until its objective, if it can. */
+    private static long available(LiveStep s, long wall) {
+        LiveJob job = s.job;
+        long untilObjective = job.beginsMillis(s.time) + job.objectiveMillis() - wall;
+        return Math.max(untilObjective, job.leftMillis(s.time));
+    }
+
     /** The smallest worker counts: what fits on it fits everywhere. */
     private Room usualRoom() {
         return state.workers.values().stream()
--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -77,7 +77,7 @@
     }
 
     private long othersAway(LiveTask t) {
-        return t.job.members(t.id).stream().filter(m -> m != t && !isAtWork(m)).count();
+        return t.of.tasks.stream().filter(m -> m != t && !isAtWork(m)).count();
     }
 
     /** A worker that has not answered for a while may be gone with all that it ran. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -23,7 +23,6 @@
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.JobState;
-import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.job.TaskRecord;
 
@@ -32,6 +31,7 @@
 
     final JobSpec spec;
     final List<LiveTask> tasks = new ArrayList<>();
+    final List<LiveStep> steps = new ArrayList<>();
     JobState state = JobState.QUEUED;
     String reason = "";
     /** Whether a worker has begun one of its tasks. */
@@ -42,23 +42,37 @@
     long savedVersion;
     long endedAt = Long.MAX_VALUE;
     private final Map<TaskId, LiveTask> byId = new HashMap<>();
+    private final long objectiveMillis;
 
-    LiveJob(JobSpec spec) {
+    LiveJob(JobSpec spec, RunTimes times) {
         this.spec = spec;
         for (int k = 0; k < spec.repeat().times(); k++) {
             for (int s = 0; s < spec.steps().size(); s++) {
-                addStep(k, s);
+                LiveStep step = new LiveStep(this, k, s);
+                steps.add(step);
+                tasks.addAll(step.tasks);
+                step.tasks.forEach(t -> byId.put(t.id, t));
             }
         }
+        long chain = 0;
+        for (LiveStep s : steps) {
+            s.tailMillis = tailMillis(s.number, times);
+            chain = Math.max(chain, s.tailMillis);
+        }
+        objectiveMillis =
+                Math.round(spec.policy().extension() * chain) + spec.policy().sloMillis();
     }
 
-    private void addStep(int time, int stepNumber) {
-        StepSpec step = spec.steps().get(stepNumber);
-        for (int i = 0; i < step.count(); i++) {
-            LiveTask t = new LiveTask(this, new TaskId(time, stepNumber, i), step);
-            tasks.add(t);
-            byId.put(t.id, t);
+    private long tailMillis(int step, RunTimes times) {
+        long following = 0;
+        for (int s = 0; s < spec.steps().size(); s++) {
+            if (spec.steps().get(s).after().contains(step)) {
+                following = Math.max(following, tailMillis(s, times));
+            }
         }
+        return following
+                + times.expectedMillis(
+                        spec.key().queue(), spec.steps().get(step).estimateMillis());
     }
 
     @Nullable
@@ -66,32 +80,27 @@
         return byId.get(id);
     }
 
-    /** Returns whether the tasks of a step may start: its time has come and the steps before it are done. */
-    boolean stepReady(TaskId id, long wallMillis) {
-        if (wallMillis < spec.repeat().dueMillis(id.time())) {
-            return false;
-        }
-        for (int before : spec.steps().get(id.step()).after()) {
-            if (!stepDone(id.time(), before)) {
-                return false;
-            }
-        }
-        return true;
+    LiveStep step(int time, int number) {
+        return steps.get(time * spec.steps().size() + number);
     }
 
-    private boolean stepDone(int time, int step) {
-        for (LiveTask t : tasks) {
-            if (t.id.time() == time && t.id.step() == step && t.phase != LiveTask.Phase.DONE) {
-                return false;
-            }
-        }
-        return true;
+    /** Returns when a time of the job counts as asked for, in milliseconds since 1970. */
+    long beginsMillis(int time) {
+        return Math.max(spec.acceptedMillis(), spec.repeat().dueMillis(time));
     }
 
-    List<LiveTask> members(TaskId of) {
-        return tasks.stream()
-                .filter(t -> t.id.time() == of.time() && t.id.step() == of.step())
-                .toList();
+    /** Returns how long the steps of a time that are not done take one after the other, by what is expected. */
+    long leftMillis(int time) {
+        return steps.stream()
+                .filter(s -> s.time == time && !s.isDone())
+                .mapToLong(s -> s.tailMillis)
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns within which time of its begin the job is to end, by what its steps are expected to take. */
+    long objectiveMillis() {
+        return objectiveMillis;
     }
 
     boolean allDone() {
@@ -126,8 +135,11 @@
     }
 
     JobProgress progress(long wallMillis) {
-        List<TaskRecord> touched =
-                tasks.stream().filter(LiveTask::touched).map(LiveTask::record).toList();
+        // Of a job that has ended only what workers still hold matters to a successor.
+        List<TaskRecord> touched = tasks.stream()
+                .filter(t -> state.ended() ? t.phase.onWorker() : t.touched())
+                .map(LiveTask::record)
+                .toList();
         return new JobProgress(state, touched, reason, wallMillis);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -0,0 +1,58 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+
+/** All tasks of one step at one of the job's times. */
+final class LiveStep {
+
+    final LiveJob job;
+    final int time;
+    final int number;
+    final StepSpec spec;
+    final List<LiveTask> tasks = new ArrayList<>();
+    /** How long the job still takes once this step begins, by what is expected: this step and those after it. */
+    long tailMillis;
+
+    LiveStep(LiveJob job, int time, int number) {
+        this.job = job;
+        this.time = time;
+        this.number = number;
+        this.spec = job.spec.steps().get(number);
+        for (int i = 0; i < spec.count(); i++) {
+            tasks.add(new LiveTask(this, new TaskId(time, number, i)));
+        }
+    }
+
+    boolean isDone() {
+        return tasks.stream().allMatch(t -> t.phase == LiveTask.Phase.DONE);
+    }
+
+    /** Returns whether its tasks may start: its time has come and the steps before it are done. */
+    boolean isReady(long wallMillis) {
+        return wallMillis >= job.spec.repeat().dueMillis(time)
+                && spec.after().stream()
+                        .allMatch(before -> job.step(time, before).isDone());
+    }
+
+    boolean hasWaiting() {
+        return tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.WAITING);
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -61,6 +61,9 @@
     final TaskId id;
     final StepSpec step;
     final StepTime stepTime;
+    /** The step and time that it belongs to. */
+    final LiveStep of;
+
     Phase phase = Phase.WAITING;
     int run;
     int failures;
@@ -82,6 +85,10 @@
     long provenFrom = Long.MAX_VALUE;
 
     int percent;
+    /** When its worker is known to have begun this run, and whether from the beginning. */
+    long begunAt = Long.MAX_VALUE;
+
+    boolean begunAfresh;
     /** An older run, or another member of its gang, has done the work: it is done once it is off its worker. */
     boolean finished;
 
@@ -89,10 +96,11 @@
     private final Set<String> failedWorkers = new HashSet<>();
     private final Set<String> failedDomains = new HashSet<>();
 
-    LiveTask(LiveJob job, TaskId id, StepSpec step) {
-        this.job = job;
+    LiveTask(LiveStep of, TaskId id) {
+        this.of = of;
+        this.job = of.job;
         this.id = id;
-        this.step = step;
+        this.step = of.spec;
         this.stepTime = new StepTime(job.spec.key(), id.time(), id.step());
     }
 
@@ -110,6 +118,7 @@
         }
         worker = null;
         percent = 0;
+        begunAt = Long.MAX_VALUE;
         enter(next, now);
     }
 
@@ -124,6 +133,11 @@
         return new Wish(step, stepTime, failedWorkers, now < elsewhereUntil, domains);
     }
 
+    /** Returns whether any worker that has room will do: it has failed nowhere. */
+    boolean takesAnyWorker() {
+        return failedWorkers.isEmpty();
+    }
+
     /** Returns how many workers there must be for the task to find one on which it has not failed. */
     int workersWanted() {
         return phase == Phase.WAITING ? failedWorkers.size() + 1 : 0;
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -23,13 +23,12 @@
 import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
-/** Gives waiting tasks their workers: jobs of the first priority first, older jobs before younger ones. */
+/** Gives waiting tasks their workers, the most urgent steps first. */
 final class PlacementPass {
 
-    private static final Comparator<LiveJob> ORDER = Comparator.<LiveJob>comparingInt(
-                    j -> j.spec.policy().priority())
-            .thenComparingLong(j -> j.spec.acceptedMillis())
-            .thenComparing(j -> j.spec.key().toString());
+    // A list that nobody has confirmed for longer may hide that a worker drains: it gives 2 s notice of that, and a
+    // watch that works is confirmed every 1.8 s.
+    private static final long STALE_MILLIS = 2_500;
 
     private final ServiceState state;
 
@@ -38,41 +37,53 @@
     }
 
     void run() {
+        if (state.now() - state.workersKnownAt > STALE_MILLIS) {
+            return;
+        }
         List<LiveWorker> usable =
                 state.workers.values().stream().filter(state::isUsable).toList();
         if (usable.isEmpty()) {
             return;
         }
+        long wall = state.wallNow();
         state.jobs.values().stream()
                 .filter(j -> !j.state.ended() && state.hasOwnName(j))
-                .sorted(ORDER)
-                .forEach(j -> place(j, usable));
+                .flatMap(j -> j.steps.stream())
+                .filter(s -> s.hasWaiting() && s.isReady(wall))
+                .map(s -> StepUrgency.of(s, wall))
+                .sorted(StepUrgency.FIRST)
+                .forEach(u -> place(u.step(), usable));
     }
 
-    private void place(LiveJob job, List<LiveWorker> usable) {
+    private void place(LiveStep step, List<LiveWorker> usable) {
         long now = state.now();
-        long wall = state.wallNow();
-        for (LiveTask t : job.tasks) {
-            if (t.phase != Phase.WAITING || now < t.orderDueAt || !job.stepReady(t.id, wall)) {
+        if (step.spec.gang()) {
+            placeGang(step, usable, now);
+            return;
+        }
+        for (LiveTask t : step.tasks) {
+            if (t.phase != Phase.WAITING || now < t.orderDueAt) {
                 continue;
             }
-            if (t.step.gang()) {
-                placeGang(job, t, usable);
-            } else {
-                Placer.choose(usable, t.wish(state.now())).ifPresent(w -> assign(t, w, t.run + 1));
+            Optional<LiveWorker> w = Placer.choose(usable, t.wish(now));
+            if (w.isPresent()) {
+                assign(t, w.get(), t.run + 1);
+            } else if (t.takesAnyWorker()) {
+                // Nor is there room for the others: they ask for the same.
+                return;
             }
         }
     }
 
-    private void placeGang(LiveJob job, LiveTask first, List<LiveWorker> usable) {
-        List<LiveTask> members = job.members(first.id);
-        if (members.stream().anyMatch(m -> m.phase != Phase.WAITING)) {
+    private void placeGang(LiveStep step, List<LiveWorker> usable, long now) {
+        List<LiveTask> members = step.tasks;
+        if (members.stream().anyMatch(m -> m.phase != Phase.WAITING || now < m.orderDueAt)) {
             return;
         }
         int run = members.stream().mapToInt(m -> m.run).max().orElse(0) + 1;
         List<LiveTask> assigned = new ArrayList<>();
         for (LiveTask m : members) {
-            Optional<LiveWorker> w = Placer.choose(usable, m.wish(state.now()));
+            Optional<LiveWorker> w = Placer.choose(usable, m.wish(now));
             if (w.isEmpty()) {
                 assigned.forEach(this::takeBack);
                 return;
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -124,8 +124,10 @@
     }
 
     private void begun(LiveTask t, long now) {
+        t.begunAfresh = t.phase == Phase.STARTING && t.checkpoint.isEmpty();
         t.enter(Phase.RUNNING, now);
         t.provenFrom = now;
+        t.begunAt = now;
         t.job.begun = true;
     }
 
@@ -226,6 +228,7 @@
             t.checkpoint = e.checkpoint();
         }
         t.job.begun = true;
+        learn(t, e.kind());
         judge.onEnd(w, t, e.kind());
         if (e.kind().countsAsAttempt()) {
             countFailure(w, t);
@@ -239,9 +242,14 @@
         completeIfDone(t.job);
     }
 
+    private void learn(LiveTask t, EndKind kind) {
+        if (kind.finishes() && t.begunAfresh && t.begunAt != Long.MAX_VALUE) {
+            state.times.learn(t.job.spec.key().queue(), Math.max(1, state.now() - t.begunAt));
+        }
+    }
+
     private void countFailure(LiveWorker w, LiveTask t) {
-        boolean counted =
-                t.step.gang() && t.job.members(t.id).stream().anyMatch(m -> m != t && m.lastFailedRun == t.run);
+        boolean counted = t.step.gang() && t.of.tasks.stream().anyMatch(m -> m != t && m.lastFailedRun == t.run);
         t.lastFailedRun = t.run;
         if (!counted) {
             t.failures++;
@@ -253,7 +261,7 @@
     }
 
     private void endGang(LiveTask t, boolean done) {
-        for (LiveTask m : t.job.members(t.id)) {
+        for (LiveTask m : t.of.tasks) {
             if (m == t) {
                 continue;
             }
@@ -269,9 +277,8 @@
     }
 
     private void failIfExhausted(LiveTask t) {
-        int failures = t.step.gang()
-                ? t.job.members(t.id).stream().mapToInt(m -> m.failures).sum()
-                : t.failures;
+        int failures =
+                t.step.gang() ? t.of.tasks.stream().mapToInt(m -> m.failures).sum() : t.failures;
         if (!t.step.longRunning()
                 && !t.job.state.ended()
                 && failures >= t.job.spec.policy().maxAttempts()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -75,7 +75,7 @@
         if (state.jobs.containsKey(spec.key())) {
             return;
         }
-        LiveJob job = new LiveJob(spec);
+        LiveJob job = new LiveJob(spec, state.times);
         state.add(job);
         if (progress != null) {
             job.restore(progress).forEach(r -> recover(job, r));
@@ -123,6 +123,11 @@
                 .forEach(w -> w.unlist(now));
     }
 
+    /** Takes in since when the list of workers may be out of date; with an old one nothing is placed. */
+    public void onWorkersKnown(long since) {
+        state.workersKnownAt = Math.max(state.workersKnownAt, since);
+    }
+
     /** Returns whether tasks wait for a worker that does not answer: the list of instances may tell of its end. */
     public boolean missesWorkers() {
         return state.workers.values().stream().anyMatch(this::isMissed);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -37,7 +37,11 @@
     final SchedulerPort port;
     final Map<JobKey, LiveJob> jobs = new LinkedHashMap<>();
     final Map<String, LiveWorker> workers = new HashMap<>();
+    final RunTimes times = new RunTimes();
     final Set<String> evacuating = new HashSet<>();
+    /** Since when the list of workers may be out of date. */
+    long workersKnownAt;
+
     private final Map<String, LiveJob> byCallerId = new HashMap<>();
     private final Clock steady;
     private final Clock wall;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
@@ -0,0 +1,60 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.Comparator;
+
+/**
+ * How soon a step is to have its workers. First the queue's priority; then steps whose job can still end within its
+ * objective, before those that are late and those that are later than a late end still counts; then the least slack.
+ * With too little room, serving in the order of arrival would make every job late.
+ */
+record StepUrgency(LiveStep step, int priority, Tier tier, long latestStartMillis) {
+
+    /** What is still to be won by a job. */
+    enum Tier {
+        /** It can end within its objective. */
+        ON_TIME,
+        /** It is late, and late ends still count. */
+        LATE,
+        /** It is later than that. */
+        PAST
+    }
+
+    // A job that ends within this many times its objective is late; beyond that it has missed everything.
+    private static final int LATE_FACTOR = 3;
+
+    static final Comparator<StepUrgency> FIRST = Comparator.comparingInt(StepUrgency::priority)
+            .thenComparing(StepUrgency::tier)
+            .thenComparingLong(StepUrgency::latestStartMillis)
+            .thenComparing(u -> u.step.job.spec.key().toString())
+            .thenComparingInt(u -> u.step.number);
+
+    /** Returns the urgency of a step at a time of day. */
+    static StepUrgency of(LiveStep s, long wallMillis) {
+        LiveJob job = s.job;
+        long begun = job.beginsMillis(s.time);
+        long left = wallMillis + s.tailMillis;
+        Tier tier = Tier.PAST;
+        if (s.spec.longRunning() || left <= begun + job.objectiveMillis()) {
+            tier = Tier.ON_TIME;
+        } else if (left <= begun + LATE_FACTOR * job.objectiveMillis()) {
+            tier = Tier.LATE;
+        }
+        long latest = s.spec.longRunning() ? begun : begun + job.objectiveMillis() - s.tailMillis;
+        return new StepUrgency(s, job.spec.policy().priority(), tier, latest);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/capacity/DemandTest.java
@@ -0,0 +1,78 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.placement.Room;
+
+class DemandTest {
+
+    private static final Room WORKER = new Room(10_000, 10_000, 0);
+    private static final Room TASK = new Room(1_000, 100, 0);
+
+    private final Demand demand = new Demand();
+
+    private void finite(int tasks, long leftMillis, long availableMillis, boolean placed) {
+        for (int i = 0; i < tasks; i++) {
+            demand.addFinite(TASK, leftMillis, availableMillis, placed);
+        }
+    }
+
+    @Nested
+    class Workers {
+
+        @Test
+        void areFewerWhenThereIsTime() {
+            finite(34, 1_000, 8_000, false);
+            assertEquals(1, demand.workers(WORKER));
+        }
+
+        @Test
+        void areAsManyAsAllTasksTakeAtOnceWhenTheyAreLate() {
+            finite(34, 1_000, 1_000, false);
+            assertEquals(4, demand.workers(WORKER));
+        }
+
+        @Test
+        void areNotFewerThanWhatRunsTakes() {
+            finite(34, 1_000, 8_000, true);
+            assertEquals(4, demand.workers(WORKER));
+        }
+
+        @Test
+        void carryWhatLastsBesides() {
+            for (int i = 0; i < 17; i++) {
+                demand.addLasting(TASK);
+            }
+            assertEquals(2, demand.workers(WORKER));
+        }
+
+        @Test
+        void areAsManyAsTheTasksMustBeSpreadOver() {
+            demand.addLasting(TASK);
+            demand.spreadOver(3);
+            assertEquals(3, demand.workers(WORKER));
+        }
+
+        @Test
+        void areNoneWithoutWork() {
+            assertEquals(0, demand.workers(WORKER));
+        }
+    }
+}
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -51,7 +51,7 @@
 
     void workers(String... ids) {
         scheduler.onWorkers(Arrays.stream(ids).map(SchedulerDriver::worker).toList());
-        scheduler.tick();
+        tick();
     }
 
     void job(String id, StepSpec... steps) {
@@ -59,10 +59,20 @@
     }
 
     void job(String id, @Nullable JobProgress progress, StepSpec... steps) {
+        take(id, progress, steps);
+        tick();
+    }
+
+    /** Hands in a job while the list of workers is not confirmed. */
+    void jobWithoutNews(String id, StepSpec... steps) {
+        take(id, null, steps);
+        scheduler.tick();
+    }
+
+    private void take(String id, @Nullable JobProgress progress, StepSpec... steps) {
         JobKey key = new JobKey("q", id);
         Policy policy = new Policy(0, 3, 1.5, 500, false);
         scheduler.onJob(new JobSpec(key, "clips", "text", List.of(steps), Repeat.ONCE, policy, now), progress);
-        scheduler.tick();
     }
 
     /** Lets the worker answer its newest hold. */
@@ -72,7 +82,7 @@
                 .reduce((a, b) -> b)
                 .orElseThrow();
         scheduler.onHeld(last, now, new HoldAnswer(100_000 + now, running, ended));
-        scheduler.tick();
+        tick();
     }
 
     /** Lets the worker keep silent to its newest hold. */
@@ -81,7 +91,7 @@
                 .filter(h -> h.worker().id().equals(worker))
                 .reduce((a, b) -> b)
                 .ifPresent(h -> scheduler.onHoldFailed(h, OrderOutcome.UNKNOWN));
-        scheduler.tick();
+        tick();
     }
 
     /** Makes durable what the scheduler has asked to be written. */
@@ -89,11 +99,16 @@
         List<List<SchedulerPort.Saving>> all = new ArrayList<>(port.saves);
         port.saves.clear();
         all.forEach(scheduler::onSaved);
-        scheduler.tick();
+        tick();
     }
 
     void passes(long millis) {
         now += millis;
+        tick();
+    }
+
+    private void tick() {
+        scheduler.onWorkersKnown(now);
         scheduler.tick();
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/Log.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/Log.java
@@ -25,6 +25,13 @@
 
     private Log() {}
 
+    /** Logs what only a developer wants to see; the fields are keys and values in turn. */
+    public static void debug(String event, Object... fields) {
+        if (Logger.isDebugEnabled()) {
+            Logger.debug(line(event, fields));
+        }
+    }
+
     /** Logs an ordinary event; the fields are keys and values in turn. */
     public static void info(String event, Object... fields) {
         if (Logger.isInfoEnabled()) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -16,8 +16,14 @@
 package org.lupinpaddle.daemon.jobs;
 
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.fleet.Errand;
@@ -25,6 +31,7 @@
 import org.lupinpaddle.core.fleet.FleetPort;
 import org.lupinpaddle.core.fleet.FleetTiming;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
+import org.lupinpaddle.core.fleet.RecentOrders;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.queue.ServiceConfig;
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
@@ -34,31 +41,42 @@
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreChanges;
 import org.lupinpaddle.daemon.port.StoreItem;
 
 /**
  * Runs the planner of the fleet while this entry owns it. The platform need not check fences of orders, so an
- * order goes out only while the lease, counted from when its newest renewal was sent, outlasts the call. The
- * first one waits for the time in which an earlier owner may still have given one, for a lease can be taken
- * away without its owner being told; and then for the time that the platform asks between two owners' orders.
+ * order goes out only while the lease, counted from when its newest renewal was sent, outlasts the call, and only
+ * after a write under the owner's fence has told which instances are ordered. A successor leaves those alone for the
+ * time that the platform asks between two owners' orders of one instance; all others it may order at once.
  */
-final class FleetHost implements FleetPort, AutoCloseable {
+final class FleetHost implements FleetPort, PrefixWatch.Listener, AutoCloseable {
 
     private static final long TICK_MILLIS = 100;
     private static final long LIST_MILLIS = 500;
-    // What was read of the ownership counts for so long; an entry that was frozen meanwhile reads again. With the
-    // call it fits into the time that a successor waits.
-    private static final long READ_FRESH_MILLIS = 400;
+    // The ownership that a write has shown counts for so long; an entry that was frozen meanwhile writes again.
+    private static final long FRESH_MILLIS = 250;
+    // An order reaches the platform at the latest so long after its record was written.
+    private static final long ORDER_MILLIS = FRESH_MILLIS + InstanceOrders.CALL_MILLIS;
+    // What is too old to matter is taken off the record soon, so that a successor leaves few instances alone.
+    private static final long PRUNE_EVERY_MILLIS = 500;
+    // A hand-over waits this long for the store; the successor then goes by the record as it is.
+    private static final long HAND_OVER_MILLIS = 300;
     // Between the check of the lease and the order's way out.
     private static final long SLACK_MILLIS = 100;
 
     private final Entry entry;
     private final long fence;
-    private final long firstOrderAt;
+    private final Map<String, Errand> toOrder = new LinkedHashMap<>();
+    private final Map<String, Long> orderedAt = new HashMap<>();
+    private final Set<String> unanswered = new HashSet<>();
     private final OwnedRecords owned;
     private final PrefixWatch records;
     private final PrefixWatch waves;
     private final FleetPlanner planner;
+    private boolean earlierKnown;
+    private boolean writingOrders;
+    private boolean handingOver;
     private boolean closed;
 
     /**
@@ -71,7 +89,6 @@
      * @param loop the event loop
      * @param ownership this entry's lease
      * @param timing the planner's times
-     * @param ownerLeaseMillis what the platform asks between two owners' orders
      */
     record Entry(
             String name,
@@ -80,20 +97,20 @@
             PlatformRecords names,
             EventLoop loop,
             OwnershipKeeper ownership,
-            FleetTiming timing,
-            long ownerLeaseMillis) {}
+            FleetTiming timing) {
+
+        /** Returns how long after a change of owner an instance that was ordered lately is left alone. */
+        static long takeOverMillis(long ownerLeaseMillis) {
+            return ORDER_MILLIS + ownerLeaseMillis + SLACK_MILLIS;
+        }
+    }
 
     FleetHost(Entry entry, long fence) {
         this.entry = entry;
         this.fence = fence;
-        firstOrderAt = entry.loop.clock().millis()
-                + OwnershipKeeper.TTL_MILLIS
-                - InstanceOrders.CALL_MILLIS
-                + entry.ownerLeaseMillis;
         planner = new FleetPlanner(entry.timing, this, entry.loop.clock());
         owned = new OwnedRecords(entry.store, entry.loop, JobNode.FLEET, fence);
-        records = new PrefixWatch(
-                entry.store, entry.loop, JobKeys.fleet(), PrefixWatch.Listener.same(this::recordsChanged));
+        records = new PrefixWatch(entry.store, entry.loop, JobKeys.fleet(), this);
         waves = new PrefixWatch(
                 entry.store, entry.loop, entry.names.wavePrefix(), PrefixWatch.Listener.same(this::wavesChanged));
     }
@@ -104,6 +121,7 @@
         waves.start();
         list();
         tick();
+        entry.loop.after(PRUNE_EVERY_MILLIS, this::prune);
     }
 
     void onServices(List<ServiceConfig> services) {
@@ -131,12 +149,42 @@
         if (closed) {
             return;
         }
-        if (entry.loop.clock().millis() >= firstOrderAt) {
-            planner.tick();
-        }
+        planner.tick();
         entry.loop.after(TICK_MILLIS, this::tick);
     }
 
+    @Override
+    public void onRead() {
+        if (!earlierKnown) {
+            takeEarlierOrders();
+        }
+        recordsChanged();
+    }
+
+    @Override
+    public void onChanges(List<StoreChanges.Change> changes) {
+        recordsChanged();
+    }
+
+    /** The first read came after the ownership was won: no earlier owner can have added to the record since. */
+    private void takeEarlierOrders() {
+        earlierKnown = true;
+        Set<String> earlier = new HashSet<>();
+        records.items().stream()
+                .filter(i -> i.key().equals(JobKeys.recentOrders()))
+                .forEach(i -> {
+                    owned.known(i.key(), i.revision());
+                    RecordCodec.read(i.value(), RecentOrders.class)
+                            .peek(r -> earlier.addAll(r.instances()))
+                            .peekLeft(why -> unreadable(i, why));
+                });
+        Log.info("fleet-owner-started", "fence", fence, "ordered-lately", earlier.size());
+        // They are told on, should this owner be followed soon.
+        long now = entry.loop.clock().millis();
+        earlier.forEach(i -> orderedAt.put(i, now));
+        planner.onEarlierOrders(earlier);
+    }
+
     private void recordsChanged() {
         Map<EvacuationRecord, String> evacuations = new HashMap<>();
         for (StoreItem i : records.items()) {
@@ -203,36 +251,88 @@
         }
     }
 
-    /** Reads that this entry still owns the fleet, then orders: a lease can be renewed after its keys are gone. */
+    /** Orders that are asked for in one pass go out together. */
     @Override
     public void order(String instance, Errand errand) {
-        long readAt = entry.loop.clock().millis();
-        if (closed || readAt < firstOrderAt) {
-            refused(instance, errand);
+        toOrder.put(instance, errand);
+        entry.loop.execute(this::sendOrders);
+    }
+
+    /**
+     * Writes which instances are about to be ordered, under the condition that this entry still owns the fleet, then
+     * orders: a lease can be renewed after its keys are gone, and a successor has to know.
+     */
+    private void sendOrders() {
+        if (closed || handingOver || writingOrders || toOrder.isEmpty()) {
             return;
         }
-        entry.store
-                .read(JobKeys.owner(JobNode.FLEET))
-                .whenComplete((item, why) -> entry.loop.execute(() -> {
-                    if (why != null) {
-                        Log.info("fleet-ownership-unread", "why", StoreFailure.text(why));
-                        refused(instance, errand);
-                    } else if (item.isEmpty() || item.get().revision() != fence) {
-                        refused(instance, errand);
-                        entry.ownership.giveUp(JobNode.FLEET, fence, "its key is not this owner's any more");
-                    } else {
-                        orderAsOwner(instance, errand, readAt);
-                    }
-                }));
+        Map<String, Errand> orders = new LinkedHashMap<>(toOrder);
+        toOrder.clear();
+        long writtenAt = entry.loop.clock().millis();
+        orders.keySet().forEach(i -> orderedAt.put(i, writtenAt));
+        writeRecent(outcome -> {
+            if (outcome == OwnedRecords.Outcome.SAVED) {
+                orders.forEach((i, errand) -> orderAsOwner(i, errand, writtenAt));
+            } else {
+                Log.info("fleet-orders-held-back", "count", orders.size(), "outcome", outcome);
+                orders.forEach(this::refused);
+            }
+        });
+    }
+
+    private void writeRecent(Consumer<OwnedRecords.Outcome> onEnd) {
+        writingOrders = true;
+        long now = entry.loop.clock().millis();
+        orderedAt.values().removeIf(at -> now - at > entry.timing.takeOverMillis());
+        String record = RecordCodec.write(new RecentOrders(List.copyOf(new TreeSet<>(orderedAt.keySet()))));
+        owned.write(Map.of(JobKeys.recentOrders(), record), outcome -> {
+            writingOrders = false;
+            onEnd.accept(outcome);
+            if (outcome == OwnedRecords.Outcome.NOT_OWNER) {
+                entry.ownership.giveUp(JobNode.FLEET, fence, "its key is not this owner's any more");
+            }
+            entry.loop.execute(this::sendOrders);
+        });
     }
 
-    private void orderAsOwner(String instance, Errand errand, long readAt) {
+    private void prune() {
+        if (closed || handingOver) {
+            return;
+        }
+        long now = entry.loop.clock().millis();
+        boolean old = orderedAt.values().stream().anyMatch(at -> now - at > entry.timing.takeOverMillis());
+        if (old && !writingOrders) {
+            writeRecent(outcome -> Log.debug("fleet-record-pruned", "outcome", outcome));
+        }
+        entry.loop.after(PRUNE_EVERY_MILLIS, this::prune);
+    }
+
+    /**
+     * Gives no more orders and tells the successor so: this process ends, and only instances whose order has no
+     * answer yet must be left alone. The future ends when that is durable, or soon in any case.
+     */
+    CompletableFuture<Void> handOver() {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        handingOver = true;
+        if (!writingOrders) {
+            orderedAt.keySet().retainAll(unanswered);
+            writeRecent(outcome -> {
+                Log.info("fleet-handed-over", "outcome", outcome, "unanswered", unanswered.size());
+                done.complete(null);
+            });
+        }
+        entry.loop.after(HAND_OVER_MILLIS, () -> done.complete(null));
+        return done;
+    }
+
+    private void orderAsOwner(String instance, Errand errand, long writtenAt) {
         long now = entry.loop.clock().millis();
         boolean lasts = entry.ownership.leaseEndsAt() - now > InstanceOrders.CALL_MILLIS + SLACK_MILLIS;
-        if (closed || !lasts || now - readAt > READ_FRESH_MILLIS) {
+        if (closed || handingOver || !lasts || now - writtenAt > FRESH_MILLIS) {
             refused(instance, errand);
             return;
         }
+        unanswered.add(instance);
         entry.instances
                 .order(instance, errand, entry.name, fence)
                 .thenAcceptAsync(o -> ordered(instance, errand, o), entry.loop::execute);
@@ -243,6 +343,9 @@
     }
 
     private void ordered(String instance, Errand errand, InstanceOrderOutcome o) {
+        if (o != InstanceOrderOutcome.UNKNOWN) {
+            unanswered.remove(instance);
+        }
         if (closed) {
             return;
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Clock;
@@ -99,8 +100,9 @@
                 p.records(),
                 loop,
                 ownership,
-                FleetTiming.usual(p.limits().upkeepMillis()),
-                p.limits().ownerLeaseMillis());
+                FleetTiming.usual(
+                        p.limits().upkeepMillis(),
+                        FleetHost.Entry.takeOverMillis(p.limits().ownerLeaseMillis())));
     }
 
     /** Begins. */
@@ -152,10 +154,7 @@
     }
 
     private void workersChanged() {
-        WorkerFeed feed = workers;
-        if (feed != null) {
-            hosts.forEach((service, host) -> host.onWorkers(feed.of(service)));
-        }
+        hosts.values().forEach(SchedulerHost::onWorkers);
     }
 
     /** Workers' records change all the time; only owners of services follow them. */
@@ -177,9 +176,10 @@
             fleet.start(configuration.current().map(JobConfiguration::services).orElse(List.of()));
             return;
         }
-        SchedulerHost host = new SchedulerHost(shared, duty, fence, () -> ownership.giveUp(duty, fence, "fenced"));
+        SchedulerHost host =
+                new SchedulerHost(shared, duty, fence, followWorkers(), () -> ownership.giveUp(duty, fence, "fenced"));
         hosts.put(duty, host);
-        host.start(followWorkers().of(duty));
+        host.start();
     }
 
     @Override
@@ -204,7 +204,9 @@
         loop.execute(() -> {
             stopping = true;
             ready = false;
-            ownership.stop();
+            CompletableFuture<Void> handedOver =
+                    fleet == null ? CompletableFuture.completedFuture(null) : fleet.handOver();
+            handedOver.thenRunAsync(ownership::stop, loop::execute);
         });
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
@@ -24,6 +24,7 @@
 import java.util.function.Consumer;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.common.Log;
 import org.lupinpaddle.daemon.port.CommitResult;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreCommit;
@@ -123,13 +124,22 @@
         });
     }
 
-    /** Removes records that nobody needs any more, once; what is not removed now is removed by a later owner. */
-    void forget(List<String> keys) {
+    /** Removes records that nobody needs any more; {@code onGone} is told on the loop when they are gone. */
+    void forget(List<String> keys, Runnable onGone) {
         StoreCommit.Builder b = StoreCommit.builder().when(ownerKey, fence);
         for (String key : keys) {
             revisions.remove(key);
             b.remove(key);
         }
-        var unused = store.commit(b.build());
+        store.commit(b.build())
+                .thenAcceptAsync(
+                        r -> {
+                            if (r.outcome() == CommitResult.Outcome.MADE) {
+                                onGone.run();
+                            } else {
+                                Log.info("records-not-removed", "count", keys.size(), "outcome", r.outcome());
+                            }
+                        },
+                        loop::execute);
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -41,23 +41,32 @@
 
     // An entry that dies is followed after this and a renewal's time; the store gives no lease under 1 s.
     /** How long a lease lasts after its newest renewal, in milliseconds. */
-    static final long TTL_MILLIS = 2_000;
+    static final long TTL_MILLIS = 1_500;
 
-    private static final long RENEW_MILLIS = 600;
+    private static final long RENEW_MILLIS = 450;
     private static final long RETRY_MILLIS = 200;
     // An entry takes a duty this much later for each one that comes before it: a write takes 10 ms.
     private static final long STAGGER_MILLIS = 100;
 
+    // A hand-over leaves a service without an owner for about 100 ms: not too often, and not to an entry that has
+    // just started.
+    private static final long SHARE_EVERY_MILLIS = 2_000;
+    private static final long SETTLED_MILLIS = 2_000;
+    // With a difference of one there is nothing to win, and duties would go to and fro.
+    private static final int TOO_MANY_MORE = 2;
+
     private final KeyValueStore store;
     private final EventLoop loop;
     private final String entry;
     private final Listener listener;
     private final PrefixWatch watch;
-    private final Map<String, Long> owned = new TreeMap<>();
+    private final TreeMap<String, Long> owned = new TreeMap<>();
     private final Set<String> duties = new TreeSet<>();
     private final Set<String> attempts = new HashSet<>();
     private long lease;
     private long keptAt = Long.MIN_VALUE / 2;
+    private final Map<String, Long> entrySince = new HashMap<>();
+    private long sharedAt = Long.MIN_VALUE / 2;
     private boolean registered;
     private boolean stopping;
 
@@ -177,6 +186,7 @@
                         loop.after(RETRY_MILLIS, this::renew);
                     } else if (alive) {
                         keptAt = sentAt;
+                        shareOut();
                         loop.after(Math.max(0, RENEW_MILLIS - (loop.clock().millis() - sentAt)), this::renew);
                     } else {
                         leaseEnded();
@@ -255,6 +265,47 @@
         }
     }
 
+    /**
+     * Hands one duty over when another entry has much fewer: planned restarts leave all duties to the entry that is
+     * restarted last.
+     */
+    private void shareOut() {
+        long now = loop.clock().millis();
+        Set<String> known = entries();
+        entrySince.keySet().retainAll(known);
+        known.forEach(e -> entrySince.putIfAbsent(e, now));
+        if (stopping || now - sharedAt < SHARE_EVERY_MILLIS || owned.size() < TOO_MANY_MORE) {
+            return;
+        }
+        Map<String, Integer> counts = ownedCounts(owners());
+        int fewest = entrySince.entrySet().stream()
+                .filter(e -> now - e.getValue() >= SETTLED_MILLIS)
+                .mapToInt(e -> counts.getOrDefault(e.getKey(), 0))
+                .min()
+                .orElse(owned.size());
+        boolean allOwned = owners().keySet().containsAll(duties);
+        if (allOwned && owned.size() - fewest >= TOO_MANY_MORE) {
+            sharedAt = now;
+            release(owned.lastKey(), "another entry owns " + (owned.size() - fewest) + " fewer");
+        }
+    }
+
+    private void release(String duty, String why) {
+        Long fence = owned.remove(duty);
+        if (fence == null) {
+            return;
+        }
+        listener.lost(duty, why);
+        String key = JobKeys.owner(duty);
+        store.commit(StoreCommit.builder().when(key, fence).remove(key).build())
+                .thenAcceptAsync(
+                        r -> {
+                            Log.info("duty-released", "duty", duty, "fence", fence, "outcome", r.outcome());
+                            review();
+                        },
+                        loop::execute);
+    }
+
     private Map<String, Integer> ownedCounts(Map<String, StoreItem> owners) {
         Map<String, Integer> counts = new HashMap<>();
         owners.values().forEach(i -> counts.merge(i.value(), 1, Integer::sum));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -59,9 +59,12 @@
 final class SchedulerHost implements SchedulerPort, PrefixWatch.Listener, AutoCloseable {
 
     private static final long TICK_MILLIS = 25;
+    // An entry has less than a core; events come every few milliseconds when it is busy.
+    private static final long TICK_GAP_MILLIS = 5;
     private static final long RETRY_MILLIS = 150;
     // Counts of waiting jobs may be 2 s old when they are told; pools are sized by the same report.
     private static final long REPORT_MILLIS = 400;
+    private static final long REPORT_CHECK_MILLIS = 120;
     private static final long LOOK_FOR_MISSED_MILLIS = 700;
     private static final long FORGET_EVERY_MILLIS = 5_000;
     // Callers may ask for 120 s after a job's end.
@@ -77,10 +80,15 @@
     private final PrefixWatch inputs;
     private final EvacuationFeed evacuations;
     private final Map<JobKey, JobProgress> inherited = new HashMap<>();
+    /** Jobs that are over and known only by their records, with when those may be removed. */
+    private final Map<JobKey, Long> over = new HashMap<>();
+
     private @Nullable ServiceScheduler scheduler;
-    private Collection<WorkerFacts> workers = List.of();
+    private final WorkerFeed workers;
     private @Nullable ServiceReport reported;
+    private long reportedAt = Long.MIN_VALUE / 2;
     private boolean tickQueued;
+    private long tickedAt;
     private boolean closed;
 
     /**
@@ -101,20 +109,20 @@
             Clock wall,
             SchedulerTiming timing) {}
 
-    SchedulerHost(Entry entry, String service, long fence, Runnable ownershipGone) {
+    SchedulerHost(Entry entry, String service, long fence, WorkerFeed workers, Runnable ownershipGone) {
         this.entry = entry;
         this.service = service;
         this.fence = fence;
+        this.workers = workers;
         this.ownershipGone = ownershipGone;
         records = new OwnedRecords(entry.store, entry.loop, service, fence);
         inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), this);
         evacuations = new EvacuationFeed(
-                entry.store, entry.loop, service, records, workers -> told(s -> s.onEvacuations(workers)));
+                entry.store, entry.loop, service, records, leaving -> told(s -> s.onEvacuations(leaving)));
     }
 
     /** Reads what earlier owners left, then begins. */
-    void start(Collection<WorkerFacts> listed) {
-        workers = listed;
+    void start() {
         readProgress();
     }
 
@@ -159,7 +167,8 @@
 
     private void begin() {
         scheduler = new ServiceScheduler(service, entry.timing, this, entry.loop.clock(), entry.wall);
-        scheduler.onWorkers(workers);
+        Collection<WorkerFacts> listed = workers.of(service);
+        scheduler.onWorkers(listed);
         evacuations.start();
         Log.info(
                 "scheduler-started",
@@ -168,11 +177,13 @@
                 "fence",
                 fence,
                 "workers",
-                workers.size(),
-                "jobs",
-                inherited.size());
+                listed.size(),
+                "jobs-known",
+                inherited.size(),
+                "jobs-over",
+                inherited.values().stream().filter(JobProgress::over).count());
         repeat(TICK_MILLIS, this::tick);
-        repeat(REPORT_MILLIS, this::writeReport);
+        repeat(REPORT_CHECK_MILLIS, this::writeReport);
         repeat(FORGET_EVERY_MILLIS, this::forgetEnded);
         repeat(LOOK_FOR_MISSED_MILLIS, this::lookForMissed);
     }
@@ -209,13 +220,24 @@
         if (s == null) {
             return;
         }
-        if (JobKeys.isJob(service, i.key())) {
+        JobKey key = JobKeys.jobOf(service, i.key()).orElse(null);
+        if (key != null && !isOver(key)) {
             Either<String, JobSpec> spec = RecordCodec.read(i.value(), JobSpec.class);
             spec.peek(good -> s.onJob(good, inherited.remove(good.key())))
                     .peekLeft(why -> Log.warn("job-unreadable", "key", i.key(), "why", why));
         }
     }
 
+    /** Most jobs of the last minutes are over; reading them all would hold up a take-over. */
+    private boolean isOver(JobKey key) {
+        JobProgress earlier = inherited.get(key);
+        if (earlier != null && earlier.over()) {
+            inherited.remove(key);
+            over.put(key, entry.loop.clock().millis() + FORGET_AFTER_MILLIS);
+        }
+        return over.containsKey(key);
+    }
+
     private void takeCancellation(StoreItem i) {
         if (scheduler != null) {
             JobKeys.cancelled(service, i.key()).ifPresent(scheduler::onCancel);
@@ -223,10 +245,9 @@
     }
 
     /** Takes in which workers of the service are listed. */
-    void onWorkers(Collection<WorkerFacts> listed) {
-        workers = listed;
+    void onWorkers() {
         if (scheduler != null) {
-            scheduler.onWorkers(listed);
+            scheduler.onWorkers(workers.of(service));
             requestTick();
         }
     }
@@ -253,16 +274,20 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Passes over all jobs and workers are not worth it for each event by itself. */
     private void requestTick() {
         if (!tickQueued) {
             tickQueued = true;
-            entry.loop.execute(this::tick);
+            long due = tickedAt + TICK_GAP_MILLIS - entry.loop.clock().millis();
+            entry.loop.after(Math.max(0, due), this::tick);
         }
     }
 
     private void tick() {
         tickQueued = false;
+        tickedAt = entry.loop.clock().millis();
         if (!closed && scheduler != null) {
+            scheduler.onWorkersKnown(workers.confirmedAt());
             scheduler.tick();
         }
     }
@@ -355,27 +380,37 @@
                 e.detail());
     }
 
+    /** A pool that has become too small is told of at once, other news a little later. */
     private void writeReport() {
         if (scheduler == null) {
             return;
         }
+        long now = entry.loop.clock().millis();
         ServiceReport report = scheduler.report();
-        if (report.equals(reported)) {
+        boolean grown = reported == null || report.needed() > reported.needed();
+        if (report.equals(reported) || (!grown && now - reportedAt < REPORT_MILLIS)) {
             return;
         }
+        reportedAt = now;
         records.write(
                 Map.of(JobKeys.report(service), RecordCodec.write(report)),
                 outcome -> reported = outcome == OwnedRecords.Outcome.SAVED ? report : null);
     }
 
     private void forgetEnded() {
-        if (scheduler != null) {
-            List<JobKey> old = scheduler.forgetEnded(FORGET_AFTER_MILLIS);
-            for (int i = 0; i < old.size(); i += FORGET_AT_ONCE) {
-                records.forget(old.subList(i, Math.min(old.size(), i + FORGET_AT_ONCE)).stream()
-                        .flatMap(this::keysOf)
-                        .toList());
-            }
+        if (scheduler == null) {
+            return;
+        }
+        long now = entry.loop.clock().millis();
+        scheduler.forgetEnded(FORGET_AFTER_MILLIS).forEach(j -> over.put(j, now));
+        List<JobKey> due = over.entrySet().stream()
+                .filter(e -> e.getValue() <= now)
+                .map(Map.Entry::getKey)
+                .toList();
+        for (int i = 0; i < due.size(); i += FORGET_AT_ONCE) {
+            List<JobKey> some = due.subList(i, Math.min(due.size(), i + FORGET_AT_ONCE));
+            // Until their records are gone for certain, a new read of them must not make new jobs of them.
+            records.forget(some.stream().flatMap(this::keysOf).toList(), () -> some.forEach(over::remove));
         }
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
@@ -49,6 +49,11 @@
         watch.start();
     }
 
+    /** Returns since when the list may be out of date. */
+    long confirmedAt() {
+        return watch.confirmedAt();
+    }
+
     /** Returns the workers of a service. */
     List<WorkerFacts> of(String service) {
         return byKey.values().stream().filter(w -> w.service().equals(service)).toList();
--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -82,6 +82,7 @@
 
     private void restart() {
         if (!up) {
+            world.fleet.returns(name);
             node = life();
             node.start();
         }
@@ -92,6 +93,7 @@
         if (!isUp()) {
             return;
         }
+        world.fleet.leaves(name);
         node.stop();
         VirtualLoop ending = loop;
         world.time.after(SERVE_ON_MILLIS, () -> {
