--- a/core/src/main/java/org/lupinpaddle/core/capacity/Demand.java
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/Demand.java
@@ -23,9 +23,9 @@
     // Tasks do not fill a worker to the brim: what is left over is too small for the next one.
     private static final int FILLED_PERCENT = 85;
     private static final int ALL_PERCENT = 100;
-    // Work is spread over this share of the time that its job still has: the rest is for what is not foreseen.
-    private static final double USED_OF_TIME = 0.5;
-    // Less time than this can not be used: an instance takes longer to come.
+    // Work is spread over the time that its job still has, less this: instances take as long to come, and what is
+    // not foreseen takes its part.
+    private static final long KEPT_BACK_MILLIS = 1_200;
     private static final long LEAST_TIME_MILLIS = 500;
 
     private Room running = Room.NONE;
@@ -50,7 +50,8 @@
      * @param placed whether it has a worker already
      */
     public void addFinite(Room room, long leftMillis, long availableMillis, boolean placed) {
-        double share = Math.min(1, leftMillis / Math.max(LEAST_TIME_MILLIS, availableMillis * USED_OF_TIME));
+        double share =
+                Math.min(1, (double) leftMillis / Math.max(LEAST_TIME_MILLIS, availableMillis - KEPT_BACK_MILLIS));
         cpuMillis += room.cpuMillis() * share;
         memoryMb += room.memoryMb() * share;
         accelerators += room.accelerators() * share;
@@ -64,20 +65,21 @@
         spread = Math.max(spread, workers);
     }
 
-    /** Returns how many workers with this room the work needs. */
-    public int workers(Room each) {
-        long byCpu = needed(Math.max(cpuMillis, running.cpuMillis()) + lasting.cpuMillis(), each.cpuMillis());
-        long byMemory = needed(Math.max(memoryMb, running.memoryMb()) + lasting.memoryMb(), each.memoryMb());
-        long byAccelerators =
+    /** Returns how many workers with this room the work needs, in fractions of one. */
+    public double need(Room each) {
+        double byCpu = needed(Math.max(cpuMillis, running.cpuMillis()) + lasting.cpuMillis(), each.cpuMillis());
+        double byMemory = needed(Math.max(memoryMb, running.memoryMb()) + lasting.memoryMb(), each.memoryMb());
+        double byAccelerators =
                 needed(Math.max(accelerators, running.accelerators()) + lasting.accelerators(), each.accelerators());
-        return (int) Math.max(spread, Math.max(byCpu, Math.max(byMemory, byAccelerators)));
+        return Math.max(byCpu, Math.max(byMemory, byAccelerators));
     }
 
-    private static long needed(double sum, long each) {
-        if (sum == 0 || each == 0) {
-            return 0;
-        }
-        double usable = Math.max(1, each * FILLED_PERCENT / ALL_PERCENT);
-        return (long) Math.ceil(sum / usable);
+    /** Returns how many workers there must be for the tasks that may not be together. */
+    public int fewest() {
+        return spread;
+    }
+
+    private static double needed(double sum, long each) {
+        return each == 0 ? 0 : sum / Math.max(1, each * FILLED_PERCENT / ALL_PERCENT);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/DemandTrend.java
@@ -0,0 +1,52 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.capacity;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Looks a little ahead: what a service needs when instances that are asked for now have come. While the need grows it
+ * is taken to grow on as fast; while it falls nothing is assumed.
+ */
+public final class DemandTrend {
+
+    // Long enough that single jobs do not look like a trend.
+    private static final long WINDOW_MILLIS = 1_500;
+    // From a report until an instance from the headroom pool takes tasks: 1.5 s of the move, and the calls.
+    private static final long LEAD_MILLIS = 1_800;
+    // A burst that has just begun says little of how high it will go.
+    private static final double MOST_FACTOR = 1.6;
+
+    private final Deque<Sample> samples = new ArrayDeque<>();
+
+    private record Sample(long at, double need) {}
+
+    /** Takes in what is needed now, in workers, and returns what will be needed. */
+    public double ahead(long now, double need) {
+        while (samples.size() > 1 && now - samples.peekFirst().at() > WINDOW_MILLIS) {
+            samples.removeFirst();
+        }
+        samples.addLast(new Sample(now, need));
+        Sample oldest = samples.peekFirst();
+        long over = now - oldest.at();
+        if (over < WINDOW_MILLIS / 2 || need <= oldest.need()) {
+            return need;
+        }
+        double grown = (need - oldest.need()) / over * LEAD_MILLIS;
+        return Math.min(need + grown, Math.max(need * MOST_FACTOR, need + 1));
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/fleet/RecentOrders.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/RecentOrders.java
@@ -15,12 +15,13 @@
  */
 package org.lupinpaddle.core.fleet;
 
-import java.util.List;
+import java.util.Map;
 
 /**
  * Which instances the owner of the fleet has ordered lately. It is written before the orders go out, so that a
  * successor knows which instances it must leave alone for a while.
  *
- * @param instances the instances
+ * @param lifeByInstance the instances, each with the life of the entry that ordered it: its process from one start
+ *     to its end. What a life that is over has ordered need not be waited for.
  */
-public record RecentOrders(List<String> instances) {}
+public record RecentOrders(Map<String, String> lifeByInstance) {}
--- a/core/src/main/java/org/lupinpaddle/core/job/TaskId.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/TaskId.java
@@ -22,4 +22,11 @@
  * @param step which step, from 0
  * @param index which task of the step, from 0
  */
-public record TaskId(int time, int step, int index) {}
+public record TaskId(int time, int step, int index) {
+
+    /** Returns the three numbers, with dots between them. */
+    @Override
+    public String toString() {
+        return time + "." + step + "." + index;
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
@@ -49,7 +49,9 @@
             }
             add(job, demand);
         }
-        return new ServiceReport(pending, demand.workers(usualRoom()), loads());
+        double ahead = state.trend.ahead(state.now(), demand.need(usualRoom()));
+        int workers = (int) Math.max(demand.fewest(), Math.ceil(ahead));
+        return new ServiceReport(pending, workers, loads());
     }
 
     private void add(LiveJob job, Demand demand) {
@@ -62,7 +64,7 @@
     }
 
     private void add(LiveStep s, long wall, Demand demand) {
-        long expected = state.times.expectedMillis(s.job.spec.key().queue(), s.spec.estimateMillis());
+        long expected = state.expectedMillis(s);
         long available = available(s, wall);
         for (LiveTask t : s.tasks) {
             if (t.phase == Phase.DONE) {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -28,6 +28,9 @@
     final int number;
     final StepSpec spec;
     final List<LiveTask> tasks = new ArrayList<>();
+    private int wholeRuns;
+    private long wholeRunsMillis;
+
     /** How long the job still takes once this step begins, by what is expected: this step and those after it. */
     long tailMillis;
 
@@ -52,6 +55,17 @@
                         .allMatch(before -> job.step(time, before).isDone());
     }
 
+    /** Takes in how long a whole run of one of its tasks took. */
+    void learn(long millis) {
+        wholeRuns++;
+        wholeRunsMillis += millis;
+    }
+
+    /** Returns how long its tasks took that are done, on the mean; 0 when none is. */
+    long siblingsMillis() {
+        return wholeRuns == 0 ? 0 : Math.max(1, wholeRunsMillis / wholeRuns);
+    }
+
     boolean hasWaiting() {
         return tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.WAITING);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -89,6 +89,8 @@
     long begunAt = Long.MAX_VALUE;
 
     boolean begunAfresh;
+    /** When its progress was last seen to grow. */
+    long movedAt = Long.MAX_VALUE;
     /** An older run, or another member of its gang, has done the work: it is done once it is off its worker. */
     boolean finished;
 
@@ -123,8 +125,13 @@
     }
 
     void failedOn(LiveWorker w, long now) {
-        failedWorkers.add(w.facts().id());
         failedDomains.add(w.facts().failureDomain());
+        avoid(w, now);
+    }
+
+    /** Lets the next runs go to other workers, for a while at any price, then where there is a choice. */
+    void avoid(LiveWorker w, long now) {
+        failedWorkers.add(w.facts().id());
         elsewhereUntil = now + ELSEWHERE_MILLIS * Math.max(1, failures);
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -54,6 +54,8 @@
     long holdDueAt;
     long lastAnswerAt = Long.MIN_VALUE / 2;
     long avoidUntil = Long.MIN_VALUE;
+    /** It has been avoided: until one run has ended well on it, it gets one task at a time. */
+    boolean onProbation;
     /** What speaks against the worker since the last run that ended well, each piece once. */
     final Set<String> evidence = new HashSet<>();
 
@@ -115,6 +117,9 @@
 
     @Override
     public Room free() {
+        if (onProbation && !tasks.isEmpty()) {
+            return Room.NONE;
+        }
         return facts.room().minus(used);
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -130,6 +130,6 @@
         }
         job.version++;
         t.placedVersion = job.version;
-        state.note(SchedulerEvent.Kind.TASK_PLACED, t, "attempts=" + t.failures);
+        state.note(SchedulerEvent.Kind.TASK_PLACED, t, "", "attempts=" + t.failures + " version=" + t.placedVersion);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -40,9 +40,9 @@
     private final ServiceState state;
     private final WorkerJudge judge;
 
-    RunTracker(ServiceState state) {
+    RunTracker(ServiceState state, WorkerJudge judge) {
         this.state = state;
-        this.judge = new WorkerJudge(state);
+        this.judge = judge;
     }
 
     void sendDueOrders() {
@@ -96,7 +96,7 @@
 
     private void startAnswered(LiveTask t, LiveWorker w, OrderOutcome outcome) {
         long now = state.now();
-        state.note(SchedulerEvent.Kind.START_ANSWERED, t, "outcome=" + outcome);
+        state.note(SchedulerEvent.Kind.START_ANSWERED, t, outcome.name(), "unanswered=" + t.unanswered);
         if (outcome == OrderOutcome.ACCEPTED) {
             begun(t, now);
         } else if (outcome == OrderOutcome.UNKNOWN) {
@@ -128,7 +128,8 @@
         t.enter(Phase.RUNNING, now);
         t.provenFrom = now;
         t.begunAt = now;
-        t.job.begun = true;
+        t.movedAt = now;
+        state.begun(t.job);
     }
 
     void onStopped(StopOrder order, OrderOutcome outcome) {
@@ -176,7 +177,10 @@
             return;
         }
         shown.add(t);
-        t.percent = r.percent();
+        if (r.percent() != t.percent) {
+            t.percent = r.percent();
+            t.movedAt = state.now();
+        }
         if (!r.checkpoint().isEmpty()) {
             t.checkpoint = r.checkpoint();
         }
@@ -190,7 +194,11 @@
             // Not known to happen; a stop makes sure before the task runs elsewhere.
             state.stop(t, "run-vanished");
         } else if (t.phase == Phase.STOPPING || t.phase == Phase.RECOVERING) {
-            state.note(SchedulerEvent.Kind.RUN_ENDED, t, "kind=NEVER_BEGAN");
+            state.note(
+                    SchedulerEvent.Kind.RUN_ENDED,
+                    t,
+                    "NEVER_BEGAN",
+                    "proven-since-millis=" + (state.now() - t.provenFrom));
             free(t, t.finished ? Phase.DONE : Phase.WAITING);
             completeIfDone(t.job);
         }
@@ -223,13 +231,14 @@
     }
 
     private void apply(LiveWorker w, LiveTask t, EndReport e) {
-        state.note(SchedulerEvent.Kind.RUN_ENDED, t, "kind=" + e.kind() + " number=" + e.number());
+        state.note(
+                SchedulerEvent.Kind.RUN_ENDED, t, e.kind().name(), "number=" + e.number() + " attempts=" + t.failures);
         if (!e.checkpoint().isEmpty()) {
             t.checkpoint = e.checkpoint();
         }
-        t.job.begun = true;
-        learn(t, e.kind());
+        state.begun(t.job);
         judge.onEnd(w, t, e.kind());
+        learn(t, e.kind());
         if (e.kind().countsAsAttempt()) {
             countFailure(w, t);
         }
@@ -244,7 +253,9 @@
 
     private void learn(LiveTask t, EndKind kind) {
         if (kind.finishes() && t.begunAfresh && t.begunAt != Long.MAX_VALUE) {
-            state.times.learn(t.job.spec.key().queue(), Math.max(1, state.now() - t.begunAt));
+            long took = Math.max(1, state.now() - t.begunAt);
+            state.times.learn(t.job.spec.key().queue(), took);
+            t.of.learn(took);
         }
     }
 
@@ -306,7 +317,7 @@
         state.note(SchedulerEvent.Kind.WORKER_GONE, w, "tasks=" + w.tasks.size() + " evidence=" + evidence);
         state.workers.remove(w.facts().id());
         for (LiveTask t : new ArrayList<>(w.tasks)) {
-            state.note(SchedulerEvent.Kind.RUN_ENDED, t, "kind=" + EndKind.LAPSED + " evidence=" + evidence);
+            state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.LAPSED.name(), "evidence=" + evidence);
             free(t, t.finished ? Phase.DONE : Phase.WAITING);
             if (t.step.gang()) {
                 endGang(t, false);
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -20,22 +20,33 @@
 import org.lupinpaddle.core.job.TaskId;
 
 /**
- * One decision of a service's scheduler, for the log.
+ * One decision of a scheduler, for the log and the figures.
  *
  * @param kind what was decided
- * @param job the job it touches; null when it touches a worker only
- * @param task the task it touches; null when it touches the whole job
- * @param run the run it touches; 0 for none
- * @param worker the worker it touches; empty for none
- * @param detail the inputs that decided
+ * @param job the job, where there is one
+ * @param task the task, where there is one
+ * @param run the task's run; 0 without a task
+ * @param worker the worker's id; empty where there is none
+ * @param outcome what came of it, in one word; empty where the kind says all
+ * @param detail the inputs that decided, as key=value pairs
+ * @param ageMillis how long ago the job was accepted, in milliseconds; 0 without a job
  */
 public record SchedulerEvent(
-        Kind kind, @Nullable JobKey job, @Nullable TaskId task, int run, String worker, String detail) {
+        Kind kind,
+        @Nullable JobKey job,
+        @Nullable TaskId task,
+        int run,
+        String worker,
+        String outcome,
+        String detail,
+        long ageMillis) {
 
     /** What was decided. */
     public enum Kind {
         /** A job was taken in. */
         JOB_TAKEN,
+        /** A worker has begun the first of a job's tasks. */
+        JOB_BEGUN,
         /** A job ended. */
         JOB_ENDED,
         /** A task was given a worker. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -57,6 +57,7 @@
     private final RunTracker runs;
     private final PlacementPass placement;
     private final Evacuator evacuator;
+    private final StragglerPass stragglers;
     private final long startedAt;
     private boolean saving;
     private long saveDueAt;
@@ -64,7 +65,9 @@
     /** Makes the scheduler of a service whose ownership has just been won. */
     public ServiceScheduler(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
         state = new ServiceState(service, timing, port, steady, wall);
-        runs = new RunTracker(state);
+        WorkerJudge judge = new WorkerJudge(state);
+        runs = new RunTracker(state, judge);
+        stragglers = new StragglerPass(state, judge);
         placement = new PlacementPass(state);
         evacuator = new Evacuator(state);
         startedAt = state.now();
@@ -83,8 +86,7 @@
         if (job.state.ended()) {
             job.endedAt = state.now();
         }
-        state.port.note(
-                new SchedulerEvent(SchedulerEvent.Kind.JOB_TAKEN, spec.key(), null, 0, "", "state=" + job.state));
+        state.note(SchedulerEvent.Kind.JOB_TAKEN, job, job.state.name(), "version=" + job.version);
     }
 
     private void recover(LiveJob job, TaskRecord r) {
@@ -226,6 +228,7 @@
     public void tick() {
         dropWorkers();
         evacuator.run();
+        stragglers.run();
         placement.run();
         save();
         runs.sendDueOrders();
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.capacity.DemandTrend;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobState;
@@ -38,6 +39,7 @@
     final Map<JobKey, LiveJob> jobs = new LinkedHashMap<>();
     final Map<String, LiveWorker> workers = new HashMap<>();
     final RunTimes times = new RunTimes();
+    final DemandTrend trend = new DemandTrend();
     final Set<String> evacuating = new HashSet<>();
     /** Since when the list of workers may be out of date. */
     long workersKnownAt;
@@ -108,12 +110,18 @@
                 && now >= w.avoidUntil;
     }
 
+    /** Returns how long one of the step's tasks is expected to run: as its siblings did, if one is done. */
+    long expectedMillis(LiveStep s) {
+        long siblings = s.siblingsMillis();
+        return siblings > 0 ? siblings : times.expectedMillis(s.job.spec.key().queue(), s.spec.estimateMillis());
+    }
+
     /** Asks for a stop of what may run, and takes a task back that has not gone out yet. */
     void stop(LiveTask t, String why) {
         switch (t.phase) {
             case PLACED -> t.leaveWorker(LiveTask.Phase.WAITING, now());
             case STARTING, RUNNING, RECOVERING -> {
-                note(SchedulerEvent.Kind.STOP_ORDERED, t, why);
+                note(SchedulerEvent.Kind.STOP_ORDERED, t, "", "why=" + why);
                 t.enter(LiveTask.Phase.STOPPING, now());
             }
             case WAITING, STOPPING, DONE -> {}
@@ -127,17 +135,32 @@
         job.version++;
         job.endedAt = now();
         job.tasks.forEach(t -> stop(t, "job-" + state));
-        port.note(new SchedulerEvent(
-                SchedulerEvent.Kind.JOB_ENDED, job.spec.key(), null, 0, "", "state=" + state + " reason=" + reason));
+        note(SchedulerEvent.Kind.JOB_ENDED, job, state.name(), reason.isEmpty() ? "" : "reason=" + reason);
+    }
+
+    /** Takes in that a worker has begun one of the job's tasks. */
+    void begun(LiveJob job) {
+        if (!job.begun) {
+            job.begun = true;
+            note(SchedulerEvent.Kind.JOB_BEGUN, job, "", "");
+        }
     }
 
-    void note(SchedulerEvent.Kind kind, LiveTask t, String detail) {
+    void note(SchedulerEvent.Kind kind, LiveJob job, String outcome, String detail) {
+        port.note(new SchedulerEvent(kind, job.spec.key(), null, 0, "", outcome, detail, ageMillis(job)));
+    }
+
+    void note(SchedulerEvent.Kind kind, LiveTask t, String outcome, String detail) {
         String w = t.worker == null ? "" : t.worker.facts().id();
-        port.note(new SchedulerEvent(kind, t.job.spec.key(), t.id, t.run, w, detail));
+        port.note(new SchedulerEvent(kind, t.job.spec.key(), t.id, t.run, w, outcome, detail, ageMillis(t.job)));
     }
 
     void note(SchedulerEvent.Kind kind, LiveWorker w, String detail) {
-        port.note(new SchedulerEvent(kind, null, null, 0, w.facts().id(), detail));
+        port.note(new SchedulerEvent(kind, null, null, 0, w.facts().id(), "", detail, 0));
+    }
+
+    private long ageMillis(LiveJob job) {
+        return wallNow() - job.spec.acceptedMillis();
     }
 
     @Nullable
--- a/core/src/main/java/org/lupinpaddle/core/run/WorkerJudge.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/WorkerJudge.java
@@ -27,6 +27,8 @@
     // Three in a row: at one run in a hundred that fails by itself, chance makes one in 10^6.
     private static final int EVIDENCE_AGAINST_WORKER = 3;
     private static final long AVOID_MILLIS = 4_000;
+    // Slowness passes; one task shows whether it has.
+    private static final long SLOW_MILLIS = 1_500;
 
     private final ServiceState state;
 
@@ -36,7 +38,11 @@
 
     void onEnd(LiveWorker w, LiveTask t, EndKind kind) {
         if (kind.finishes()) {
+            if (wasSlow(t)) {
+                return;
+            }
             w.evidence.clear();
+            w.onProbation = false;
             w.avoidUntil = Math.min(w.avoidUntil, state.now());
             return;
         }
@@ -45,9 +51,39 @@
         }
         boolean wellElsewhere = t.job.tasks.stream().anyMatch(o -> o.phase == LiveTask.Phase.DONE);
         w.evidence.add(t.job.spec.key() + (wellElsewhere ? "." + t.id : ""));
-        if (w.evidence.size() >= EVIDENCE_AGAINST_WORKER && !othersAreAvoided()) {
-            w.avoidUntil = state.now() + AVOID_MILLIS;
-            state.note(SchedulerEvent.Kind.WORKER_AVOIDED, w, "evidence=" + w.evidence.size());
+        avoidIfProven(w);
+    }
+
+    /** A run that ended well, but slowly, says nothing for its worker. */
+    private boolean wasSlow(LiveTask t) {
+        long took = state.now() - t.begunAt;
+        return t.begunAfresh && took > StragglerPass.slowFactor(t.of) * state.expectedMillis(t.of);
+    }
+
+    /** Takes in that a task makes no progress there: as telling as a failed run. */
+    void onStandingStill(LiveWorker w, LiveTask t) {
+        w.evidence.add(t.job.spec.key() + ".standing");
+        avoidIfProven(w);
+    }
+
+    private void avoidIfProven(LiveWorker w) {
+        if (w.evidence.size() >= EVIDENCE_AGAINST_WORKER) {
+            avoid(w, AVOID_MILLIS, "evidence=" + w.evidence.size());
+        }
+    }
+
+    /** Takes in that all that can be told of a worker's runs is slow. */
+    void onSlow(LiveWorker w, int tasks) {
+        if (w.avoidUntil <= state.now()) {
+            avoid(w, SLOW_MILLIS, "slow-tasks=" + tasks);
+        }
+    }
+
+    private void avoid(LiveWorker w, long millis, String why) {
+        if (!othersAreAvoided()) {
+            w.avoidUntil = state.now() + millis;
+            w.onProbation = true;
+            state.note(SchedulerEvent.Kind.WORKER_AVOIDED, w, why);
         }
     }
 
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/capacity/DemandTrendTest.java
@@ -0,0 +1,60 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DemandTrendTest {
+
+    private final DemandTrend trend = new DemandTrend();
+
+    /** Tells a need once every 100 ms for a second, from one value to another. */
+    private double told(double from, double to) {
+        double ahead = 0;
+        for (int i = 0; i <= 10; i++) {
+            ahead = trend.ahead(100L * i, from + (to - from) * i / 10);
+        }
+        return ahead;
+    }
+
+    @Nested
+    class Ahead {
+
+        @Test
+        void growsOnWhileItGrows() {
+            assertTrue(told(4, 8) > 11, "4 more a second, and instances take 1.8 s to come");
+        }
+
+        @Test
+        void isBounded() {
+            assertEquals(16, told(0, 10), 0.01);
+        }
+
+        @Test
+        void isWhatIsNeededWhileItFalls() {
+            assertEquals(4, told(8, 4), 0.01);
+        }
+
+        @Test
+        void isWhatIsNeededAfterOneSample() {
+            assertEquals(7, trend.ahead(0, 7), 0.01);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/StragglerPassTest.java
@@ -0,0 +1,178 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+
+/** Workers that look well and get nothing done. */
+class StragglerPassTest {
+
+    private static final TaskId FIRST = new TaskId(0, 0, 0);
+
+    private final SchedulerDriver d = new SchedulerDriver();
+
+    private static StepSpec step(int count, long estimateMillis) {
+        return StepSpec.builder(count, SchedulerDriver.NEED)
+                .estimateMillis(estimateMillis)
+                .build();
+    }
+
+    /** Lets the worker tell once a second, so often, how far its tasks are. */
+    private void tells(String worker, int seconds, int percent, int more, StartOrder... starts) {
+        for (int s = 1; s <= seconds; s++) {
+            d.passes(1_000);
+            List<RunningReport> running = new ArrayList<>();
+            for (StartOrder o : starts) {
+                running.add(new RunningReport(o.jobId(), o.task(), o.run(), "", percent + s * more, -1));
+            }
+            d.answers(worker, running, List.of());
+        }
+    }
+
+    private StartOrder startedOnTheFirstOfTwo(long estimateMillis) {
+        d.workers("w1", "w2");
+        d.answers("w1", List.of(), List.of());
+        d.answers("w2", List.of(), List.of());
+        d.job("a", step(1, estimateMillis));
+        d.saved();
+        d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        return d.lastStart();
+    }
+
+    @Nested
+    class StandingStill {
+
+        @Test
+        void goesOnElsewhereOnceItsRunIsStopped() {
+            StartOrder first = startedOnTheFirstOfTwo(5_000);
+            String other = first.worker().id().equals("w1") ? "w2" : "w1";
+            tells(first.worker().id(), 2, 10, 0, first);
+            d.answers(other, List.of(), List.of());
+            assertTrue(d.port.stops.isEmpty(), "two answers alike may be chance");
+            tells(first.worker().id(), 2, 10, 0, first);
+            assertEquals(1, d.port.stops.size());
+            assertEquals(1, d.port.starts.size(), "nothing starts elsewhere while it may still run");
+            d.scheduler.onStopped(d.port.stops.get(0), OrderOutcome.ACCEPTED);
+            d.passes(10);
+            d.answers(first.worker().id(), List.of(), List.of());
+            d.answers(other, List.of(), List.of());
+            d.saved();
+            assertNotEquals(first.worker(), d.lastStart().worker());
+        }
+
+        @Test
+        void isNotALongTaskThatMovesOncePerPercent() {
+            StartOrder first = startedOnTheFirstOfTwo(60_000);
+            tells(first.worker().id(), 5, 10, 0, first);
+            assertTrue(d.port.stops.isEmpty());
+        }
+
+        @Test
+        void isNotATaskThatMoves() {
+            StartOrder first = startedOnTheFirstOfTwo(5_000);
+            tells(first.worker().id(), 8, 10, 1, first);
+            assertTrue(d.port.stops.isEmpty());
+        }
+    }
+
+    @Nested
+    class ASlowWorker {
+
+        @Test
+        void losesWhatTakesLongerThereThanAnewElsewhere() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job("a", step(1, 1_000));
+            d.job("b", step(1, 1_000));
+            d.saved();
+            d.passes(50);
+            d.saved();
+            assertEquals(2, d.port.starts.size());
+            StartOrder[] both = d.port.starts.toArray(new StartOrder[0]);
+            for (StartOrder o : both) {
+                d.scheduler.onStarted(o, OrderOutcome.ACCEPTED);
+            }
+            d.workers("w1", "w2");
+            d.answers("w2", List.of(), List.of());
+            tells("w1", 1, 9, 1, both);
+            assertEquals(2, d.port.stops.size());
+        }
+
+        @Test
+        void isNotSeenInOneJobThatTakesLongerThanItsCallerGuessed() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job("a", step(2, 1_000));
+            d.saved();
+            StartOrder[] both = d.port.starts.toArray(new StartOrder[0]);
+            for (StartOrder o : both) {
+                d.scheduler.onStarted(o, OrderOutcome.ACCEPTED);
+            }
+            d.workers("w1", "w2");
+            d.answers("w2", List.of(), List.of());
+            tells("w1", 1, 9, 1, both);
+            assertTrue(d.port.stops.isEmpty(), "all tasks of a job share its caller's error");
+        }
+
+        @Test
+        void isSeenInATaskThatTakesMuchLongerThanItsSiblings() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job("a", step(5, 1_000));
+            d.saved();
+            d.scheduler.onStarted(d.port.starts.get(0), OrderOutcome.ACCEPTED);
+            d.passes(300);
+            d.answers("w1", List.of(), List.of(new EndReport(1, "a", FIRST, 1, EndKind.DONE, "")));
+            d.workers("w1", "w2");
+            d.answers("w2", List.of(), List.of());
+            StartOrder second = d.port.starts.get(1);
+            d.scheduler.onStarted(second, OrderOutcome.ACCEPTED);
+            tells("w1", 1, 39, 1, second);
+            assertEquals(1, d.port.stops.size(), "40 of 100 after 1 s, when a sibling took 0.3 s");
+        }
+
+        @Test
+        void keepsItsTasksWhenOneOfThemIsFast() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job("a", step(1, 1_000));
+            d.job("b", step(1, 1_000));
+            d.saved();
+            d.passes(50);
+            d.saved();
+            assertEquals(2, d.port.starts.size());
+            d.port.starts.forEach(o -> d.scheduler.onStarted(o, OrderOutcome.ACCEPTED));
+            d.workers("w1", "w2");
+            d.answers("w2", List.of(), List.of());
+            d.passes(1_000);
+            d.answers(
+                    "w1",
+                    List.of(new RunningReport("a", FIRST, 1, "", 10, -1), new RunningReport("b", FIRST, 1, "", 90, -1)),
+                    List.of());
+            assertTrue(d.port.stops.isEmpty());
+        }
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/Log.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/Log.java
@@ -15,6 +15,9 @@
  */
 package org.lupinpaddle.daemon.common;
 
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 
 /**
@@ -23,8 +26,31 @@
  */
 public final class Log {
 
+    private static final long FLUSH_MILLIS = 300;
+    private static final long LOOK_MILLIS = 5;
+
+    private static final BoundedWriter WRITER = started();
+
     private Log() {}
 
+    private static BoundedWriter started() {
+        long origin = System.nanoTime();
+        BoundedWriter w =
+                new BoundedWriter(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - origin), Log::write);
+        Thread t = new Thread(w::run, "log");
+        t.setDaemon(true);
+        t.start();
+        return w;
+    }
+
+    private static void write(BoundedWriter.Line line) {
+        switch (line.level()) {
+            case INFO -> Logger.info(line.text());
+            case WARN -> Logger.warn(line.text());
+            case ERROR -> Logger.error(line.text());
+        }
+    }
+
     /** Logs what only a developer wants to see; the fields are keys and values in turn. */
     public static void debug(String event, Object... fields) {
         if (Logger.isDebugEnabled()) {
@@ -35,20 +61,46 @@
     /** Logs an ordinary event; the fields are keys and values in turn. */
     public static void info(String event, Object... fields) {
         if (Logger.isInfoEnabled()) {
-            Logger.info(line(event, fields));
+            WRITER.offer(kind(event, fields), new BoundedWriter.Line(BoundedWriter.Level.INFO, line(event, fields)));
         }
     }
 
     /** Logs an event that an operator should look at when awake. */
     public static void warn(String event, Object... fields) {
         if (Logger.isWarnEnabled()) {
-            Logger.warn(line(event, fields));
+            WRITER.offer(kind(event, fields), new BoundedWriter.Line(BoundedWriter.Level.WARN, line(event, fields)));
         }
     }
 
     /** Logs a fault of this program. */
     public static void error(String event, Throwable why) {
-        Logger.error(why, line(event, "why", why));
+        StringWriter trace = new StringWriter();
+        why.printStackTrace(new PrintWriter(trace));
+        String text = line(event, "why", why, "trace", trace);
+        WRITER.offer(event, new BoundedWriter.Line(BoundedWriter.Level.ERROR, text));
+    }
+
+    /** Returns how many lines have been left out since the process began. */
+    public static long leftOut() {
+        return WRITER.leftOut();
+    }
+
+    /** Waits a little for the lines that have been taken: the process is about to end. */
+    public static void flush() {
+        for (long waited = 0; waited < FLUSH_MILLIS && !WRITER.isIdle(); waited += LOOK_MILLIS) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    /** Rates are kept for each event, and for each kind of decision. */
+    private static String kind(String event, Object... fields) {
+        boolean kinds = fields.length >= 2 && fields[0].equals("kind");
+        return kinds ? event + "/" + fields[1] : event;
     }
 
     static String line(String event, Object... fields) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -16,7 +16,6 @@
 package org.lupinpaddle.daemon.jobs;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -38,7 +37,8 @@
     private final PrefixWatch watch;
     private final Consumer<Set<String>> onChange;
     private final Map<String, StoreItem> asked = new HashMap<>();
-    private final Set<String> answered = new HashSet<>();
+    /** The revision of the request that was answered last, by worker: asked anew, it is answered anew. */
+    private final Map<String, Long> answered = new HashMap<>();
 
     /**
      * Makes the feed.
@@ -64,29 +64,32 @@
                 .forEach(i -> EvacuationRecord.read(i.value())
                         .peek(r -> asked.put(r.worker(), i))
                         .peekLeft(why -> unreadable(i, why)));
-        answered.retainAll(asked.keySet());
+        answered.keySet().retainAll(asked.keySet());
         onChange.accept(asked.keySet());
     }
 
-    /** Answers that a worker carries nothing; asked again, it does so only when the first answer was lost. */
+    /**
+     * Answers that a worker carries nothing. A request that is written again, because its writer got no answer, has
+     * lost what was answered before; so each one that does not show the answer gets it.
+     */
     void answerEmpty(String worker) {
         StoreItem item = asked.get(worker);
-        if (item == null || !answered.add(worker)) {
+        if (item == null || Long.valueOf(item.revision()).equals(answered.get(worker))) {
             return;
         }
-        EvacuationRecord.read(item.value())
-                .peek(record -> {
-                    Log.info("worker-emptied", "worker", worker, "errand", record.errand());
-                    write(worker, item, RecordCodec.write(record.toEmpty()));
-                })
-                .peekLeft(why -> unreadable(item, why));
+        EvacuationRecord record = EvacuationRecord.read(item.value()).getOrNull();
+        if (record != null && !record.empty()) {
+            answered.put(worker, item.revision());
+            Log.info("worker-emptied", "worker", worker, "errand", record.errand());
+            write(worker, item, RecordCodec.write(record.toEmpty()));
+        }
     }
 
     private void write(String worker, StoreItem item, String answer) {
         records.known(item.key(), item.revision());
         records.write(Map.of(item.key(), answer), outcome -> {
             if (outcome == OwnedRecords.Outcome.RETRY) {
-                loop.after(RETRY_MILLIS, () -> answered.remove(worker));
+                loop.after(RETRY_MILLIS, () -> answered.remove(worker, item.revision()));
             }
         });
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -21,7 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.lupinpaddle.core.capacity.ServiceReport;
@@ -68,7 +68,8 @@
     private final Entry entry;
     private final long fence;
     private final Map<String, Errand> toOrder = new LinkedHashMap<>();
-    private final Map<String, Long> orderedAt = new HashMap<>();
+    private final Map<String, Ordered> ordered = new HashMap<>();
+    private final Map<String, String> earlier = new HashMap<>();
     private final Set<String> unanswered = new HashSet<>();
     private final OwnedRecords owned;
     private final PrefixWatch records;
@@ -79,6 +80,8 @@
     private boolean handingOver;
     private boolean closed;
 
+    private record Ordered(String life, long at) {}
+
     /**
      * What the planner's host is given by its entry.
      *
@@ -89,6 +92,7 @@
      * @param loop the event loop
      * @param ownership this entry's lease
      * @param timing the planner's times
+     * @param meters the entry's figures
      */
     record Entry(
             String name,
@@ -97,7 +101,8 @@
             PlatformRecords names,
             EventLoop loop,
             OwnershipKeeper ownership,
-            FleetTiming timing) {
+            FleetTiming timing,
+            JobMeters meters) {
 
         /** Returns how long after a change of owner an instance that was ordered lately is left alone. */
         static long takeOverMillis(long ownerLeaseMillis) {
@@ -149,6 +154,9 @@
         if (closed) {
             return;
         }
+        if (earlierKnown) {
+            forgetOverLives();
+        }
         planner.tick();
         entry.loop.after(TICK_MILLIS, this::tick);
     }
@@ -169,20 +177,29 @@
     /** The first read came after the ownership was won: no earlier owner can have added to the record since. */
     private void takeEarlierOrders() {
         earlierKnown = true;
-        Set<String> earlier = new HashSet<>();
         records.items().stream()
                 .filter(i -> i.key().equals(JobKeys.recentOrders()))
                 .forEach(i -> {
                     owned.known(i.key(), i.revision());
                     RecordCodec.read(i.value(), RecentOrders.class)
-                            .peek(r -> earlier.addAll(r.instances()))
+                            .peek(r -> earlier.putAll(r.lifeByInstance()))
                             .peekLeft(why -> unreadable(i, why));
                 });
-        Log.info("fleet-owner-started", "fence", fence, "ordered-lately", earlier.size());
         // They are told on, should this owner be followed soon.
         long now = entry.loop.clock().millis();
-        earlier.forEach(i -> orderedAt.put(i, now));
-        planner.onEarlierOrders(earlier);
+        earlier.forEach((i, life) -> ordered.put(i, new Ordered(life, now)));
+        Log.info("fleet-owner-started", "fence", fence, "ordered-lately", earlier.size());
+    }
+
+    /** Instances that a life which is over has ordered need not be left alone. */
+    private void forgetOverLives() {
+        int before = earlier.size();
+        earlier.values().removeIf(entry.ownership::isOver);
+        ordered.values().removeIf(o -> entry.ownership.isOver(o.life()));
+        if (earlier.size() < before) {
+            Log.info("earlier-orders-over", "instances", before - earlier.size(), "left", earlier.size());
+        }
+        planner.onEarlierOrders(earlier.keySet());
     }
 
     private void recordsChanged() {
@@ -269,7 +286,7 @@
         Map<String, Errand> orders = new LinkedHashMap<>(toOrder);
         toOrder.clear();
         long writtenAt = entry.loop.clock().millis();
-        orders.keySet().forEach(i -> orderedAt.put(i, writtenAt));
+        orders.keySet().forEach(i -> ordered.put(i, new Ordered(entry.ownership.life(), writtenAt)));
         writeRecent(outcome -> {
             if (outcome == OwnedRecords.Outcome.SAVED) {
                 orders.forEach((i, errand) -> orderAsOwner(i, errand, writtenAt));
@@ -283,8 +300,10 @@
     private void writeRecent(Consumer<OwnedRecords.Outcome> onEnd) {
         writingOrders = true;
         long now = entry.loop.clock().millis();
-        orderedAt.values().removeIf(at -> now - at > entry.timing.takeOverMillis());
-        String record = RecordCodec.write(new RecentOrders(List.copyOf(new TreeSet<>(orderedAt.keySet()))));
+        ordered.values().removeIf(o -> now - o.at() > entry.timing.takeOverMillis());
+        Map<String, String> lives = new TreeMap<>();
+        ordered.forEach((i, o) -> lives.put(i, o.life()));
+        String record = RecordCodec.write(new RecentOrders(lives));
         owned.write(Map.of(JobKeys.recentOrders(), record), outcome -> {
             writingOrders = false;
             onEnd.accept(outcome);
@@ -300,7 +319,7 @@
             return;
         }
         long now = entry.loop.clock().millis();
-        boolean old = orderedAt.values().stream().anyMatch(at -> now - at > entry.timing.takeOverMillis());
+        boolean old = ordered.values().stream().anyMatch(o -> now - o.at() > entry.timing.takeOverMillis());
         if (old && !writingOrders) {
             writeRecent(outcome -> Log.debug("fleet-record-pruned", "outcome", outcome));
         }
@@ -315,7 +334,7 @@
         CompletableFuture<Void> done = new CompletableFuture<>();
         handingOver = true;
         if (!writingOrders) {
-            orderedAt.keySet().retainAll(unanswered);
+            ordered.keySet().retainAll(unanswered);
             writeRecent(outcome -> {
                 Log.info("fleet-handed-over", "outcome", outcome, "unanswered", unanswered.size());
                 done.complete(null);
@@ -343,6 +362,7 @@
     }
 
     private void ordered(String instance, Errand errand, InstanceOrderOutcome o) {
+        entry.meters.instanceOrdered(o);
         if (o != InstanceOrderOutcome.UNKNOWN) {
             unanswered.remove(instance);
         }
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
@@ -0,0 +1,96 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.lupinpaddle.core.run.OrderOutcome;
+import org.lupinpaddle.core.run.SchedulerEvent;
+
+/**
+ * All figures of an entry that runs jobs, in one place. Names are dotted; what follows the last dot of a counter
+ * tells its cases apart.
+ */
+public final class JobMeters {
+
+    private final MetricRegistry registry = new MetricRegistry();
+
+    /** Returns the registry, for whoever serves it. */
+    public MetricRegistry registry() {
+        return registry;
+    }
+
+    /** Counts what became of a submission. */
+    public void submitted(SubmitOutcome outcome) {
+        count("accepts", outcome);
+    }
+
+    /** Counts a decision of a scheduler, and how long its job took to get there. */
+    void decided(SchedulerEvent e) {
+        switch (e.kind()) {
+            case START_ANSWERED -> count("starts", e.outcome());
+            case RUN_ENDED -> count("run.ends", e.outcome());
+            case JOB_BEGUN -> time("job.first.start", queue(e), e.ageMillis());
+            case JOB_ENDED -> {
+                count("job.ends", e.outcome());
+                time("job.end", queue(e), e.ageMillis());
+            }
+            case JOB_TAKEN, TASK_PLACED, STOP_ORDERED, WORKER_GONE, WORKER_REACH, WORKER_AVOIDED ->
+                count("decisions", e.kind());
+        }
+    }
+
+    private static String queue(SchedulerEvent e) {
+        return e.job() == null ? "" : e.job().queue();
+    }
+
+    /** Counts what became of a hold. */
+    void held(OrderOutcome outcome) {
+        count("holds", outcome);
+    }
+
+    /** Counts a won or lost duty. */
+    void dutyChanged(String what) {
+        count("duties", what);
+    }
+
+    /** Counts what became of an order on an instance. */
+    void instanceOrdered(Object outcome) {
+        count("instance.orders", outcome);
+    }
+
+    /** Counts a call to the store by its kind and answer, and how long the answer took. */
+    void storeCalled(String call, String answer, long millis) {
+        count("store.calls." + call, answer);
+        time("store.call", call, millis);
+    }
+
+    /** Serves a value that is read when somebody asks. */
+    void gauge(String name, Supplier<? extends Number> value) {
+        registry.gauge(name, () -> (Gauge<Number>) value::get);
+    }
+
+    private void count(String name, Object what) {
+        registry.counter(name + "." + what.toString().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    private void time(String name, String what, long millis) {
+        registry.timer(name + "." + what).update(Math.max(0, millis), TimeUnit.MILLISECONDS);
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -56,6 +56,7 @@
     private final Supplier<WorkerFeed> feeds;
     private @Nullable WorkerFeed workers;
     private final OwnershipKeeper ownership;
+    private final JobMeters meters;
     private final JobIntake intake;
     private final SchedulerHost.Entry shared;
     private final FleetHost.Entry fleetShared;
@@ -74,6 +75,7 @@
      * @param instances the list of instances and orders on them
      * @param limits what the platform holds the entry to
      * @param wall the time of day
+     * @param meters the entry's figures
      */
     public record Parts(
             String name,
@@ -82,7 +84,8 @@
             WorkerOrders orders,
             InstanceOrders instances,
             JobSettings.Bounds limits,
-            Clock wall) {}
+            Clock wall,
+            JobMeters meters) {}
 
     /** Makes a node; it does nothing until {@link #start}. */
     public JobNode(EventLoop loop, Parts p) {
@@ -90,9 +93,11 @@
         configuration = new ConfigurationFeed(p.store(), loop, p.records(), this::configurationChanged);
         feeds = () -> new WorkerFeed(p.store(), loop, p.records(), this::workersChanged);
         ownership = new OwnershipKeeper(p.store(), loop, p.name(), this);
+        meters = p.meters();
+        addGauges();
         intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall());
         SchedulerTiming timing = SchedulerTiming.usual(p.limits().longestHoldMillis(), BLIND_MILLIS);
-        shared = new SchedulerHost.Entry(p.store(), p.orders(), p.instances(), loop, p.wall(), timing);
+        shared = new SchedulerHost.Entry(p.store(), p.orders(), p.instances(), loop, p.wall(), timing, p.meters());
         fleetShared = new FleetHost.Entry(
                 p.name(),
                 p.store(),
@@ -102,7 +107,8 @@
                 ownership,
                 FleetTiming.usual(
                         p.limits().upkeepMillis(),
-                        FleetHost.Entry.takeOverMillis(p.limits().ownerLeaseMillis())));
+                        FleetHost.Entry.takeOverMillis(p.limits().ownerLeaseMillis())),
+                p.meters());
     }
 
     /** Begins. */
@@ -114,6 +120,17 @@
         loop.every(CHECK_MILLIS, this::check);
     }
 
+    private void addGauges() {
+        meters.gauge("ready", () -> ready ? 1 : 0);
+        meters.gauge("owned.duties", () -> ownership.owned().size());
+        meters.gauge("store.lease.age.millis", () -> loop.clock().millis() - ownership.confirmedAt());
+        meters.gauge(
+                "configuration.version",
+                () -> configuration.current().map(JobConfiguration::version).orElse(0L));
+        meters.gauge("configuration.age.millis", () -> loop.clock().millis() - configuration.confirmedAt());
+        meters.gauge("log.lines.left.out", Log::leftOut);
+    }
+
     /** Returns what callers ask. Use it on the event loop. */
     public JobIntake intake() {
         return intake;
@@ -170,6 +187,7 @@
 
     @Override
     public void won(String duty, long fence) {
+        meters.dutyChanged("won");
         Log.info("ownership-won", "duty", duty, "fence", fence);
         if (duty.equals(FLEET)) {
             fleet = new FleetHost(fleetShared, fence);
@@ -184,6 +202,7 @@
 
     @Override
     public void lost(String duty, String why) {
+        meters.dutyChanged("lost");
         Log.info("ownership-ended", "duty", duty, "why", why);
         if (duty.equals(FLEET) && fleet != null) {
             fleet.close();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.UUID;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.ownership.OwnerRank;
 import org.lupinpaddle.daemon.common.EventLoop;
@@ -55,9 +56,12 @@
     // With a difference of one there is nothing to win, and duties would go to and fro.
     private static final int TOO_MANY_MORE = 2;
 
+    private static final char LIFE_SEPARATOR = '/';
+
     private final KeyValueStore store;
     private final EventLoop loop;
     private final String entry;
+    private final String life;
     private final Listener listener;
     private final PrefixWatch watch;
     private final TreeMap<String, Long> owned = new TreeMap<>();
@@ -83,6 +87,7 @@
         this.store = store;
         this.loop = loop;
         this.entry = entry;
+        this.life = entry + LIFE_SEPARATOR + UUID.randomUUID();
         this.listener = listener;
         watch = new PrefixWatch(store, loop, JobKeys.MEMBERS, this);
     }
@@ -114,6 +119,21 @@
         return Map.copyOf(owned);
     }
 
+    /** Returns what names this entry's process, from its start to its end. */
+    String life() {
+        return life;
+    }
+
+    /** Returns whether a life is over for certain: its entry is registered with another one. */
+    boolean isOver(String otherLife) {
+        String name = otherLife.substring(0, Math.max(0, otherLife.lastIndexOf(LIFE_SEPARATOR)));
+        if (name.equals(entry)) {
+            return !otherLife.equals(life);
+        }
+        return watch.items().stream()
+                .anyMatch(i -> i.key().equals(JobKeys.entry(name)) && !i.value().equals(otherLife));
+    }
+
     /** Returns the entries that are registered. */
     Set<String> entries() {
         Set<String> all = new TreeSet<>();
@@ -161,7 +181,7 @@
     private void register() {
         long forLease = lease;
         store.commit(StoreCommit.builder()
-                        .put(JobKeys.entry(entry), entry, forLease)
+                        .put(JobKeys.entry(entry), life, forLease)
                         .build())
                 .thenAcceptAsync(
                         r -> {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -100,6 +100,7 @@
      * @param loop the event loop
      * @param wall the time of day
      * @param timing the scheduler's times
+     * @param meters the entry's figures
      */
     record Entry(
             KeyValueStore store,
@@ -107,7 +108,8 @@
             InstanceOrders instances,
             EventLoop loop,
             Clock wall,
-            SchedulerTiming timing) {}
+            SchedulerTiming timing,
+            JobMeters meters) {}
 
     SchedulerHost(Entry entry, String service, long fence, WorkerFeed workers, Runnable ownershipGone) {
         this.entry = entry;
@@ -316,6 +318,7 @@
                 .hold(order, fence)
                 .thenAcceptAsync(
                         r -> told(s -> {
+                            entry.meters.held(r.outcome());
                             if (r.answer() == null) {
                                 s.onHoldFailed(order, r.outcome());
                             } else {
@@ -359,23 +362,27 @@
 
     @Override
     public void note(SchedulerEvent e) {
+        entry.meters.decided(e);
         Log.info(
                 "decision",
                 "kind",
                 e.kind(),
                 "service",
                 service,
+                "fence",
+                fence,
                 "job",
                 e.job() == null ? "" : e.job(),
                 "task",
-                e.task() == null
-                        ? ""
-                        : e.task().time() + "." + e.task().step() + "."
-                                + e.task().index(),
+                e.task() == null ? "" : e.task(),
                 "run",
                 e.run(),
                 "worker",
                 e.worker(),
+                "outcome",
+                e.outcome(),
+                "age-millis",
+                e.ageMillis(),
                 "why",
                 e.detail());
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
@@ -42,8 +42,9 @@
      *
      * @param callers for callers
      * @param ready for the balancer that asks whether callers may come
+     * @param metrics for what collects figures
      */
-    public record Listen(String callers, String ready) {}
+    public record Listen(String callers, String ready, String metrics) {}
 
     /**
      * Where the platform's parts are, each as IP and port.
@@ -80,7 +81,10 @@
         TomlChecks t = TomlChecks.parse(file, text);
         JobSettings s = new JobSettings(
                 new Entry(t.name("entry.name"), t.name("entry.hall")),
-                new Listen(t.address("listen.callers", true), t.address("listen.ready", true)),
+                new Listen(
+                        t.address("listen.callers", true),
+                        t.address("listen.ready", true),
+                        t.address("listen.metrics", true)),
                 new PlatformParts(
                         t.address("platform.store", false),
                         t.address("platform.instances", false),
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EvacuationFeedTest.java
@@ -0,0 +1,76 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.upkeep.EvacuationRecord;
+
+class EvacuationFeedTest {
+
+    private static final String KEY = JobKeys.evacuation("clips", "w1");
+    private static final String ASKED = RecordCodec.write(new EvacuationRecord("w1", "m1", "UPKEEP:1", false));
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final long fence = store.set(JobKeys.owner("clips"), "entry-1");
+    private final DirectLoop loop = new DirectLoop();
+    private final Set<String> wanted = new HashSet<>();
+    private final EvacuationFeed feed =
+            new EvacuationFeed(store, loop, "clips", new OwnedRecords(store, loop, "clips", fence), workers -> {
+                wanted.clear();
+                wanted.addAll(workers);
+            });
+
+    private boolean saysEmpty() {
+        return EvacuationRecord.read(store.value(KEY)).get().empty();
+    }
+
+    @Nested
+    class AnAnswer {
+
+        @Test
+        void isWrittenOnce() {
+            store.set(KEY, ASKED);
+            feed.start();
+            assertEquals(Set.of("w1"), wanted);
+            feed.answerEmpty("w1");
+            assertEquals(true, saysEmpty());
+            String answer = store.value(KEY);
+            store.tellWatches();
+            feed.answerEmpty("w1");
+            assertEquals(answer, store.value(KEY));
+        }
+
+        @Test
+        void isGivenAgainWhenTheRequestIsWrittenAgain() {
+            store.set(KEY, ASKED);
+            feed.start();
+            feed.answerEmpty("w1");
+            store.tellWatches();
+            // The owner of the fleet got no answer to its first write, and writes the request again.
+            store.set(KEY, ASKED);
+            store.tellWatches();
+            feed.answerEmpty("w1");
+            assertEquals(true, saysEmpty());
+        }
+    }
+}
--- a/daemon/src/test/java/org/lupinpaddle/daemon/settings/JobSettingsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/settings/JobSettingsTest.java
@@ -33,6 +33,7 @@
             [listen]
             callers = "10.1.0.9:8624"
             ready = "10.1.0.9:8622"
+            metrics = "10.1.0.9:9464"
             [platform]
             store = "10.2.0.7:8621"
             instances = "10.2.0.8:8621"
@@ -61,11 +62,13 @@
 
         @ParameterizedTest
         @CsvSource({
+            "metrics = \"10.1.0.9:9464\", metrics = 9464, listen.metrics",
             "hall = \"north\", hall = 5, entry.hall",
             "grace_seconds = 6, grace_seconds = \"six\", bounds.grace_seconds",
             "fenced_instances = false, fenced_instances = 0, bounds.fenced_instances",
             "upkeep_seconds = 1.5, upkeep_seconds = \"soon\", bounds.upkeep_seconds",
             "store = \"10.2.0.7:8621\", store = \"nowhere\", platform.store",
+            "metrics = \"10.1.0.9:9464\", metrics = 9464, listen.metrics",
             "hall = \"north\", hal = \"north\", entry.hall"
         })
         void nameTheFileAndTheKey(String good, String bad, String key) {
--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.model;
 
+import org.lupinpaddle.daemon.jobs.JobMeters;
 import org.lupinpaddle.daemon.jobs.JobNode;
 import org.lupinpaddle.daemon.settings.JobSettings;
 
@@ -52,7 +53,8 @@
                         new SimWorkerPort(world, hall),
                         new SimInstancePort(world),
                         bounds,
-                        () -> World.EPOCH + world.time.now()));
+                        () -> World.EPOCH + world.time.now(),
+                        new JobMeters()));
     }
 
     void start() {
@@ -76,6 +78,7 @@
             return;
         }
         up = false;
+        world.fleet.leaves(name);
         loop.close();
         world.time.after(downMillis, this::restart);
     }
--- a/model/src/main/java/org/lupinpaddle/model/SimFleet.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimFleet.java
@@ -180,7 +180,7 @@
         });
     }
 
-    /** The platform tells an entry to end: from then on its orders do not count as one of two owners'. */
+    /** An entry is told to end, or dies: from then on it is not one of two owners that take turns. */
     void leaves(String entry) {
         leavers.add(entry);
     }
