--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -69,6 +69,8 @@
     int failures;
     int lastFailedRun;
     String checkpoint = "";
+    /** What a start must carry where its queue asks for advice; empty elsewhere. */
+    String ticket = "";
 
     @Nullable
     LiveWorker worker;
@@ -85,6 +87,17 @@
     long provenFrom = Long.MAX_VALUE;
 
     int percent;
+    /** What the worker told last: the tail of answer times of a serving task in milliseconds; -1 while not known. */
+    long load = -1;
+    /** The share of its speed at which it is to work, and since when. */
+    int pace = 100;
+
+    long pacedAt = Long.MIN_VALUE / 2;
+    boolean paceKnown = true;
+    boolean paceInFlight;
+    long paceDueAt;
+    /** Since when nothing that serves beside it is near its target. */
+    long comfortableSince = Long.MAX_VALUE;
     /** When its worker is known to have begun this run, and whether from the beginning. */
     long begunAt = Long.MAX_VALUE;
 
@@ -121,6 +134,10 @@
         worker = null;
         percent = 0;
         begunAt = Long.MAX_VALUE;
+        load = -1;
+        pace = 100;
+        paceKnown = true;
+        paceInFlight = false;
         enter(next, now);
     }
 
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/PacingPass.java
@@ -0,0 +1,116 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.List;
+import org.lupinpaddle.core.run.LiveTask.Phase;
+
+/**
+ * Slows down what only fills a worker while a task that serves users there answers them later than its target, and
+ * moves it away when that does not help. Workers tell the tail of a serving task's answers of the last half second.
+ */
+final class PacingPass {
+
+    // A new share is in force after the platform's 100 ms, and shows in the figures half a second later; the next
+    // answer to a hold takes up to a second more. Within the platform's 4 s there is time for three steps.
+    private static final long SETTLE_MILLIS = 900;
+    private static final int FULL = 100;
+    private static final int FIRST_CUT = 40;
+    private static final int NONE = 0;
+    private static final int RAISE = 20;
+    // So far below its target a task must be before what fills gets more again, and for so long.
+    private static final double COMFORT = 0.7;
+    private static final long COMFORT_MILLIS = 2_000;
+    // At no speed at all for so long, it had better work elsewhere.
+    private static final long MOVE_AFTER_MILLIS = 4_000;
+    private static final long RESEND_MILLIS = 200;
+
+    private final ServiceState state;
+
+    PacingPass(ServiceState state) {
+        this.state = state;
+    }
+
+    void run() {
+        for (LiveWorker w : state.workers.values()) {
+            List<LiveTask> filling = w.tasks.stream()
+                    .filter(t -> t.step.fills() && t.phase == Phase.RUNNING)
+                    .toList();
+            if (!filling.isEmpty()) {
+                filling.forEach(t -> decide(w, t));
+                filling.forEach(t -> send(w, t));
+            }
+        }
+    }
+
+    private void decide(LiveWorker w, LiveTask t) {
+        long now = state.now();
+        boolean over = w.tasks.stream().anyMatch(s -> serves(s) && s.load > s.step.targetMillis());
+        boolean comfortable = w.tasks.stream().noneMatch(s -> serves(s) && s.load > COMFORT * s.step.targetMillis());
+        if (!comfortable) {
+            t.comfortableSince = Long.MAX_VALUE;
+        } else if (t.comfortableSince == Long.MAX_VALUE) {
+            t.comfortableSince = now;
+        }
+        if (w.lastAnswerAt - t.pacedAt < SETTLE_MILLIS) {
+            return;
+        }
+        if (over && t.pace > NONE) {
+            pace(t, t.pace == FULL ? FIRST_CUT : NONE, now);
+        } else if (over && now - t.pacedAt > MOVE_AFTER_MILLIS) {
+            t.avoid(w, now);
+            state.stop(t, "disturbs-though-paced");
+        } else if (t.pace < FULL && now - t.comfortableSince > COMFORT_MILLIS) {
+            pace(t, Math.min(FULL, t.pace + RAISE), now);
+            t.comfortableSince = now;
+        }
+    }
+
+    private static boolean serves(LiveTask t) {
+        return t.phase == Phase.RUNNING && t.step.targetMillis() > 0 && !t.step.fills();
+    }
+
+    private void pace(LiveTask t, int percent, long now) {
+        state.note(SchedulerEvent.Kind.TASK_PACED, t, Integer.toString(percent), "before=" + t.pace);
+        t.pace = percent;
+        t.pacedAt = now;
+        t.paceDueAt = now;
+        t.paceKnown = false;
+    }
+
+    private void send(LiveWorker w, LiveTask t) {
+        if (!t.paceKnown && !t.paceInFlight && state.now() >= t.paceDueAt) {
+            t.paceInFlight = true;
+            state.port.pace(new PaceOrder(w.facts(), t.job.spec.key().id(), t.id, t.run, t.pace));
+        }
+    }
+
+    void onPaced(PaceOrder order, OrderOutcome outcome) {
+        LiveTask t = state.task(order.jobId(), order.task());
+        if (t == null || t.run != order.run()) {
+            return;
+        }
+        t.paceInFlight = false;
+        if (outcome == OrderOutcome.FENCED) {
+            state.port.ownershipLost(
+                    "a pace was refused by the fence of " + order.worker().id());
+        } else if (outcome == OrderOutcome.ACCEPTED) {
+            t.paceKnown = order.percent() == t.pace;
+        } else {
+            t.paceDueAt = state.now() + RESEND_MILLIS;
+        }
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -31,9 +31,11 @@
     private static final long STALE_MILLIS = 2_500;
 
     private final ServiceState state;
+    private final Advisor advisor;
 
-    PlacementPass(ServiceState state) {
+    PlacementPass(ServiceState state, Advisor advisor) {
         this.state = state;
+        this.advisor = advisor;
     }
 
     void run() {
@@ -52,7 +54,19 @@
                 .filter(s -> s.hasWaiting() && s.isReady(wall))
                 .map(s -> StepUrgency.of(s, wall))
                 .sorted(StepUrgency.FIRST)
-                .forEach(u -> place(u.step(), usable));
+                .forEach(u -> advise(u.step(), usable));
+    }
+
+    /** Places a step, on those workers only that it may run on where its queue asks for advice. */
+    private void advise(LiveStep step, List<LiveWorker> usable) {
+        if (!step.job.spec.policy().advised()) {
+            place(step, usable);
+            return;
+        }
+        place(step, advisor.allowed(step, usable));
+        if (step.hasWaiting()) {
+            advisor.ask(step, usable);
+        }
     }
 
     private void place(LiveStep step, List<LiveWorker> usable) {
@@ -119,6 +133,7 @@
     private void reserve(LiveTask t, LiveWorker w, int run) {
         t.run = run;
         t.worker = w;
+        t.ticket = advisor.ticket(t.of, w);
         t.enter(Phase.PLACED, state.now());
         w.add(t);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -39,10 +39,12 @@
 
     private final ServiceState state;
     private final WorkerJudge judge;
+    private final Advisor advisor;
 
-    RunTracker(ServiceState state, WorkerJudge judge) {
+    RunTracker(ServiceState state, WorkerJudge judge, Advisor advisor) {
         this.state = state;
         this.judge = judge;
+        this.advisor = advisor;
     }
 
     void sendDueOrders() {
@@ -71,7 +73,7 @@
                     t.job.spec.text(),
                     w.deadlineIn(state.timing.holdMillis(), now),
                     t.checkpoint,
-                    ""));
+                    t.ticket));
         } else if (t.phase == Phase.STOPPING && t.provenFrom == Long.MAX_VALUE) {
             t.orderInFlight = true;
             state.port.stop(new StopOrder(w.facts(), t.job.spec.key().id(), t.id, t.run));
@@ -115,7 +117,11 @@
 
     private void refused(LiveTask t, LiveWorker w, OrderOutcome outcome) {
         long now = state.now();
-        w.avoidUntil = now + (outcome == OrderOutcome.NO_ROOM ? NO_ROOM_AVOID_MILLIS : UNHEALTHY_AVOID_MILLIS);
+        switch (outcome) {
+            case NO_TICKET -> advisor.onTicketRefused(t.of, w);
+            case NO_ROOM -> w.avoidUntil = now + NO_ROOM_AVOID_MILLIS;
+            default -> w.avoidUntil = now + UNHEALTHY_AVOID_MILLIS;
+        }
         if (outcome == OrderOutcome.MALFORMED) {
             t.failures++;
         }
@@ -177,6 +183,7 @@
             return;
         }
         shown.add(t);
+        t.load = r.load();
         if (r.percent() != t.percent) {
             t.percent = r.percent();
             t.movedAt = state.now();
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -57,6 +57,8 @@
         RUN_ENDED,
         /** A stop was ordered. */
         STOP_ORDERED,
+        /** A task that fills is to work at another share of its speed. */
+        TASK_PACED,
         /** A worker is taken to hold nothing any more. */
         WORKER_GONE,
         /** A worker answers no more, or again. */
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerPort.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerPort.java
@@ -34,6 +34,12 @@
     /** Sends a hold; the outcome goes to {@link ServiceScheduler#onHeld} or {@link ServiceScheduler#onHoldFailed}. */
     void hold(HoldOrder order);
 
+    /** Sets the share of its speed at which a run works; the outcome goes to {@link ServiceScheduler#onPaced}. */
+    void pace(PaceOrder order);
+
+    /** Asks which workers may run a step; the answer goes to {@link ServiceScheduler#onAdvised}. */
+    void advise(AdviceOrder order);
+
     /** Writes progress under the condition that this owner still owns the service. */
     void save(List<Saving> batch);
 
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -58,6 +58,8 @@
     private final PlacementPass placement;
     private final Evacuator evacuator;
     private final StragglerPass stragglers;
+    private final Advisor advisor;
+    private final PacingPass pacing;
     private final long startedAt;
     private boolean saving;
     private long saveDueAt;
@@ -66,9 +68,11 @@
     public ServiceScheduler(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
         state = new ServiceState(service, timing, port, steady, wall);
         WorkerJudge judge = new WorkerJudge(state);
-        runs = new RunTracker(state, judge);
+        advisor = new Advisor(state);
+        pacing = new PacingPass(state);
+        runs = new RunTracker(state, judge, advisor);
         stragglers = new StragglerPass(state, judge);
-        placement = new PlacementPass(state);
+        placement = new PlacementPass(state, advisor);
         evacuator = new Evacuator(state);
         startedAt = state.now();
     }
@@ -173,6 +177,19 @@
         runs.onStopped(order, outcome);
     }
 
+    /** Takes in what became of an order to pace a run. */
+    public void onPaced(PaceOrder order, OrderOutcome outcome) {
+        pacing.onPaced(order, outcome);
+    }
+
+    /** Takes in which workers may run a step; null when there was no answer. */
+    public void onAdvised(AdviceOrder order, @Nullable AdviceAnswer answer) {
+        LiveJob job = state.jobs.get(order.step().job());
+        if (job != null) {
+            advisor.onAdvised(job.step(order.step().time(), order.step().step()), order, answer);
+        }
+    }
+
     /** Takes in a worker's answer to a hold that was sent at {@code sentAt}. */
     public void onHeld(HoldOrder order, long sentAt, HoldAnswer answer) {
         LiveWorker w = state.workers.get(order.worker().id());
@@ -229,6 +246,7 @@
         dropWorkers();
         evacuator.run();
         stragglers.run();
+        pacing.run();
         placement.run();
         save();
         runs.sendDueOrders();
@@ -301,6 +319,7 @@
                 .filter(j -> j.state.ended() && j.endedAt < before && !j.onWorkers() && j.savedVersion >= j.version)
                 .toList();
         old.forEach(state::remove);
+        advisor.forgetEnded();
         return old.stream().map(j -> j.spec.key()).toList();
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/AdvisorTest.java
@@ -0,0 +1,99 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.StepSpec;
+
+/** Queues whose policy allows only some workers to run a step. */
+class AdvisorTest {
+
+    private static final StepSpec ONE =
+            StepSpec.builder(1, SchedulerDriver.NEED).build();
+
+    private final SchedulerDriver d = new SchedulerDriver();
+
+    private AdviceOrder askedAboutTwoWorkers() {
+        d.advised = true;
+        d.workers("w1", "w2");
+        d.answers("w1", List.of(), List.of());
+        d.answers("w2", List.of(), List.of());
+        d.job("a", ONE);
+        assertTrue(d.port.saves.isEmpty(), "nothing is placed without a ticket");
+        assertEquals(1, d.port.advice.size());
+        return d.port.advice.get(0);
+    }
+
+    @Nested
+    class AStep {
+
+        @Test
+        void startsWithItsTicketOnAWorkerThatMayRunIt() {
+            AdviceOrder order = askedAboutTwoWorkers();
+            assertEquals(List.of("w1", "w2"), order.workers());
+            d.scheduler.onAdvised(order, new AdviceAnswer(Map.of("w2", "t-1"), 3_000));
+            d.passes(0);
+            d.saved();
+            assertEquals("w2", d.lastStart().worker().id());
+            assertEquals("t-1", d.lastStart().ticket());
+        }
+
+        @Test
+        void isAskedAboutAgainWhenThereWasNoAnswer() {
+            AdviceOrder order = askedAboutTwoWorkers();
+            d.scheduler.onAdvised(order, null);
+            d.passes(0);
+            assertEquals(1, d.port.advice.size());
+            d.passes(300);
+            assertEquals(2, d.port.advice.size());
+        }
+
+        @Test
+        void isNotAskedAboutWorkersThatMayNotRunIt() {
+            AdviceOrder order = askedAboutTwoWorkers();
+            d.scheduler.onAdvised(order, new AdviceAnswer(Map.of(), 3_000));
+            d.passes(1_000);
+            assertEquals(1, d.port.advice.size(), "what the service says does not change");
+        }
+
+        @Test
+        void getsANewTicketWhenTheOldOneHasEnded() {
+            AdviceOrder order = askedAboutTwoWorkers();
+            d.scheduler.onAdvised(order, new AdviceAnswer(Map.of("w2", "t-1"), 500));
+            d.passes(0);
+            assertTrue(d.port.saves.isEmpty(), "the ticket would not outlast the way there");
+            assertEquals(2, d.port.advice.size());
+            assertEquals(List.of("w2"), d.port.advice.get(1).workers());
+        }
+
+        @Test
+        void asksAgainWhenTheWorkerDoesNotTakeTheTicket() {
+            AdviceOrder order = askedAboutTwoWorkers();
+            d.scheduler.onAdvised(order, new AdviceAnswer(Map.of("w2", "t-1"), 3_000));
+            d.passes(0);
+            d.saved();
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.NO_TICKET);
+            d.passes(0);
+            assertEquals(2, d.port.advice.size());
+        }
+    }
+}
--- a/core/src/test/java/org/lupinpaddle/core/run/FakePort.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/FakePort.java
@@ -24,6 +24,8 @@
     final List<StartOrder> starts = new ArrayList<>();
     final List<StopOrder> stops = new ArrayList<>();
     final List<HoldOrder> holds = new ArrayList<>();
+    final List<PaceOrder> paces = new ArrayList<>();
+    final List<AdviceOrder> advice = new ArrayList<>();
     final List<List<Saving>> saves = new ArrayList<>();
     final List<String> emptied = new ArrayList<>();
     final List<String> lost = new ArrayList<>();
@@ -43,6 +45,16 @@
         holds.add(order);
     }
 
+    @Override
+    public void pace(PaceOrder order) {
+        paces.add(order);
+    }
+
+    @Override
+    public void advise(AdviceOrder order) {
+        advice.add(order);
+    }
+
     @Override
     public void save(List<Saving> batch) {
         saves.add(batch);
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/PacingPassTest.java
@@ -0,0 +1,119 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+
+/** Tasks that fill a worker must not hold up those that serve users there. */
+class PacingPassTest {
+
+    private static final TaskId SERVES = new TaskId(0, 0, 0);
+    private static final TaskId FILLS = new TaskId(0, 1, 0);
+
+    private final SchedulerDriver d = new SchedulerDriver();
+
+    @BeforeEach
+    void oneServesAndOneFills() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        StepSpec serving = StepSpec.builder(1, SchedulerDriver.NEED)
+                .longRunning(true, 0)
+                .image("front", 100, false)
+                .build();
+        StepSpec filling = StepSpec.builder(1, SchedulerDriver.NEED)
+                .longRunning(true, 0)
+                .image("batch", 0, true)
+                .build();
+        d.job("a", serving, filling);
+        d.saved();
+        d.port.starts.forEach(s -> d.scheduler.onStarted(s, OrderOutcome.ACCEPTED));
+    }
+
+    private void tailIs(long millis) {
+        d.passes(1_000);
+        d.answers(
+                "w1",
+                List.of(
+                        new RunningReport("a", SERVES, 1, "", 100, millis),
+                        new RunningReport("a", FILLS, 1, "", 100, 500)),
+                List.of());
+        d.port.paces.forEach(p -> d.scheduler.onPaced(p, OrderOutcome.ACCEPTED));
+    }
+
+    private int lastPace() {
+        return d.port.paces.get(d.port.paces.size() - 1).percent();
+    }
+
+    @Nested
+    class WhatFills {
+
+        @Test
+        void worksOnWhileTheTargetIsMet() {
+            tailIs(90);
+            tailIs(90);
+            assertTrue(d.port.paces.isEmpty());
+        }
+
+        @Test
+        void isSlowedDownAtOnceAndThenStopped() {
+            tailIs(150);
+            assertEquals(40, lastPace());
+            tailIs(150);
+            assertEquals(0, lastPace());
+            assertTrue(d.port.paces.stream().allMatch(p -> p.task().equals(FILLS)));
+        }
+
+        @Test
+        void movesAwayWhenThatDoesNotHelp() {
+            for (int i = 0; i < 7; i++) {
+                tailIs(150);
+            }
+            assertEquals(1, d.port.stops.size());
+            assertEquals(FILLS, d.port.stops.get(0).task());
+        }
+
+        @Test
+        void getsMoreAgainWhenTheTargetIsFarAway() {
+            tailIs(150);
+            for (int i = 0; i < 4; i++) {
+                tailIs(50);
+            }
+            assertTrue(lastPace() > 40, "paced to " + lastPace());
+        }
+
+        @Test
+        void isPacedAgainWhenTheOrderWasNotAnswered() {
+            d.passes(1_000);
+            d.answers(
+                    "w1",
+                    List.of(
+                            new RunningReport("a", SERVES, 1, "", 100, 150),
+                            new RunningReport("a", FILLS, 1, "", 100, 500)),
+                    List.of());
+            d.scheduler.onPaced(d.port.paces.get(0), OrderOutcome.UNKNOWN);
+            d.passes(300);
+            assertEquals(2, d.port.paces.size());
+        }
+    }
+}
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -39,6 +39,8 @@
     final FakePort port = new FakePort();
     final ServiceScheduler scheduler;
     long now;
+    /** Whether the queue of the jobs to come asks for advice. */
+    boolean advised;
 
     SchedulerDriver() {
         SchedulerTiming timing = new SchedulerTiming(HOLD_MILLIS, 1_000, 2_000, 2_700, INHERITED_MILLIS);
@@ -71,7 +73,7 @@
 
     private void take(String id, @Nullable JobProgress progress, StepSpec... steps) {
         JobKey key = new JobKey("q", id);
-        Policy policy = new Policy(0, 3, 1.5, 500, false);
+        Policy policy = new Policy(0, 3, 1.5, 500, advised);
         scheduler.onJob(new JobSpec(key, "clips", "text", List.of(steps), Repeat.ONCE, policy, now), progress);
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.run.SchedulerTiming;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.AdviceService;
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
@@ -72,6 +73,7 @@
      * @param store the platform's store
      * @param records the records of operators and workers
      * @param orders orders to workers
+     * @param advice which workers may run a step
      * @param instances the list of instances and orders on them
      * @param limits what the platform holds the entry to
      * @param wall the time of day
@@ -82,6 +84,7 @@
             KeyValueStore store,
             PlatformRecords records,
             WorkerOrders orders,
+            AdviceService advice,
             InstanceOrders instances,
             JobSettings.Bounds limits,
             Clock wall,
@@ -97,7 +100,8 @@
         addGauges();
         intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall());
         SchedulerTiming timing = SchedulerTiming.usual(p.limits().longestHoldMillis(), BLIND_MILLIS);
-        shared = new SchedulerHost.Entry(p.store(), p.orders(), p.instances(), loop, p.wall(), timing, p.meters());
+        shared = new SchedulerHost.Entry(
+                p.store(), p.orders(), p.advice(), p.instances(), loop, p.wall(), timing, p.meters());
         fleetShared = new FleetHost.Entry(
                 p.name(),
                 p.store(),
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -36,7 +36,9 @@
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.run.AdviceOrder;
 import org.lupinpaddle.core.run.HoldOrder;
+import org.lupinpaddle.core.run.PaceOrder;
 import org.lupinpaddle.core.run.SchedulerEvent;
 import org.lupinpaddle.core.run.SchedulerPort;
 import org.lupinpaddle.core.run.SchedulerTiming;
@@ -45,6 +47,7 @@
 import org.lupinpaddle.core.run.StopOrder;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.AdviceService;
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreChanges;
@@ -96,6 +99,7 @@
      *
      * @param store the platform's store
      * @param orders orders to workers
+     * @param advice which workers may run a step
      * @param instances the list of instances
      * @param loop the event loop
      * @param wall the time of day
@@ -105,6 +109,7 @@
     record Entry(
             KeyValueStore store,
             WorkerOrders orders,
+            AdviceService advice,
             InstanceOrders instances,
             EventLoop loop,
             Clock wall,
@@ -328,6 +333,18 @@
                         entry.loop::execute);
     }
 
+    @Override
+    public void pace(PaceOrder order) {
+        entry.orders.pace(order, fence).thenAcceptAsync(o -> told(s -> s.onPaced(order, o)), entry.loop::execute);
+    }
+
+    @Override
+    public void advise(AdviceOrder order) {
+        entry.advice
+                .advise(order)
+                .thenAcceptAsync(a -> told(s -> s.onAdvised(order, a.orElse(null))), entry.loop::execute);
+    }
+
     @Override
     public void save(List<Saving> batch) {
         Map<String, String> values = new LinkedHashMap<>();
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/AdviceService.java
@@ -0,0 +1,28 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.port;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lupinpaddle.core.run.AdviceAnswer;
+import org.lupinpaddle.core.run.AdviceOrder;
+
+/** The platform's service that knows which workers may run a step. */
+public interface AdviceService {
+
+    /** Asks; the future never ends exceptionally, and is empty when there was no answer. */
+    CompletableFuture<Optional<AdviceAnswer>> advise(AdviceOrder order);
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/WorkerOrders.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/WorkerOrders.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.lupinpaddle.core.run.HoldOrder;
 import org.lupinpaddle.core.run.OrderOutcome;
+import org.lupinpaddle.core.run.PaceOrder;
 import org.lupinpaddle.core.run.StartOrder;
 import org.lupinpaddle.core.run.StopOrder;
 
@@ -30,6 +31,9 @@
     /** Stops a run. */
     CompletableFuture<OrderOutcome> stop(StopOrder order, long fence);
 
+    /** Sets the share of its speed at which a run works. */
+    CompletableFuture<OrderOutcome> pace(PaceOrder order, long fence);
+
     /** Keeps what runs and looks. */
     CompletableFuture<HoldResult> hold(HoldOrder order, long fence);
 }
--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -15,6 +15,8 @@
  */
 package org.lupinpaddle.model;
 
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.lupinpaddle.daemon.jobs.JobMeters;
 import org.lupinpaddle.daemon.jobs.JobNode;
 import org.lupinpaddle.daemon.settings.JobSettings;
@@ -51,6 +53,7 @@
                         new SimStorePort(world, name, hall),
                         new SimRecords(),
                         new SimWorkerPort(world, hall),
+                        order -> CompletableFuture.completedFuture(Optional.empty()),
                         new SimInstancePort(world),
                         bounds,
                         () -> World.EPOCH + world.time.now(),
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -20,6 +20,7 @@
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.run.HoldOrder;
 import org.lupinpaddle.core.run.OrderOutcome;
+import org.lupinpaddle.core.run.PaceOrder;
 import org.lupinpaddle.core.run.StartOrder;
 import org.lupinpaddle.core.run.StopOrder;
 import org.lupinpaddle.daemon.port.HoldResult;
@@ -58,6 +59,12 @@
         return order(o.worker(), (w, f) -> w.stop(o, f), shown(fence));
     }
 
+    @Override
+    public CompletableFuture<OrderOutcome> pace(PaceOrder o, long fence) {
+        // The model has no tasks that disturb one another: what is paced works on.
+        return order(o.worker(), (w, f) -> OrderOutcome.ACCEPTED, fence);
+    }
+
     private CompletableFuture<OrderOutcome> order(
             WorkerFacts to, BiFunction<SimWorker, Long, OrderOutcome> action, long fence) {
         CompletableFuture<OrderOutcome> f = new CompletableFuture<>();
