Let waves wait for idle instances while they have time; stand-ins that speak the platform's protocol; job questions

A duty that was handed over was taken up again by its giver for a moment, since the watch still showed the old key. There were no stand-ins for jobs, and operators could not ask about them.

Change: a wave that is not behind 70 % of its time takes only instances that their pool can spare; after a change of owner it counts as behind. Released fences are not adopted. standins.jobs: store, instance list, advice and workers as processes. lupinctl job list, explain, owners, workers, upkeep: any entry answers from the store.

Test: FleetPlannerTest.Upkeep.waitsWhileItsPoolHasWorkForAllAndTheWaveHasTime.

--- a/core/src/main/java/org/lupinpaddle/core/command/CommandParser.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/CommandParser.java
@@ -56,6 +56,10 @@
                 .withDescription("Waves of maintenance and migration")
                 .withCommands(WaveWords.all())
                 .parent()
+                .withGroup("job")
+                .withDescription("Jobs on the operators' platform, their owners and workers")
+                .withCommands(JobWords.all())
+                .parent()
                 .build();
     }
 
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/command/JobWords.java
@@ -0,0 +1,80 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.command;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.util.List;
+
+/** The commands of the group {@code job}: questions about jobs, their owners and workers. */
+final class JobWords {
+
+    private JobWords() {}
+
+    static List<Class<? extends CommandWords>> all() {
+        return List.of(ListWords.class, ExplainWords.class, OwnersWords.class, WorkersWords.class, UpkeepWords.class);
+    }
+
+    /** Lists the jobs. */
+    @Command(name = "list", description = "Lists the jobs that the store knows, with their states")
+    public static final class ListWords extends CommandWords {
+        @Override
+        public OperatorCommand get() {
+            return new OperatorCommand.JobList();
+        }
+    }
+
+    /** Explains a job. */
+    @Command(name = "explain", description = "Says how far a job is, where its tasks run, and why it waits")
+    public static final class ExplainWords extends CommandWords {
+        @Arguments(description = "The job's id", title = "ID")
+        @Required
+        private String id = "";
+
+        @Override
+        public OperatorCommand get() {
+            return new OperatorCommand.JobExplain(id);
+        }
+    }
+
+    /** Lists the owners. */
+    @Command(name = "owners", description = "Lists the entries and which duties each owns")
+    public static final class OwnersWords extends CommandWords {
+        @Override
+        public OperatorCommand get() {
+            return new OperatorCommand.JobOwners();
+        }
+    }
+
+    /** Lists the workers. */
+    @Command(name = "workers", description = "Lists the workers that the platform's store shows, by service")
+    public static final class WorkersWords extends CommandWords {
+        @Override
+        public OperatorCommand get() {
+            return new OperatorCommand.JobWorkers();
+        }
+    }
+
+    /** Lists the waves of upkeep. */
+    @Command(name = "upkeep", description = "Lists the platform's waves of upkeep and how far they are")
+    public static final class UpkeepWords extends CommandWords {
+        @Override
+        public OperatorCommand get() {
+            return new OperatorCommand.JobUpkeep();
+        }
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/command/OperatorCommand.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/OperatorCommand.java
@@ -135,4 +135,19 @@
 
     /** One wave with its progress. */
     record WaveShow(String name) implements Question {}
+
+    /** The jobs that the store knows. */
+    record JobList() implements Question {}
+
+    /** How far a job is, and why it waits. */
+    record JobExplain(String id) implements Question {}
+
+    /** The entries and the duties that each owns. */
+    record JobOwners() implements Question {}
+
+    /** The workers by service. */
+    record JobWorkers() implements Question {}
+
+    /** The platform's waves of upkeep. */
+    record JobUpkeep() implements Question {}
 }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
@@ -17,8 +17,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.upkeep.UpkeepRecord;
@@ -30,8 +32,13 @@
  */
 final class WavePass {
 
+    // A wave that keeps to this share of its time disturbs no pool that has work for all its instances; one that is
+    // behind does.
+    private static final double PATIENT_SHARE = 0.7;
+
     private final FleetState state;
     private final Set<Long> told = new HashSet<>();
+    private final Map<Long, Long> freshSince = new HashMap<>();
 
     WavePass(FleetState state) {
         this.state = state;
@@ -48,6 +55,9 @@
     private void drive(UpkeepWave w) {
         if (told.add(w.number())) {
             state.port.tellWaveRunning(w.number());
+            if (state.begun(w.number()).isEmpty()) {
+                freshSince.put(w.number(), state.now());
+            }
         }
         long out = state.errands.values().stream()
                 .filter(e -> e.errand.isUpkeepOf(w.number()))
@@ -57,7 +67,7 @@
             if (out >= w.most()) {
                 break;
             }
-            if (mayLeave(i)) {
+            if (mayLeave(i, isBehind(w))) {
                 state.begin(i, Errand.upkeep(w.number()));
                 out++;
             }
@@ -84,7 +94,7 @@
         return all;
     }
 
-    private boolean mayLeave(PlatformInstance i) {
+    private boolean mayLeave(PlatformInstance i, boolean behind) {
         if (state.isHeadroom(i.pool())) {
             return true;
         }
@@ -96,8 +106,17 @@
                 .filter(e -> e.service.equals(i.pool()))
                 .count();
         int spare = state.staying(i.pool()).size() - r.needed();
-        // One may always leave: a wave goes on, however busy its pools are.
-        return spare > 0 || out == 0;
+        return spare > 0 || (behind && out == 0);
+    }
+
+    /** Returns whether too few instances have begun for the time that has passed; unknown after a change of owner. */
+    private boolean isBehind(UpkeepWave w) {
+        Long since = freshSince.get(w.number());
+        if (since == null || w.durationMillis() <= 0) {
+            return true;
+        }
+        double due = w.instances().size() * (state.now() - since) / (PATIENT_SHARE * w.durationMillis());
+        return state.begun(w.number()).size() < due;
     }
 
     private boolean isDone(UpkeepWave w) {
--- a/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
@@ -65,6 +65,23 @@
         return INPUTS + service + "/";
     }
 
+    /** Returns the prefix of what callers have handed in, of all services. */
+    public static String allInputs() {
+        return INPUTS;
+    }
+
+    /** Returns the prefix of the progress of all services' jobs. */
+    public static String allProgress() {
+        return PROGRESS;
+    }
+
+    /** Returns whether a key under the inputs, of whichever service, is a job's. */
+    public static boolean isAnyJob(String key) {
+        return after(INPUTS, key)
+                .filter(k -> k.substring(k.indexOf('/') + 1).startsWith(JOB))
+                .isPresent();
+    }
+
     /** Returns the key of a job's immutable record. */
     public static String job(String service, JobKey job) {
         return inputs(service) + JOB + job;
--- a/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
@@ -27,6 +27,11 @@
  */
 public record JobProgress(JobState state, List<TaskRecord> tasks, String reason, long changedMillis) {
 
+    /** Returns what is true of a job that no owner has written of yet. */
+    public static JobProgress none(long acceptedMillis) {
+        return new JobProgress(JobState.QUEUED, List.of(), "", acceptedMillis);
+    }
+
     /** Returns whether the job has ended and no worker holds anything of it. */
     public boolean over() {
         return state.ended() && tasks.isEmpty();
--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -102,6 +102,16 @@
             assertEquals(List.of("m3 UPKEEP:1"), port.orders);
         }
 
+        @Test
+        void waitsWhileItsPoolHasWorkForAllAndTheWaveHasTime() {
+            fleet(2, up("m1", "clips", "w1"), up("m2", "clips", "w2"));
+            planner.onWaves(List.of(new UpkeepWave(1, List.of("m2"), 20_000, 1)));
+            passes(0);
+            assertTrue(port.asked.isEmpty(), "both are needed");
+            passes(15_000);
+            assertEquals(1, port.asked.size(), "the wave must end in time, however busy its pools are");
+        }
+
         @Test
         void isNotOrderedWhenAnotherWorkerLivesThere() {
             fleet(1, up("m1", "clips", "w1"), up("m2", "clips", "w2"));
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
@@ -0,0 +1,99 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.job.TaskRecord;
+
+/** Says in lines for people how far a job is, where its tasks run, and why it waits. */
+final class JobExplanation {
+
+    private JobExplanation() {}
+
+    /**
+     * Returns the lines.
+     *
+     * @param owner the entry that owns the job's service; empty when nobody does
+     * @param wallMillis the time of day
+     */
+    static List<String> of(JobSpec spec, JobProgress progress, boolean cancelled, String owner, long wallMillis) {
+        List<String> lines = new ArrayList<>();
+        lines.add("job " + spec.key().id() + " of queue " + spec.key().queue() + " on service " + spec.service() + ": "
+                + progress.state() + (progress.reason().isEmpty() ? "" : ", " + progress.reason()));
+        lines.add("accepted " + (wallMillis - spec.acceptedMillis()) + " ms ago, last change "
+                + (wallMillis - progress.changedMillis()) + " ms ago"
+                + (cancelled ? ", cancelled by its caller" : ""));
+        lines.add(owner.isEmpty() ? "waits: nobody owns " + spec.service() : "owner of its service: " + owner);
+        if (!progress.state().ended()) {
+            lines.addAll(steps(spec, progress, wallMillis));
+        }
+        return lines;
+    }
+
+    private static List<String> steps(JobSpec spec, JobProgress progress, long wallMillis) {
+        Map<TaskId, TaskRecord> tasks = new HashMap<>();
+        progress.tasks().forEach(t -> tasks.put(new TaskId(t.time(), t.step(), t.index()), t));
+        List<String> lines = new ArrayList<>();
+        for (int time = 0; time < spec.repeat().times(); time++) {
+            for (int step = 0; step < spec.steps().size(); step++) {
+                lines.add(step(spec, tasks, time, step, wallMillis));
+            }
+        }
+        return lines;
+    }
+
+    private static String step(JobSpec spec, Map<TaskId, TaskRecord> tasks, int time, int step, long wallMillis) {
+        StepSpec s = spec.steps().get(step);
+        int done = 0;
+        List<String> on = new ArrayList<>();
+        for (int i = 0; i < s.count(); i++) {
+            TaskRecord t = tasks.get(new TaskId(time, step, i));
+            if (t != null && t.done()) {
+                done++;
+            } else if (t != null && !t.worker().isEmpty()) {
+                on.add(i + " on " + t.worker() + " (run " + t.run() + ", " + t.failures() + " failed)");
+            }
+        }
+        int waiting = s.count() - done - on.size();
+        String text = "step " + step + (spec.repeat().count() > 0 ? " of time " + time : "") + ": " + done + " of "
+                + s.count() + " done" + (on.isEmpty() ? "" : ", placed: " + String.join(", ", on));
+        return waiting == 0 ? text : text + ", " + waiting + " wait " + reason(spec, tasks, time, s, wallMillis);
+    }
+
+    private static String reason(JobSpec spec, Map<TaskId, TaskRecord> tasks, int time, StepSpec s, long wallMillis) {
+        long due = spec.repeat().dueMillis(time);
+        if (wallMillis < due) {
+            return "for their time, in " + (due - wallMillis) + " ms";
+        }
+        for (int before : s.after()) {
+            for (int i = 0; i < spec.steps().get(before).count(); i++) {
+                TaskRecord t = tasks.get(new TaskId(time, before, i));
+                if (t == null || !t.done()) {
+                    return "for step " + before;
+                }
+            }
+        }
+        return "for a worker with " + s.need().cpuMillis() + " thousandths of a core and "
+                + s.need().memoryMb() + " MB" + (s.label().isEmpty() ? "" : " and the label " + s.label());
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -77,6 +77,11 @@
                 .findFirst();
     }
 
+    /** Returns the time of day by which jobs are accepted. */
+    long wallMillis() {
+        return wall.millis();
+    }
+
     /** Returns whether a configuration is in force here. */
     public boolean isConfigured() {
         return configuration.current().isPresent();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -59,6 +59,7 @@
     private final OwnershipKeeper ownership;
     private final JobMeters meters;
     private final JobIntake intake;
+    private final JobQuestions questions;
     private final SchedulerHost.Entry shared;
     private final FleetHost.Entry fleetShared;
     private final Map<String, SchedulerHost> hosts = new HashMap<>();
@@ -99,6 +100,7 @@
         meters = p.meters();
         addGauges();
         intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall());
+        questions = new JobQuestions(p.store(), p.records(), intake);
         SchedulerTiming timing = SchedulerTiming.usual(p.limits().longestHoldMillis(), BLIND_MILLIS);
         shared = new SchedulerHost.Entry(
                 p.store(), p.orders(), p.advice(), p.instances(), loop, p.wall(), timing, p.meters());
@@ -140,6 +142,11 @@
         return intake;
     }
 
+    /** Returns what operators ask. */
+    public JobQuestions questions() {
+        return questions;
+    }
+
     /** Returns whether callers had better come to this entry. Any thread may ask. */
     public boolean isReady() {
         return ready;
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
@@ -0,0 +1,184 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.lupinpaddle.core.command.CommandParser;
+import org.lupinpaddle.core.command.OperatorCommand;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.upkeep.UpkeepRecord;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+import org.lupinpaddle.daemon.operator.CommandExecutor;
+import org.lupinpaddle.daemon.operator.CommandResult;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreItem;
+import org.lupinpaddle.daemon.port.StoreRange;
+
+/** Answers operators' questions about jobs from the store, so that any entry gives the same answer. */
+public final class JobQuestions implements CommandExecutor {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final KeyValueStore store;
+    private final PlatformRecords records;
+    private final JobIntake intake;
+
+    /** Makes it. */
+    public JobQuestions(KeyValueStore store, PlatformRecords records, JobIntake intake) {
+        this.store = store;
+        this.records = records;
+        this.intake = intake;
+    }
+
+    @Override
+    public void run(String words, String operator, Consumer<CommandResult> onResult) {
+        Either<String, OperatorCommand> command = CommandParser.parse(CommandParser.split(words));
+        if (command.isLeft()) {
+            onResult.accept(CommandResult.refused(command.getLeft()));
+            return;
+        }
+        answer(command.get())
+                .exceptionally(why -> List.of("the store can not be reached: " + StoreFailure.text(why)))
+                .thenAccept(lines -> onResult.accept(
+                        new CommandResult(CommandResult.ANSWERED, 0, lines, MAPPER.valueToTree(lines))));
+    }
+
+    private CompletableFuture<List<String>> answer(OperatorCommand command) {
+        if (command instanceof OperatorCommand.JobList) {
+            return allJobs().thenApply(JobQuestions::listed);
+        } else if (command instanceof OperatorCommand.JobExplain q) {
+            return explain(q.id());
+        } else if (command instanceof OperatorCommand.JobOwners) {
+            return store.range(JobKeys.MEMBERS).thenApply(JobQuestions::owners);
+        } else if (command instanceof OperatorCommand.JobWorkers) {
+            return store.range(records.workerPrefix()).thenApply(this::workers);
+        } else if (command instanceof OperatorCommand.JobUpkeep) {
+            return store.range(records.wavePrefix()).thenCombine(store.range(JobKeys.fleet()), this::upkeep);
+        }
+        return CompletableFuture.completedFuture(
+                List.of("this entry runs jobs on the operators' platform; it answers the group job"));
+    }
+
+    /** A job as the store has it. */
+    private record Known(JobSpec spec, JobProgress progress, boolean cancelled) {}
+
+    private CompletableFuture<List<Known>> allJobs() {
+        return store.range(JobKeys.allInputs()).thenCombine(store.range(JobKeys.allProgress()), (inputs, progress) -> {
+            Map<String, StoreItem> byKey = new TreeMap<>();
+            inputs.items().forEach(i -> byKey.put(i.key(), i));
+            progress.items().forEach(i -> byKey.put(i.key(), i));
+            List<Known> all = new ArrayList<>();
+            for (StoreItem i : inputs.items()) {
+                if (JobKeys.isAnyJob(i.key())) {
+                    RecordCodec.read(i.value(), JobSpec.class).forEach(s -> all.add(known(s, byKey)));
+                }
+            }
+            return all;
+        });
+    }
+
+    private static Known known(JobSpec spec, Map<String, StoreItem> byKey) {
+        StoreItem p = byKey.get(JobKeys.progress(spec.service(), spec.key()));
+        JobProgress none = JobProgress.none(spec.acceptedMillis());
+        JobProgress progress = p == null
+                ? none
+                : RecordCodec.read(p.value(), JobProgress.class).getOrElse(none);
+        return new Known(spec, progress, byKey.containsKey(JobKeys.cancel(spec.service(), spec.key())));
+    }
+
+    private static List<String> listed(List<Known> all) {
+        List<String> lines = new ArrayList<>();
+        for (Known k : all) {
+            lines.add(k.spec.key().id() + "  " + k.progress.state() + "  queue "
+                    + k.spec.key().queue() + "  service " + k.spec.service()
+                    + (k.cancelled ? "  cancelled by its caller" : ""));
+        }
+        return lines.isEmpty() ? List.of("no jobs") : lines;
+    }
+
+    private CompletableFuture<List<String>> explain(String id) {
+        return allJobs().thenCombine(store.range(JobKeys.MEMBERS), (all, members) -> {
+            List<String> lines = new ArrayList<>();
+            all.stream()
+                    .filter(k -> k.spec.key().id().equals(id))
+                    .forEach(k -> lines.addAll(JobExplanation.of(
+                            k.spec, k.progress, k.cancelled, ownerOf(k.spec.service(), members), intake.wallMillis())));
+            return lines.isEmpty() ? List.of("no such job: never accepted, or over for more than two minutes") : lines;
+        });
+    }
+
+    private static String ownerOf(String service, StoreRange members) {
+        return members.items().stream()
+                .filter(i -> i.key().equals(JobKeys.owner(service)))
+                .map(StoreItem::value)
+                .findFirst()
+                .orElse("");
+    }
+
+    private static List<String> owners(StoreRange members) {
+        List<String> lines = new ArrayList<>();
+        for (StoreItem i : members.items()) {
+            JobKeys.entryOf(i.key()).ifPresent(e -> lines.add("entry " + e));
+            JobKeys.ownedBy(i.key())
+                    .ifPresent(d -> lines.add("duty " + d + "  owned by " + i.value() + "  fence " + i.revision()));
+        }
+        return lines.isEmpty() ? List.of("no entry is registered") : lines;
+    }
+
+    private List<String> workers(StoreRange listed) {
+        List<String> lines = new ArrayList<>();
+        for (StoreItem i : listed.items()) {
+            Either<String, WorkerFacts> w = records.worker(i);
+            lines.add(w.fold(
+                    why -> i.key() + "  unreadable: " + why,
+                    f -> f.service() + "  " + f.id() + "  " + f.address() + "  hall " + f.hall() + "  "
+                            + (f.draining() ? "draining, " + f.remainingMillis() + " ms left" : "ready") + "  "
+                            + f.labels()));
+        }
+        lines.sort(String::compareTo);
+        return lines.isEmpty() ? List.of("no workers") : lines;
+    }
+
+    private List<String> upkeep(StoreRange waves, StoreRange fleet) {
+        Map<Long, UpkeepRecord> done = new TreeMap<>();
+        fleet.items()
+                .forEach(i -> JobKeys.upkeepOf(i.key())
+                        .ifPresent(w ->
+                                RecordCodec.read(i.value(), UpkeepRecord.class).forEach(r -> done.put(w, r))));
+        List<String> lines = new ArrayList<>();
+        for (StoreItem i : waves.items()) {
+            Either<String, UpkeepWave> wave = records.wave(i);
+            wave.forEach(w -> {
+                UpkeepRecord r = done.getOrDefault(w.number(), new UpkeepRecord(List.of(), false));
+                lines.add("wave " + w.number() + "  " + (r.completed() ? "completed" : "running") + "  begun "
+                        + r.begun().size() + " of " + w.instances().size() + ", at most " + w.most() + " at once");
+            });
+        }
+        return lines.isEmpty() ? List.of("no waves") : lines;
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -67,6 +67,9 @@
     private final TreeMap<String, Long> owned = new TreeMap<>();
     private final Set<String> duties = new TreeSet<>();
     private final Set<String> attempts = new HashSet<>();
+    /** Fences of duties that were handed over; the watch may show them for a moment longer. */
+    private final Set<Long> released = new HashSet<>();
+
     private long lease;
     private long keptAt = Long.MIN_VALUE / 2;
     private final Map<String, Long> entrySince = new HashMap<>();
@@ -260,7 +263,7 @@
         if (stopping) {
             return;
         }
-        boolean mine = i.value().equals(entry) && i.lease() == lease && lease != 0;
+        boolean mine = i.value().equals(entry) && i.lease() == lease && lease != 0 && !released.contains(i.revision());
         if (mine && !owned.containsKey(duty) && !attempts.contains(duty)) {
             won(duty, i.revision());
         }
@@ -316,12 +319,17 @@
             return;
         }
         listener.lost(duty, why);
+        released.add(fence);
         String key = JobKeys.owner(duty);
         store.commit(StoreCommit.builder().when(key, fence).remove(key).build())
                 .thenAcceptAsync(
                         r -> {
                             Log.info("duty-released", "duty", duty, "fence", fence, "outcome", r.outcome());
-                            review();
+                            if (r.outcome() != CommitResult.Outcome.MADE) {
+                                // It may still be this entry's, and then nobody else could take it up.
+                                released.remove(fence);
+                                loop.after(RETRY_MILLIS, this::review);
+                            }
                         },
                         loop::execute);
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/operator/CommandRunner.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/operator/CommandRunner.java
@@ -22,7 +22,7 @@
 import org.lupinpaddle.daemon.common.Log;
 
 /** Reads one command and has it answered or made. */
-public final class CommandRunner {
+public final class CommandRunner implements CommandExecutor {
 
     private final QuestionAnswerer answerer;
     private final ChangeMaker changer;
@@ -33,7 +33,7 @@
         this.changer = changer;
     }
 
-    /** Runs the command that the words say, for an operator; call on the loop, the result comes on the loop. */
+    @Override
     public void run(String words, String operator, Consumer<CommandResult> onResult) {
         Either<String, OperatorCommand> command = CommandParser.parse(CommandParser.split(words));
         if (command.isLeft()) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/operator/OperatorHandler.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/operator/OperatorHandler.java
@@ -45,10 +45,10 @@
 
     private final byte[] token;
     private final EventLoop loop;
-    private final CommandRunner runner;
+    private final CommandExecutor runner;
 
     /** Makes the handler; {@code token} never leaves it. */
-    public OperatorHandler(String token, EventLoop loop, CommandRunner runner) {
+    public OperatorHandler(String token, EventLoop loop, CommandExecutor runner) {
         this.token = token.getBytes(StandardCharsets.UTF_8);
         this.loop = loop;
         this.runner = runner;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/operator/QuestionAnswerer.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/operator/QuestionAnswerer.java
@@ -79,7 +79,7 @@
         } else if (question instanceof OperatorCommand.WaveShow q) {
             return wave(q.name());
         }
-        return CommandResult.refused("this question is not known here; the tool may be newer than the entry");
+        return CommandResult.refused("this entry does not answer that: it may run no jobs, or the tool may be newer");
     }
 
     private FleetView view() {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
@@ -25,7 +25,7 @@
  * @param platform where the platform's parts are
  * @param bounds what the platform holds the entry to
  */
-public record JobSettings(Entry entry, Listen listen, PlatformParts platform, Bounds bounds) {
+public record JobSettings(Entry entry, Listen listen, PlatformParts platform, Bounds bounds, Operator operator) {
 
     private static final long MOST_MILLIS = 86_400_000;
 
@@ -71,6 +71,18 @@
             long upkeepMillis,
             boolean fencedInstances) {}
 
+    /**
+     * How operators ask. Without an address nothing listens for them.
+     *
+     * @param address IP and port; empty for none
+     * @param token the bearer token that their tool must give
+     */
+    public record Operator(String address, String token) {
+
+        /** Nothing listens for operators. */
+        public static final Operator NONE = new Operator("", "");
+    }
+
     /** Returns the settings in a file, or says what is wrong with them. */
     public static JobSettings read(Path path) throws SettingsException {
         return parse(path.toString(), TomlChecks.load(path));
@@ -94,7 +106,10 @@
                         t.number("bounds.grace_seconds", 1, 3_600),
                         t.number("bounds.owner_lease_millis", 0, MOST_MILLIS),
                         t.seconds("bounds.upkeep_seconds"),
-                        t.flag("bounds.fenced_instances")));
+                        t.flag("bounds.fenced_instances")),
+                t.has("operator")
+                        ? new Operator(t.address("operator.address", true), t.token("operator.token"))
+                        : Operator.NONE);
         t.refuseUnknown();
         return s;
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/SettingsReader.java
@@ -24,7 +24,6 @@
  */
 public final class SettingsReader {
 
-    private static final int FEWEST_TOKEN_CHARS = 16;
     private static final int MEGABYTE = 1 << 20;
     // Bodies and answers that are held at once must leave half of the heap to everything else.
     private static final int HEAP_SHARE = 2;
@@ -64,7 +63,7 @@
                 toml.address("listen.operator", true),
                 toml.address("listen.peer", true));
         Settings.PlatformAddress platform = new Settings.PlatformAddress(toml.address("platform.address", false));
-        Settings.Operator operator = new Settings.Operator(token());
+        Settings.Operator operator = new Settings.Operator(toml.token("operator.token"));
         Settings.Limits limits = new Settings.Limits(
                 (int) toml.number("limits.body_bytes", 1, 64L * MEGABYTE),
                 (int) toml.number("limits.answer_bytes", 1, 64L * MEGABYTE),
@@ -103,13 +102,4 @@
             throw new SettingsException(file, "timing.lease_seconds", "must be at least twice timing.heartbeat_millis");
         }
     }
-
-    private String token() throws SettingsException {
-        String want = "a text of at least " + FEWEST_TOKEN_CHARS + " characters without spaces";
-        String v = toml.text("operator.token", want);
-        if (v.length() < FEWEST_TOKEN_CHARS || v.chars().anyMatch(c -> c <= ' ')) {
-            throw new SettingsException(file, "operator.token", "is too short or has spaces; give " + want);
-        }
-        return v;
-    }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/TomlChecks.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/TomlChecks.java
@@ -35,6 +35,7 @@
  */
 final class TomlChecks {
 
+    private static final int FEWEST_TOKEN_CHARS = 16;
     private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final int MOST_PORT = 65_535;
@@ -89,6 +90,20 @@
         return n.textValue();
     }
 
+    /** Returns whether a table is there. */
+    boolean has(String key) {
+        return !root.path(key).isMissingNode();
+    }
+
+    String token(String key) throws SettingsException {
+        String want = "a text of at least " + FEWEST_TOKEN_CHARS + " characters without spaces";
+        String v = text(key, want);
+        if (v.length() < FEWEST_TOKEN_CHARS || v.chars().anyMatch(c -> c <= ' ')) {
+            throw new SettingsException(file, key, "is too short or has spaces; give " + want);
+        }
+        return v;
+    }
+
     String name(String key) throws SettingsException {
         String want = "a name of small letters, digits and hyphens, 63 at most, in quotes";
         String v = text(key, want);
--- a/standins/src/main/java/org/lupinpaddle/standins/JsonHttp.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/JsonHttp.java
@@ -17,6 +17,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -26,24 +27,31 @@
 import org.eclipse.jetty.util.Callback;
 
 /** JSON over HTTP as both stand-ins speak it. */
-final class JsonHttp {
+public final class JsonHttp {
 
-    static final ObjectMapper MAPPER = new ObjectMapper();
+    /** Reads and writes all bodies. */
+    public static final ObjectMapper MAPPER = new ObjectMapper();
 
     private JsonHttp() {}
 
-    static ObjectNode object() {
+    /** Returns an empty object. */
+    public static ObjectNode object() {
         return MAPPER.createObjectNode();
     }
 
+    /** Returns an empty list. */
+    public static ArrayNode array() {
+        return MAPPER.createArrayNode();
+    }
+
     /** Reads the whole body of a request as an object; an empty body is an empty object. */
-    static JsonNode body(Request request) throws IOException {
+    public static JsonNode body(Request request) throws IOException {
         String text = Content.Source.asString(request, StandardCharsets.UTF_8);
         return text.isBlank() ? object() : MAPPER.readTree(text);
     }
 
     /** Answers with a status and an object. */
-    static void answer(Response response, Callback callback, int status, JsonNode node) {
+    public static void answer(Response response, Callback callback, int status, JsonNode node) {
         response.setStatus(status);
         response.getHeaders().put("Content-Type", "application/json");
         Content.Sink.write(response, true, node.toString(), callback);
--- a/standins/src/main/java/org/lupinpaddle/standins/StandInMain.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/StandInMain.java
@@ -16,6 +16,8 @@
 package org.lupinpaddle.standins;
 
 import java.util.concurrent.CountDownLatch;
+import org.lupinpaddle.standins.jobs.JobPlatformStandIn;
+import org.lupinpaddle.standins.jobs.JobWorkerStandIn;
 
 /**
  * Starts one stand-in and prints a line {@code event=started address=IP:PORT} once it serves.
@@ -28,6 +30,7 @@
 public final class StandInMain {
 
     private static final int WORKER_WORDS = 7;
+    private static final int JOB_WORKER_WORDS = 6;
 
     private StandInMain() {}
 
@@ -41,8 +44,15 @@
                     new WorkerPlace(args[1], args[2], args[3], Integer.parseInt(args[4]), Integer.parseInt(args[5]));
             WorkerStandIn worker = WorkerStandIn.start(place, args[6]);
             System.out.println("event=started address=" + worker.address());
+        } else if (args.length >= 1 && args[0].equals("job-platform")) {
+            JobPlatformStandIn platform = JobPlatformStandIn.start(args.length > 1 ? Integer.parseInt(args[1]) : 0);
+            System.out.println("event=started address=" + platform.address());
+        } else if (args.length == JOB_WORKER_WORDS && args[0].equals("job-worker")) {
+            JobWorkerStandIn worker = JobWorkerStandIn.start(args[1], args[2], args[3], args[4], args[5]);
+            System.out.println("event=started address=" + worker.address());
         } else {
-            System.err.println("usage: platform [PORT] | worker ID HALL RACK SLOTS MEMORY_MB PLATFORM_ADDRESS");
+            System.err.println("usage: platform [PORT] | worker ID HALL RACK SLOTS MEMORY_MB PLATFORM_ADDRESS"
+                    + " | job-platform [PORT] | job-worker MACHINE POOL HALL RACK PLATFORM_ADDRESS");
             System.exit(2);
         }
         new CountDownLatch(1).await();
--- /dev/null
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
@@ -0,0 +1,252 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.standins.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.lupinpaddle.standins.JsonHttp;
+
+/**
+ * The operators' platform in one small process: store, list of instances with moves and upkeep, and advice that
+ * allows every worker. Operators write below {@code op/} by {@code POST /standin/put}.
+ */
+public final class JobPlatformStandIn implements AutoCloseable {
+
+    private static final long TICK_MILLIS = 50;
+    private static final int OK = 200;
+    private static final int FORBIDDEN = 403;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int GONE = 410;
+    private static final int PRECONDITION_FAILED = 412;
+    private static final long TICKET_MILLIS = 5_000;
+
+    private final Server server;
+    private final ServerConnector connector;
+    private final HttpClient client = new HttpClient();
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final JobStore store = new JobStore(JobPlatformStandIn::now);
+    private final JobMachines machines;
+    private final List<Watcher> watchers = new ArrayList<>();
+
+    private record Watcher(String prefix, long after, long endsAt, Response response, Callback callback) {}
+
+    private record Exchange(Request request, JsonNode body, Response response, Callback callback) {
+        void answer(int status, JsonNode node) {
+            JsonHttp.answer(response, callback, status, node);
+        }
+
+        String query(String name) {
+            Fields all = Request.extractQueryParameters(request);
+            String v = all.getValue(name);
+            return v == null ? "" : v;
+        }
+
+        long number(String name) {
+            String v = query(name);
+            return v.isEmpty() ? 0 : Long.parseLong(v);
+        }
+    }
+
+    private JobPlatformStandIn(int port) {
+        machines = new JobMachines(client, this::writeRecord);
+        server = new Server(new QueuedThreadPool(64, 4));
+        connector = new ServerConnector(server, 1, 1);
+        connector.setHost("127.0.0.1");
+        connector.setPort(port);
+        server.addConnector(connector);
+        server.setHandler(new Handler.Abstract() {
+            @Override
+            public boolean handle(Request request, Response response, Callback callback) throws Exception {
+                route(new Exchange(request, JsonHttp.body(request), response, callback));
+                return true;
+            }
+        });
+    }
+
+    /** Starts the stand-in on a port, or on one that the system chooses for 0. */
+    public static JobPlatformStandIn start(int port) throws Exception {
+        JobPlatformStandIn p = new JobPlatformStandIn(port);
+        p.client.start();
+        p.server.start();
+        var unused = p.timer.scheduleAtFixedRate(p::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        return p;
+    }
+
+    /** Returns IP and port. */
+    public String address() {
+        return "127.0.0.1:" + connector.getLocalPort();
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private synchronized void tick() {
+        store.expireLeases();
+        machines.tick();
+        tellWatchers();
+    }
+
+    private synchronized void route(Exchange x) {
+        String path = x.request.getHttpURI().getPath();
+        String last = path.substring(path.lastIndexOf('/') + 1);
+        if (path.startsWith("/api/kv-keep/")) {
+            x.answer(store.keepLease(Long.parseLong(last)) ? OK : NOT_FOUND, JsonHttp.object());
+        } else if (path.startsWith("/api/kv-lease-end/")) {
+            x.answer(store.endLease(Long.parseLong(last)) ? OK : NOT_FOUND, JsonHttp.object());
+        } else {
+            switch (path) {
+                case "/api/kv-key" -> read(x);
+                case "/api/kv-range" -> x.answer(OK, store.range(x.query("pathPrefix")));
+                case "/api/kv-watch" -> watch(x);
+                case "/api/kv-txn" -> commit(x);
+                case "/api/kv-lease" -> openLease(x);
+                case "/api/machines" -> x.answer(OK, machines.list());
+                case "/api/machine-move", "/api/machine-upkeep" -> order(x, path.endsWith("upkeep"));
+                case "/api/advise" -> advise(x);
+                case "/standin/put" -> operatorPuts(x);
+                case "/standin/machine" -> x.answer(OK, machines.register(x.body));
+                default -> x.answer(NOT_FOUND, JsonHttp.object());
+            }
+        }
+        tellWatchers();
+    }
+
+    private void read(Exchange x) {
+        ObjectNode item = store.read(x.query("privateKey"));
+        x.answer(item == null ? NOT_FOUND : OK, item == null ? JsonHttp.object().put("at", store.revision()) : item);
+    }
+
+    private void watch(Exchange x) {
+        long endsAt = now() + x.number("waitMs");
+        watchers.add(new Watcher(x.query("pathPrefix"), x.number("after"), endsAt, x.response, x.callback));
+    }
+
+    private void tellWatchers() {
+        watchers.removeIf(answered());
+    }
+
+    private Predicate<Watcher> answered() {
+        long now = now();
+        return w -> {
+            ArrayNode changes = store.changes(w.prefix, w.after);
+            if (changes == null) {
+                JsonHttp.answer(w.response, w.callback, GONE, JsonHttp.object());
+                return true;
+            }
+            if (changes.isEmpty() && now < w.endsAt) {
+                return false;
+            }
+            ObjectNode answer = JsonHttp.object().put("at", store.revision());
+            answer.set("events", changes);
+            JsonHttp.answer(w.response, w.callback, OK, answer);
+            return true;
+        };
+    }
+
+    private void commit(Exchange x) {
+        if (touchesOperators(x.body)) {
+            x.answer(FORBIDDEN, JsonHttp.object());
+            return;
+        }
+        for (JsonNode p : x.body.path("put")) {
+            if (!store.hasLease(p.path("lease").asLong())) {
+                x.answer(NOT_FOUND, JsonHttp.object());
+                return;
+            }
+        }
+        ObjectNode conflict = store.conflict(x.body.path("expectedRevision"));
+        if (conflict != null) {
+            x.answer(PRECONDITION_FAILED, conflict);
+            return;
+        }
+        store.change(x.body.path("put"), x.body.path("remove"));
+        x.answer(OK, JsonHttp.object().put("revision", store.revision()));
+    }
+
+    private static boolean touchesOperators(JsonNode body) {
+        for (JsonNode p : body.path("put")) {
+            String key = p.path("privateKey").asText();
+            if (key.startsWith("op/") || key.startsWith("servers/")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void openLease(Exchange x) {
+        long ttl = x.body.path("ttl_ms").asLong();
+        x.answer(OK, JsonHttp.object().put("lease", store.openLease(ttl)).put("ttl_ms", ttl));
+    }
+
+    private void order(Exchange x, boolean upkeep) {
+        String refused = machines.order(x.body.path("machine").asText(), upkeep, x.body);
+        x.answer(
+                refused.isEmpty() ? OK : CONFLICT,
+                refused.isEmpty() ? JsonHttp.object() : JsonHttp.object().put("reason", refused));
+    }
+
+    private static void advise(Exchange x) {
+        ObjectNode answer = JsonHttp.object().put("valid_ms", TICKET_MILLIS);
+        ArrayNode good = answer.putArray("good");
+        x.body.path("workers").forEach(w -> good.addArray().add(w).add("ticket-" + w.asText()));
+        x.answer(OK, answer);
+    }
+
+    private void operatorPuts(Exchange x) {
+        writeRecord(x.body.path("key").asText(), x.body.path("value").toString());
+        x.answer(OK, JsonHttp.object().put("revision", store.revision()));
+    }
+
+    /** Writes a record of the platform's own; an empty value removes it. */
+    private synchronized void writeRecord(String key, String value) {
+        ArrayNode puts = JsonHttp.array();
+        ArrayNode removals = JsonHttp.array();
+        if (value.isEmpty()) {
+            removals.add(key);
+        } else {
+            String coded = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+            puts.addObject().put("privateKey", key).put("value", coded).put("lease", 0);
+        }
+        store.change(puts, removals);
+    }
+
+    @Override
+    public void close() throws Exception {
+        timer.shutdownNow();
+        server.stop();
+        client.stop();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerLife.java
@@ -0,0 +1,171 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.standins.jobs;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.lupinpaddle.standins.JsonHttp;
+
+/**
+ * What one life of a worker does with orders, as the protocol says: fences, deadlines, run numbers, numbered ends. A
+ * task takes as long as its text says in {@code millis=N}, a second otherwise; with {@code lasts} in its text it runs
+ * until it is stopped, with {@code fails} it fails.
+ */
+final class JobWorkerLife {
+
+    private static final Pattern MILLIS = Pattern.compile("millis=(\\d+)");
+    private static final long USUAL_MILLIS = 1_000;
+    private static final long WARM_UP_MILLIS = 500;
+    private static final int ALL_PERCENT = 100;
+
+    private final LongSupplier clock;
+    private final Map<String, Run> running = new TreeMap<>();
+    private final Map<String, Integer> closed = new HashMap<>();
+    private final List<End> ends = new ArrayList<>();
+    private long fence;
+    private long deadline;
+    private long nextEnd = 1;
+
+    private record Run(int number, String text, long begunAt) {
+        long millis() {
+            Matcher m = MILLIS.matcher(text);
+            return m.find() ? Long.parseLong(m.group(1)) : USUAL_MILLIS;
+        }
+
+        boolean lasts() {
+            return text.contains("lasts");
+        }
+
+        long percent(long now) {
+            long whole = lasts() ? WARM_UP_MILLIS : millis();
+            return Math.min(ALL_PERCENT, (now - begunAt) * ALL_PERCENT / Math.max(1, whole));
+        }
+    }
+
+    private record End(long number, String task, int run, String how) {}
+
+    JobWorkerLife(LongSupplier clock) {
+        this.clock = clock;
+    }
+
+    /** Returns why a start is refused, or nothing. */
+    String start(JsonNode order) {
+        if (fenced(order)) {
+            return "fence";
+        }
+        long until = order.path("deadlineMs").asLong();
+        if (until < clock.getAsLong()) {
+            return "late";
+        }
+        deadline = Math.max(deadline, until);
+        String task = order.path("task").asText();
+        int run = order.path("run").asInt();
+        Run there = running.get(task);
+        if (there != null && there.number == run) {
+            return "";
+        }
+        if (there != null || run <= closed.getOrDefault(task, 0)) {
+            return "old";
+        }
+        running.put(task, new Run(run, order.path("spec").asText(), clock.getAsLong()));
+        return "";
+    }
+
+    /** Returns why a stop is refused, or nothing. */
+    String stop(JsonNode order) {
+        if (fenced(order)) {
+            return "fence";
+        }
+        String task = order.path("task").asText();
+        int run = order.path("run").asInt();
+        Run there = running.get(task);
+        if (there != null && there.number <= run) {
+            end(task, "stopped");
+        }
+        closed.merge(task, run, Math::max);
+        return "";
+    }
+
+    /** Returns why an order that needs only the fence is refused, or nothing. */
+    String checkFence(JsonNode order) {
+        return fenced(order) ? "fence" : "";
+    }
+
+    private boolean fenced(JsonNode order) {
+        long given = order.path("fencingToken").asLong();
+        boolean old = given < fence;
+        fence = Math.max(fence, given);
+        return old;
+    }
+
+    /** Takes in a hold: its deadline, and which ends may be forgotten. */
+    void extend(JsonNode hold) {
+        deadline = Math.max(deadline, hold.path("deadlineMs").asLong());
+        ends.removeIf(e -> e.number <= hold.path("lastSeen").asLong());
+    }
+
+    boolean hasEnds() {
+        return !ends.isEmpty();
+    }
+
+    /** Ends what is over by now: done, failed, or past its deadline. */
+    void pass() {
+        long now = clock.getAsLong();
+        for (Map.Entry<String, Run> e : List.copyOf(running.entrySet())) {
+            Run r = e.getValue();
+            if (now > deadline) {
+                end(e.getKey(), "lapsed");
+            } else if (r.text.contains("fails")) {
+                end(e.getKey(), "failed");
+            } else if (!r.lasts() && now - r.begunAt >= r.millis()) {
+                end(e.getKey(), "done");
+            }
+        }
+    }
+
+    private void end(String task, String how) {
+        Run r = running.remove(task);
+        if (r != null) {
+            closed.merge(task, r.number, Math::max);
+            ends.add(new End(nextEnd++, task, r.number, how));
+        }
+    }
+
+    ObjectNode shown() {
+        long now = clock.getAsLong();
+        ObjectNode answer = JsonHttp.object().put("clockMs", now);
+        ArrayNode all = answer.putArray("running");
+        running.forEach((task, r) -> all.addArray()
+                .add(task)
+                .add(r.number)
+                .add("")
+                .add(r.percent(now))
+                .add(0));
+        ArrayNode over = answer.putArray("finished");
+        ends.forEach(e ->
+                over.addArray().add(e.number).add(e.task).add(e.run).add(e.how).add(""));
+        return answer;
+    }
+}
