--- a/core/src/main/java/org/lupinpaddle/core/placement/Room.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Room.java
@@ -26,6 +26,9 @@
  */
 public record Room(long cpuMillis, long memoryMb, long accelerators) {
 
+    // What asks for nothing of a kind is not limited by it.
+    private static final long MOST_PLACES = 1_000_000;
+
     /** Nothing. */
     public static final Room NONE = new Room(0, 0, 0);
 
@@ -49,4 +52,15 @@
     public boolean holds(Room other) {
         return cpuMillis >= other.cpuMillis && memoryMb >= other.memoryMb && accelerators >= other.accelerators;
     }
+
+    /** Returns how many times {@code one} fits into this. */
+    public long placesFor(Room one) {
+        return Math.min(
+                times(cpuMillis, one.cpuMillis),
+                Math.min(times(memoryMb, one.memoryMb), times(accelerators, one.accelerators)));
+    }
+
+    private static long times(long all, long one) {
+        return one == 0 ? MOST_PLACES : Math.max(0, all / one);
+    }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -69,8 +69,9 @@
         }
     }
 
-    private void place(LiveStep step, List<LiveWorker> usable) {
+    private void place(LiveStep step, List<LiveWorker> workers) {
         long now = state.now();
+        List<LiveWorker> usable = step.spec.rackLocal() ? RackChoice.of(step, workers) : workers;
         if (step.spec.gang()) {
             placeGang(step, usable, now);
             return;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/RackChoice.java
@@ -0,0 +1,61 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.lupinpaddle.core.placement.Room;
+
+/** Keeps the tasks of a step on one rack where that makes them faster, if one rack has room for all of them. */
+final class RackChoice {
+
+    private RackChoice() {}
+
+    /**
+     * Returns those of the workers on which the step's waiting tasks are to be placed: the ones on the rack where most
+     * of its tasks are, or else on the rack with the most room; all of them when no rack has room for what waits.
+     */
+    static List<LiveWorker> of(LiveStep step, List<LiveWorker> workers) {
+        Map<String, List<LiveWorker>> racks = workers.stream()
+                .collect(
+                        Collectors.groupingBy(w -> w.facts().failureDomain(), LinkedHashMap::new, Collectors.toList()));
+        long waiting = step.tasks.stream()
+                .filter(t -> t.phase == LiveTask.Phase.WAITING)
+                .count();
+        Room need = Room.of(step.spec);
+        return racks.entrySet().stream()
+                .filter(r -> placesFor(need, r.getValue()) >= waiting)
+                .max(Comparator.<Map.Entry<String, List<LiveWorker>>>comparingLong(r -> placed(step, r.getKey()))
+                        .thenComparingLong(r -> placesFor(need, r.getValue())))
+                .map(Map.Entry::getValue)
+                .orElse(workers);
+    }
+
+    private static long placed(LiveStep step, String rack) {
+        return step.tasks.stream()
+                .map(t -> t.worker)
+                .filter(w -> w != null && w.facts().failureDomain().equals(rack))
+                .count();
+    }
+
+    private static long placesFor(Room need, Collection<LiveWorker> workers) {
+        return workers.stream().mapToLong(w -> w.free().placesFor(need)).sum();
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -106,10 +106,12 @@
             t.orderDueAt = now + RESEND_MILLIS;
             if (t.unanswered >= MOST_UNANSWERED_STARTS) {
                 state.stop(t, "start-unanswered");
+                stopOthersOfGang(t);
             }
         } else if (t.unanswered > 0) {
             // An earlier try may still be carried out; only a stop closes this run for good.
             state.stop(t, "start-refused-after-silence");
+            stopOthersOfGang(t);
         } else {
             refused(t, w, outcome);
         }
@@ -126,9 +128,17 @@
             t.failures++;
         }
         free(t, Phase.WAITING);
+        stopOthersOfGang(t);
         failIfExhausted(t);
     }
 
+    /** Without one member the others would hold their room and do nothing. */
+    private void stopOthersOfGang(LiveTask t) {
+        if (t.step.gang()) {
+            endGang(t, false);
+        }
+    }
+
     private void begun(LiveTask t, long now) {
         t.begunAfresh = t.phase == Phase.STARTING && t.checkpoint.isEmpty();
         t.enter(Phase.RUNNING, now);
@@ -326,9 +336,7 @@
         for (LiveTask t : new ArrayList<>(w.tasks)) {
             state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.LAPSED.name(), "evidence=" + evidence);
             free(t, t.finished ? Phase.DONE : Phase.WAITING);
-            if (t.step.gang()) {
-                endGang(t, false);
-            }
+            stopOthersOfGang(t);
             completeIfDone(t.job);
         }
     }
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/GangTest.java
@@ -0,0 +1,148 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+
+/** Tasks that can work only together. */
+class GangTest {
+
+    private static final TaskId FIRST = new TaskId(0, 0, 0);
+    private static final TaskId SECOND = new TaskId(0, 0, 1);
+
+    private final SchedulerDriver d = new SchedulerDriver();
+
+    private static StepSpec gang(int count, long cpuMillis, boolean sameRack) {
+        return StepSpec.builder(count, new StepSpec.Need(cpuMillis, 100, 0))
+                .gang(true, sameRack)
+                .checkpointing(true)
+                .build();
+    }
+
+    private Set<String> workersOfStarts() {
+        return d.port.starts.stream().map(s -> s.worker().id()).collect(Collectors.toSet());
+    }
+
+    private void bothRun() {
+        d.listed(SchedulerDriver.onRack("w1", "r1"), SchedulerDriver.onRack("w2", "r2"));
+        d.job("a", gang(2, 4_000, false));
+        d.saved();
+        d.port.starts.forEach(s -> d.scheduler.onStarted(s, OrderOutcome.ACCEPTED));
+    }
+
+    private StartOrder startOf(TaskId t) {
+        return d.port.starts.stream()
+                .filter(s -> s.task().equals(t))
+                .reduce((a, b) -> b)
+                .orElseThrow();
+    }
+
+    private void ends(TaskId t, EndKind kind, String checkpoint) {
+        StartOrder s = startOf(t);
+        d.passes(10);
+        d.answers(s.worker().id(), List.of(), List.of(new EndReport(1, "a", t, s.run(), kind, checkpoint)));
+    }
+
+    @Nested
+    class Members {
+
+        @Test
+        void startNowhereUntilThereIsRoomForAll() {
+            d.listed(SchedulerDriver.onRack("w1", "r1"));
+            d.job("a", gang(2, 4_000, false));
+            assertTrue(d.port.saves.isEmpty());
+            d.listed(SchedulerDriver.onRack("w1", "r1"), SchedulerDriver.onRack("w2", "r2"));
+            d.saved();
+            assertEquals(2, d.port.starts.size());
+        }
+
+        @Test
+        void shareTheNumberOfTheirRunAndACheckpoint() {
+            bothRun();
+            assertEquals(startOf(FIRST).run(), startOf(SECOND).run());
+            ends(FIRST, EndKind.FAILED, "saved-1");
+            assertEquals(1, d.port.stops.size(), "the other member is stopped");
+            StopOrder stop = d.port.stops.get(0);
+            d.scheduler.onStopped(stop, OrderOutcome.ACCEPTED);
+            d.passes(10);
+            d.answers(stop.worker().id(), List.of(), List.of());
+            d.passes(5_000);
+            d.listed(
+                    SchedulerDriver.onRack("w1", "r1"),
+                    SchedulerDriver.onRack("w2", "r2"),
+                    SchedulerDriver.onRack("w3", "r3"));
+            d.saved();
+            assertEquals(2, startOf(FIRST).run());
+            assertEquals(2, startOf(SECOND).run());
+            assertEquals("saved-1", startOf(FIRST).checkpoint());
+            assertEquals("saved-1", startOf(SECOND).checkpoint());
+        }
+
+        @Test
+        void areAllDoneWhenOneEndsDone() {
+            bothRun();
+            ends(FIRST, EndKind.DONE, "");
+            d.saved();
+            d.passes(50);
+            assertEquals(1, d.port.stops.size(), "whatever the other still does is ended");
+            assertEquals(2, d.port.starts.size());
+        }
+
+        @Test
+        void areStoppedWhenAWorkerRefusesOne() {
+            d.listed(SchedulerDriver.onRack("w1", "r1"), SchedulerDriver.onRack("w2", "r2"));
+            d.job("a", gang(2, 4_000, false));
+            d.saved();
+            d.scheduler.onStarted(d.port.starts.get(0), OrderOutcome.ACCEPTED);
+            d.scheduler.onStarted(d.port.starts.get(1), OrderOutcome.NO_ROOM);
+            d.passes(0);
+            assertEquals(1, d.port.stops.size(), "it would wait alone");
+        }
+    }
+
+    @Nested
+    class OnOneRack {
+
+        @Test
+        void theyAreTogetherIfARackHasRoom() {
+            d.listed(
+                    SchedulerDriver.onRack("w1", "r1"),
+                    SchedulerDriver.onRack("w2", "r2"),
+                    SchedulerDriver.onRack("w3", "r2"));
+            d.job("a", gang(2, 4_000, true));
+            d.saved();
+            assertEquals(Set.of("w2", "w3"), workersOfStarts());
+        }
+
+        @Test
+        void theyStartApartRatherThanNot() {
+            d.listed(SchedulerDriver.onRack("w1", "r1"), SchedulerDriver.onRack("w2", "r2"));
+            d.job("a", gang(2, 4_000, true));
+            d.saved();
+            assertEquals(2, d.port.starts.size());
+        }
+    }
+}
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -65,6 +65,28 @@
         tick();
     }
 
+    /** Hands in a job whose steps are run at several times. */
+    void timedJob(String id, Repeat repeat, StepSpec... steps) {
+        JobKey key = new JobKey("q", id);
+        Policy policy = new Policy(0, 3, 1.5, 500, advised);
+        scheduler.onJob(new JobSpec(key, "clips", "text", List.of(steps), repeat, policy, now), null);
+        tick();
+    }
+
+    /** Returns a worker on a rack. */
+    static WorkerFacts onRack(String id, String rack) {
+        return new WorkerFacts(id, "clips", "at-" + id, "north", false, 0, ROOM, List.of(rack));
+    }
+
+    /** Lists these workers and lets each answer. */
+    void listed(WorkerFacts... all) {
+        scheduler.onWorkers(List.of(all));
+        tick();
+        for (WorkerFacts w : all) {
+            answers(w.id(), List.of(), List.of());
+        }
+    }
+
     /** Hands in a job while the list of workers is not confirmed. */
     void jobWithoutNews(String id, StepSpec... steps) {
         take(id, null, steps);
