--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -24,6 +24,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
@@ -52,6 +53,8 @@
 
     // An accept is tried this often while the store's answers are lost; then the caller is told so.
     private static final int MOST_TRIES = 4;
+    // Nor is it tried again after this: callers wait 3 s, and whoever is told sooner comes back sooner.
+    private static final long MOST_MILLIS = 1_200;
     // A 404 is said only when the configuration was read not longer ago than this.
     private static final long FRESH_MILLIS = 200;
 
@@ -60,14 +63,21 @@
     private final PlatformRecords records;
     private final ConfigurationFeed configuration;
     private final Clock wall;
+    private final BooleanSupplier storeReached;
 
     JobIntake(
-            KeyValueStore store, EventLoop loop, PlatformRecords records, ConfigurationFeed configuration, Clock wall) {
+            KeyValueStore store,
+            EventLoop loop,
+            PlatformRecords records,
+            ConfigurationFeed configuration,
+            Clock wall,
+            BooleanSupplier storeReached) {
         this.store = store;
         this.loop = loop;
         this.records = records;
         this.configuration = configuration;
         this.wall = wall;
+        this.storeReached = storeReached;
     }
 
     /** Returns the largest body that is taken; nothing before a configuration is in force. */
@@ -102,7 +112,12 @@
 
     /** Takes a job. The answer is true at the moment the store decided. */
     public CompletableFuture<SubmitOutcome> submit(String host, String path, String id, Submission s) {
-        Handing h = new Handing(host, path, id, s);
+        if (!storeReached.getAsBoolean()) {
+            // Nothing was written, and another entry may reach the store: the caller had better not wait here.
+            Log.info("accept-refused", "job", id, "why", "the store does not answer this entry");
+            return CompletableFuture.completedFuture(SubmitOutcome.NOT_TAKEN);
+        }
+        Handing h = new Handing(host, path, id, s, loop.clock().millis() + MOST_MILLIS);
         return queue(host, path)
                 .thenCompose(q -> q.isEmpty()
                         ? CompletableFuture.completedFuture(SubmitOutcome.NO_QUEUE)
@@ -114,7 +129,7 @@
     }
 
     /** A job as a caller hands it in, and where. */
-    private record Handing(String host, String path, String id, Submission job) {}
+    private record Handing(String host, String path, String id, Submission job, long until) {}
 
     private CompletableFuture<SubmitOutcome> accept(Handing h, QueueConfig q, int attempt, boolean mayBeWritten) {
         JobKey key = new JobKey(q.name(), h.id);
@@ -137,7 +152,8 @@
                 || (r.outcome() == CommitResult.Outcome.CONFLICT && r.revisionOf(at) != 0)) {
             return CompletableFuture.completedFuture(SubmitOutcome.ACCEPTED);
         }
-        if (attempt >= MOST_TRIES || (r.outcome() == CommitResult.Outcome.REFUSED && !unknown)) {
+        boolean tooLong = loop.clock().millis() >= h.until;
+        if (tooLong || attempt >= MOST_TRIES || (r.outcome() == CommitResult.Outcome.REFUSED && !unknown)) {
             Log.info("accept-undecided", "job", h.id, "outcome", r.outcome(), "attempt", attempt);
             return CompletableFuture.completedFuture(unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN);
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -46,8 +46,9 @@
     // store's outages last 3 to 9 s. A new owner waits as long for workers that it can not reach.
     private static final long BLIND_MILLIS = 12_000;
     private static final long CHECK_MILLIS = 250;
-    // Readiness follows the store: an entry that can not reach it can accept nothing.
-    private static final long READY_MILLIS = 2_500;
+    // Readiness follows the store: an entry that can not reach it can accept nothing, and callers had better go to
+    // another hall. A lease is renewed every 450 ms; one renewal without answer takes 1.2 s until the next is answered.
+    private static final long READY_MILLIS = 1_300;
 
     /** The duty of the fleet's owner; no service can have this name. */
     static final String FLEET = "@fleet";
@@ -99,7 +100,7 @@
         ownership = new OwnershipKeeper(p.store(), loop, p.name(), this);
         meters = p.meters();
         addGauges();
-        intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall());
+        intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall(), this::reachesStore);
         questions = new JobQuestions(p.store(), p.records(), intake);
         SchedulerTiming timing = SchedulerTiming.usual(p.limits().longestHoldMillis(), BLIND_MILLIS);
         shared = new SchedulerHost.Entry(
@@ -152,10 +153,13 @@
         return ready;
     }
 
+    private boolean reachesStore() {
+        return loop.clock().millis() - ownership.confirmedAt() <= READY_MILLIS;
+    }
+
     private void check() {
         long now = loop.clock().millis();
-        boolean reached = now - ownership.confirmedAt() <= READY_MILLIS;
-        boolean next = !stopping && reached && intake.isConfigured();
+        boolean next = !stopping && reachesStore() && intake.isConfigured();
         if (next != ready) {
             ready = next;
             Log.info("readiness", "ready", next, "store-heard-millis-ago", now - ownership.confirmedAt());
