--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -0,0 +1,153 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.Policy;
+import org.lupinpaddle.core.job.Repeat;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.Submission;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.queue.QueueConfig;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/** What a caller is told when a job is handed in. */
+class JobIntakeTest {
+
+    private static final String CONFIGURATION = "configuration";
+    private static final String JOB = JobKeys.job("clips", new JobKey("q", "a"));
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final DirectLoop loop = new DirectLoop();
+    private final Records records = new Records();
+    private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, () -> {});
+    private boolean reached = true;
+    private final JobIntake intake = new JobIntake(store, loop, records, feed, () -> 0, () -> reached);
+
+    @BeforeEach
+    void configure() {
+        Policy policy = new Policy(0, 3, 1.5, 500, false);
+        QueueConfig q = new QueueConfig("q", "host", "/clips/", "clips", policy);
+        JobConfiguration c =
+                new JobConfiguration(1, List.of(q), List.of(new ServiceConfig("clips", false, true)), 1 << 18);
+        store.set(CONFIGURATION, RecordCodec.write(c));
+        feed.start();
+    }
+
+    private SubmitOutcome submit() {
+        StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
+        return intake.submit("host", "/clips/a", "a", new Submission("text", List.of(one), Repeat.ONCE))
+                .join();
+    }
+
+    @Nested
+    class AJob {
+
+        @Test
+        void isTakenOnceItIsInTheStore() {
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertEquals(false, store.value(JOB).isEmpty());
+        }
+
+        @Test
+        void isOneHoweverOftenItIsHandedIn() {
+            submit();
+            String first = store.value(JOB);
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertEquals(first, store.value(JOB));
+        }
+
+        @Test
+        void isNotTakenAtOnceWhileTheStoreDoesNotAnswer() {
+            reached = false;
+            assertEquals(SubmitOutcome.NOT_TAKEN, submit());
+            assertEquals("", store.value(JOB), "nothing may be written that was refused");
+        }
+
+        @Test
+        void isNotSaidToBeRefusedWhenAnAnswerIsMissing() {
+            store.holdsCommits = true;
+            assertEquals(SubmitOutcome.UNKNOWN, submit());
+            store.carryOutHeld();
+            assertEquals(false, store.value(JOB).isEmpty(), "the write came late");
+        }
+
+        @Test
+        void isNotTakenForAQueueThatIsNotThere() {
+            StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
+            Submission s = new Submission("text", List.of(one), Repeat.ONCE);
+            assertEquals(
+                    SubmitOutcome.NO_QUEUE,
+                    intake.submit("host", "/other/a", "a", s).join());
+        }
+    }
+
+    /** Records as this test writes them. */
+    private static final class Records implements PlatformRecords {
+        @Override
+        public String configurationKey() {
+            return CONFIGURATION;
+        }
+
+        @Override
+        public String workerPrefix() {
+            return "worker/";
+        }
+
+        @Override
+        public Either<String, JobConfiguration> configuration(StoreItem item) {
+            return RecordCodec.read(item.value(), JobConfiguration.class);
+        }
+
+        @Override
+        public Either<String, WorkerFacts> worker(StoreItem item) {
+            return RecordCodec.read(item.value(), WorkerFacts.class);
+        }
+
+        @Override
+        public String wavePrefix() {
+            return "wave/";
+        }
+
+        @Override
+        public Either<String, UpkeepWave> wave(StoreItem item) {
+            return RecordCodec.read(item.value(), UpkeepWave.class);
+        }
+
+        @Override
+        public String waveStatusKey(long wave) {
+            return "status/" + wave;
+        }
+
+        @Override
+        public String waveStatus(long wave, boolean completed) {
+            return completed ? "completed" : "running";
+        }
+    }
+}
