--- a/model/src/main/java/org/lupinpaddle/model/Sabotage.java
+++ b/model/src/main/java/org/lupinpaddle/model/Sabotage.java
@@ -22,5 +22,7 @@
     /** Workers see the same fence from every owner. */
     NO_FENCES,
     /** Workers are told to forget ends as soon as they list them. */
-    ENDS_FORGOTTEN_EARLY
+    ENDS_FORGOTTEN_EARLY,
+    /** A new owner of the fleet is not told which instances its predecessor has ordered lately. */
+    RECENT_ORDERS_UNTOLD
 }
--- a/model/src/main/java/org/lupinpaddle/model/SimStorePort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimStorePort.java
@@ -21,6 +21,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.daemon.port.CommitResult;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreChanges;
@@ -37,6 +38,7 @@
     private final VirtualTime time;
     private final SimStore store;
     private final Net net;
+    private final Sabotage sabotage;
     private final String entry;
     private final String hall;
 
@@ -44,6 +46,7 @@
         this.time = world.time;
         this.store = world.store;
         this.net = world.net;
+        this.sabotage = world.sabotage;
         this.entry = entry;
         this.hall = hall;
     }
@@ -55,7 +58,17 @@
 
     @Override
     public CompletableFuture<StoreRange> range(String prefix) {
-        return call(false, () -> store.range(prefix), SimStorePort::refusal);
+        return call(false, () -> told(store.range(prefix)), SimStorePort::refusal);
+    }
+
+    private StoreRange told(StoreRange r) {
+        if (sabotage != Sabotage.RECENT_ORDERS_UNTOLD) {
+            return r;
+        }
+        List<StoreItem> others = r.items().stream()
+                .filter(i -> !i.key().equals(JobKeys.recentOrders()))
+                .toList();
+        return new StoreRange(others, r.revision());
     }
 
     @Override
