--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
@@ -0,0 +1,51 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import org.lupinpaddle.core.run.SchedulerEvent;
+import org.lupinpaddle.daemon.common.Log;
+
+/** The one place where a scheduler's decisions become log lines, so that a reader finds all of their keys. */
+final class DecisionLog {
+
+    private DecisionLog() {}
+
+    /** Writes a decision of the owner of a service, with the fence under which it was taken. */
+    static void write(String service, long fence, SchedulerEvent e) {
+        Log.info(
+                "decision",
+                "kind",
+                e.kind(),
+                "service",
+                service,
+                "fence",
+                fence,
+                "job",
+                e.job() == null ? "" : e.job(),
+                "task",
+                e.task() == null ? "" : e.task(),
+                "run",
+                e.run(),
+                "worker",
+                e.worker(),
+                "outcome",
+                e.outcome(),
+                "age-millis",
+                e.ageMillis(),
+                "why",
+                e.detail());
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -17,7 +17,6 @@
 
 import io.vavr.control.Either;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +24,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
@@ -33,7 +31,6 @@
 import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
-import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.run.AdviceOrder;
@@ -52,7 +49,6 @@
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreChanges;
 import org.lupinpaddle.daemon.port.StoreItem;
-import org.lupinpaddle.daemon.port.StoreRange;
 import org.lupinpaddle.daemon.port.WorkerOrders;
 
 /**
@@ -70,10 +66,6 @@
     private static final long REPORT_CHECK_MILLIS = 120;
     private static final long LOOK_FOR_MISSED_MILLIS = 700;
     private static final long FORGET_EVERY_MILLIS = 5_000;
-    // Callers may ask for 120 s after a job's end.
-    private static final long FORGET_AFTER_MILLIS = 130_000;
-    // Three keys a job, and a call takes 32 rows.
-    private static final int FORGET_AT_ONCE = 10;
 
     private final Entry entry;
     private final String service;
@@ -82,9 +74,7 @@
     private final OwnedRecords records;
     private final PrefixWatch inputs;
     private final EvacuationFeed evacuations;
-    private final Map<JobKey, JobProgress> inherited = new HashMap<>();
-    /** Jobs that are over and known only by their records, with when those may be removed. */
-    private final Map<JobKey, Long> over = new HashMap<>();
+    private final EarlierJobs earlier;
 
     private @Nullable ServiceScheduler scheduler;
     private final WorkerFeed workers;
@@ -123,6 +113,7 @@
         this.workers = workers;
         this.ownershipGone = ownershipGone;
         records = new OwnedRecords(entry.store, entry.loop, service, fence);
+        earlier = new EarlierJobs(records, entry.loop, service);
         inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), this);
         evacuations = new EvacuationFeed(
                 entry.store, entry.loop, service, records, leaving -> told(s -> s.onEvacuations(leaving)));
@@ -144,23 +135,12 @@
                         Log.warn("progress-unread", "service", service, "why", StoreFailure.text(why));
                         entry.loop.after(RETRY_MILLIS, this::readProgress);
                     } else {
-                        inherit(r);
+                        earlier.read(r);
+                        inputs.start();
                     }
                 }));
     }
 
-    private void inherit(StoreRange r) {
-        for (StoreItem i : r.items()) {
-            JobKeys.progressOf(service, i.key()).ifPresent(job -> {
-                records.known(i.key(), i.revision());
-                Either<String, JobProgress> p = RecordCodec.read(i.value(), JobProgress.class);
-                p.peek(good -> inherited.put(job, good))
-                        .peekLeft(why -> Log.warn("progress-unreadable", "key", i.key(), "why", why));
-            });
-        }
-        inputs.start();
-    }
-
     @Override
     public void onRead() {
         if (closed) {
@@ -186,9 +166,9 @@
                 "workers",
                 listed.size(),
                 "jobs-known",
-                inherited.size(),
+                earlier.known(),
                 "jobs-over",
-                inherited.values().stream().filter(JobProgress::over).count());
+                earlier.over());
         repeat(TICK_MILLIS, this::tick);
         repeat(REPORT_CHECK_MILLIS, this::writeReport);
         repeat(FORGET_EVERY_MILLIS, this::forgetEnded);
@@ -228,23 +208,13 @@
             return;
         }
         JobKey key = JobKeys.jobOf(service, i.key()).orElse(null);
-        if (key != null && !isOver(key)) {
+        if (key != null && !earlier.isOver(key)) {
             Either<String, JobSpec> spec = RecordCodec.read(i.value(), JobSpec.class);
-            spec.peek(good -> s.onJob(good, inherited.remove(good.key())))
+            spec.peek(good -> s.onJob(good, earlier.takeProgress(good.key())))
                     .peekLeft(why -> Log.warn("job-unreadable", "key", i.key(), "why", why));
         }
     }
 
-    /** Most jobs of the last minutes are over; reading them all would hold up a take-over. */
-    private boolean isOver(JobKey key) {
-        JobProgress earlier = inherited.get(key);
-        if (earlier != null && earlier.over()) {
-            inherited.remove(key);
-            over.put(key, entry.loop.clock().millis() + FORGET_AFTER_MILLIS);
-        }
-        return over.containsKey(key);
-    }
-
     private void takeCancellation(StoreItem i) {
         if (scheduler != null) {
             JobKeys.cancelled(service, i.key()).ifPresent(scheduler::onCancel);
@@ -380,28 +350,7 @@
     @Override
     public void note(SchedulerEvent e) {
         entry.meters.decided(e);
-        Log.info(
-                "decision",
-                "kind",
-                e.kind(),
-                "service",
-                service,
-                "fence",
-                fence,
-                "job",
-                e.job() == null ? "" : e.job(),
-                "task",
-                e.task() == null ? "" : e.task(),
-                "run",
-                e.run(),
-                "worker",
-                e.worker(),
-                "outcome",
-                e.outcome(),
-                "age-millis",
-                e.ageMillis(),
-                "why",
-                e.detail());
+        DecisionLog.write(service, fence, e);
     }
 
     /** A pool that has become too small is told of at once, other news a little later. */
@@ -422,26 +371,11 @@
     }
 
     private void forgetEnded() {
-        if (scheduler == null) {
-            return;
-        }
-        long now = entry.loop.clock().millis();
-        scheduler.forgetEnded(FORGET_AFTER_MILLIS).forEach(j -> over.put(j, now));
-        List<JobKey> due = over.entrySet().stream()
-                .filter(e -> e.getValue() <= now)
-                .map(Map.Entry::getKey)
-                .toList();
-        for (int i = 0; i < due.size(); i += FORGET_AT_ONCE) {
-            List<JobKey> some = due.subList(i, Math.min(due.size(), i + FORGET_AT_ONCE));
-            // Until their records are gone for certain, a new read of them must not make new jobs of them.
-            records.forget(some.stream().flatMap(this::keysOf).toList(), () -> some.forEach(over::remove));
+        if (scheduler != null) {
+            earlier.forget(scheduler.forgetEnded(EarlierJobs.FORGET_AFTER_MILLIS));
         }
     }
 
-    private Stream<String> keysOf(JobKey job) {
-        return Stream.of(JobKeys.job(service, job), JobKeys.cancel(service, job), JobKeys.progress(service, job));
-    }
-
     @Override
     public void close() {
         closed = true;
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EarlierJobsTest.java
@@ -0,0 +1,87 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.TaskRecord;
+
+class EarlierJobsTest {
+
+    private static final JobKey OVER = new JobKey("q", "over");
+    private static final JobKey LIVE = new JobKey("q", "live");
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final DirectLoop loop = new DirectLoop();
+    private final long fence = store.set(JobKeys.owner("clips"), "entry-1");
+    private final EarlierJobs jobs = new EarlierJobs(new OwnedRecords(store, loop, "clips", fence), loop, "clips");
+
+    @BeforeEach
+    void read() {
+        TaskRecord task = new TaskRecord(0, 0, 0, 1, 0, false, "w1", "");
+        set(OVER, new JobProgress(JobState.COMPLETED, List.of(), "", 0));
+        set(LIVE, new JobProgress(JobState.CANCELLED, List.of(task), "", 0));
+        jobs.read(store.range(JobKeys.progress("clips")).join());
+    }
+
+    private void set(JobKey job, JobProgress p) {
+        store.set(JobKeys.job("clips", job), "job");
+        store.set(JobKeys.progress("clips", job), RecordCodec.write(p));
+    }
+
+    @Nested
+    class AJobThatIsOver {
+
+        @Test
+        void needNotBeRead() {
+            assertTrue(jobs.isOver(OVER));
+            assertTrue(jobs.isOver(OVER), "nor when its record is seen again");
+        }
+
+        @Test
+        void stayOverUntilItsRecordsAreGoneForCertain() {
+            store.holdsCommits = true;
+            jobs.forget(List.of(OVER));
+            assertTrue(jobs.isOver(OVER), "the store has not answered; its record may be read again");
+            store.holdsCommits = false;
+            jobs.forget(List.of());
+            assertFalse(jobs.isOver(OVER));
+            assertEquals("", store.value(JobKeys.job("clips", OVER)));
+        }
+    }
+
+    @Nested
+    class AJobWithATaskOnAWorker {
+
+        @Test
+        void isHandedOnThoughItHasEnded() {
+            assertFalse(jobs.isOver(LIVE), "its task must still be stopped");
+            assertNotNull(jobs.takeProgress(LIVE));
+        }
+    }
+}
