Let the test of earlier jobs begin as a scheduler does

It asked whether a job is over that nobody had taken yet, which sets its time anew; a scheduler takes a job's progress before it can let the job go. The check itself is as it was. Run: EarlierJobsTest passes.

--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EarlierJobsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EarlierJobsTest.java
@@ -65,6 +65,7 @@
 
         @Test
         void stayOverUntilItsRecordsAreGoneForCertain() {
+            assertNotNull(jobs.takeProgress(OVER), "a scheduler had taken it, and has let it go now");
             store.holdsCommits = true;
             jobs.forget(List.of(OVER));
             assertTrue(jobs.isOver(OVER), "the store has not answered; its record may be read again");
