Let the fleet be ordered while the store is slow

Ruled out: changes of owner (the fleet's successor was told of no recent orders), instances (taken at once from 16 s on). Change: 700 ms; a successor waits as much longer. Test: ModelTest.ASlowStore, which failed before (LOST, no instance was ever ordered).

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -54,8 +54,9 @@
 
     private static final long TICK_MILLIS = 100;
     private static final long LIST_MILLIS = 500;
-    // The ownership that a write has shown counts for so long; an entry that was frozen meanwhile writes again.
-    private static final long FRESH_MILLIS = 250;
+    // The ownership that a write has shown counts for so long after it was sent; an entry that was frozen meanwhile
+    // writes again. A slow store takes 250 ms for its answer.
+    private static final long FRESH_MILLIS = 700;
     // An order reaches the platform at the latest so long after its record was written.
     private static final long ORDER_MILLIS = FRESH_MILLIS + InstanceOrders.CALL_MILLIS;
     // What is too old to matter is taken off the record soon, so that a successor leaves few instances alone.
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -62,6 +62,22 @@
         }
     }
 
+    @Nested
+    class ASlowStore {
+
+        private static final long MILLIS = 250;
+
+        @Test
+        void doesNotKeepInstancesFromBeingOrdered() {
+            World w = new World(11, 0);
+            w.net.storeDelay = MILLIS;
+            w.run();
+            assertTrue(
+                    w.history().stream().anyMatch(l -> l.contains("MOVE") && l.endsWith("TAKEN")),
+                    String.join("\n", w.history()));
+        }
+    }
+
     /** Each broke a rule once; docs/FINDINGS.md has the causes. */
     @Nested
     class SeedsThatFailed {
