Ask in one place whether a task has room elsewhere

Cause: the read of the whole change showed the same question in Evacuator and, new, in StragglerPass; and a test's set-up twice. The only difference, leaving out the task's own worker, changes nothing for the Evacuator: a worker that drains or is emptied is not usable. Change: ServiceState.hasPlaceElsewhere; StragglerPassTest.twoJobsOnTheOnlyWorker. Behaviour and assertions as before.

--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -16,7 +16,6 @@
 package org.lupinpaddle.core.run;
 
 import java.util.List;
-import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
 /**
@@ -65,17 +64,11 @@
 
     private void moveLasting(LiveWorker w, LiveTask t) {
         boolean allowed = w.facts().draining() || othersAway(t) < Math.max(1, t.step.mayMiss());
-        if (allowed && hasPlaceElsewhere(t)) {
+        if (allowed && state.hasPlaceElsewhere(t)) {
             state.stop(t, w.facts().draining() ? "worker-drains" : "worker-is-emptied");
         }
     }
 
-    private boolean hasPlaceElsewhere(LiveTask t) {
-        return state.workers.values().stream()
-                .filter(state::isUsable)
-                .anyMatch(o -> Placer.mayCarry(o, t.wish(state.now())));
-    }
-
     private long othersAway(LiveTask t) {
         return t.of.tasks.stream().filter(m -> m != t && !isAtWork(m)).count();
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -27,6 +27,7 @@
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.WorkerFacts;
 
@@ -110,6 +111,12 @@
                 && now >= w.avoidUntil;
     }
 
+    /** Returns whether another worker could take the task now. */
+    boolean hasPlaceElsewhere(LiveTask t) {
+        return workers.values().stream()
+                .anyMatch(o -> o != t.worker && isUsable(o) && Placer.mayCarry(o, t.wish(now())));
+    }
+
     /** Returns how long one of the step's tasks is expected to run: as its siblings did, if one is done. */
     long expectedMillis(LiveStep s) {
         long siblings = s.siblingsMillis();
--- a/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
@@ -20,7 +20,6 @@
 import java.util.List;
 import java.util.Set;
 import org.lupinpaddle.core.job.JobKey;
-import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
 /**
@@ -71,7 +70,7 @@
 
     private void stopStanding(LiveWorker w, long now) {
         for (LiveTask t : List.copyOf(w.tasks)) {
-            if (t.phase == Phase.RUNNING && !t.step.gang() && standsStill(t, now) && hasPlaceElsewhere(t)) {
+            if (t.phase == Phase.RUNNING && !t.step.gang() && standsStill(t, now) && state.hasPlaceElsewhere(t)) {
                 t.avoid(w, now);
                 judge.onStandingStill(w, t);
                 state.stop(t, "stands-still percent=" + t.percent + " since-millis=" + (now - t.movedAt));
@@ -108,7 +107,8 @@
         }
         judge.onSlow(w, slow.size());
         for (LiveTask t : slow) {
-            if (leftMillis(w, t) > WORTH_MOVING * state.expectedMillis(t.of) + MOVING_MILLIS && hasPlaceElsewhere(t)) {
+            if (leftMillis(w, t) > WORTH_MOVING * state.expectedMillis(t.of) + MOVING_MILLIS
+                    && state.hasPlaceElsewhere(t)) {
                 t.avoid(w, state.now());
                 state.stop(t, "slow-worker percent=" + t.percent + " left-millis=" + leftMillis(w, t));
             }
@@ -134,9 +134,4 @@
         long seen = w.lastAnswerAt - t.begunAt;
         return seen * (ALL_PERCENT - t.percent) / Math.max(1, t.percent);
     }
-
-    private boolean hasPlaceElsewhere(LiveTask t) {
-        return state.workers.values().stream()
-                .anyMatch(o -> o != t.worker && state.isUsable(o) && Placer.mayCarry(o, t.wish(state.now())));
-    }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/StragglerPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/StragglerPassTest.java
@@ -62,6 +62,17 @@
         return d.lastStart();
     }
 
+    private void twoJobsOnTheOnlyWorker() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job("a", step(1, 1_000));
+        d.job("b", step(1, 1_000));
+        d.saved();
+        d.passes(50);
+        d.saved();
+        assertEquals(2, d.port.starts.size());
+    }
+
     @Nested
     class StandingStill {
 
@@ -103,14 +114,7 @@
 
         @Test
         void losesWhatTakesLongerThereThanAnewElsewhere() {
-            d.workers("w1");
-            d.answers("w1", List.of(), List.of());
-            d.job("a", step(1, 1_000));
-            d.job("b", step(1, 1_000));
-            d.saved();
-            d.passes(50);
-            d.saved();
-            assertEquals(2, d.port.starts.size());
+            twoJobsOnTheOnlyWorker();
             StartOrder[] both = d.port.starts.toArray(new StartOrder[0]);
             for (StartOrder o : both) {
                 d.scheduler.onStarted(o, OrderOutcome.ACCEPTED);
@@ -156,14 +160,7 @@
 
         @Test
         void keepsItsTasksWhenOneOfThemIsFast() {
-            d.workers("w1");
-            d.answers("w1", List.of(), List.of());
-            d.job("a", step(1, 1_000));
-            d.job("b", step(1, 1_000));
-            d.saved();
-            d.passes(50);
-            d.saved();
-            assertEquals(2, d.port.starts.size());
+            twoJobsOnTheOnlyWorker();
             d.port.starts.forEach(o -> d.scheduler.onStarted(o, OrderOutcome.ACCEPTED));
             d.workers("w1", "w2");
             d.answers("w2", List.of(), List.of());
