Report from the entries' lines where jobs waited: lupinctl report, as a table and a picture

Change: JOB_TAKEN tells the objective, an owner tells once a second what waits, runs and can carry it (one line a service and second, bounded as all), and lupinctl report joins the lines by service and second and names for each late job the first cause that applies. No behaviour of scheduling is changed.

--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.job.TaskRecord;
 import org.lupinpaddle.core.placement.WorkerFacts;
@@ -63,6 +64,7 @@
     private final long startedAt;
     private boolean saving;
     private long saveDueAt;
+    private int lastNeeded;
 
     /** Makes the scheduler of a service whose ownership has just been won. */
     public ServiceScheduler(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
@@ -90,7 +92,9 @@
         if (job.state.ended()) {
             job.endedAt = state.now();
         }
-        state.note(SchedulerEvent.Kind.JOB_TAKEN, job, job.state.name(), "version=" + job.version);
+        boolean lasting = spec.steps().stream().anyMatch(StepSpec::longRunning);
+        String detail = "version=" + job.version + " objective-millis=" + job.objectiveMillis() + " lasting=" + lasting;
+        state.note(SchedulerEvent.Kind.JOB_TAKEN, job, job.state.name(), detail);
     }
 
     private void recover(LiveJob job, TaskRecord r) {
@@ -309,7 +313,14 @@
 
     /** Returns what the rest of the system is to know of this service. */
     public ServiceReport report() {
-        return new DemandReport(state).make();
+        ServiceReport r = new DemandReport(state).make();
+        lastNeeded = r.needed();
+        return r;
+    }
+
+    /** Returns how much there is to do and with what, for the log. */
+    public LoadSummary load() {
+        return LoadSummary.of(state, lastNeeded);
     }
 
     /** Returns the jobs that ended longer ago than {@code millis} and hold nothing on workers; they are forgotten. */
--- a/ctl/src/main/java/org/lupinpaddle/ctl/LupinctlMain.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/LupinctlMain.java
@@ -26,11 +26,13 @@
 import java.util.stream.Collectors;
 import org.lupinpaddle.core.command.CommandParser;
 import org.lupinpaddle.core.command.OperatorCommand;
+import org.lupinpaddle.ctl.report.ReportCommand;
 
 /**
  * The operators' tool. It reads the words of a command itself, so that wrong words are told without asking
- * anybody, and sends them as they are to an entry. Two commands are its own: {@code load FILE} runs a file
- * of commands, a line each, and {@code wave watch NAME} asks until a wave has ended.
+ * anybody, and sends them as they are to an entry. Three commands are its own: {@code load FILE} runs a
+ * file of commands, a line each, {@code wave watch NAME} asks until a wave has ended, and {@code report LOG} reads the
+ * lines that entries have written.
  */
 public final class LupinctlMain {
 
@@ -71,6 +73,10 @@
                     .filter(w -> !w.equals("help") && !w.equals("--help"))
                     .toList());
         }
+        if (words.get(0).equals("report")) {
+            ReportCommand.run(words.subList(1, words.size())).forEach(System.out::println);
+            return ExitCode.DONE;
+        }
         if (words.get(0).equals("load") && words.size() == 2) {
             return load(Path.of(words.get(1)));
         }
@@ -90,6 +96,7 @@
                     + " (comma between), the token from " + ToolOptions.TOKEN_VARIABLE);
             System.out.println("  load FILE            runs a file of commands, a line each");
             System.out.println("  wave watch NAME      shows a wave's progress until it has ended");
+            System.out.println("  report LOG [PNG]     tells by the entries' lines where jobs waited; asks no entry");
             System.out.println("  exit codes: 0 done, 1 refused, 2 wrong words, 3 no entry answers, 4 not known");
         }
         Help.help(CommandParser.cli().getMetadata(), words);
--- /dev/null
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/Cause.java
@@ -0,0 +1,74 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.ctl.report;
+
+import java.util.function.Predicate;
+
+/** Why a job did not end within its objective: the first that applies. */
+enum Cause {
+    /** Its tasks ended by their own fault as often as they may. */
+    FAILED("failed", j -> j.outcome.equals("FAILED")),
+    /** No owner of its service took it for a while. */
+    OWNER("waited for an owner", j -> waitedForOwner(j) > share(j)),
+    /** It was taken, and no worker had room for its first task. */
+    ROOM("waited for room", j -> waitedForRoom(j) > share(j)),
+    /** A worker was chosen, and did not begin. */
+    START("waited for a start", j -> JobTrace.between(j.placedAt, j.begunAt) > share(j)),
+    /** Runs ended with their worker, or out of its owner's sight. */
+    RUN_LOST("runs lost with their worker", j -> j.runsLost > 0),
+    /** Runs failed and were tried again. */
+    RUN_FAILED("runs failed", j -> j.runsFailed > 0),
+    /** Later steps waited, or runs took longer than was expected. */
+    LATER("later steps or slow runs", j -> true);
+
+    // A wait that takes more than this part of the objective is what made the job late.
+    private static final int PARTS = 4;
+
+    private final String words;
+    private final Predicate<JobTrace> applies;
+
+    Cause(String words, Predicate<JobTrace> applies) {
+        this.words = words;
+        this.applies = applies;
+    }
+
+    /** Returns the cause in words, for the table. */
+    String words() {
+        return words;
+    }
+
+    /** Returns the cause of a job's lateness. */
+    static Cause of(JobTrace job) {
+        for (Cause c : values()) {
+            if (c.applies.test(job)) {
+                return c;
+            }
+        }
+        return LATER;
+    }
+
+    private static long share(JobTrace j) {
+        return j.objectiveMillis / PARTS;
+    }
+
+    private static long waitedForOwner(JobTrace j) {
+        return j.takenAt == JobTrace.UNKNOWN ? Long.MAX_VALUE : JobTrace.between(j.acceptedAt, j.takenAt);
+    }
+
+    private static long waitedForRoom(JobTrace j) {
+        return j.placedAt == JobTrace.UNKNOWN ? Long.MAX_VALUE : JobTrace.between(j.takenAt, j.placedAt);
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
@@ -0,0 +1,77 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.ctl.report;
+
+/** What the lines tell of one job, times in milliseconds by their clocks; {@link #UNKNOWN} where nothing is told. */
+final class JobTrace {
+
+    static final long UNKNOWN = Long.MIN_VALUE;
+
+    // A job that ends within this many times its objective is late; beyond that it has missed everything.
+    private static final int LATE_FACTOR = 3;
+
+    final String service;
+    long acceptedAt = UNKNOWN;
+    long takenAt = UNKNOWN;
+    long placedAt = UNKNOWN;
+    long begunAt = UNKNOWN;
+    long endedAt = UNKNOWN;
+    /** From accepting to the end, by the owner; it says more than the difference of two entries' clocks. */
+    long ageMillis = UNKNOWN;
+    /** Within which time of its begin it was to end; {@link #UNKNOWN} for what lasts. */
+    long objectiveMillis = UNKNOWN;
+
+    String outcome = "";
+    int runsLost;
+    int runsFailed;
+
+    /** How a job has ended by its objective. */
+    enum End {
+        /** Within its objective. */
+        ON_TIME,
+        /** Within three times its objective. */
+        LATE,
+        /** Later than that, or failed. */
+        PAST,
+        /** It lasts, was cancelled, or its end is not told. */
+        OPEN
+    }
+
+    JobTrace(String service) {
+        this.service = service;
+    }
+
+    End end(long lastLineAt) {
+        if (objectiveMillis == UNKNOWN || outcome.equals("CANCELLED") || acceptedAt == UNKNOWN) {
+            return End.OPEN;
+        }
+        if (outcome.equals("FAILED")) {
+            return End.PAST;
+        }
+        if (ageMillis == UNKNOWN) {
+            return lastLineAt - acceptedAt > LATE_FACTOR * objectiveMillis ? End.PAST : End.OPEN;
+        }
+        if (ageMillis <= objectiveMillis) {
+            return End.ON_TIME;
+        }
+        return ageMillis <= LATE_FACTOR * objectiveMillis ? End.LATE : End.PAST;
+    }
+
+    /** Returns the time from one moment to another; 0 where one is not known. */
+    static long between(long from, long to) {
+        return from == UNKNOWN || to == UNKNOWN ? 0 : Math.max(0, to - from);
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadTable.java
@@ -0,0 +1,104 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.ctl.report;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Writes a {@link LoadReport} as a table of text. */
+final class LoadTable {
+
+    private static final double MILLIS = 1_000;
+
+    private LoadTable() {}
+
+    /** Returns the table's lines: the causes first, then each service second by second. */
+    static List<String> lines(LoadReport report) {
+        List<String> lines = new ArrayList<>();
+        lines.add("jobs not taken, tries: " + report.refused());
+        lines.add("jobs that missed their objective, by cause:");
+        report.causes()
+                .forEach((service, causes) ->
+                        causes.forEach((c, n) -> lines.add(String.format("  %-16s %5d  %s", service, n, c.words()))));
+        report.seconds().forEach((service, seconds) -> addService(lines, service, seconds));
+        return lines;
+    }
+
+    private static void addService(List<String> lines, String service, TreeMap<Long, LoadReport.Second> seconds) {
+        lines.add("");
+        lines.add(service + "  (a job counts in the second in which it was accepted; first start in s)");
+        lines.add(String.format(
+                "%6s %8s %7s %4s %4s %6s %6s %7s %6s %7s %8s %6s %6s %7s %5s",
+                "second",
+                "accepted",
+                "on-time",
+                "late",
+                "past",
+                "start",
+                "worst",
+                "waiting",
+                "placed",
+                "workers",
+                "hopeless",
+                "silent",
+                "needed",
+                "move-in",
+                "out"));
+        seconds.forEach((t, s) -> lines.add(row(t, s)));
+    }
+
+    private static String row(long second, LoadReport.Second s) {
+        return String.format(
+                "%6d %8d %7d %4d %4d %6s %6s %7s %6d %7s %8s %6s %6s %7d %5d",
+                second,
+                s.accepted,
+                count(s.ends, JobTrace.End.ON_TIME),
+                count(s.ends, JobTrace.End.LATE),
+                count(s.ends, JobTrace.End.PAST),
+                median(s.firstStarts),
+                s.firstStarts.isEmpty() ? "" : seconds(Collections.max(s.firstStarts)),
+                known(s.waiting),
+                s.placed,
+                known(s.workers),
+                known(s.hopeless),
+                known(s.silent),
+                known(s.needed),
+                s.movedIn,
+                s.movedOut);
+    }
+
+    private static int count(Map<JobTrace.End, Integer> ends, JobTrace.End end) {
+        return ends.getOrDefault(end, 0);
+    }
+
+    private static String median(List<Long> millis) {
+        if (millis.isEmpty()) {
+            return "";
+        }
+        return seconds(millis.stream().sorted().toList().get(millis.size() / 2));
+    }
+
+    private static String seconds(long millis) {
+        return String.format("%.1f", millis / MILLIS);
+    }
+
+    private static String known(long n) {
+        return n < 0 ? "" : Long.toString(n);
+    }
+}
--- /dev/null
+++ b/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
@@ -0,0 +1,160 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.ctl.report;
+
+import static java.util.Objects.requireNonNull;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import javax.imageio.ImageIO;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class ReportCommandTest {
+
+    private static final String ENTRY = " north-1 2026-12-02 10:00:00.000 level=INFO ";
+
+    private static String line(double seconds, String text) {
+        return seconds + ENTRY + text;
+    }
+
+    private static String decision(double seconds, String kind, String job, String rest) {
+        return line(seconds, "event=decision kind=" + kind + " service=clips fence=3 job=q/" + job + " " + rest);
+    }
+
+    /** A job that waits from 10.1 until 13.0 s for room, and ends at 14.0 s; its objective is 2 s. */
+    private static List<String> aLateJob() {
+        return List.of(
+                line(10.0, "event=accept job=00000000000000aa host=h path=/q/00000000000000aa outcome=ACCEPTED"),
+                decision(10.1, "JOB_TAKEN", "00000000000000aa", "why=\"objective-millis=2000 lasting=false\""),
+                decision(13.0, "TASK_PLACED", "00000000000000aa", "task=0.0.0 run=1 worker=w"),
+                decision(13.1, "JOB_BEGUN", "00000000000000aa", ""),
+                line(13.2, "event=service-load service=clips waiting=4 hopeless=1 workers=7 silent=2 needed=9"),
+                line(13.3, "event=fleet kind=errand-begun instance=m why=\"errand=MOVE:clips pool=spare load=0\""),
+                decision(14.0, "JOB_ENDED", "00000000000000aa", "outcome=COMPLETED age-millis=4000"));
+    }
+
+    private static LoadReport report(List<String> lines) {
+        LoadReport r = new LoadReport();
+        lines.forEach(r::add);
+        return r;
+    }
+
+    private static LoadReport.Second second(LoadReport r, String service, long at) {
+        return requireNonNull(requireNonNull(r.seconds().get(service)).get(at));
+    }
+
+    @Nested
+    class Jobs {
+
+        @Test
+        void countInTheSecondInWhichTheyWereAccepted() {
+            LoadReport.Second s = second(report(aLateJob()), "clips", 10);
+            assertEquals(1, s.accepted);
+            assertEquals(Map.of(JobTrace.End.LATE, 1), s.ends);
+            assertEquals(List.of(3_100L), s.firstStarts);
+        }
+
+        @Test
+        void thatAreLateHaveTheirCause() {
+            assertEquals(
+                    Map.of("clips", Map.of(Cause.ROOM, 1)), report(aLateJob()).causes());
+        }
+
+        @Test
+        void thatWereNeverTakenWaitForAnOwner() {
+            List<String> lines = List.of(
+                    aLateJob().get(0),
+                    decision(15.0, "JOB_TAKEN", "00000000000000aa", "why=\"objective-millis=2000 lasting=false\""),
+                    decision(22.0, "TASK_PLACED", "00000000000000bb", "task=0.0.0 run=1 worker=w"));
+            assertEquals(Map.of("clips", Map.of(Cause.OWNER, 1)), report(lines).causes());
+        }
+
+        @Test
+        void thatLastHaveNoObjective() {
+            List<String> lines = List.of(
+                    aLateJob().get(0),
+                    decision(15.0, "JOB_TAKEN", "00000000000000aa", "why=\"objective-millis=2000 lasting=true\""),
+                    decision(60.0, "JOB_ENDED", "00000000000000aa", "outcome=CANCELLED age-millis=50000"));
+            assertEquals(Map.of(), report(lines).causes());
+        }
+
+        @Test
+        void thatWereNotTakenAreCounted() {
+            LoadReport r = report(List.of(line(1.0, "event=accept job=00000000000000aa outcome=NOT_TAKEN")));
+            assertEquals(1, r.refused());
+        }
+    }
+
+    @Nested
+    class Services {
+
+        @Test
+        void showWhatTheirOwnersToldAndWhatMoved() {
+            LoadReport.Second s = second(report(aLateJob()), "clips", 13);
+            assertEquals(7, s.workers);
+            assertEquals(9, s.needed);
+            assertEquals(2, s.silent);
+            assertEquals(1, s.movedIn);
+            assertEquals(1, second(report(aLateJob()), "spare", 13).movedOut);
+        }
+    }
+
+    @Nested
+    class Inputs {
+
+        @Test
+        void becomeATableAndAPicture(@TempDir Path folder) throws IOException {
+            Path log = Files.write(folder.resolve("all.log"), aLateJob());
+            Path picture = folder.resolve("load.png");
+            List<String> table = ReportCommand.run(List.of(log.toString(), picture.toString()));
+            assertTrue(table.stream().anyMatch(l -> l.contains("waited for room")), table.toString());
+            assertTrue(ImageIO.read(picture.toFile()).getWidth() > 0);
+        }
+
+        @Test
+        void withoutTimesOrEventsGiveAnEmptyTable(@TempDir Path folder) throws IOException {
+            Path log = Files.write(folder.resolve("all.log"), List.of("nothing here", "event=accept job=a"));
+            assertEquals(2, ReportCommand.run(List.of(log.toString())).size());
+        }
+
+        @Test
+        void thatAreMissingAreToldPlainly(@TempDir Path folder) {
+            List<String> words = List.of(folder.resolve("none").toString());
+            assertThrows(IllegalArgumentException.class, () -> ReportCommand.run(words));
+        }
+    }
+
+    @Nested
+    class Times {
+
+        @Test
+        void areTheLinesOwnWhereNobodyHasPutSecondsInFront() {
+            LogLine a =
+                    LogLine.parse("2026-12-02 10:00:00.250 level=INFO event=x").orElseThrow();
+            LogLine b =
+                    LogLine.parse("2026-12-02 10:00:01.500 level=INFO event=x").orElseThrow();
+            assertEquals(1_250, b.atMillis() - a.atMillis());
+        }
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
+import org.lupinpaddle.core.run.LoadSummary;
 import org.lupinpaddle.core.run.SchedulerEvent;
 import org.lupinpaddle.daemon.common.Log;
 
@@ -48,4 +49,26 @@
                 "why",
                 e.detail());
     }
+
+    /** Writes how much a service has to do and with what. */
+    static void writeLoad(String service, long fence, LoadSummary l) {
+        Log.info(
+                "service-load",
+                "service",
+                service,
+                "fence",
+                fence,
+                "waiting",
+                l.waiting(),
+                "hopeless",
+                l.hopeless(),
+                "running",
+                l.running(),
+                "workers",
+                l.workers(),
+                "silent",
+                l.silent(),
+                "needed",
+                l.needed());
+    }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -66,6 +66,8 @@
     private static final long REPORT_CHECK_MILLIS = 120;
     private static final long LOOK_FOR_MISSED_MILLIS = 700;
     private static final long FORGET_EVERY_MILLIS = 5_000;
+    // One line a second and service: what an engineer on call asks first.
+    private static final long TELL_LOAD_MILLIS = 1_000;
 
     private final Entry entry;
     private final String service;
@@ -173,6 +175,7 @@
         repeat(REPORT_CHECK_MILLIS, this::writeReport);
         repeat(FORGET_EVERY_MILLIS, this::forgetEnded);
         repeat(LOOK_FOR_MISSED_MILLIS, this::lookForMissed);
+        repeat(TELL_LOAD_MILLIS, this::tellLoad);
     }
 
     private void repeat(long millis, Runnable step) {
@@ -370,6 +373,12 @@
                 outcome -> reported = outcome == OwnedRecords.Outcome.SAVED ? report : null);
     }
 
+    private void tellLoad() {
+        if (scheduler != null) {
+            DecisionLog.writeLoad(service, fence, scheduler.load());
+        }
+    }
+
     private void forgetEnded() {
         if (scheduler != null) {
             earlier.forget(scheduler.forgetEnded(EarlierJobs.FORGET_AFTER_MILLIS));
