--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/ArrivalRate.java
@@ -0,0 +1,102 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.capacity;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.lupinpaddle.core.placement.Room;
+
+/**
+ * How much finite work comes in, by what was accepted lately: what a service has to carry all the time so that nothing
+ * piles up. What waits says the same only once it has piled up, and forgets it when the jobs have become late.
+ */
+public final class ArrivalRate {
+
+    // A burst shows within this; the longer window keeps workers through its gaps. Queues with few jobs tell little in
+    // the shorter one.
+    private static final long SHORT_MILLIS = 800;
+    private static final long LONG_MILLIS = 3_000;
+    private static final int FEWEST_JOBS = 4;
+    // Jobs of a queue resemble each other; the mean follows a change within some dozens of them.
+    private static final double LEAST_WEIGHT = 0.04;
+
+    private final Map<String, Queue> queues = new HashMap<>();
+
+    /** What is known of one queue. */
+    private static final class Queue {
+        final Deque<Long> acceptedAt = new ArrayDeque<>();
+        int jobs;
+        double cpuTime;
+        double memoryTime;
+        double acceleratorTime;
+
+        void learn(Work w) {
+            jobs++;
+            double weight = Math.max(1.0 / jobs, LEAST_WEIGHT);
+            cpuTime += (w.cpuTime - cpuTime) * weight;
+            memoryTime += (w.memoryTime - memoryTime) * weight;
+            acceleratorTime += (w.acceleratorTime - acceleratorTime) * weight;
+        }
+
+        /** Returns jobs a millisecond: by the shorter window where it tells enough, at least by the longer one. */
+        double rate(long now) {
+            while (!acceptedAt.isEmpty() && now - acceptedAt.getFirst() > LONG_MILLIS) {
+                acceptedAt.removeFirst();
+            }
+            long lately =
+                    acceptedAt.stream().filter(t -> now - t <= SHORT_MILLIS).count();
+            double longer = (double) acceptedAt.size() / LONG_MILLIS;
+            return lately < FEWEST_JOBS ? longer : Math.max(longer, (double) lately / SHORT_MILLIS);
+        }
+    }
+
+    /** How much room a job takes, for how long: room times milliseconds. */
+    public static final class Work {
+        private double cpuTime;
+        private double memoryTime;
+        private double acceleratorTime;
+
+        /** Adds tasks that take this room for so long. */
+        public void add(Room each, int tasks, long millis) {
+            cpuTime += (double) each.cpuMillis() * tasks * millis;
+            memoryTime += (double) each.memoryMb() * tasks * millis;
+            acceleratorTime += (double) each.accelerators() * tasks * millis;
+        }
+    }
+
+    /** Takes in that a queue's job was accepted at a moment. */
+    public void accepted(String queue, long at, Work work) {
+        Queue q = queues.computeIfAbsent(queue, k -> new Queue());
+        q.acceptedAt.addLast(at);
+        q.learn(work);
+    }
+
+    /** Returns the room that what comes in takes on the mean. */
+    public Room room(long now) {
+        double cpu = 0;
+        double memory = 0;
+        double accelerators = 0;
+        for (Queue q : queues.values()) {
+            double rate = q.rate(now);
+            cpu += rate * q.cpuTime;
+            memory += rate * q.memoryTime;
+            accelerators += rate * q.acceleratorTime;
+        }
+        return new Room(Math.round(cpu), Math.round(memory), (int) Math.ceil(accelerators));
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/capacity/Demand.java
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/Demand.java
@@ -30,6 +30,7 @@
 
     private Room running = Room.NONE;
     private Room lasting = Room.NONE;
+    private Room flow = Room.NONE;
     // What finite work takes all the time, so that it ends when it should.
     private double cpuMillis;
     private double memoryMb;
@@ -47,11 +48,11 @@
      * @param room what it takes of a worker
      * @param leftMillis how long it still runs, by what is expected
      * @param availableMillis within which time its job is to be done
+     * @param part of all that its job's steps take, what they can take at one time: steps wait for each other
      * @param placed whether it has a worker already
      */
-    public void addFinite(Room room, long leftMillis, long availableMillis, boolean placed) {
-        double share =
-                Math.min(1, (double) leftMillis / Math.max(LEAST_TIME_MILLIS, availableMillis - KEPT_BACK_MILLIS));
+    public void addFinite(Room room, long leftMillis, long availableMillis, double part, boolean placed) {
+        double share = part * share(leftMillis, availableMillis);
         cpuMillis += room.cpuMillis() * share;
         memoryMb += room.memoryMb() * share;
         accelerators += room.accelerators() * share;
@@ -60,6 +61,16 @@
         }
     }
 
+    /** Returns which part of the time a task must run so that it ends in time; at most all of it. */
+    public static double share(long leftMillis, long availableMillis) {
+        return Math.min(1, (double) leftMillis / Math.max(LEAST_TIME_MILLIS, availableMillis - KEPT_BACK_MILLIS));
+    }
+
+    /** Takes in the room that what comes in takes all the time. */
+    public void flows(Room room) {
+        flow = room;
+    }
+
     /** Takes in that the tasks of one step need at least so many workers. */
     public void spreadOver(int workers) {
         spread = Math.max(spread, workers);
@@ -67,10 +78,13 @@
 
     /** Returns how many workers with this room the work needs, in fractions of one. */
     public double need(Room each) {
-        double byCpu = needed(Math.max(cpuMillis, running.cpuMillis()) + lasting.cpuMillis(), each.cpuMillis());
-        double byMemory = needed(Math.max(memoryMb, running.memoryMb()) + lasting.memoryMb(), each.memoryMb());
-        double byAccelerators =
-                needed(Math.max(accelerators, running.accelerators()) + lasting.accelerators(), each.accelerators());
+        double byCpu =
+                needed(most(cpuMillis, running.cpuMillis(), flow.cpuMillis()) + lasting.cpuMillis(), each.cpuMillis());
+        double byMemory =
+                needed(most(memoryMb, running.memoryMb(), flow.memoryMb()) + lasting.memoryMb(), each.memoryMb());
+        double byAccelerators = needed(
+                most(accelerators, running.accelerators(), flow.accelerators()) + lasting.accelerators(),
+                each.accelerators());
         return Math.max(byCpu, Math.max(byMemory, byAccelerators));
     }
 
@@ -79,6 +93,10 @@
         return spread;
     }
 
+    private static double most(double a, double b, double c) {
+        return Math.max(a, Math.max(b, c));
+    }
+
     private static double needed(double sum, long each) {
         return each == 0 ? 0 : sum / Math.max(1, each * FILLED_PERCENT / ALL_PERCENT);
     }
--- a/core/src/main/java/org/lupinpaddle/core/capacity/ServiceReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/ServiceReport.java
@@ -22,7 +22,10 @@
  * What the owner of a service tells the rest of the system, in one record that it writes when it changes.
  *
  * @param pendingByQueue accepted jobs of each queue none of whose tasks has begun; queues without any are left out
- * @param needed how many workers the service's present work asks for
+ * @param needed how many workers its present work asks for, all of it, looked a little ahead
+ * @param firm how many its work asks for that can still end within its objective
+ * @param late how many more its late work could use, as long as late ends count
  * @param workers what each of its workers carries
  */
-public record ServiceReport(Map<String, Integer> pendingByQueue, int needed, List<WorkerLoad> workers) {}
+public record ServiceReport(
+        Map<String, Integer> pendingByQueue, int needed, int firm, int late, List<WorkerLoad> workers) {}
--- a/core/src/main/java/org/lupinpaddle/core/capacity/WorkerLoad.java
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/WorkerLoad.java
@@ -21,5 +21,6 @@
  * @param worker its id
  * @param lasting tasks that run until they are cancelled
  * @param finite tasks that end by themselves
+ * @param reached whether it answers its owner; one that does not is no help now
  */
-public record WorkerLoad(String worker, int lasting, int finite) {}
+public record WorkerLoad(String worker, int lasting, int finite, boolean reached) {}
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
@@ -34,6 +35,9 @@
 /** What the owner of the fleet believes. */
 final class FleetState {
 
+    // A move takes an instance away for two seconds: it stays for as long, or the move was for nothing.
+    private static final long LEAST_STAY_MILLIS = 2_500;
+
     final FleetTiming timing;
     final FleetPort port;
     final Clock clock;
@@ -46,6 +50,8 @@
     final Set<Long> completed = new HashSet<>();
     /** Workers whose evacuation this planner has ended: their records go a moment later. */
     final Set<String> released = new HashSet<>();
+    /** When an errand of an instance has ended. */
+    private final Map<String, Long> arrivedAt = new HashMap<>();
     /** Moves that the platform has said to be impossible, as instance and pool. */
     final Set<String> impossibleMoves = new HashSet<>();
 
@@ -104,6 +110,21 @@
                 .toList();
     }
 
+    /** Returns the staying instances of a pool that are of use now: whose worker answers its owner, as far as is known. */
+    List<PlatformInstance> useful(String pool) {
+        ServiceReport r = reports.get(pool);
+        if (r == null) {
+            return staying(pool);
+        }
+        Set<String> unreached = r.workers().stream()
+                .filter(w -> !w.reached())
+                .map(WorkerLoad::worker)
+                .collect(Collectors.toSet());
+        return staying(pool).stream()
+                .filter(i -> !unreached.contains(i.worker()))
+                .toList();
+    }
+
     /** Returns how many instances are on their way into a pool, by this planner's order or an earlier one's. */
     int coming(String pool) {
         long ordered = errands.values().stream().filter(e -> e.isMoveTo(pool)).count();
@@ -139,20 +160,26 @@
         return begun.computeIfAbsent(wave, w -> new HashSet<>());
     }
 
-    /** Sends an instance on an errand. */
-    void begin(PlatformInstance i, Errand errand) {
+    /** Sends an instance on an errand; an urgent one is for work that waits. */
+    void begin(PlatformInstance i, Errand errand, boolean urgent) {
         boolean off = isHeadroom(i.pool()) || i.worker().isEmpty();
         InstanceErrand e = new InstanceErrand(i.id(), errand, i.pool(), off ? "" : i.worker(), now());
         errands.put(i.id(), e);
         port.note("errand-begun", i.id(), "errand=" + errand + " pool=" + i.pool() + " load=" + load(i));
         if (!e.worker.isEmpty()) {
             released.remove(e.worker);
-            port.askEvacuation(i.pool(), new EvacuationRecord(e.worker, i.id(), errand.toString(), false));
+            port.askEvacuation(i.pool(), new EvacuationRecord(e.worker, i.id(), errand.toString(), urgent, false));
         }
     }
 
+    /** Returns whether the instance has been in its pool for long enough to have been of use there. */
+    boolean hasStayed(PlatformInstance i) {
+        return now() - arrivedAt.getOrDefault(i.id(), Long.MIN_VALUE / 2) >= LEAST_STAY_MILLIS;
+    }
+
     /** Ends an errand, done or not. */
     void end(InstanceErrand e, String why) {
+        arrivedAt.put(e.instance, now());
         errands.remove(e.instance);
         port.note("errand-ended", e.instance, "errand=" + e.errand + " millis=" + (now() - e.begunAt) + " why=" + why);
         if (!e.worker.isEmpty()) {
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.lupinpaddle.core.capacity.FleetShares;
 import org.lupinpaddle.core.capacity.ServiceReport;
 
 /**
@@ -32,7 +33,22 @@
     // Of instances that still carry something a pool gives up so many at a time; idle ones leave at once.
     private static final int MOST_EMPTYING = 3;
 
+    // Half of the fleet stands by in equal parts while nobody needs it: a pool whose demand begins has something to
+    // begin
+    // with while the others' instances are on their way.
+    private static final int STANDBY_PARTS = 2;
+
     private final FleetState state;
+    private Map<String, Integer> shares = Map.of();
+    /** How many instances each pool has at least, as far as there are as many. */
+    private int standby;
+    /** Whether all work asks for more instances than there are. */
+    private boolean isShort;
+
+    private final Map<String, RecentHigh> highs = new HashMap<>();
+    /** How many instances each pool does not give away. */
+    private final Map<String, Integer> kept = new HashMap<>();
+
     private final Map<String, Long> tooLargeSince = new HashMap<>();
 
     PoolSizer(FleetState state) {
@@ -41,31 +57,59 @@
 
     void run() {
         List<String> pools = new ArrayList<>(state.runningPools());
-        pools.sort(Comparator.comparingInt(p -> supply(p) - wanted(p)));
+        shares = shares(pools);
+        shares.forEach((p, n) ->
+                kept.put(p, highs.computeIfAbsent(p, x -> new RecentHigh()).with(state.now(), n)));
+        pools.sort(Comparator.comparingInt(p -> supply(p) - share(p)));
         pools.forEach(this::grow);
         pools.forEach(this::shrink);
     }
 
-    /** Returns how many workers a pool is to have; what it has where its owner has not told yet. */
-    int wanted(String pool) {
+    /** Returns how many instances each pool is to have: what all its work asks for, or its part while that is too much. */
+    private Map<String, Integer> shares(List<String> pools) {
+        int instances = state.headroomPool().map(h -> state.staying(h).size()).orElse(0)
+                + pools.stream().mapToInt(this::supply).sum();
+        standby = Math.max(state.timing.fewest(), instances / (STANDBY_PARTS * Math.max(1, pools.size())));
+        isShort = pools.stream().mapToInt(this::wanted).sum() > instances;
+        return FleetShares.divide(instances, pools.stream().map(this::claim).toList());
+    }
+
+    private int share(String pool) {
+        return shares.getOrDefault(pool, 0);
+    }
+
+    /** Returns how many instances all of a pool's work asks for; what it has where its owner has not told yet. */
+    private int wanted(String pool) {
+        ServiceReport r = state.reports.get(pool);
+        return r == null ? supply(pool) : Math.max(standby, r.needed() + state.timing.reserve());
+    }
+
+    private FleetShares.Claim claim(String pool) {
         ServiceReport r = state.reports.get(pool);
         if (r == null) {
-            return supply(pool);
+            return new FleetShares.Claim(pool, supply(pool), supply(pool), 0, 0);
         }
-        return Math.max(state.timing.fewest(), r.needed() + state.timing.reserve());
+        int firm = Math.max(standby, r.firm() + state.timing.reserve());
+        return new FleetShares.Claim(pool, standby, firm, r.late(), Math.max(0, wanted(pool) - firm - r.late()));
     }
 
-    int supply(String pool) {
-        return state.staying(pool).size() + state.coming(pool);
+    /** Returns whether a pool lacks instances for work that can still end in time. */
+    private boolean lacksFirm(String pool) {
+        ServiceReport r = state.reports.get(pool);
+        return r != null && supply(pool) < r.firm();
+    }
+
+    private int supply(String pool) {
+        return state.useful(pool).size() + state.coming(pool);
     }
 
     private void grow(String pool) {
-        for (int missing = wanted(pool) - supply(pool); missing > 0; missing--) {
+        for (int missing = share(pool) - supply(pool); missing > 0; missing--) {
             Optional<PlatformInstance> donor = donor(pool);
             if (donor.isEmpty()) {
                 return;
             }
-            state.begin(donor.get(), Errand.move(pool));
+            state.begin(donor.get(), Errand.move(pool), isShort && lacksFirm(pool));
         }
     }
 
@@ -78,9 +122,9 @@
             return off;
         }
         return state.runningPools().stream()
-                .filter(p -> !p.equals(pool) && supply(p) > wanted(p))
-                .flatMap(p -> state.staying(p).stream())
-                .filter(i -> mayMove(i, pool))
+                .filter(p -> !p.equals(pool) && supply(p) > (isShort ? kept.getOrDefault(p, 0) : share(p)))
+                .flatMap(p -> state.useful(p).stream())
+                .filter(i -> mayMove(i, pool) && (!isShort || state.hasStayed(i)))
                 .min(Comparator.comparingInt(state::load));
     }
 
@@ -99,7 +143,8 @@
     }
 
     private void shrink(String pool) {
-        int surplus = supply(pool) - wanted(pool);
+        // Also work that is too late to count is finished, on what nobody else asks for.
+        int surplus = supply(pool) - Math.max(share(pool), wanted(pool));
         Optional<String> headroom = state.headroomPool();
         if (surplus <= 0 || headroom.isEmpty() || state.coming(pool) > 0) {
             tooLargeSince.remove(pool);
@@ -112,7 +157,7 @@
         long emptying = state.errands.values().stream()
                 .filter(e -> e.service.equals(pool) && e.errand.kind() == Errand.Kind.MOVE)
                 .count();
-        List<PlatformInstance> order = state.staying(pool).stream()
+        List<PlatformInstance> order = state.useful(pool).stream()
                 .filter(i -> mayMove(i, headroom.get()))
                 .sorted(Comparator.comparingInt(state::load)
                         .thenComparing(Comparator.comparingLong((PlatformInstance i) -> inHall(pool, i.hall()))
@@ -122,7 +167,7 @@
         for (PlatformInstance i : order) {
             boolean idle = state.load(i) == 0;
             if (idle || emptying < MOST_EMPTYING) {
-                state.begin(i, Errand.move(headroom.get()));
+                state.begin(i, Errand.move(headroom.get()), false);
                 emptying += idle ? 0 : 1;
             }
         }
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/RecentHigh.java
@@ -0,0 +1,42 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.fleet;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** The highest of a pool's shares over the last moments: what a pool has needed just now it does not give away. */
+final class RecentHigh {
+
+    // Jobs come one by one and end in groups: for some hundreds of milliseconds a share says little.
+    private static final long WINDOW_MILLIS = 800;
+
+    private final Deque<Told> told = new ArrayDeque<>();
+
+    private record Told(long at, int share) {}
+
+    /** Takes in the share of now and returns the highest of the window. */
+    int with(long now, int share) {
+        while (!told.isEmpty() && now - told.getFirst().at() > WINDOW_MILLIS) {
+            told.removeFirst();
+        }
+        while (!told.isEmpty() && told.getLast().share() <= share) {
+            told.removeLast();
+        }
+        told.addLast(new Told(now, share));
+        return told.getFirst().share();
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
@@ -68,7 +68,7 @@
                 break;
             }
             if (mayLeave(i, isBehind(w))) {
-                state.begin(i, Errand.upkeep(w.number()));
+                state.begin(i, Errand.upkeep(w.number()), false);
                 out++;
             }
         }
--- a/core/src/main/java/org/lupinpaddle/core/placement/Candidate.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Candidate.java
@@ -24,6 +24,9 @@
     /** Returns the room that nothing takes, what is being stopped counted as taken. */
     Room free();
 
+    /** Returns whether the worker carries tasks that last. */
+    boolean carriesLasting();
+
     /** Returns how many tasks of one time of a step the worker carries. */
     int carried(StepTime step);
 }
--- a/core/src/main/java/org/lupinpaddle/core/placement/Placer.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Placer.java
@@ -21,7 +21,8 @@
 
 /**
  * Chooses the worker for a task. Room, label and the most tasks of a step on one worker are conditions;
- * earlier failures, the rack of the data and the load are preferences, in this order. Lasting tasks are spread.
+ * earlier failures, the rack of the data and the load are preferences, in this order. Lasting tasks of a step are spread,
+ * over workers that carry such tasks already: moving them is slow, so the other workers stay free to leave.
  * Finite ones are packed: they do not slow one another down, and workers that run nothing can leave the pool.
  */
 public final class Placer {
@@ -49,6 +50,7 @@
                 .thenComparingInt(c -> wish.avoidDomains().contains(c.facts().failureDomain()) ? 1 : 0)
                 .thenComparingInt(c -> c.facts().hasLabel(wish.step().affinityRack()) ? 0 : 1)
                 .thenComparingInt(c -> wish.step().longRunning() ? c.carried(wish.of()) : 0)
+                .thenComparingInt(c -> wish.step().longRunning() && !c.carriesLasting() ? 1 : 0)
                 .thenComparingLong(c -> wish.step().longRunning() ? loadPerMille(c) : -loadPerMille(c))
                 .thenComparing(c -> c.facts().id());
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
@@ -33,13 +33,29 @@
 
     private final ServiceState state;
 
+    /** What the service's work asks for, by what is still to be won by it. */
+    private static final class Demands {
+        final Demand all = new Demand();
+        final Demand onTime = new Demand();
+        final Demand late = new Demand();
+        final Demand past = new Demand();
+
+        Demand of(StepUrgency.Tier tier) {
+            return switch (tier) {
+                case ON_TIME -> onTime;
+                case LATE -> late;
+                case PAST -> past;
+            };
+        }
+    }
+
     DemandReport(ServiceState state) {
         this.state = state;
     }
 
     ServiceReport make() {
         Map<String, Integer> pending = new TreeMap<>();
-        Demand demand = new Demand();
+        Demands demands = new Demands();
         for (LiveJob job : state.jobs.values()) {
             if (job.state.ended()) {
                 continue;
@@ -47,25 +63,61 @@
             if (!job.begun) {
                 pending.merge(job.spec.key().queue(), 1, Integer::sum);
             }
-            add(job, demand);
+            add(job, demands);
         }
-        double ahead = state.trend.ahead(state.now(), demand.need(usualRoom()));
-        int workers = (int) Math.max(demand.fewest(), Math.ceil(ahead));
-        return new ServiceReport(pending, workers, loads());
+        Room usual = usualRoom();
+        double ahead = state.trend.ahead(state.now(), demands.all.need(usual));
+        int needed = (int) Math.max(demands.all.fewest(), Math.ceil(ahead));
+        demands.onTime.flows(state.arrivals.room(state.now()));
+        int firm = (int) Math.max(demands.onTime.fewest(), Math.ceil(demands.onTime.need(usual)));
+        int late = (int) Math.ceil(demands.late.need(usual));
+        return new ServiceReport(pending, needed, firm, late, loads());
     }
 
-    private void add(LiveJob job, Demand demand) {
+    private void add(LiveJob job, Demands demands) {
         long wall = state.wallNow();
-        for (LiveStep s : job.steps) {
-            if (wall >= job.spec.repeat().dueMillis(s.time)) {
-                add(s, wall, demand);
+        for (int time = 0; time < job.spec.repeat().times(); time++) {
+            if (wall >= job.spec.repeat().dueMillis(time)) {
+                int k = time;
+                List<LiveStep> steps = job.steps.stream()
+                        .filter(s -> s.time == k && !s.isDone())
+                        .toList();
+                double part = part(steps, wall);
+                for (LiveStep s : steps) {
+                    StepUrgency.Tier tier = tier(s, wall);
+                    add(s, available(s, tier, wall), part, demands.of(tier));
+                    add(s, available(s, StepUrgency.Tier.ON_TIME, wall), part, demands.all);
+                }
             }
         }
     }
 
-    private void add(LiveStep s, long wall, Demand demand) {
+    /** Returns which part of what the steps ask for, added up, they can take at one time: steps wait for each other. */
+    private double part(List<LiveStep> steps, long wall) {
+        double asked = 0;
+        double ready = 0;
+        double widest = 0;
+        for (LiveStep s : steps) {
+            double cpu = (double) Room.of(s.spec).cpuMillis()
+                    * s.tasks.stream().filter(t -> t.phase != Phase.DONE).count();
+            asked += cpu * Demand.share(state.expectedMillis(s), available(s, StepUrgency.Tier.ON_TIME, wall));
+            widest = Math.max(widest, cpu);
+            ready += s.isReady(wall) ? cpu : 0;
+        }
+        double most = Math.max(ready, widest);
+        return asked <= most ? 1 : most / asked;
+    }
+
+    /** Returns what is still to be won by a step's job, by all that is left of it. */
+    private static StepUrgency.Tier tier(LiveStep s, long wall) {
+        LiveJob job = s.job;
+        return s.spec.longRunning()
+                ? StepUrgency.Tier.ON_TIME
+                : StepUrgency.Tier.of(job, s.time, wall + job.leftMillis(s.time));
+    }
+
+    private void add(LiveStep s, long available, double part, Demand demand) {
         long expected = state.expectedMillis(s);
-        long available = available(s, wall);
         for (LiveTask t : s.tasks) {
             if (t.phase == Phase.DONE) {
                 continue;
@@ -76,7 +128,7 @@
                 demand.addLasting(room);
             } else {
                 demand.addFinite(
-                        room, expected * (ALL_PERCENT - t.percent) / ALL_PERCENT, available, t.phase.onWorker());
+                        room, expected * (ALL_PERCENT - t.percent) / ALL_PERCENT, available, part, t.phase.onWorker());
             }
         }
         if (s.spec.longRunning() && s.spec.perWorkerMost() > 0) {
@@ -84,11 +136,11 @@
         }
     }
 
-    /** Returns within which time a step's job is to do all that is left of it: until its objective, if it can. */
-    private static long available(LiveStep s, long wall) {
+    /** Returns within which time a step's job is to do all that is left of it, so that its end counts as its tier's. */
+    private static long available(LiveStep s, StepUrgency.Tier tier, long wall) {
         LiveJob job = s.job;
-        long untilObjective = job.beginsMillis(s.time) + job.objectiveMillis() - wall;
-        return Math.max(untilObjective, job.leftMillis(s.time));
+        long until = job.beginsMillis(s.time) + tier.times() * job.objectiveMillis() - wall;
+        return Math.max(until, job.leftMillis(s.time));
     }
 
     /** The smallest worker counts: what fits on it fits everywhere. */
@@ -105,7 +157,8 @@
         for (LiveWorker w : state.workers.values()) {
             int lasting =
                     (int) w.tasks.stream().filter(t -> t.step.longRunning()).count();
-            loads.add(new WorkerLoad(w.facts().id(), lasting, w.tasks.size() - lasting));
+            loads.add(new WorkerLoad(
+                    w.facts().id(), lasting, w.tasks.size() - lasting, !state.isMissed(w) && !w.isDoubted()));
         }
         loads.sort(Comparator.comparing(WorkerLoad::worker));
         return loads;
--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -30,6 +30,9 @@
     // Below this a draining worker's finite tasks that can go on elsewhere are stopped, to save their work.
     private static final long SAVE_WORK_MILLIS = 700;
 
+    // What ends by itself about as soon as a stop would end it is left to.
+    private static final long SOON_MILLIS = 300;
+
     private final ServiceState state;
 
     Evacuator(ServiceState state) {
@@ -39,7 +42,7 @@
     void run() {
         for (LiveWorker w : List.copyOf(state.workers.values())) {
             boolean wanted = state.evacuating.contains(w.facts().id());
-            if (wanted && w.tasks.isEmpty()) {
+            if (wanted && mayGo(w)) {
                 state.port.emptied(w.facts().id());
             } else if (wanted || w.facts().draining()) {
                 empty(w);
@@ -47,6 +50,22 @@
         }
     }
 
+    /**
+     * Returns whether the worker's instance may be taken away. What is left may be late work where other work waits for
+     * the instance: a stop takes up to a second, and saves nothing that still counts.
+     */
+    private boolean mayGo(LiveWorker w) {
+        boolean urgent = state.urgentlyEvacuating.contains(w.facts().id());
+        return w.tasks.isEmpty() || (urgent && w.tasks.stream().allMatch(t -> t.phase == Phase.RUNNING && isLate(t)));
+    }
+
+    private boolean isLate(LiveTask t) {
+        int time = t.id.time();
+        return !t.step.longRunning()
+                && StepUrgency.Tier.of(t.job, time, state.wallNow() + t.job.leftMillis(time))
+                        != StepUrgency.Tier.ON_TIME;
+    }
+
     private void empty(LiveWorker w) {
         for (LiveTask t : List.copyOf(w.tasks)) {
             if (t.phase != Phase.RUNNING) {
@@ -54,6 +73,8 @@
             }
             if (t.step.longRunning()) {
                 moveLasting(w, t);
+            } else if (state.urgentlyEvacuating.contains(w.facts().id()) && givesWay(t)) {
+                state.stop(t, "gives-way percent=" + t.percent);
             } else if (w.facts().draining()
                     && t.step.checkpointing()
                     && w.remainingMillis(state.now()) < SAVE_WORK_MILLIS) {
@@ -62,6 +83,12 @@
         }
     }
 
+    /** Returns whether a task goes on elsewhere so that its instance can go to work that waits. */
+    private boolean givesWay(LiveTask t) {
+        long left = state.expectedMillis(t.of) * (AT_WORK_PERCENT - t.percent) / AT_WORK_PERCENT;
+        return t.step.checkpointing() && !t.step.gang() && !isLate(t) && left > state.timing.stopMillis() + SOON_MILLIS;
+    }
+
     private void moveLasting(LiveWorker w, LiveTask t) {
         boolean allowed = w.facts().draining() || othersAway(t) < Math.max(1, t.step.mayMiss());
         if (allowed && state.hasPlaceElsewhere(t)) {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -23,6 +23,7 @@
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.job.TaskRecord;
 
@@ -56,6 +57,7 @@
         }
         long chain = 0;
         for (LiveStep s : steps) {
+            s.ownMillis = ownMillis(s.number, times);
             s.tailMillis = tailMillis(s.number, times);
             chain = Math.max(chain, s.tailMillis);
         }
@@ -70,9 +72,14 @@
                 following = Math.max(following, tailMillis(s, times));
             }
         }
-        return following
-                + times.expectedMillis(
-                        spec.key().queue(), spec.steps().get(step).estimateMillis());
+        return following + ownMillis(step, times);
+    }
+
+    /** A step takes as long as its longest task. */
+    private long ownMillis(int step, RunTimes times) {
+        StepSpec s = spec.steps().get(step);
+        double spread = s.count() > 1 && !s.gang() ? times.spread(spec.key().queue()) : 1;
+        return Math.round(spread * times.expectedMillis(spec.key().queue(), s.estimateMillis()));
     }
 
     @Nullable
@@ -89,11 +96,11 @@
         return Math.max(spec.acceptedMillis(), spec.repeat().dueMillis(time));
     }
 
-    /** Returns how long the steps of a time that are not done take one after the other, by what is expected. */
+    /** Returns how long what is left of a time takes one step after the other, by what is expected. */
     long leftMillis(int time) {
         return steps.stream()
                 .filter(s -> s.time == time && !s.isDone())
-                .mapToLong(s -> s.tailMillis)
+                .mapToLong(LiveStep::leftMillis)
                 .max()
                 .orElse(0);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -23,6 +23,8 @@
 /** All tasks of one step at one of the job's times. */
 final class LiveStep {
 
+    private static final int ALL_PERCENT = 100;
+
     final LiveJob job;
     final int time;
     final int number;
@@ -30,9 +32,12 @@
     final List<LiveTask> tasks = new ArrayList<>();
     private int wholeRuns;
     private long wholeRunsMillis;
+    private long longestMillis;
 
     /** How long the job still takes once this step begins, by what is expected: this step and those after it. */
     long tailMillis;
+    /** The part of that which is this step's own. */
+    long ownMillis;
 
     LiveStep(LiveJob job, int time, int number) {
         this.job = job;
@@ -59,6 +64,12 @@
     void learn(long millis) {
         wholeRuns++;
         wholeRunsMillis += millis;
+        longestMillis = Math.max(longestMillis, millis);
+    }
+
+    /** Returns how many times their mean the longest of its tasks took; 1 where one alone tells nothing. */
+    double spread() {
+        return wholeRuns < 2 ? 1 : (double) longestMillis / siblingsMillis();
     }
 
     /** Returns how long its tasks took that are done, on the mean; 0 when none is. */
@@ -66,6 +77,17 @@
         return wholeRuns == 0 ? 0 : Math.max(1, wholeRunsMillis / wholeRuns);
     }
 
+    /** Returns how long the job still takes from this step on: less where all that is left of the step is at work. */
+    long leftMillis() {
+        long afterwards = tailMillis - ownMillis;
+        int percent = tasks.stream()
+                .filter(t -> t.phase != LiveTask.Phase.DONE)
+                .mapToInt(t -> t.percent)
+                .min()
+                .orElse(ALL_PERCENT);
+        return afterwards + ownMillis * (ALL_PERCENT - percent) / ALL_PERCENT;
+    }
+
     boolean hasWaiting() {
         return tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.WAITING);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -42,6 +42,7 @@
     private long endsAt = Long.MAX_VALUE;
     final Set<LiveTask> tasks = new LinkedHashSet<>();
     private Room used = Room.NONE;
+    private int lasting;
 
     /** Whether the platform's store lists it, and since when not. */
     boolean listed = true;
@@ -109,11 +110,13 @@
 
     void add(LiveTask t) {
         tasks.add(t);
+        lasting += t.step.longRunning() ? 1 : 0;
         used = used.plus(Room.of(t.step));
     }
 
     void remove(LiveTask t) {
         if (tasks.remove(t)) {
+            lasting -= t.step.longRunning() ? 1 : 0;
             used = used.minus(Room.of(t.step));
         }
     }
@@ -126,6 +129,11 @@
         return facts.room().minus(used);
     }
 
+    @Override
+    public boolean carriesLasting() {
+        return lasting > 0;
+    }
+
     @Override
     public int carried(StepTime step) {
         int n = 0;
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTimes.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTimes.java
@@ -36,6 +36,8 @@
     private static final class Learned {
         int runs;
         double meanMillis;
+        int steps;
+        double spread = 1;
     }
 
     /** Takes in that a whole run of a task took this long. */
@@ -45,6 +47,19 @@
         l.meanMillis += (millis - l.meanMillis) * Math.max(1.0 / l.runs, LEAST_WEIGHT);
     }
 
+    /** Takes in how many times its mean the longest task of a step took. */
+    void learnSpread(String queue, double longestByMean) {
+        Learned l = byQueue.computeIfAbsent(queue, q -> new Learned());
+        l.steps++;
+        l.spread += (longestByMean - l.spread) * Math.max(1.0 / (l.steps + 1), LEAST_WEIGHT);
+    }
+
+    /** Returns how many times the mean the longest task of a step of the queue takes; 1 while that is not known. */
+    double spread(String queue) {
+        Learned l = byQueue.get(queue);
+        return l == null ? 1 : Math.max(1, l.spread);
+    }
+
     /**
      * Returns how long a task is expected to run, in milliseconds: between the caller's guess and what the queue's
      * tasks have taken, by their geometric mean.
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -264,6 +264,9 @@
         }
         boolean done = t.finished || (e.kind().finishes() && !t.step.longRunning());
         free(t, done ? Phase.DONE : Phase.WAITING);
+        if (t.of.isDone()) {
+            state.times.learnSpread(t.job.spec.key().queue(), t.of.spread());
+        }
         if (t.step.gang()) {
             endGang(t, done);
         }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -23,6 +23,7 @@
 import java.util.Objects;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.capacity.ArrivalRate;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.job.JobKey;
@@ -32,6 +33,7 @@
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.job.TaskRecord;
+import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
@@ -86,6 +88,7 @@
         }
         LiveJob job = new LiveJob(spec, state.times);
         state.add(job);
+        noteArrival(job);
         if (progress != null) {
             job.restore(progress).forEach(r -> recover(job, r));
         }
@@ -97,6 +100,17 @@
         state.note(SchedulerEvent.Kind.JOB_TAKEN, job, job.state.name(), detail);
     }
 
+    private void noteArrival(LiveJob job) {
+        ArrivalRate.Work work = new ArrivalRate.Work();
+        for (LiveStep s : job.steps) {
+            if (s.time == 0 && !s.spec.longRunning()) {
+                work.add(Room.of(s.spec), s.spec.count(), state.expectedMillis(s));
+            }
+        }
+        long age = Math.max(0, state.wallNow() - job.spec.acceptedMillis());
+        state.arrivals.accepted(job.spec.key().queue(), state.now() - age, work);
+    }
+
     private void recover(LiveJob job, TaskRecord r) {
         LiveTask t = job.task(new TaskId(r.time(), r.step(), r.index()));
         if (t == null) {
@@ -158,8 +172,8 @@
         }
     }
 
-    /** Takes in which workers are to be emptied. */
-    public void onEvacuations(Set<String> workers) {
+    /** Takes in which workers are to be emptied, and those of them that other work waits for. */
+    public void onEvacuations(Set<String> workers, Set<String> urgent) {
         state.evacuating.stream()
                 .filter(w -> !workers.contains(w))
                 .map(state.workers::get)
@@ -167,6 +181,8 @@
                 .forEach(LiveWorker::mustAnswerAgain);
         state.evacuating.clear();
         state.evacuating.addAll(workers);
+        state.urgentlyEvacuating.clear();
+        state.urgentlyEvacuating.addAll(urgent);
     }
 
     /** Takes in what became of a start. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.capacity.ArrivalRate;
 import org.lupinpaddle.core.capacity.DemandTrend;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.job.JobKey;
@@ -41,7 +42,10 @@
     final Map<String, LiveWorker> workers = new HashMap<>();
     final RunTimes times = new RunTimes();
     final DemandTrend trend = new DemandTrend();
+    final ArrivalRate arrivals = new ArrivalRate();
     final Set<String> evacuating = new HashSet<>();
+    /** Those that other work waits for. */
+    final Set<String> urgentlyEvacuating = new HashSet<>();
     /** Since when the list of workers may be out of date. */
     long workersKnownAt;
 
--- a/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
@@ -24,18 +24,38 @@
  */
 record StepUrgency(LiveStep step, int priority, Tier tier, long latestStartMillis) {
 
+    // A job that ends within this many times its objective is late; beyond that it has missed everything.
+    private static final int LATE_FACTOR = 3;
+
     /** What is still to be won by a job. */
     enum Tier {
         /** It can end within its objective. */
-        ON_TIME,
+        ON_TIME(1),
         /** It is late, and late ends still count. */
-        LATE,
+        LATE(LATE_FACTOR),
         /** It is later than that. */
-        PAST
-    }
+        PAST(LATE_FACTOR);
 
-    // A job that ends within this many times its objective is late; beyond that it has missed everything.
-    private static final int LATE_FACTOR = 3;
+        private final int times;
+
+        Tier(int times) {
+            this.times = times;
+        }
+
+        /** Returns within how many times its objective a job of this tier is to end. */
+        int times() {
+            return times;
+        }
+
+        /** Returns the tier of a job's time that ends at the moment, in milliseconds since 1970. */
+        static Tier of(LiveJob job, int time, long endMillis) {
+            long took = endMillis - job.beginsMillis(time);
+            if (took <= job.objectiveMillis()) {
+                return ON_TIME;
+            }
+            return took <= LATE_FACTOR * job.objectiveMillis() ? LATE : PAST;
+        }
+    }
 
     static final Comparator<StepUrgency> FIRST = Comparator.comparingInt(StepUrgency::priority)
             .thenComparing(StepUrgency::tier)
@@ -46,14 +66,8 @@
     /** Returns the urgency of a step at a time of day. */
     static StepUrgency of(LiveStep s, long wallMillis) {
         LiveJob job = s.job;
+        Tier tier = s.spec.longRunning() ? Tier.ON_TIME : Tier.of(job, s.time, wallMillis + s.tailMillis);
         long begun = job.beginsMillis(s.time);
-        long left = wallMillis + s.tailMillis;
-        Tier tier = Tier.PAST;
-        if (s.spec.longRunning() || left <= begun + job.objectiveMillis()) {
-            tier = Tier.ON_TIME;
-        } else if (left <= begun + LATE_FACTOR * job.objectiveMillis()) {
-            tier = Tier.LATE;
-        }
         long latest = s.spec.longRunning() ? begun : begun + job.objectiveMillis() - s.tailMillis;
         return new StepUrgency(s, job.spec.policy().priority(), tier, latest);
     }
--- a/core/src/main/java/org/lupinpaddle/core/upkeep/EvacuationRecord.java
+++ b/core/src/main/java/org/lupinpaddle/core/upkeep/EvacuationRecord.java
@@ -25,9 +25,10 @@
  * @param worker the life of a worker that is to be emptied
  * @param instance the instance it runs on
  * @param errand what it is to be emptied for, see {@link org.lupinpaddle.core.fleet.Errand}
+ * @param urgent whether another pool's jobs wait for the instance
  * @param empty whether it carries nothing and will not be given anything
  */
-public record EvacuationRecord(String worker, String instance, String errand, boolean empty) {
+public record EvacuationRecord(String worker, String instance, String errand, boolean urgent, boolean empty) {
 
     /** Returns the record, or what is wrong with the text. */
     public static Either<String, EvacuationRecord> read(String text) {
@@ -36,6 +37,6 @@
 
     /** Returns the answer: the worker is empty. */
     public EvacuationRecord toEmpty() {
-        return new EvacuationRecord(worker, instance, errand, true);
+        return new EvacuationRecord(worker, instance, errand, urgent, true);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/capacity/ArrivalRateTest.java
@@ -0,0 +1,82 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.placement.Room;
+
+class ArrivalRateTest {
+
+    private final ArrivalRate rate = new ArrivalRate();
+
+    /** Jobs of five tasks of one core for a second, each so long after the one before. */
+    private void jobs(long from, int count, long everyMillis) {
+        for (int i = 0; i < count; i++) {
+            ArrivalRate.Work w = new ArrivalRate.Work();
+            w.add(new Room(1_000, 100, 0), 5, 1_000);
+            rate.accepted("q", from + i * everyMillis, w);
+        }
+    }
+
+    @Nested
+    class ASteadyLoad {
+
+        @Test
+        void takesWhatItsJobsTakeOnTheMean() {
+            jobs(0, 60, 100);
+            assertEquals(50_000, rate.room(5_900).cpuMillis(), 10_000);
+        }
+    }
+
+    @Nested
+    class ABurst {
+
+        @Test
+        void showsWithinASecond() {
+            jobs(0, 10, 50);
+            assertTrue(rate.room(500).cpuMillis() > 50_000, rate.room(500).toString());
+        }
+
+        @Test
+        void thatIsOverIsForgottenWithinSeconds() {
+            jobs(0, 60, 50);
+            assertEquals(0, rate.room(6_100).cpuMillis());
+        }
+    }
+
+    @Nested
+    class SingleJobs {
+
+        @Test
+        void areNoBurst() {
+            jobs(0, 2, 10);
+            assertTrue(rate.room(20).cpuMillis() < 5_000, rate.room(20).toString());
+        }
+    }
+
+    @Nested
+    class NoJobs {
+
+        @Test
+        void takeNothing() {
+            assertEquals(Room.NONE, rate.room(1_000));
+        }
+    }
+}
--- a/core/src/test/java/org/lupinpaddle/core/capacity/DemandTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/capacity/DemandTest.java
@@ -30,7 +30,7 @@
 
     private void finite(int tasks, long leftMillis, long availableMillis, boolean placed) {
         for (int i = 0; i < tasks; i++) {
-            demand.addFinite(TASK, leftMillis, availableMillis, placed);
+            demand.addFinite(TASK, leftMillis, availableMillis, 1, placed);
         }
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -50,9 +50,9 @@
         planner.onInstances(List.of(all));
         List<WorkerLoad> loads = new ArrayList<>();
         for (PlatformInstance i : all) {
-            loads.add(new WorkerLoad(i.worker(), 0, i.worker().equals("w1") ? 3 : 0));
+            loads.add(new WorkerLoad(i.worker(), 0, i.worker().equals("w1") ? 3 : 0, true));
         }
-        planner.onReport("clips", new ServiceReport(Map.of(), needed, loads));
+        planner.onReport("clips", new ServiceReport(Map.of(), needed, needed, 0, loads));
     }
 
     private void passes(long millis) {
@@ -61,7 +61,7 @@
     }
 
     private void emptied(String worker, String instance, Errand e) {
-        planner.onEvacuations(Map.of(new EvacuationRecord(worker, instance, e.toString(), true), "clips"));
+        planner.onEvacuations(Map.of(new EvacuationRecord(worker, instance, e.toString(), false, true), "clips"));
         planner.tick();
     }
 
@@ -135,6 +135,87 @@
         }
     }
 
+    @Nested
+    class Shares {
+
+        private void twoPools(ServiceReport clips, ServiceReport archive, PlatformInstance... all) {
+            planner.onEarlierOrders(Set.of());
+            planner.onServices(List.of(
+                    new ServiceConfig("clips", false, true),
+                    new ServiceConfig("archive", false, true),
+                    new ServiceConfig("spare", true, true)));
+            planner.onInstances(List.of(all));
+            planner.onReport("clips", clips);
+            planner.onReport("archive", archive);
+        }
+
+        private ServiceReport report(int firm, int late, int hopeless, WorkerLoad... loads) {
+            return new ServiceReport(Map.of(), firm + late + hopeless, firm, late, List.of(loads));
+        }
+
+        private WorkerLoad load(String worker, int finite, boolean reached) {
+            return new WorkerLoad(worker, 0, finite, reached);
+        }
+
+        private PlatformInstance[] sixOfArchive() {
+            PlatformInstance[] all = new PlatformInstance[6];
+            for (int i = 0; i < all.length; i++) {
+                all[i] = up("m" + i, "archive", "w" + i);
+            }
+            return all;
+        }
+
+        @Test
+        void ofHopelessWorkGoToWorkThatCanStillEndInTime() {
+            twoPools(report(3, 0, 0), report(0, 0, 30), sixOfArchive());
+            passes(0);
+            passes(900);
+            long moved = port.asked.stream()
+                    .filter(r -> r.errand().equals("MOVE:clips"))
+                    .count();
+            assertEquals(4, moved, "three and the reserve; the other pool keeps its least");
+        }
+
+        @Test
+        void stayWhileTheirPoolHasJustNeededThem() {
+            List<PlatformInstance> all = new ArrayList<>(List.of(sixOfArchive()));
+            all.add(up("m7", "clips", "w7"));
+            all.add(up("m8", "clips", "w8"));
+            twoPools(report(1, 0, 0), report(5, 0, 0), all.toArray(PlatformInstance[]::new));
+            passes(0);
+            planner.onReport("clips", report(4, 0, 0));
+            planner.onReport("archive", report(0, 0, 9));
+            passes(100);
+            assertTrue(port.asked.isEmpty(), "a need that is gone for a moment may come back");
+            passes(900);
+            assertEquals(3, port.asked.size());
+        }
+
+        @Test
+        void doNotCountWorkersThatNobodyReaches() {
+            PlatformInstance[] all = {
+                up("m1", "clips", "w1"),
+                up("m2", "clips", "w2"),
+                up("m3", "spare", ""),
+                up("m4", "spare", ""),
+                up("m5", "archive", "w5"),
+                up("m6", "archive", "w6")
+            };
+            twoPools(report(1, 0, 0, load("w1", 1, false), load("w2", 1, false)), report(0, 0, 0), all);
+            passes(0);
+            assertEquals(Set.of("m3 MOVE:clips", "m4 MOVE:clips"), Set.copyOf(port.orders));
+        }
+
+        @Test
+        void keepWhatHopelessWorkCanUseUntilSomebodyElseWantsIt() {
+            twoPools(report(0, 0, 0), report(0, 0, 6), sixOfArchive());
+            passes(0);
+            passes(5_000);
+            assertTrue(
+                    port.asked.stream().noneMatch(r -> r.errand().equals("MOVE:spare")), "it is still to be finished");
+        }
+    }
+
     @Nested
     class TakeOver {
 
@@ -153,7 +234,7 @@
             successor.onServices(
                     List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
             successor.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "spare", ""), up("m3", "spare", "")));
-            successor.onReport("clips", new ServiceReport(Map.of(), 2, List.of()));
+            successor.onReport("clips", new ServiceReport(Map.of(), 2, 2, 0, List.of()));
             successor.tick();
             assertTrue(port.orders.isEmpty());
             successor.onEarlierOrders(Set.of("m2"));
--- a/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
@@ -67,7 +67,7 @@
             Set<String> two = Set.of(
                     d.port.starts.get(0).worker().id(),
                     d.port.starts.get(1).worker().id());
-            d.scheduler.onEvacuations(two);
+            d.scheduler.onEvacuations(two, Set.of());
             d.scheduler.tick();
             assertEquals(1, d.port.stops.size());
         }
@@ -81,7 +81,7 @@
             d.answers(leaving.worker().id(), List.of(atWork(leaving.task().index(), 1, 100)), List.of());
             d.answers(heard.worker().id(), List.of(atWork(heard.task().index(), 1, 100)), List.of());
             d.passes(200);
-            d.scheduler.onEvacuations(Set.of(leaving.worker().id()));
+            d.scheduler.onEvacuations(Set.of(leaving.worker().id()), Set.of());
             d.scheduler.tick();
             assertTrue(d.port.stops.isEmpty(), "the third task may be gone with its worker");
         }
@@ -99,18 +99,52 @@
             d.answers("w1", List.of(atWork(0, 1, 100)), List.of());
             d.answers("w2", List.of(atWork(1, 1, 100)), List.of());
             d.answers("w3", List.of(), List.of());
-            d.scheduler.onEvacuations(Set.of("w1"));
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of());
             d.passes(SchedulerDriver.STOP_MILLIS);
             assertTrue(d.port.stops.isEmpty(), "the other task may be about to end by the earlier owner's order");
             d.passes(1);
             assertEquals(1, d.port.stops.size());
         }
 
+        @Test
+        void thatIsUrgentDoesNotWaitForWhatIsLateAnyway() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job(
+                    "a",
+                    StepSpec.builder(1, SchedulerDriver.NEED)
+                            .estimateMillis(1_000)
+                            .build());
+            d.saved();
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of("w1"));
+            d.passes(100);
+            assertTrue(d.port.emptied.isEmpty(), "it can still end in time");
+            d.passes(1_500);
+            assertTrue(d.port.emptied.contains("w1"), "it is late, and other work waits for the instance");
+        }
+
+        @Test
+        void thatIsNotUrgentLetsTasksEndWhereTheyAre() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job(
+                    "a",
+                    StepSpec.builder(1, SchedulerDriver.NEED)
+                            .estimateMillis(1_000)
+                            .build());
+            d.saved();
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of());
+            d.passes(1_600);
+            assertTrue(d.port.emptied.isEmpty());
+        }
+
         @Test
         void isToldWhenNothingIsLeft() {
             d.workers("w1");
             d.answers("w1", List.of(), List.of());
-            d.scheduler.onEvacuations(Set.of("w1"));
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of());
             d.scheduler.tick();
             assertTrue(d.port.emptied.contains("w1"));
         }
@@ -119,8 +153,8 @@
         void thatIsOverAsksForAnAnswerBeforeNewTasks() {
             d.workers("w1");
             d.answers("w1", List.of(), List.of());
-            d.scheduler.onEvacuations(Set.of("w1"));
-            d.scheduler.onEvacuations(Set.of());
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of());
+            d.scheduler.onEvacuations(Set.of(), Set.of());
             d.job("a", ONE);
             d.saved();
             assertTrue(d.port.starts.isEmpty(), "its instance may have been ordered away meanwhile");
--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -183,6 +183,22 @@
             assertEquals(1, d.port.starts.size());
             assertEquals(2, d.scheduler.report().needed());
         }
+
+        @Test
+        void asksForOneStepAtATimeWhereStepsWaitForEachOther() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            StepSpec first = StepSpec.builder(8, SchedulerDriver.NEED)
+                    .estimateMillis(1_000)
+                    .build();
+            StepSpec second = StepSpec.builder(8, SchedulerDriver.NEED)
+                    .estimateMillis(1_000)
+                    .after(List.of(0))
+                    .build();
+            d.job("a", first, second);
+            d.now += 10_000;
+            assertEquals(3, d.scheduler.report().needed(), "eight tasks at a time, four to a worker, not sixteen");
+        }
     }
 
     @Nested
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -16,9 +16,10 @@
 package org.lupinpaddle.daemon.jobs;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
@@ -35,7 +36,7 @@
     private final EventLoop loop;
     private final OwnedRecords records;
     private final PrefixWatch watch;
-    private final Consumer<Set<String>> onChange;
+    private final BiConsumer<Set<String>, Set<String>> onChange;
     private final Map<String, StoreItem> asked = new HashMap<>();
     /** The revision of the request that was answered last, by worker: asked anew, it is answered anew. */
     private final Map<String, Long> answered = new HashMap<>();
@@ -44,10 +45,14 @@
      * Makes the feed.
      *
      * @param records writes the answers
-     * @param onChange is told the workers that are to be empty
+     * @param onChange is told the workers that are to be empty, and those of them that other work waits for
      */
     EvacuationFeed(
-            KeyValueStore store, EventLoop loop, String service, OwnedRecords records, Consumer<Set<String>> onChange) {
+            KeyValueStore store,
+            EventLoop loop,
+            String service,
+            OwnedRecords records,
+            BiConsumer<Set<String>, Set<String>> onChange) {
         this.loop = loop;
         this.records = records;
         this.onChange = onChange;
@@ -60,12 +65,18 @@
 
     private void changed() {
         asked.clear();
+        Set<String> urgent = new HashSet<>();
         watch.items()
                 .forEach(i -> EvacuationRecord.read(i.value())
-                        .peek(r -> asked.put(r.worker(), i))
+                        .peek(r -> {
+                            asked.put(r.worker(), i);
+                            if (r.urgent()) {
+                                urgent.add(r.worker());
+                            }
+                        })
                         .peekLeft(why -> unreadable(i, why)));
         answered.keySet().retainAll(asked.keySet());
-        onChange.accept(asked.keySet());
+        onChange.accept(asked.keySet(), urgent);
     }
 
     /**
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -118,7 +118,11 @@
         earlier = new EarlierJobs(records, entry.loop, service);
         inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), this);
         evacuations = new EvacuationFeed(
-                entry.store, entry.loop, service, records, leaving -> told(s -> s.onEvacuations(leaving)));
+                entry.store,
+                entry.loop,
+                service,
+                records,
+                (leaving, urgent) -> told(s -> s.onEvacuations(leaving, urgent)));
     }
 
     /** Reads what earlier owners left, then begins. */
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EvacuationFeedTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EvacuationFeedTest.java
@@ -28,14 +28,14 @@
 class EvacuationFeedTest {
 
     private static final String KEY = JobKeys.evacuation("clips", "w1");
-    private static final String ASKED = RecordCodec.write(new EvacuationRecord("w1", "m1", "UPKEEP:1", false));
+    private static final String ASKED = RecordCodec.write(new EvacuationRecord("w1", "m1", "UPKEEP:1", false, false));
 
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final long fence = store.set(JobKeys.owner("clips"), "entry-1");
     private final DirectLoop loop = new DirectLoop();
     private final Set<String> wanted = new HashSet<>();
-    private final EvacuationFeed feed =
-            new EvacuationFeed(store, loop, "clips", new OwnedRecords(store, loop, "clips", fence), workers -> {
+    private final EvacuationFeed feed = new EvacuationFeed(
+            store, loop, "clips", new OwnedRecords(store, loop, "clips", fence), (workers, urgent) -> {
                 wanted.clear();
                 wanted.addAll(workers);
             });
