--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -25,28 +25,28 @@
 import org.lupinpaddle.core.capacity.ServiceReport;
 
 /**
- * Keeps each pool as large as its work needs, and a reserve: fills it from the headroom pool, then from pools
- * that are too large; sends what is too much for a while into the headroom pool.
+ * Keeps each pool as large as its work needs, and a reserve, or at its share of the fleet while all work asks for more than
+ * there is: fills it from the headroom pool, then from pools that have more; sends what is too much for a while into
+ * the headroom pool.
  */
 final class PoolSizer {
 
     // Of instances that still carry something a pool gives up so many at a time; idle ones leave at once.
     private static final int MOST_EMPTYING = 3;
 
-    // Half of the fleet stands by in equal parts while nobody needs it: a pool whose demand begins has something to
-    // begin
-    // with while the others' instances are on their way.
+    // Half of the fleet belongs to the pools in equal parts, the other half to where the work is: a pool whose demand
+    // begins has something to begin with while other pools' instances are on their way (docs/POLICY.md, rounds 10, 11).
     private static final int STANDBY_PARTS = 2;
 
     private final FleetState state;
     private Map<String, Integer> shares = Map.of();
-    /** How many instances each pool has at least, as far as there are as many. */
+    /** How many instances each pool has at least, needed or not. */
     private int standby;
     /** Whether all work asks for more instances than there are. */
     private boolean isShort;
 
     private final Map<String, RecentHigh> highs = new HashMap<>();
-    /** How many instances each pool does not give away. */
+    /** How many instances each pool does not give away while there are too few. */
     private final Map<String, Integer> kept = new HashMap<>();
 
     private final Map<String, Long> tooLargeSince = new HashMap<>();
--- a/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
@@ -61,6 +61,18 @@
             }
         }
 
+        private void aTaskOfASecondRuns() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job(
+                    "a",
+                    StepSpec.builder(1, SchedulerDriver.NEED)
+                            .estimateMillis(1_000)
+                            .build());
+            d.saved();
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        }
+
         @Test
         void movesNoMoreOfAStepThanItsCallerAllows() {
             threeAtWork();
@@ -108,15 +120,7 @@
 
         @Test
         void thatIsUrgentDoesNotWaitForWhatIsLateAnyway() {
-            d.workers("w1");
-            d.answers("w1", List.of(), List.of());
-            d.job(
-                    "a",
-                    StepSpec.builder(1, SchedulerDriver.NEED)
-                            .estimateMillis(1_000)
-                            .build());
-            d.saved();
-            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            aTaskOfASecondRuns();
             d.scheduler.onEvacuations(Set.of("w1"), Set.of("w1"));
             d.passes(100);
             assertTrue(d.port.emptied.isEmpty(), "it can still end in time");
@@ -126,15 +130,7 @@
 
         @Test
         void thatIsNotUrgentLetsTasksEndWhereTheyAre() {
-            d.workers("w1");
-            d.answers("w1", List.of(), List.of());
-            d.job(
-                    "a",
-                    StepSpec.builder(1, SchedulerDriver.NEED)
-                            .estimateMillis(1_000)
-                            .build());
-            d.saved();
-            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            aTaskOfASecondRuns();
             d.scheduler.onEvacuations(Set.of("w1"), Set.of());
             d.passes(1_600);
             assertTrue(d.port.emptied.isEmpty());
