Say in one place how much of a run is left, and add up no demand that nobody reads

Cause, found by reading the whole change: how much of a run is left by its progress stood in DemandReport and in Evacuator; and DemandReport added up hopeless work in a demand of its own that nothing read, at each report. Ruled out: one method that also looks up the expected time: it would look it up for each task instead of each step, at each report. LiveStep's own remainder stays: it is of a step and by its slowest task. Change: LiveTask.leftMillis; hopeless work counts only in the demand of all work, as before. No behaviour is changed.

--- a/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
@@ -29,8 +29,6 @@
 /** Puts together what the owner of a service tells of it. */
 final class DemandReport {
 
-    private static final int ALL_PERCENT = 100;
-
     private final ServiceState state;
 
     /** What the service's work asks for, by what is still to be won by it. */
@@ -38,15 +36,6 @@
         final Demand all = new Demand();
         final Demand onTime = new Demand();
         final Demand late = new Demand();
-        final Demand past = new Demand();
-
-        Demand of(StepUrgency.Tier tier) {
-            return switch (tier) {
-                case ON_TIME -> onTime;
-                case LATE -> late;
-                case PAST -> past;
-            };
-        }
     }
 
     DemandReport(ServiceState state) {
@@ -85,8 +74,11 @@
                 double part = part(steps, wall);
                 for (LiveStep s : steps) {
                     StepUrgency.Tier tier = tier(s, wall);
-                    add(s, available(s, tier, wall), part, demands.of(tier));
                     add(s, available(s, StepUrgency.Tier.ON_TIME, wall), part, demands.all);
+                    if (tier != StepUrgency.Tier.PAST) {
+                        Demand own = tier == StepUrgency.Tier.ON_TIME ? demands.onTime : demands.late;
+                        add(s, available(s, tier, wall), part, own);
+                    }
                 }
             }
         }
@@ -127,8 +119,7 @@
             if (s.spec.longRunning()) {
                 demand.addLasting(room);
             } else {
-                demand.addFinite(
-                        room, expected * (ALL_PERCENT - t.percent) / ALL_PERCENT, available, part, t.phase.onWorker());
+                demand.addFinite(room, t.leftMillis(expected), available, part, t.phase.onWorker());
             }
         }
         if (s.spec.longRunning() && s.spec.perWorkerMost() > 0) {
--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -85,8 +85,10 @@
 
     /** Returns whether a task goes on elsewhere so that its instance can go to work that waits. */
     private boolean givesWay(LiveTask t) {
-        long left = state.expectedMillis(t.of) * (AT_WORK_PERCENT - t.percent) / AT_WORK_PERCENT;
-        return t.step.checkpointing() && !t.step.gang() && !isLate(t) && left > state.timing.stopMillis() + SOON_MILLIS;
+        return t.step.checkpointing()
+                && !t.step.gang()
+                && !isLate(t)
+                && t.leftMillis(state.expectedMillis(t.of)) > state.timing.stopMillis() + SOON_MILLIS;
     }
 
     private void moveLasting(LiveWorker w, LiveTask t) {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -50,6 +50,8 @@
         }
     }
 
+    private static final int ALL_PERCENT = 100;
+
     // From the third attempt on, another rack is tried: two failures on one may be the rack's.
     private static final int ATTEMPTS_BEFORE_OTHER_RACK = 2;
 
@@ -160,6 +162,11 @@
         return new Wish(step, stepTime, failedWorkers, now < elsewhereUntil, domains);
     }
 
+    /** Returns how much of a whole run is left, by the progress that its worker has told. */
+    long leftMillis(long wholeMillis) {
+        return wholeMillis * (ALL_PERCENT - percent) / ALL_PERCENT;
+    }
+
     /** Returns whether any worker that has room will do: it has failed nowhere. */
     boolean takesAnyWorker() {
         return failedWorkers.isEmpty();
