Count a job once in the report, however often it is asked for

Cause: LoadReport.seconds() added the jobs to the seconds that it gathers from lines, at each call; the table asked first and the picture after it, so the picture showed each job twice. Ruled out: the lines' own counts, which are added as lines come and were right. Change: the jobs are added to a copy. Test: ReportCommandTest, countOnceHoweverOftenTheReportIsAsked, which gave 2 before and gives 1 now. UncheckedIOException is imported like all else.

--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
@@ -51,6 +51,20 @@
         long hopeless = -1;
         final List<Long> firstStarts = new ArrayList<>();
         final Map<JobTrace.End, Integer> ends = new EnumMap<>(JobTrace.End.class);
+
+        /** Returns another second that has seen the same lines, and no jobs yet. */
+        private Second ofLines() {
+            Second s = new Second();
+            s.placed = placed;
+            s.movedIn = movedIn;
+            s.movedOut = movedOut;
+            s.workers = workers;
+            s.silent = silent;
+            s.needed = needed;
+            s.waiting = waiting;
+            s.hopeless = hopeless;
+            return s;
+        }
     }
 
     /** Takes in a line; one that tells nothing of jobs is passed over. */
@@ -126,25 +140,35 @@
     }
 
     private Second second(String service, long atMillis) {
-        return seconds.computeIfAbsent(service, s -> new TreeMap<>())
+        return second(seconds, service, atMillis);
+    }
+
+    private static Second second(Map<String, TreeMap<Long, Second>> all, String service, long atMillis) {
+        return all.computeIfAbsent(service, s -> new TreeMap<>())
                 .computeIfAbsent(Math.floorDiv(atMillis, MILLIS), t -> new Second());
     }
 
     /** Returns what each second of each service has seen; a job counts in the second in which it was accepted. */
     Map<String, TreeMap<Long, Second>> seconds() {
         join();
+        Map<String, TreeMap<Long, Second>> all = new TreeMap<>();
+        seconds.forEach((service, byTime) -> {
+            TreeMap<Long, Second> copies = new TreeMap<>();
+            byTime.forEach((t, s) -> copies.put(t, s.ofLines()));
+            all.put(service, copies);
+        });
         for (JobTrace j : jobs.values()) {
             if (j.acceptedAt == JobTrace.UNKNOWN) {
                 continue;
             }
-            Second s = second(j.service, j.acceptedAt);
+            Second s = second(all, j.service, j.acceptedAt);
             s.accepted++;
             s.ends.merge(j.end(lastLineAt), 1, Integer::sum);
             if (j.begunAt != JobTrace.UNKNOWN) {
                 s.firstStarts.add(JobTrace.between(j.acceptedAt, j.begunAt));
             }
         }
-        return seconds;
+        return all;
     }
 
     /** Returns for each service how many jobs missed their objective, by cause. */
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/ReportCommand.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/ReportCommand.java
@@ -17,6 +17,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.MalformedInputException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -43,7 +44,7 @@
         LoadReport report = new LoadReport();
         try (BufferedReader r = Files.newBufferedReader(log, StandardCharsets.UTF_8)) {
             r.lines().forEach(report::add);
-        } catch (java.io.UncheckedIOException e) {
+        } catch (UncheckedIOException e) {
             if (e.getCause() instanceof MalformedInputException) {
                 throw new IllegalArgumentException(log + " is not text", e);
             }
--- a/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
+++ b/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
@@ -75,6 +75,13 @@
             assertEquals(List.of(3_100L), s.firstStarts);
         }
 
+        @Test
+        void countOnceHoweverOftenTheReportIsAsked() {
+            LoadReport r = report(aLateJob());
+            assertEquals(1, second(r, "clips", 10).accepted);
+            assertEquals(1, second(r, "clips", 10).accepted, "the table and the picture ask one after the other");
+        }
+
         @Test
         void thatAreLateHaveTheirCause() {
             assertEquals(
