Let both stand-ins of a platform use one HTTP server of theirs

Cause: JobPlatformStandIn and PlatformStandIn set up the same Jetty server, connector and handler, line by line. Ruled out: the workers' stand-ins, whose servers listen anew on a port of their own after a crash; their few lines differ. Change: LoopbackServer; the one difference, how long idle connections are kept, is said where it is wanted. No behaviour is changed.

--- /dev/null
+++ b/standins/src/main/java/org/lupinpaddle/standins/LoopbackServer.java
@@ -0,0 +1,76 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.standins;
+
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** The HTTP server of a stand-in for the platform: on the loopback address, one step for all requests. */
+public final class LoopbackServer implements AutoCloseable {
+
+    private static final String LOOPBACK = "127.0.0.1";
+    // Watches that wait hold no thread; what blocks are the short calls of some dozens of entries.
+    private static final int MOST_THREADS = 64;
+    private static final int LEAST_THREADS = 4;
+
+    private final Server server = new Server(new QueuedThreadPool(MOST_THREADS, LEAST_THREADS));
+    private final ServerConnector connector = new ServerConnector(server, 1, 1);
+
+    /** What is done with a request; it sees to the answer. */
+    public interface Step {
+        /** Takes a request. */
+        void take(Request request, Response response, Callback callback) throws Exception;
+    }
+
+    /** Makes a server for a port, or for one that the system chooses for 0; it does not listen yet. */
+    public LoopbackServer(int port, Step step) {
+        connector.setHost(LOOPBACK);
+        connector.setPort(port);
+        server.addConnector(connector);
+        server.setHandler(new Handler.Abstract() {
+            @Override
+            public boolean handle(Request request, Response response, Callback callback) throws Exception {
+                step.take(request, response, callback);
+                return true;
+            }
+        });
+    }
+
+    /** Keeps connections open for as long as nothing passes over them; Jetty's own time is 30 s. */
+    public void keepIdle(long millis) {
+        connector.setIdleTimeout(millis);
+    }
+
+    /** Begins to listen. */
+    public void start() throws Exception {
+        server.start();
+    }
+
+    /** Returns IP and port. */
+    public String address() {
+        return LOOPBACK + ":" + connector.getLocalPort();
+    }
+
+    @Override
+    public void close() throws Exception {
+        server.stop();
+    }
+}
--- a/standins/src/main/java/org/lupinpaddle/standins/PlatformStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/PlatformStandIn.java
@@ -27,13 +27,9 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.io.Content;
-import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
  * The platform in one small process: the configuration store, the lagging instance list, drain and
@@ -49,8 +45,7 @@
 
     private record Watcher(String prefix, Response response) {}
 
-    private final Server server;
-    private final ServerConnector connector;
+    private final LoopbackServer server;
     private final HttpClient client = new HttpClient();
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final KeyValueStore store = new KeyValueStore(this::tellWatchers);
@@ -60,19 +55,8 @@
     private long calls;
 
     private PlatformStandIn(int port) {
-        server = new Server(new QueuedThreadPool(64, 4));
-        connector = new ServerConnector(server, 1, 1);
-        connector.setHost("127.0.0.1");
-        connector.setPort(port);
-        connector.setIdleTimeout(TimeUnit.HOURS.toMillis(1));
-        server.addConnector(connector);
-        server.setHandler(new Handler.Abstract() {
-            @Override
-            public boolean handle(Request request, Response response, Callback callback) throws Exception {
-                route(request, response, callback);
-                return true;
-            }
-        });
+        server = new LoopbackServer(port, this::route);
+        server.keepIdle(TimeUnit.HOURS.toMillis(1));
     }
 
     /** Starts the stand-in on a port, or on one that the system chooses for 0. */
@@ -86,7 +70,7 @@
 
     /** Returns IP and port. */
     public String address() {
-        return "127.0.0.1:" + connector.getLocalPort();
+        return server.address();
     }
 
     /** Sets faults from their JSON text. */
@@ -97,7 +81,7 @@
     @Override
     public void close() throws Exception {
         timer.shutdownNow();
-        server.stop();
+        server.close();
         client.stop();
     }
 
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
@@ -27,15 +27,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
-import org.eclipse.jetty.server.Server;
-import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.lupinpaddle.standins.JsonHttp;
+import org.lupinpaddle.standins.LoopbackServer;
 
 /**
  * The operators' platform in one small process: store, list of instances with moves and upkeep, and advice that
@@ -52,8 +49,7 @@
     private static final int PRECONDITION_FAILED = 412;
     private static final long TICKET_MILLIS = 5_000;
 
-    private final Server server;
-    private final ServerConnector connector;
+    private final LoopbackServer server;
     private final HttpClient client = new HttpClient();
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final JobStore store = new JobStore(JobPlatformStandIn::now);
@@ -81,18 +77,10 @@
 
     private JobPlatformStandIn(int port) {
         machines = new JobMachines(client, this::writeRecord);
-        server = new Server(new QueuedThreadPool(64, 4));
-        connector = new ServerConnector(server, 1, 1);
-        connector.setHost("127.0.0.1");
-        connector.setPort(port);
-        server.addConnector(connector);
-        server.setHandler(new Handler.Abstract() {
-            @Override
-            public boolean handle(Request request, Response response, Callback callback) throws Exception {
-                route(new Exchange(request, JsonHttp.body(request), response, callback));
-                return true;
-            }
-        });
+        server = new LoopbackServer(
+                port,
+                (request, response, callback) ->
+                        route(new Exchange(request, JsonHttp.body(request), response, callback)));
     }
 
     /** Starts the stand-in on a port, or on one that the system chooses for 0. */
@@ -106,7 +94,7 @@
 
     /** Returns IP and port. */
     public String address() {
-        return "127.0.0.1:" + connector.getLocalPort();
+        return server.address();
     }
 
     private static long now() {
@@ -246,7 +234,7 @@
     @Override
     public void close() throws Exception {
         timer.shutdownNow();
-        server.stop();
+        server.close();
         client.stop();
     }
 }
