Have each rule of the scheduler's estimates in one place

Ruled out: one rule for a worker's silence in the log line and in reports: the first does not wait for a new owner's first 2.7 s, and the line would change. The records of JobIntakeTest and of the model stay two: neither module may use the other's.

--- a/core/src/main/java/org/lupinpaddle/core/capacity/ArrivalRate.java
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/ArrivalRate.java
@@ -19,6 +19,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import org.lupinpaddle.core.common.ForgettingMean;
 import org.lupinpaddle.core.placement.Room;
 
 /**
@@ -40,17 +41,14 @@
     /** What is known of one queue. */
     private static final class Queue {
         final Deque<Long> acceptedAt = new ArrayDeque<>();
-        int jobs;
-        double cpuTime;
-        double memoryTime;
-        double acceleratorTime;
+        final ForgettingMean cpuTime = new ForgettingMean(LEAST_WEIGHT);
+        final ForgettingMean memoryTime = new ForgettingMean(LEAST_WEIGHT);
+        final ForgettingMean acceleratorTime = new ForgettingMean(LEAST_WEIGHT);
 
         void learn(Work w) {
-            jobs++;
-            double weight = Math.max(1.0 / jobs, LEAST_WEIGHT);
-            cpuTime += (w.cpuTime - cpuTime) * weight;
-            memoryTime += (w.memoryTime - memoryTime) * weight;
-            acceleratorTime += (w.acceleratorTime - acceleratorTime) * weight;
+            cpuTime.add(w.cpuTime);
+            memoryTime.add(w.memoryTime);
+            acceleratorTime.add(w.acceleratorTime);
         }
 
         /** Returns jobs a millisecond: by the shorter window where it tells enough, at least by the longer one. */
@@ -93,9 +91,9 @@
         double accelerators = 0;
         for (Queue q : queues.values()) {
             double rate = q.rate(now);
-            cpu += rate * q.cpuTime;
-            memory += rate * q.memoryTime;
-            accelerators += rate * q.acceleratorTime;
+            cpu += rate * q.cpuTime.value();
+            memory += rate * q.memoryTime.value();
+            accelerators += rate * q.acceleratorTime.value();
         }
         return new Room(Math.round(cpu), Math.round(memory), (int) Math.ceil(accelerators));
     }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -74,7 +74,7 @@
 
     /** Takes in a report of a service's owner. */
     public void onReport(String service, ServiceReport report) {
-        state.reports.put(service, report);
+        state.report(service, report);
     }
 
     /** Takes in all evacuations that are asked for; those of an earlier owner's errands are gone on with. */
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -50,6 +50,8 @@
     final Set<Long> completed = new HashSet<>();
     /** Workers whose evacuation this planner has ended: their records go a moment later. */
     final Set<String> released = new HashSet<>();
+    /** Workers that do not answer their owners, by the newest reports. */
+    private final Map<String, Set<String>> unreachedByPool = new HashMap<>();
     /** When an errand of an instance has ended. */
     private final Map<String, Long> arrivedAt = new HashMap<>();
     /** Moves that the platform has said to be impossible, as instance and pool. */
@@ -110,16 +112,20 @@
                 .toList();
     }
 
+    /** Takes in a report of a service's owner. */
+    void report(String service, ServiceReport report) {
+        reports.put(service, report);
+        unreachedByPool.put(
+                service,
+                report.workers().stream()
+                        .filter(w -> !w.reached())
+                        .map(WorkerLoad::worker)
+                        .collect(Collectors.toSet()));
+    }
+
     /** Returns the staying instances of a pool that are of use now: whose worker answers its owner, as far as is known. */
     List<PlatformInstance> useful(String pool) {
-        ServiceReport r = reports.get(pool);
-        if (r == null) {
-            return staying(pool);
-        }
-        Set<String> unreached = r.workers().stream()
-                .filter(w -> !w.reached())
-                .map(WorkerLoad::worker)
-                .collect(Collectors.toSet());
+        Set<String> unreached = unreachedByPool.getOrDefault(pool, Set.of());
         return staying(pool).stream()
                 .filter(i -> !unreached.contains(i.worker()))
                 .toList();
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -46,7 +46,7 @@
     private boolean isShort;
 
     private final Map<String, RecentHigh> highs = new HashMap<>();
-    /** How many instances each pool does not give away while there are too few. */
+    /** How many instances each pool does not give away. */
     private final Map<String, Integer> kept = new HashMap<>();
 
     private final Map<String, Long> tooLargeSince = new HashMap<>();
@@ -58,13 +58,17 @@
     void run() {
         List<String> pools = new ArrayList<>(state.runningPools());
         shares = shares(pools);
-        shares.forEach((p, n) ->
-                kept.put(p, highs.computeIfAbsent(p, x -> new RecentHigh()).with(state.now(), n)));
+        shares.forEach(this::noteKept);
         pools.sort(Comparator.comparingInt(p -> supply(p) - share(p)));
         pools.forEach(this::grow);
         pools.forEach(this::shrink);
     }
 
+    private void noteKept(String pool, int share) {
+        int high = highs.computeIfAbsent(pool, p -> new RecentHigh()).with(state.now(), share);
+        kept.put(pool, isShort ? high : share);
+    }
+
     /** Returns how many instances each pool is to have: what all its work asks for, or its part while that is too much. */
     private Map<String, Integer> shares(List<String> pools) {
         int instances = state.headroomPool().map(h -> state.staying(h).size()).orElse(0)
@@ -122,7 +126,7 @@
             return off;
         }
         return state.runningPools().stream()
-                .filter(p -> !p.equals(pool) && supply(p) > (isShort ? kept.getOrDefault(p, 0) : share(p)))
+                .filter(p -> !p.equals(pool) && supply(p) > kept.getOrDefault(p, 0))
                 .flatMap(p -> state.useful(p).stream())
                 .filter(i -> mayMove(i, pool) && (!isShort || state.hasStayed(i)))
                 .min(Comparator.comparingInt(state::load));
--- a/core/src/main/java/org/lupinpaddle/core/job/Policy.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/Policy.java
@@ -24,4 +24,8 @@
  * @param sloMillis the fixed part of the latency objective
  * @param advised whether only workers that the advice service names may run a step
  */
-public record Policy(int priority, int maxAttempts, double extension, long sloMillis, boolean advised) {}
+public record Policy(int priority, int maxAttempts, double extension, long sloMillis, boolean advised) {
+
+    /** A job that ends within this many times its objective is late; beyond that its end does not count. */
+    public static final int LATE_FACTOR = 3;
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
@@ -67,32 +67,39 @@
         long wall = state.wallNow();
         for (int time = 0; time < job.spec.repeat().times(); time++) {
             if (wall >= job.spec.repeat().dueMillis(time)) {
-                int k = time;
-                List<LiveStep> steps = job.steps.stream()
-                        .filter(s -> s.time == k && !s.isDone())
-                        .toList();
-                double part = part(steps, wall);
-                for (LiveStep s : steps) {
-                    StepUrgency.Tier tier = tier(s, wall);
-                    add(s, available(s, StepUrgency.Tier.ON_TIME, wall), part, demands.all);
-                    if (tier != StepUrgency.Tier.PAST) {
-                        Demand own = tier == StepUrgency.Tier.ON_TIME ? demands.onTime : demands.late;
-                        add(s, available(s, tier, wall), part, own);
-                    }
-                }
+                addTime(job, time, wall, demands);
+            }
+        }
+    }
+
+    private void addTime(LiveJob job, int time, long wall, Demands demands) {
+        List<LiveStep> steps =
+                job.steps.stream().filter(s -> s.time == time && !s.isDone()).toList();
+        long left = job.leftMillis(time);
+        // All that is left is to be done until the objective, or until late ends count no more, if it can be.
+        long onTime = Math.max(left, StepUrgency.Tier.ON_TIME.endsMillis(job, time) - wall);
+        long late = Math.max(left, StepUrgency.Tier.LATE.endsMillis(job, time) - wall);
+        StepUrgency.Tier tier = StepUrgency.Tier.of(job, time, wall + left);
+        double part = part(steps, onTime, wall);
+        for (LiveStep s : steps) {
+            add(s, onTime, part, demands.all);
+            if (s.spec.longRunning() || tier == StepUrgency.Tier.ON_TIME) {
+                add(s, onTime, part, demands.onTime);
+            } else if (tier == StepUrgency.Tier.LATE) {
+                add(s, late, part, demands.late);
             }
         }
     }
 
     /** Returns which part of what the steps ask for, added up, they can take at one time: steps wait for each other. */
-    private double part(List<LiveStep> steps, long wall) {
+    private double part(List<LiveStep> steps, long available, long wall) {
         double asked = 0;
         double ready = 0;
         double widest = 0;
         for (LiveStep s : steps) {
             double cpu = (double) Room.of(s.spec).cpuMillis()
                     * s.tasks.stream().filter(t -> t.phase != Phase.DONE).count();
-            asked += cpu * Demand.share(state.expectedMillis(s), available(s, StepUrgency.Tier.ON_TIME, wall));
+            asked += cpu * Demand.share(state.expectedMillis(s), available);
             widest = Math.max(widest, cpu);
             ready += s.isReady(wall) ? cpu : 0;
         }
@@ -100,14 +107,6 @@
         return asked <= most ? 1 : most / asked;
     }
 
-    /** Returns what is still to be won by a step's job, by all that is left of it. */
-    private static StepUrgency.Tier tier(LiveStep s, long wall) {
-        LiveJob job = s.job;
-        return s.spec.longRunning()
-                ? StepUrgency.Tier.ON_TIME
-                : StepUrgency.Tier.of(job, s.time, wall + job.leftMillis(s.time));
-    }
-
     private void add(LiveStep s, long available, double part, Demand demand) {
         long expected = state.expectedMillis(s);
         for (LiveTask t : s.tasks) {
@@ -127,13 +126,6 @@
         }
     }
 
-    /** Returns within which time a step's job is to do all that is left of it, so that its end counts as its tier's. */
-    private static long available(LiveStep s, StepUrgency.Tier tier, long wall) {
-        LiveJob job = s.job;
-        long until = job.beginsMillis(s.time) + tier.times() * job.objectiveMillis() - wall;
-        return Math.max(until, job.leftMillis(s.time));
-    }
-
     /** The smallest worker counts: what fits on it fits everywhere. */
     private Room usualRoom() {
         return state.workers.values().stream()
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -23,8 +23,6 @@
 /** All tasks of one step at one of the job's times. */
 final class LiveStep {
 
-    private static final int ALL_PERCENT = 100;
-
     final LiveJob job;
     final int time;
     final int number;
@@ -80,12 +78,12 @@
     /** Returns how long the job still takes from this step on: less where all that is left of the step is at work. */
     long leftMillis() {
         long afterwards = tailMillis - ownMillis;
-        int percent = tasks.stream()
+        long own = tasks.stream()
                 .filter(t -> t.phase != LiveTask.Phase.DONE)
-                .mapToInt(t -> t.percent)
-                .min()
-                .orElse(ALL_PERCENT);
-        return afterwards + ownMillis * (ALL_PERCENT - percent) / ALL_PERCENT;
+                .mapToLong(t -> t.leftMillis(ownMillis))
+                .max()
+                .orElse(0);
+        return afterwards + own;
     }
 
     boolean hasWaiting() {
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTimes.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTimes.java
@@ -17,6 +17,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.lupinpaddle.core.common.ForgettingMean;
 
 /**
  * How long tasks of each queue take, learned from runs that ended well: callers' guesses are off several-fold, and
@@ -34,30 +35,33 @@
     private final Map<String, Learned> byQueue = new HashMap<>();
 
     private static final class Learned {
-        int runs;
-        double meanMillis;
-        int steps;
-        double spread = 1;
+        final ForgettingMean millis = new ForgettingMean(LEAST_WEIGHT);
+        final ForgettingMean spread = new ForgettingMean(LEAST_WEIGHT);
+
+        Learned() {
+            // As if one step had been seen whose tasks all took as long.
+            spread.add(1);
+        }
+    }
+
+    private Learned of(String queue) {
+        return byQueue.computeIfAbsent(queue, q -> new Learned());
     }
 
     /** Takes in that a whole run of a task took this long. */
     void learn(String queue, long millis) {
-        Learned l = byQueue.computeIfAbsent(queue, q -> new Learned());
-        l.runs++;
-        l.meanMillis += (millis - l.meanMillis) * Math.max(1.0 / l.runs, LEAST_WEIGHT);
+        of(queue).millis.add(millis);
     }
 
     /** Takes in how many times its mean the longest task of a step took. */
     void learnSpread(String queue, double longestByMean) {
-        Learned l = byQueue.computeIfAbsent(queue, q -> new Learned());
-        l.steps++;
-        l.spread += (longestByMean - l.spread) * Math.max(1.0 / (l.steps + 1), LEAST_WEIGHT);
+        of(queue).spread.add(longestByMean);
     }
 
     /** Returns how many times the mean the longest task of a step of the queue takes; 1 while that is not known. */
     double spread(String queue) {
         Learned l = byQueue.get(queue);
-        return l == null ? 1 : Math.max(1, l.spread);
+        return l == null ? 1 : Math.max(1, l.spread.value());
     }
 
     /**
@@ -68,10 +72,10 @@
      */
     long expectedMillis(String queue, long estimateMillis) {
         Learned l = byQueue.get(queue);
-        if (l == null || l.runs < FEWEST_RUNS) {
+        if (l == null || l.millis.count() < FEWEST_RUNS) {
             return estimateMillis > 0 ? estimateMillis : UNKNOWN_MILLIS;
         }
-        double guess = estimateMillis > 0 ? estimateMillis : l.meanMillis;
-        return Math.max(1, Math.round(Math.sqrt(guess * l.meanMillis)));
+        double guess = estimateMillis > 0 ? estimateMillis : l.millis.value();
+        return Math.max(1, Math.round(Math.sqrt(guess * l.millis.value())));
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -155,7 +155,11 @@
 
     /** Returns whether tasks wait for a worker that does not answer: the list of instances may tell of its end. */
     public boolean missesWorkers() {
-        return state.workers.values().stream().anyMatch(w -> !w.tasks.isEmpty() && state.isMissed(w));
+        return state.workers.values().stream().anyMatch(this::keepsTasksWaiting);
+    }
+
+    private boolean keepsTasksWaiting(LiveWorker w) {
+        return !w.tasks.isEmpty() && state.isMissed(w);
     }
 
     /**
@@ -164,9 +168,7 @@
      */
     public void onLiving(Set<String> workers) {
         for (LiveWorker w : List.copyOf(state.workers.values())) {
-            if (!w.tasks.isEmpty()
-                    && state.isMissed(w)
-                    && !workers.contains(w.facts().id())) {
+            if (keepsTasksWaiting(w) && !workers.contains(w.facts().id())) {
                 runs.gone(w, "silent, and the platform lists it on no instance that is up");
             }
         }
--- a/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.core.run;
 
 import java.util.Comparator;
+import org.lupinpaddle.core.job.Policy;
 
 /**
  * How soon a step is to have its workers. First the queue's priority; then steps whose job can still end within its
@@ -24,36 +25,32 @@
  */
 record StepUrgency(LiveStep step, int priority, Tier tier, long latestStartMillis) {
 
-    // A job that ends within this many times its objective is late; beyond that it has missed everything.
-    private static final int LATE_FACTOR = 3;
-
     /** What is still to be won by a job. */
     enum Tier {
         /** It can end within its objective. */
         ON_TIME(1),
         /** It is late, and late ends still count. */
-        LATE(LATE_FACTOR),
-        /** It is later than that. */
-        PAST(LATE_FACTOR);
+        LATE(Policy.LATE_FACTOR),
+        /** It is later than that, whenever it ends. */
+        PAST(Integer.MAX_VALUE);
 
-        private final int times;
+        private final long times;
 
-        Tier(int times) {
+        Tier(long times) {
             this.times = times;
         }
 
-        /** Returns within how many times its objective a job of this tier is to end. */
-        int times() {
-            return times;
+        /** Returns until when a time of a job must end to count as this tier, in milliseconds since 1970. */
+        long endsMillis(LiveJob job, int time) {
+            return job.beginsMillis(time) + times * job.objectiveMillis();
         }
 
         /** Returns the tier of a job's time that ends at the moment, in milliseconds since 1970. */
         static Tier of(LiveJob job, int time, long endMillis) {
-            long took = endMillis - job.beginsMillis(time);
-            if (took <= job.objectiveMillis()) {
+            if (endMillis <= ON_TIME.endsMillis(job, time)) {
                 return ON_TIME;
             }
-            return took <= LATE_FACTOR * job.objectiveMillis() ? LATE : PAST;
+            return endMillis <= LATE.endsMillis(job, time) ? LATE : PAST;
         }
     }
 
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
@@ -15,14 +15,13 @@
  */
 package org.lupinpaddle.ctl.report;
 
+import org.lupinpaddle.core.job.Policy;
+
 /** What the lines tell of one job, times in milliseconds by their clocks; {@link #UNKNOWN} where nothing is told. */
 final class JobTrace {
 
     static final long UNKNOWN = Long.MIN_VALUE;
 
-    // A job that ends within this many times its objective is late; beyond that it has missed everything.
-    private static final int LATE_FACTOR = 3;
-
     final String service;
     long acceptedAt = UNKNOWN;
     long takenAt = UNKNOWN;
@@ -62,12 +61,12 @@
             return End.PAST;
         }
         if (ageMillis == UNKNOWN) {
-            return lastLineAt - acceptedAt > LATE_FACTOR * objectiveMillis ? End.PAST : End.OPEN;
+            return lastLineAt - acceptedAt > Policy.LATE_FACTOR * objectiveMillis ? End.PAST : End.OPEN;
         }
         if (ageMillis <= objectiveMillis) {
             return End.ON_TIME;
         }
-        return ageMillis <= LATE_FACTOR * objectiveMillis ? End.LATE : End.PAST;
+        return ageMillis <= Policy.LATE_FACTOR * objectiveMillis ? End.LATE : End.PAST;
     }
 
     /** Returns the time from one moment to another; 0 where one is not known. */
