Write what the fleet's owner has waiting together, and at once when a record was answered meanwhile

Cause: one request a write, in turn, and 150 ms of waiting after each record that its reader had answered: some five errands a second, however many are begun; from then on requests are minutes old, errands end unanswered and add writes, and no instance moves. Class: a queue in turn whose server is slower than what comes in, without a bound and never looked at. Ruled out: services' owners that do not answer (an owner of the fleet that has just begun had 115 answers in 2 s); the platform's rate (nothing refused). Change: up to 15 records go into one write, of one record only the newest value; a write that met another revision is made again at once; the revisions that the watch shows are taken in. fleet-load tells once a second what is under way and waits. Before: OwnedRecordsTest.WritesInOrder failed three times (46 writes for 46 records); after: 4 writes, 2 for one record. ModelTest, EvacuationFeedTest, EarlierJobsTest and FleetPlannerTest pass. Off the list of known reds.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -67,6 +67,11 @@
         state.earlierOrders = Set.copyOf(lately);
     }
 
+    /** Returns how many errands are under way. */
+    public int errands() {
+        return state.errands.size();
+    }
+
     /** Takes in the services of the configuration. */
     public void onServices(List<ServiceConfig> services) {
         state.services = List.copyOf(services);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -99,7 +99,7 @@
     private void write(String worker, StoreItem item, String answer) {
         records.known(item.key(), item.revision());
         records.write(Map.of(item.key(), answer), outcome -> {
-            if (outcome == OwnedRecords.Outcome.RETRY) {
+            if (outcome == OwnedRecords.Outcome.RETRY || outcome == OwnedRecords.Outcome.OVERTAKEN) {
                 loop.after(RETRY_MILLIS, () -> answered.remove(worker, item.revision()));
             }
         });
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -53,6 +53,8 @@
 final class FleetHost implements FleetPort, PrefixWatch.Listener, AutoCloseable {
 
     private static final long TICK_MILLIS = 100;
+    // One line a second: an owner that is asked for more than it can write shows here first.
+    private static final long TELL_MILLIS = 1_000;
     private static final long LIST_MILLIS = 500;
     // The ownership that a write has shown counts for so long after it was sent; an entry that was frozen meanwhile
     // writes again. A slow store takes 250 ms for its answer.
@@ -128,6 +130,14 @@
         list();
         tick();
         entry.loop.after(PRUNE_EVERY_MILLIS, this::prune);
+        entry.loop.after(TELL_MILLIS, this::tell);
+    }
+
+    private void tell() {
+        if (!closed) {
+            Log.info("fleet-load", "fence", fence, "errands", planner.errands(), "writes-waiting", owned.waiting());
+            entry.loop.after(TELL_MILLIS, this::tell);
+        }
     }
 
     void onServices(List<ServiceConfig> services) {
@@ -207,6 +217,7 @@
         Map<EvacuationRecord, String> evacuations = new HashMap<>();
         for (StoreItem i : records.items()) {
             if (JobKeys.isEvacuation(i.key())) {
+                owned.seen(i.key(), i.revision());
                 EvacuationRecord.read(i.value())
                         .peek(r -> evacuations.put(r, JobKeys.evacuatedService(i.key())))
                         .peekLeft(why -> unreadable(i, why));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
@@ -15,8 +15,7 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -46,7 +45,7 @@
     private final String ownerKey;
     private final long fence;
     private final Map<String, Long> revisions = new HashMap<>();
-    private final Deque<Map<String, String>> queue = new ArrayDeque<>();
+    private final List<Map<String, String>> queue = new ArrayList<>();
     private boolean writing;
 
     /** What became of a write. */
@@ -55,6 +54,8 @@
         SAVED,
         /** They may not be; try again. */
         RETRY,
+        /** They are not, since another wrote one of them; its revision is known now, so the next try may hold. */
+        OVERTAKEN,
         /** Another entry owns the duty. */
         NOT_OWNER
     }
@@ -66,11 +67,21 @@
         this.fence = fence;
     }
 
-    /** Takes in the revision of a record that was read. */
+    /** Takes in the revision that the next write of a record is to meet. */
     void known(String key, long revision) {
         revisions.put(key, revision);
     }
 
+    /** Takes in a revision of a record that a watch has shown; a newer one that is known counts more. */
+    void seen(String key, long revision) {
+        revisions.merge(key, revision, Math::max);
+    }
+
+    /** Returns how many writes wait for their turn, or for the store. */
+    int waiting() {
+        return queue.size();
+    }
+
     /** Writes values by key, all or none; an empty value removes the record. The outcome is told on the loop. */
     void write(Map<String, String> values, Consumer<Outcome> onEnd) {
         StoreCommit.Builder b = StoreCommit.builder().when(ownerKey, fence);
@@ -93,31 +104,36 @@
             }
             case CONFLICT -> {
                 values.keySet().forEach(key -> revisions.put(key, r.revisionOf(key)));
-                yield r.revisionOf(ownerKey) == fence ? Outcome.RETRY : Outcome.NOT_OWNER;
+                yield r.revisionOf(ownerKey) == fence ? Outcome.OVERTAKEN : Outcome.NOT_OWNER;
             }
             case LEASE_ENDED, REFUSED, UNKNOWN -> Outcome.RETRY;
         };
     }
 
-    /** Writes values one after the other in the order of the calls, each until it is durable. */
+    /**
+     * Writes values in the order of the calls, each until it is durable. What gathers while the store is asked goes
+     * together: a write takes the store 10 ms and more, and an owner may have a hundred of them at a time.
+     */
     void writeInOrder(Map<String, String> values, Runnable notOwner) {
         queue.add(new LinkedHashMap<>(values));
         writeNext(notOwner);
     }
 
     private void writeNext(Runnable notOwner) {
-        Map<String, String> next = queue.peek();
-        if (writing || next == null) {
+        if (writing || queue.isEmpty()) {
             return;
         }
+        Map<String, String> together = new LinkedHashMap<>();
+        int taken = gather(together);
         writing = true;
-        write(next, outcome -> {
+        write(together, outcome -> {
             writing = false;
             switch (outcome) {
                 case SAVED -> {
-                    queue.remove();
+                    queue.subList(0, taken).clear();
                     writeNext(notOwner);
                 }
+                case OVERTAKEN -> writeNext(notOwner);
                 case RETRY -> loop.after(RETRY_MILLIS, () -> writeNext(notOwner));
                 case NOT_OWNER -> {
                     queue.clear();
@@ -127,6 +143,21 @@
         });
     }
 
+    /** Puts together what one write takes of what has waited longest; of one record the newest value counts. */
+    private int gather(Map<String, String> together) {
+        int taken = 0;
+        for (Map<String, String> next : queue) {
+            Map<String, String> more = new LinkedHashMap<>(together);
+            more.putAll(next);
+            if (taken > 0 && more.size() > MOST_AT_ONCE) {
+                return taken;
+            }
+            together.putAll(next);
+            taken++;
+        }
+        return taken;
+    }
+
     /** Removes records that nobody needs any more; {@code onGone} is told on the loop when they are gone. */
     void forget(List<String> keys, Runnable onGone) {
         StoreCommit.Builder b = StoreCommit.builder().when(ownerKey, fence);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -331,6 +331,7 @@
                 outcome -> told(s -> {
                     switch (outcome) {
                         case SAVED -> s.onSaved(batch);
+                        case OVERTAKEN -> s.onSaveFailed(0);
                         case RETRY -> s.onSaveFailed(RETRY_MILLIS);
                         case NOT_OWNER -> notOwner();
                     }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OwnedRecordsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OwnedRecordsTest.java
@@ -21,7 +21,6 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.JobKeys;
 
@@ -89,7 +88,6 @@
     }
 
     @Nested
-    @Tag("known-red")
     class WritesInOrder {
 
         @Test
