--- a/daemon/src/test/java/org/lupinpaddle/daemon/settings/JobSettingsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/settings/JobSettingsTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class JobSettingsTest {
 
@@ -47,6 +48,10 @@
             fenced_instances = false
             """;
 
+    private static JobSettings with(String lines) throws SettingsException {
+        return JobSettings.parse("my.toml", GOOD.replace("[listen]", lines + "\n[listen]"));
+    }
+
     @Nested
     class GoodSettings {
 
@@ -58,6 +63,16 @@
             assertEquals(400, s.bounds().stopMillis(), "rounded up: the bound is kept to");
         }
 
+        @Test
+        void tellWhatTheEntryCanDo() throws SettingsException {
+            assertEquals(1_500, with("cpu_share = 0.75\ncpu_speed = 2").entry().capacity());
+        }
+
+        @Test
+        void mayLeaveOutWhatTheEntryCanDo() throws SettingsException {
+            assertEquals(1_000, JobSettings.parse("f", GOOD).entry().capacity());
+        }
+
         @Test
         void mayLeaveOutHowLongAStopTakes() throws SettingsException {
             JobSettings s = JobSettings.parse("f", GOOD.replace("stop_millis = 399.5\n", ""));
@@ -68,6 +83,13 @@
     @Nested
     class BadSettings {
 
+        @ParameterizedTest
+        @ValueSource(strings = {"cpu_share = 0", "cpu_share = -0.5", "cpu_share = \"half\"", "cpu_speed = false"})
+        void ofWhatTheEntryCanDoNameTheKey(String line) {
+            SettingsException e = assertThrows(SettingsException.class, () -> with(line));
+            assertTrue(String.valueOf(e.getMessage()).contains("entry.cpu_s"), e.getMessage());
+        }
+
         @ParameterizedTest
         @CsvSource({
             "metrics = \"10.1.0.9:9464\", metrics = 9464, listen.metrics",
