Test what jobs that are over leave for a new owner to read, and how it is told

Cause, known from the incident: a new owner reads every job record and all progress of its service, also of jobs that ended up to 130 s ago, and a job's record is whole until it is removed. What a take-over has to read so follows the history. The store in memory now refuses calls of more than 32 rows, as the platform does; the records of JobIntakeTest are a class of their own, unchanged, since three tests want them.

--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -364,4 +364,61 @@
             assertTrue(d.port.starts.isEmpty());
         }
     }
+
+    @Nested
+    class Writes {
+
+        private static final int JOBS = 40;
+        // Each call has one for ownership.
+        private static final int MOST_ROWS = 32 - 1;
+
+        private int rows(SchedulerPort.Saving s) {
+            int condition = 1;
+            int record = 1;
+            int smallJob = s.progress().over() ? 1 : 0;
+            return condition + record + smallJob;
+        }
+
+        @Test
+        void ofJobsThatAreOverHaveRoomForTheirSmallRecordsInOneCall() {
+            for (int i = 0; i < JOBS; i++) {
+                d.job("job-" + i, ONE);
+            }
+            d.now += 100;
+            for (int i = 0; i < JOBS; i++) {
+                d.scheduler.onCancel(new JobKey("q", "job-" + i));
+            }
+            int written = 0;
+            while (written < JOBS) {
+                d.passes(100);
+                List<SchedulerPort.Saving> batch = d.port.saves.get(0);
+                int rows = batch.stream().mapToInt(this::rows).sum();
+                assertTrue(rows <= MOST_ROWS, rows + " rows in one call");
+                written += batch.size();
+                d.saved();
+            }
+            assertEquals(JOBS, written);
+        }
+
+        @Test
+        void ofADoneTaskCarryNothingToGoOnFrom() {
+            StepSpec two = StepSpec.builder(2, SchedulerDriver.NEED)
+                    .checkpointing(true)
+                    .build();
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job("a", two);
+            d.saved();
+            List.copyOf(d.port.starts).forEach(s -> d.scheduler.onStarted(s, OrderOutcome.ACCEPTED));
+            d.passes(100);
+            d.saved();
+            EndReport done = new EndReport(1, "a", FIRST, 1, EndKind.DONE, "saved-work");
+            RunningReport other = new RunningReport("a", new TaskId(0, 0, 1), 1, "other-work", 50, -1);
+            d.answers("w1", List.of(other), List.of(done));
+            d.passes(100);
+            List<TaskRecord> tasks = d.port.saves.get(0).get(0).progress().tasks();
+            assertEquals(new TaskRecord(0, 0, 0, 1, 0, true, "", ""), tasks.get(0));
+            assertEquals("other-work", tasks.get(1).checkpoint(), "this one may have to go on elsewhere");
+        }
+    }
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -32,6 +32,9 @@
 /** A store in memory that can leave commits unanswered and carry them out later. */
 final class FakeKeyValueStore implements KeyValueStore {
 
+    /** What a call takes at most: conditions, puts and removals together. */
+    private static final int MOST_ROWS = 32;
+
     private final Map<String, StoreItem> items = new HashMap<>();
     private final List<StoreCommit> held = new ArrayList<>();
     private final List<Watching> watching = new ArrayList<>();
@@ -69,6 +72,9 @@
     }
 
     private CommitResult carryOut(StoreCommit c) {
+        if (c.conditions().size() + c.puts().size() + c.removals().size() > MOST_ROWS) {
+            return new CommitResult(CommitResult.Outcome.REFUSED, 0, List.of());
+        }
         boolean holds = c.conditions().stream().allMatch(w -> revisionOf(w.key()) == w.revision());
         if (!holds) {
             List<StoreItem> current = c.conditions().stream()
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
@@ -0,0 +1,70 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import io.vavr.control.Either;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/** Records of a platform as tests write them. */
+final class FakeRecords implements PlatformRecords {
+
+    static final String CONFIGURATION = "configuration";
+
+    @Override
+    public String configurationKey() {
+        return CONFIGURATION;
+    }
+
+    @Override
+    public String workerPrefix() {
+        return "worker/";
+    }
+
+    @Override
+    public Either<String, JobConfiguration> configuration(StoreItem item) {
+        return RecordCodec.read(item.value(), JobConfiguration.class);
+    }
+
+    @Override
+    public Either<String, WorkerFacts> worker(StoreItem item) {
+        return RecordCodec.read(item.value(), WorkerFacts.class);
+    }
+
+    @Override
+    public String wavePrefix() {
+        return "wave/";
+    }
+
+    @Override
+    public Either<String, UpkeepWave> wave(StoreItem item) {
+        return RecordCodec.read(item.value(), UpkeepWave.class);
+    }
+
+    @Override
+    public String waveStatusKey(long wave) {
+        return "status/" + wave;
+    }
+
+    @Override
+    public String waveStatus(long wave, boolean completed) {
+        return completed ? "completed" : "running";
+    }
+}
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -17,7 +17,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.vavr.control.Either;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -25,27 +24,24 @@
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.Policy;
 import org.lupinpaddle.core.job.Repeat;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.Submission;
-import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.queue.QueueConfig;
 import org.lupinpaddle.core.queue.ServiceConfig;
-import org.lupinpaddle.core.upkeep.UpkeepWave;
-import org.lupinpaddle.daemon.port.PlatformRecords;
-import org.lupinpaddle.daemon.port.StoreItem;
 
 /** What a caller is told when a job is handed in. */
 class JobIntakeTest {
 
-    private static final String CONFIGURATION = "configuration";
     private static final String JOB = JobKeys.job("clips", new JobKey("q", "a"));
 
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final DirectLoop loop = new DirectLoop();
-    private final Records records = new Records();
+    private final FakeRecords records = new FakeRecords();
     private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, () -> {});
     private boolean reached = true;
     private final JobIntake intake = new JobIntake(store, loop, records, feed, () -> 0, () -> reached);
@@ -56,7 +52,7 @@
         QueueConfig q = new QueueConfig("q", "host", "/clips/", "clips", policy);
         JobConfiguration c =
                 new JobConfiguration(1, List.of(q), List.of(new ServiceConfig("clips", false, true)), 1 << 18);
-        store.set(CONFIGURATION, RecordCodec.write(c));
+        store.set(FakeRecords.CONFIGURATION, RecordCodec.write(c));
         feed.start();
     }
 
@@ -108,46 +104,45 @@
         }
     }
 
-    /** Records as this test writes them. */
-    private static final class Records implements PlatformRecords {
-        @Override
-        public String configurationKey() {
-            return CONFIGURATION;
-        }
+    /** Its record is small by then; what callers are told is the same. */
+    @Nested
+    class AJobThatIsOver {
 
-        @Override
-        public String workerPrefix() {
-            return "worker/";
-        }
+        private final QueueConfig queue =
+                new QueueConfig("q", "host", "/clips/", "clips", new Policy(0, 3, 1.5, 500, false));
 
-        @Override
-        public Either<String, JobConfiguration> configuration(StoreItem item) {
-            return RecordCodec.read(item.value(), JobConfiguration.class);
+        @BeforeEach
+        void end() {
+            store.set(JOB, "over");
+            JobProgress completed = new JobProgress(JobState.COMPLETED, List.of(), "", 0);
+            store.set(JobKeys.progress("clips", new JobKey("q", "a")), RecordCodec.write(completed));
         }
 
-        @Override
-        public Either<String, WorkerFacts> worker(StoreItem item) {
-            return RecordCodec.read(item.value(), WorkerFacts.class);
-        }
-
-        @Override
-        public String wavePrefix() {
-            return "wave/";
+        @Test
+        void isNotTakenASecondTime() {
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertEquals("over", store.value(JOB));
         }
 
-        @Override
-        public Either<String, UpkeepWave> wave(StoreItem item) {
-            return RecordCodec.read(item.value(), UpkeepWave.class);
+        @Test
+        void hasItsLastState() {
+            assertEquals(
+                    JobAnswer.of(JobState.COMPLETED), intake.state(queue, "a").join());
         }
 
-        @Override
-        public String waveStatusKey(long wave) {
-            return "status/" + wave;
+        @Test
+        void mayStillBeCancelledAsBefore() {
+            assertEquals(
+                    JobAnswer.of(JobState.CANCELLED), intake.cancel(queue, "a").join());
+            assertEquals(
+                    JobAnswer.of(JobState.COMPLETED), intake.state(queue, "a").join());
         }
 
-        @Override
-        public String waveStatus(long wave, boolean completed) {
-            return completed ? "completed" : "running";
+        @Test
+        void isNotCountedAsWaitingThoughItsProgressIsNotSeen() {
+            store.set(JobKeys.job("clips", new JobKey("q", "b")), "over");
+            store.set(JobKeys.job("clips", new JobKey("q", "c")), "a job that waits");
+            assertEquals(1, intake.pending(queue).join().orElseThrow());
         }
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
@@ -0,0 +1,86 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobState;
+
+/** What operators are told of jobs, from the store alone. */
+class JobQuestionsTest {
+
+    private static final JobKey A = new JobKey("q", "a");
+    private static final long WALL_MILLIS = 9_000;
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final DirectLoop loop = new DirectLoop();
+    private final FakeRecords records = new FakeRecords();
+    private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, () -> {});
+    private final JobQuestions questions =
+            new JobQuestions(store, records, new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true));
+
+    private List<String> answer(String words) {
+        List<String> lines = new ArrayList<>();
+        questions.run(words, "operator", r -> lines.addAll(r.lines()));
+        return lines;
+    }
+
+    @Nested
+    class AJobThatIsOver {
+
+        private void isOver(JobProgress p) {
+            store.set(JobKeys.job("clips", A), "over");
+            store.set(JobKeys.progress("clips", A), RecordCodec.write(p));
+        }
+
+        @Test
+        void isExplainedWithoutItsSteps() {
+            isOver(new JobProgress(JobState.FAILED, List.of(), "task 0.0.1 failed 3 times", 2_000));
+            List<String> lines = answer("job explain a");
+            assertEquals("job a of queue q on service clips: FAILED, task 0.0.1 failed 3 times", lines.get(0));
+            assertEquals("over for 7000 ms; its steps are not kept any more", lines.get(1));
+        }
+
+        @Test
+        void saysThatItsCallerCancelledIt() {
+            isOver(new JobProgress(JobState.CANCELLED, List.of(), "", 2_000));
+            store.set(JobKeys.cancel("clips", A), A.toString());
+            assertTrue(answer("job explain a").get(1).startsWith("over for 7000 ms, cancelled by its caller"));
+        }
+
+        @Test
+        void isListedWithItsLastState() {
+            isOver(new JobProgress(JobState.COMPLETED, List.of(), "", 2_000));
+            assertEquals(List.of("a  COMPLETED  queue q  service clips"), answer("job list"));
+        }
+
+        @Test
+        void isUnknownOnceItsProgressIsGone() {
+            store.set(JobKeys.job("clips", A), "over");
+            assertEquals(List.of("no jobs"), answer("job list"));
+            assertTrue(answer("job explain a").get(0).startsWith("no such job"));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -0,0 +1,286 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
+import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.Policy;
+import org.lupinpaddle.core.job.Repeat;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskRecord;
+import org.lupinpaddle.core.run.HoldOrder;
+import org.lupinpaddle.core.run.OrderOutcome;
+import org.lupinpaddle.core.run.PaceOrder;
+import org.lupinpaddle.core.run.SchedulerTiming;
+import org.lupinpaddle.core.run.StartOrder;
+import org.lupinpaddle.core.run.StopOrder;
+import org.lupinpaddle.daemon.port.HoldResult;
+import org.lupinpaddle.daemon.port.InstanceOrders;
+import org.lupinpaddle.daemon.port.StoreItem;
+import org.lupinpaddle.daemon.port.WorkerOrders;
+
+/** What the owner of a service leaves in the store, which is what its successor has to read. */
+class SchedulerHostTest {
+
+    // As long as a text may well be; the steps come on top.
+    private static final String TEXT = "x".repeat(2_000);
+    private static final String SMALL = "over";
+    private static final long INHERITED_MILLIS = 7_000;
+    private static final long SOON_MILLIS = 3_000;
+    private static final long KEPT_MILLIS = 130_000;
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final TimedLoop loop = new TimedLoop();
+
+    private SchedulerHost owner() {
+        long fence = store.set(JobKeys.owner("clips"), "entry");
+        SchedulerTiming timing = new SchedulerTiming(5_000, 1_000, 2_000, 2_700, INHERITED_MILLIS, 2_000);
+        SchedulerHost.Entry entry = new SchedulerHost.Entry(
+                store,
+                new NoWorkers(),
+                order -> CompletableFuture.completedFuture(Optional.empty()),
+                new NoInstances(),
+                loop,
+                loop.clock(),
+                timing,
+                new JobMeters());
+        WorkerFeed workers = new WorkerFeed(store, loop, new FakeRecords(), () -> {});
+        SchedulerHost host = new SchedulerHost(entry, "clips", fence, workers, () -> {});
+        host.start();
+        return host;
+    }
+
+    private static JobKey key(String id) {
+        return new JobKey("q", id);
+    }
+
+    private void accept(String id) {
+        StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
+        Policy policy = new Policy(0, 3, 1.5, 500, false);
+        JobSpec spec = new JobSpec(key(id), "clips", TEXT, List.of(one), Repeat.ONCE, policy, 0);
+        store.set(JobKeys.job("clips", key(id)), RecordCodec.write(spec));
+    }
+
+    private void cancel(String id) {
+        store.set(JobKeys.cancel("clips", key(id)), id);
+    }
+
+    private void passes(long millis) {
+        for (long left = millis; left > 0; left -= 50) {
+            loop.passes(50);
+            store.tellWatches();
+        }
+    }
+
+    private JobProgress progress(String id) {
+        return RecordCodec.read(store.value(JobKeys.progress("clips", key(id))), JobProgress.class)
+                .getOrElseThrow(why -> new IllegalStateException(why));
+    }
+
+    private String record(String id) {
+        return store.value(JobKeys.job("clips", key(id)));
+    }
+
+    private List<StoreItem> readByASuccessor() {
+        return Stream.of(JobKeys.inputs("clips"), JobKeys.progress("clips"))
+                .flatMap(p -> store.range(p).join().items().stream())
+                .toList();
+    }
+
+    private int bytesReadByASuccessor() {
+        return readByASuccessor().stream()
+                .mapToInt(i -> (i.key() + i.value()).getBytes(StandardCharsets.UTF_8).length)
+                .sum();
+    }
+
+    @Nested
+    class ATakeOver {
+
+        private static final int JOBS = 200;
+        private static final int MOST_BYTES_A_JOB = 250;
+
+        @Test
+        void readsLittleOfJobsThatAreOver() {
+            for (int i = 0; i < JOBS; i++) {
+                accept("job-" + i);
+                cancel("job-" + i);
+            }
+            owner();
+            passes(SOON_MILLIS);
+            for (int i = 0; i < JOBS; i++) {
+                assertTrue(progress("job-" + i).over());
+            }
+            int bytes = bytesReadByASuccessor();
+            assertTrue(bytes <= JOBS * MOST_BYTES_A_JOB, bytes + " bytes of " + JOBS + " jobs that are over");
+        }
+
+        @Test
+        void readsAllOfAJobThatIsLive() {
+            accept("live");
+            String whole = record("live");
+            owner();
+            passes(SOON_MILLIS);
+            assertEquals(whole, record("live"));
+        }
+
+        @Test
+        void makesNoJobOfASmallRecord() {
+            accept("a");
+            cancel("a");
+            SchedulerHost first = owner();
+            passes(SOON_MILLIS);
+            first.close();
+            String last = store.value(JobKeys.progress("clips", key("a")));
+            store.set(JobKeys.job("clips", key("lonely")), SMALL);
+            cancel("lonely");
+            owner();
+            passes(SOON_MILLIS);
+            assertEquals(last, store.value(JobKeys.progress("clips", key("a"))));
+            assertEquals("", store.value(JobKeys.progress("clips", key("lonely"))));
+        }
+
+        @Test
+        void forgetsWhatItsPredecessorLeftOfJobsThatAreOver() {
+            accept("a");
+            cancel("a");
+            SchedulerHost first = owner();
+            passes(SOON_MILLIS);
+            first.close();
+            owner();
+            passes(KEPT_MILLIS - SOON_MILLIS);
+            assertEquals(3, readByASuccessor().size(), "callers may still ask");
+            passes(4 * SOON_MILLIS);
+            assertEquals(List.of(), readByASuccessor());
+        }
+    }
+
+    @Nested
+    class TheRecordOfAJob {
+
+        @Test
+        void isSmallInTheSameWriteThatSaysThatTheJobIsOver() {
+            accept("a");
+            owner();
+            passes(SOON_MILLIS);
+            store.holdsCommits = true;
+            cancel("a");
+            passes(100);
+            assertFalse(record("a").equals(SMALL));
+            store.holdsCommits = false;
+            passes(SOON_MILLIS);
+            assertTrue(progress("a").over());
+            assertEquals(SMALL, record("a"));
+        }
+
+        @Test
+        void isWholeUntilTheTasksOfAnEndedJobAreOffTheirWorkers() {
+            accept("a");
+            String whole = record("a");
+            TaskRecord held = new TaskRecord(0, 0, 0, 1, 0, false, "w1", "");
+            store.set(
+                    JobKeys.progress("clips", key("a")),
+                    RecordCodec.write(new JobProgress(JobState.CANCELLED, List.of(held), "", 0)));
+            owner();
+            passes(SOON_MILLIS);
+            assertEquals(whole, record("a"));
+            assertFalse(progress("a").over());
+            passes(2 * INHERITED_MILLIS);
+            assertTrue(progress("a").over());
+            assertEquals(SMALL, record("a"));
+        }
+
+        @Test
+        void isLeftAloneByAnOwnerThatIsNoneAnyMore() {
+            accept("a");
+            String whole = record("a");
+            owner();
+            passes(SOON_MILLIS);
+            store.set(JobKeys.owner("clips"), "another entry");
+            cancel("a");
+            passes(SOON_MILLIS);
+            assertEquals(whole, record("a"));
+        }
+
+        @Test
+        void isRemovedWithAllElseAWhileAfterTheEnd() {
+            accept("a");
+            cancel("a");
+            owner();
+            passes(KEPT_MILLIS - SOON_MILLIS);
+            assertEquals(3, readByASuccessor().size(), "callers may still ask");
+            passes(4 * SOON_MILLIS);
+            assertEquals(List.of(), readByASuccessor());
+        }
+    }
+
+    /** No worker is listed, and none answers. */
+    private static final class NoWorkers implements WorkerOrders {
+        private static final CompletableFuture<OrderOutcome> SILENCE =
+                CompletableFuture.completedFuture(OrderOutcome.UNKNOWN);
+
+        @Override
+        public CompletableFuture<OrderOutcome> start(StartOrder order, long fence) {
+            return SILENCE;
+        }
+
+        @Override
+        public CompletableFuture<OrderOutcome> stop(StopOrder order, long fence) {
+            return SILENCE;
+        }
+
+        @Override
+        public CompletableFuture<OrderOutcome> pace(PaceOrder order, long fence) {
+            return SILENCE;
+        }
+
+        @Override
+        public CompletableFuture<HoldResult> hold(HoldOrder order, long fence) {
+            return CompletableFuture.completedFuture(new HoldResult(OrderOutcome.UNKNOWN, null));
+        }
+    }
+
+    /** The list of instances is empty. */
+    private static final class NoInstances implements InstanceOrders {
+        @Override
+        public CompletableFuture<List<PlatformInstance>> list() {
+            return CompletableFuture.completedFuture(List.of());
+        }
+
+        @Override
+        public CompletableFuture<InstanceOrderOutcome> order(
+                String instance, Errand errand, String holder, long fence) {
+            throw new UnsupportedOperationException("not needed here");
+        }
+    }
+}
