Leave a few bytes of a job that is over, so that a take-over follows the live work

Cause: a new owner reads all records of its service, and a job's record stayed whole for 130 s after its end: texts, steps, policy. On an entry with a slow link such a page does not arrive within a call's time, and the read begins anew for ever. Ruled out: removing the record at the end. Its key keeps a job from being accepted twice and lets callers cancel; progress alone can not, since it is missing while a job waits. A condition on the record: the owner does not know its revision, and the write already holds only at the owner's fence and at the progress last known, so a late one changes neither. Dropping `run` and `failures` of done tasks: a few digits, and restore counts on them. Dropping checkpoints of a gang: members go on from each other's. Change: the write that says that a job is over puts `over` in the place of its record, in the same call; ServiceScheduler counts rows, 2 a record and 3 a job that is over, so a call takes 15 records or 10. The host takes a small record for no job, whatever is known of its progress. A job that has ended keeps its record until its tasks are off their workers; the successor stops them and writes the small one then. `job list` and `job explain` go by key and progress; waiting jobs are counted without small records. A done task's checkpoint is not written on, but for gangs. Price: each write of ends wakes the owner's own watch once more, and a burst of ends takes up to half as many calls again.

--- a/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
@@ -75,19 +75,19 @@
         return PROGRESS;
     }
 
-    /** Returns whether a key under the inputs, of whichever service, is a job's. */
-    public static boolean isAnyJob(String key) {
+    /** Returns the service under whose inputs a key lies; empty when it lies under none's. */
+    public static String serviceOfInput(String key) {
         return after(INPUTS, key)
-                .filter(k -> k.substring(k.indexOf('/') + 1).startsWith(JOB))
-                .isPresent();
+                .map(k -> k.substring(0, Math.max(0, k.indexOf('/'))))
+                .orElse("");
     }
 
-    /** Returns the key of a job's immutable record. */
+    /** Returns the key of a job's record, which changes once: to {@link JobSpec#OVER}. */
     public static String job(String service, JobKey job) {
         return inputs(service) + JOB + job;
     }
 
-    /** Returns the job whose immutable record lies under the key, or nothing. */
+    /** Returns the job whose record lies under the key, or nothing. */
     public static Optional<JobKey> jobOf(String service, String key) {
         return after(inputs(service) + JOB, key).map(JobKeys::jobKey);
     }
--- a/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
@@ -35,4 +35,9 @@
         List<StepSpec> steps,
         Repeat repeat,
         Policy policy,
-        long acceptedMillis) {}
+        long acceptedMillis) {
+
+    // No JSON: nothing reads it as a job by mistake.
+    /** What lies in the place of a job's record once the job is over; that the key is there still says "accepted". */
+    public static final String OVER = "over";
+}
--- a/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
@@ -29,7 +29,7 @@
  * @param failures how many runs ended as failed
  * @param done whether it needs no further run
  * @param worker the id of the worker that may hold its newest run; empty when none does
- * @param checkpoint what the newest run had saved; empty for nothing
+ * @param checkpoint what the newest run had saved; empty for nothing, and once done outside a gang
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({"time", "step", "index", "run", "failures", "done", "worker", "checkpoint"})
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -183,6 +183,9 @@
 
     TaskRecord record() {
         String w = worker == null ? "" : worker.facts().id();
-        return new TaskRecord(id.time(), id.step(), id.index(), run, failures, phase == Phase.DONE, w, checkpoint);
+        boolean done = phase == Phase.DONE;
+        // What is done goes on nowhere; only members of a gang go on from each other's.
+        String from = done && !step.gang() ? "" : checkpoint;
+        return new TaskRecord(id.time(), id.step(), id.index(), run, failures, done, w, from);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerPort.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerPort.java
@@ -40,7 +40,10 @@
     /** Asks which workers may run a step; the answer goes to {@link ServiceScheduler#onAdvised}. */
     void advise(AdviceOrder order);
 
-    /** Writes progress under the condition that this owner still owns the service. */
+    /**
+     * Writes progress under the condition that this owner still owns the service. In the same write the record of each
+     * job that is over gives way to a small one: a successor has to read all records, and nobody needs that one.
+     */
     void save(List<Saving> batch);
 
     /** Tells that a worker that was to be emptied carries nothing; told again until it is taken off the list. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -46,8 +46,12 @@
  */
 public final class ServiceScheduler {
 
-    // A store call takes at most 32 rows: one for ownership, and two for each record.
-    private static final int RECORDS_PER_SAVE = 15;
+    // A store call takes at most 32 rows: one for ownership; a condition and a value for each record; and one more
+    // for each job that is over, whose own record gives way to a small one.
+    private static final int ROWS_PER_SAVE = 32;
+    private static final int ROWS_FOR_OWNERSHIP = 1;
+    private static final int ROWS_A_RECORD = 2;
+    private static final int ROWS_A_JOB_OVER = 3;
     // Each write has its price; what gathers meanwhile goes into one.
     private static final long SAVE_EVERY_MILLIS = 40;
     private static final long HOLD_RETRY_MILLIS = 250;
@@ -317,12 +321,7 @@
         if (saving || state.now() < saveDueAt) {
             return;
         }
-        List<SchedulerPort.Saving> batch = new ArrayList<>();
-        for (LiveJob job : state.jobs.values()) {
-            if (job.version > job.savedVersion && batch.size() < RECORDS_PER_SAVE) {
-                batch.add(new SchedulerPort.Saving(job.spec.key(), job.version, job.progress(state.wallNow())));
-            }
-        }
+        List<SchedulerPort.Saving> batch = unsaved();
         if (!batch.isEmpty()) {
             saving = true;
             saveDueAt = state.now() + SAVE_EVERY_MILLIS;
@@ -330,6 +329,23 @@
         }
     }
 
+    /** Returns records that are to be written, as many as fit into one call. */
+    private List<SchedulerPort.Saving> unsaved() {
+        List<SchedulerPort.Saving> batch = new ArrayList<>();
+        int rows = ROWS_FOR_OWNERSHIP;
+        for (LiveJob job : state.jobs.values()) {
+            if (job.version > job.savedVersion) {
+                JobProgress progress = job.progress(state.wallNow());
+                rows += progress.over() ? ROWS_A_JOB_OVER : ROWS_A_RECORD;
+                if (rows > ROWS_PER_SAVE) {
+                    break;
+                }
+                batch.add(new SchedulerPort.Saving(job.spec.key(), job.version, progress));
+            }
+        }
+        return batch;
+    }
+
     /** Returns what the rest of the system is to know of this service. */
     public ServiceReport report() {
         ServiceReport r = new DemandReport(state).make();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.StepSpec;
@@ -38,11 +39,9 @@
      */
     static List<String> of(JobSpec spec, JobProgress progress, boolean cancelled, String owner, long wallMillis) {
         List<String> lines = new ArrayList<>();
-        lines.add("job " + spec.key().id() + " of queue " + spec.key().queue() + " on service " + spec.service() + ": "
-                + progress.state() + (progress.reason().isEmpty() ? "" : ", " + progress.reason()));
+        lines.add(state(spec.key(), spec.service(), progress));
         lines.add("accepted " + (wallMillis - spec.acceptedMillis()) + " ms ago, last change "
-                + (wallMillis - progress.changedMillis()) + " ms ago"
-                + (cancelled ? ", cancelled by its caller" : ""));
+                + (wallMillis - progress.changedMillis()) + " ms ago" + byCaller(cancelled));
         lines.add(owner.isEmpty() ? "waits: nobody owns " + spec.service() : "owner of its service: " + owner);
         if (!progress.state().ended()) {
             lines.addAll(steps(spec, progress, wallMillis));
@@ -50,6 +49,23 @@
         return lines;
     }
 
+    /** Returns the lines of a job that is over, of which only the progress is kept. */
+    static List<String> ofOver(JobKey job, String service, JobProgress progress, boolean cancelled, long wallMillis) {
+        return List.of(
+                state(job, service, progress),
+                "over for " + (wallMillis - progress.changedMillis()) + " ms" + byCaller(cancelled)
+                        + "; its steps are not kept any more");
+    }
+
+    private static String state(JobKey job, String service, JobProgress progress) {
+        return "job " + job.id() + " of queue " + job.queue() + " on service " + service + ": " + progress.state()
+                + (progress.reason().isEmpty() ? "" : ", " + progress.reason());
+    }
+
+    private static String byCaller(boolean cancelled) {
+        return cancelled ? ", cancelled by its caller" : "";
+    }
+
     private static List<String> steps(JobSpec spec, JobProgress progress, long wallMillis) {
         Map<TaskId, TaskRecord> tasks = new HashMap<>();
         progress.tasks().forEach(t -> tasks.put(new TaskId(t.time(), t.step(), t.index()), t));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -283,6 +283,7 @@
             Map<String, Boolean> known = new HashMap<>();
             p.items().forEach(i -> known.put(i.key().substring(begun.length()), true));
             long waiting = j.items().stream()
+                    .filter(i -> !i.value().equals(JobSpec.OVER))
                     .filter(i -> !known.containsKey(i.key().substring(jobs.length())))
                     .count();
             return OptionalInt.of((int) waiting);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
@@ -20,12 +20,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.command.CommandParser;
 import org.lupinpaddle.core.command.OperatorCommand;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
@@ -84,38 +87,44 @@
                 List.of("this entry runs jobs on the operators' platform; it answers the group job"));
     }
 
-    /** A job as the store has it. */
-    private record Known(JobSpec spec, JobProgress progress, boolean cancelled) {}
+    /** A job as the store has it; without what it is made of once it is over. */
+    private record Known(
+            JobKey key, String service, @Nullable JobSpec spec, JobProgress progress, boolean cancelled) {}
 
+    /** Progress is read last: a job that is over by its record has some, or is gone by then. */
     private CompletableFuture<List<Known>> allJobs() {
-        return store.range(JobKeys.allInputs()).thenCombine(store.range(JobKeys.allProgress()), (inputs, progress) -> {
-            Map<String, StoreItem> byKey = new TreeMap<>();
-            inputs.items().forEach(i -> byKey.put(i.key(), i));
-            progress.items().forEach(i -> byKey.put(i.key(), i));
-            List<Known> all = new ArrayList<>();
-            for (StoreItem i : inputs.items()) {
-                if (JobKeys.isAnyJob(i.key())) {
-                    RecordCodec.read(i.value(), JobSpec.class).forEach(s -> all.add(known(s, byKey)));
-                }
-            }
-            return all;
-        });
+        return store.range(JobKeys.allInputs())
+                .thenCompose(inputs -> store.range(JobKeys.allProgress()).thenApply(progress -> {
+                    Map<String, StoreItem> byKey = new TreeMap<>();
+                    inputs.items().forEach(i -> byKey.put(i.key(), i));
+                    progress.items().forEach(i -> byKey.put(i.key(), i));
+                    List<Known> all = new ArrayList<>();
+                    inputs.items().forEach(i -> known(i, byKey).ifPresent(all::add));
+                    return all;
+                }));
     }
 
-    private static Known known(JobSpec spec, Map<String, StoreItem> byKey) {
-        StoreItem p = byKey.get(JobKeys.progress(spec.service(), spec.key()));
-        JobProgress none = JobProgress.none(spec.acceptedMillis());
-        JobProgress progress = p == null
-                ? none
-                : RecordCodec.read(p.value(), JobProgress.class).getOrElse(none);
-        return new Known(spec, progress, byKey.containsKey(JobKeys.cancel(spec.service(), spec.key())));
+    private static Optional<Known> known(StoreItem i, Map<String, StoreItem> byKey) {
+        String service = JobKeys.serviceOfInput(i.key());
+        JobKey key = JobKeys.jobOf(service, i.key()).orElse(null);
+        if (key == null) {
+            return Optional.empty();
+        }
+        JobSpec spec = RecordCodec.read(i.value(), JobSpec.class).getOrNull();
+        JobProgress progress = Optional.ofNullable(byKey.get(JobKeys.progress(service, key)))
+                .flatMap(p -> RecordCodec.read(p.value(), JobProgress.class).toJavaOptional())
+                .orElse(spec == null ? null : JobProgress.none(spec.acceptedMillis()));
+        boolean readable = spec != null || i.value().equals(JobSpec.OVER);
+        if (progress == null || !readable) {
+            return Optional.empty();
+        }
+        return Optional.of(new Known(key, service, spec, progress, byKey.containsKey(JobKeys.cancel(service, key))));
     }
 
     private static List<String> listed(List<Known> all) {
         List<String> lines = new ArrayList<>();
         for (Known k : all) {
-            lines.add(k.spec.key().id() + "  " + k.progress.state() + "  queue "
-                    + k.spec.key().queue() + "  service " + k.spec.service()
+            lines.add(k.key.id() + "  " + k.progress.state() + "  queue " + k.key.queue() + "  service " + k.service
                     + (k.cancelled ? "  cancelled by its caller" : ""));
         }
         return lines.isEmpty() ? List.of("no jobs") : lines;
@@ -125,13 +134,19 @@
         return allJobs().thenCombine(store.range(JobKeys.MEMBERS), (all, members) -> {
             List<String> lines = new ArrayList<>();
             all.stream()
-                    .filter(k -> k.spec.key().id().equals(id))
-                    .forEach(k -> lines.addAll(JobExplanation.of(
-                            k.spec, k.progress, k.cancelled, ownerOf(k.spec.service(), members), intake.wallMillis())));
+                    .filter(k -> k.key.id().equals(id))
+                    .forEach(k -> lines.addAll(explained(k, ownerOf(k.service, members))));
             return lines.isEmpty() ? List.of("no such job: never accepted, or over for more than two minutes") : lines;
         });
     }
 
+    private List<String> explained(Known k, String owner) {
+        long now = intake.wallMillis();
+        return k.spec == null
+                ? JobExplanation.ofOver(k.key, k.service, k.progress, k.cancelled, now)
+                : JobExplanation.of(k.spec, k.progress, k.cancelled, owner, now);
+    }
+
     private static String ownerOf(String service, StoreRange members) {
         return members.items().stream()
                 .filter(i -> i.key().equals(JobKeys.owner(service)))
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
@@ -70,6 +70,11 @@
 
     /** Writes values by key, all or none; an empty value removes the record. The outcome is told on the loop. */
     void write(Map<String, String> values, Consumer<Outcome> onEnd) {
+        write(values, Map.of(), onEnd);
+    }
+
+    /** Does the same, and in the same write puts others whatever lies there now. */
+    void write(Map<String, String> values, Map<String, String> others, Consumer<Outcome> onEnd) {
         StoreCommit.Builder b = StoreCommit.builder().when(ownerKey, fence);
         values.forEach((key, value) -> {
             b.when(key, revisions.getOrDefault(key, 0L));
@@ -79,6 +84,7 @@
                 b.put(key, value);
             }
         });
+        others.forEach(b::put);
         store.commit(b.build()).thenAcceptAsync(r -> onEnd.accept(outcome(values, r)), loop::execute);
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -215,7 +215,8 @@
             return;
         }
         JobKey key = JobKeys.jobOf(service, i.key()).orElse(null);
-        if (key != null && !earlier.isOver(key)) {
+        // A small record is never a job, even if nothing is known of its progress.
+        if (key != null && !earlier.isOver(key) && !i.value().equals(JobSpec.OVER)) {
             Either<String, JobSpec> spec = RecordCodec.read(i.value(), JobSpec.class);
             spec.peek(good -> s.onJob(good, earlier.takeProgress(good.key())))
                     .peekLeft(why -> Log.warn("job-unreadable", "key", i.key(), "why", why));
@@ -325,9 +326,16 @@
     @Override
     public void save(List<Saving> batch) {
         Map<String, String> values = new LinkedHashMap<>();
-        batch.forEach(s -> values.put(JobKeys.progress(service, s.job()), RecordCodec.write(s.progress())));
+        Map<String, String> small = new LinkedHashMap<>();
+        for (Saving s : batch) {
+            values.put(JobKeys.progress(service, s.job()), RecordCodec.write(s.progress()));
+            if (s.progress().over()) {
+                small.put(JobKeys.job(service, s.job()), JobSpec.OVER);
+            }
+        }
         records.write(
                 values,
+                small,
                 outcome -> told(s -> {
                     switch (outcome) {
                         case SAVED -> s.onSaved(batch);
