--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -20,8 +20,12 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.EndKind;
@@ -364,4 +368,67 @@
             assertTrue(d.port.starts.isEmpty());
         }
     }
+
+    /** One write takes few records; all jobs of a busy service have something to write all the time. */
+    @Nested
+    class ManyJobs {
+
+        private static final int BUSY = 20;
+        private static final int TASKS = 20;
+        private static final int ROUNDS = 10;
+        private static final long BETWEEN_WRITES_MILLIS = 45;
+        private static final StepSpec.Need WHOLE_WORKER = new StepSpec.Need(4_000, 100, 0);
+
+        private final Map<String, Iterator<StartOrder>> running = new LinkedHashMap<>();
+
+        @Test
+        void thatCameFirstDoNotKeepTheNextFromStarting() {
+            listWorkers();
+            for (int i = 0; i < BUSY; i++) {
+                d.job("busy-" + i, StepSpec.builder(TASKS, WHOLE_WORKER).build());
+            }
+            for (int i = 0; i < ROUNDS; i++) {
+                writeRound();
+            }
+            for (int i = 0; i < BUSY; i++) {
+                String job = "busy-" + i;
+                List<StartOrder> starts = d.port.starts.stream()
+                        .filter(s -> s.jobId().endsWith(job))
+                        .toList();
+                assertEquals(TASKS, starts.size());
+                starts.forEach(s -> d.scheduler.onStarted(s, OrderOutcome.ACCEPTED));
+                running.put(job, starts.iterator());
+            }
+            running.values().forEach(r -> ended(r.next()));
+            d.job("late", StepSpec.builder(1, WHOLE_WORKER).build());
+            writeRound();
+            for (int i = 0; i < ROUNDS; i++) {
+                running.values().forEach(r -> ended(r.next()));
+                writeRound();
+            }
+            assertTrue(d.port.starts.stream().anyMatch(s -> s.jobId().endsWith("late")));
+        }
+
+        private void listWorkers() {
+            String[] ids = IntStream.rangeClosed(0, BUSY * TASKS)
+                    .mapToObj(i -> "w" + i)
+                    .toArray(String[]::new);
+            d.workers(ids);
+            for (String id : ids) {
+                d.answers(id, List.of(), List.of());
+            }
+        }
+
+        private void ended(StartOrder s) {
+            d.answers(
+                    s.worker().id(),
+                    List.of(),
+                    List.of(new EndReport(1, s.jobId(), s.task(), s.run(), EndKind.DONE, "")));
+        }
+
+        private void writeRound() {
+            d.passes(BETWEEN_WRITES_MILLIS);
+            d.saved();
+        }
+    }
 }
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -123,6 +123,30 @@
         }
     }
 
+    @Nested
+    class AnEntryThatLeavesADuty {
+
+        private static final long SETTLED_MILLIS = 4_000;
+        private static final long UNTIL_MILLIS = 24_000;
+
+        /** What can be read nowhere is no reason to stop serving what is served. */
+        @Test
+        void keepsTheOthersThatItFulfils() {
+            for (long seed = 0; seed < 10; seed++) {
+                World w = new World(seed, 0);
+                w.begin(SETTLED_MILLIS);
+                String served = w.owner("archive");
+                String first = w.owner("clips");
+                if (!served.equals(first)) {
+                    w.entries.forEach(e -> w.net.pagesLost.add(e.name));
+                    w.entry(first).kill(World.NEVER);
+                    w.time.runUntil(UNTIL_MILLIS);
+                    assertEquals(served, w.owner("archive"), "seed " + seed);
+                }
+            }
+        }
+    }
+
     /** Each broke a rule once; docs/FINDINGS.md has the causes. */
     @Nested
     class SeedsThatFailed {
