--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -369,6 +369,28 @@
         }
     }
 
+    /** A worker that refuses calls is asked again after a time, however much is written meanwhile. */
+    @Nested
+    class WorkersThatRefuse {
+
+        @Test
+        void areNotAskedAgainBecauseOthersRecordsWereSaved() {
+            d.workers("w1", "w2");
+            d.answers("w1", List.of(), List.of());
+            d.silent("w2");
+            long asked = holdsOf("w2");
+            d.job("a", ONE);
+            d.saved();
+            assertEquals(asked, holdsOf("w2"));
+        }
+
+        private long holdsOf(String worker) {
+            return d.port.holds.stream()
+                    .filter(h -> h.worker().id().equals(worker))
+                    .count();
+        }
+    }
+
     /** One write takes few records; all jobs of a busy service have something to write all the time. */
     @Nested
     class ManyJobs {
