--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -57,6 +57,9 @@
 
     boolean holdInFlight;
     long holdDueAt;
+    /** Whether the next hold waits for ends to become durable, so that the worker may forget them. */
+    boolean holdAwaitsRecords;
+
     long lastAnswerAt = Long.MIN_VALUE / 2;
     long avoidUntil = Long.MIN_VALUE;
     /** It has been avoided: until one run has ended well on it, it gets one task at a time. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -215,7 +215,8 @@
         w.holdInFlight = false;
         w.answered(answer.clockMillis(), now);
         runs.onHeld(w, sentAt, answer);
-        w.holdDueAt = w.hasPendingEnds() ? now + HOLD_WITH_ENDS_MILLIS : now;
+        w.holdAwaitsRecords = w.hasPendingEnds();
+        w.holdDueAt = w.holdAwaitsRecords ? now + HOLD_WITH_ENDS_MILLIS : now;
     }
 
     /** Takes in that a hold was refused or not answered. */
@@ -225,6 +226,7 @@
             return;
         }
         w.holdInFlight = false;
+        w.holdAwaitsRecords = false;
         w.holdDueAt = state.now() + HOLD_RETRY_MILLIS;
         if (outcome.isSilence()) {
             w.unanswered();
@@ -241,7 +243,8 @@
     public void onSaved(List<SchedulerPort.Saving> batch) {
         records.saved(batch);
         for (LiveWorker w : state.workers.values()) {
-            if (!w.hasPendingEnds()) {
+            if (w.holdAwaitsRecords && !w.hasPendingEnds()) {
+                w.holdAwaitsRecords = false;
                 w.holdDueAt = Math.min(w.holdDueAt, Math.max(state.now(), w.lastAnswerAt));
             }
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -121,6 +121,7 @@
         patience = new StartPatience(
                 entry.loop,
                 () -> !closed && !earlierKnown,
+                entry.ownership::reachesStore,
                 () -> entry.ownership.leaveToOthers(JobNode.FLEET, fence, "the fleet's records can not be read"));
         owned = new OwnedRecords(entry.store, entry.loop, JobNode.FLEET, fence);
         records = new PrefixWatch(entry.store, entry.loop, JobKeys.fleet(), this);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -57,6 +57,8 @@
     private static final long MOST_MILLIS = 1_200;
     // A 404 is said only when the configuration was read not longer ago than this.
     private static final long FRESH_MILLIS = 200;
+    // A count may be 2 s old when it is told; a read of a large queue takes some of them.
+    private static final long COUNT_MILLIS = 800;
 
     private final KeyValueStore store;
     private final EventLoop loop;
@@ -64,6 +66,10 @@
     private final ConfigurationFeed configuration;
     private final Clock wall;
     private final BooleanSupplier storeReached;
+    /** Counts by queue, as long as they may be told. */
+    private final Map<String, Counting> counting = new HashMap<>();
+
+    private record Counting(long startedAt, CompletableFuture<OptionalInt> count) {}
 
     JobIntake(
             KeyValueStore store,
@@ -260,23 +266,45 @@
     /** Counts the accepted jobs of a queue that have not begun; nothing when the store can not be asked. */
     public CompletableFuture<OptionalInt> pending(QueueConfig q) {
         return store.read(JobKeys.owner(q.service()))
-                .thenComposeAsync(owner -> owner.isPresent() ? countedByOwner(q) : countedHere(q), loop::execute)
+                .thenComposeAsync(
+                        owner -> owner.map(o -> countedByOwner(q, o)).orElseGet(() -> countedHere(q)), loop::execute)
                 .exceptionally(why -> {
                     Log.info("pending-unknown", "queue", q.name(), "why", StoreFailure.text(why));
                     return OptionalInt.empty();
                 });
     }
 
-    private CompletableFuture<OptionalInt> countedByOwner(QueueConfig q) {
+    /** A report that is older than the ownership is an earlier owner's; the new one is still reading what it left. */
+    private CompletableFuture<OptionalInt> countedByOwner(QueueConfig q, StoreItem owner) {
         return store.read(JobKeys.report(q.service()))
-                .thenApply(item -> OptionalInt.of(item.map(i -> RecordCodec.read(i.value(), ServiceReport.class)
-                                .map(c -> c.pendingByQueue().getOrDefault(q.name(), 0))
-                                .getOrElse(0))
-                        .orElse(0)));
+                .thenComposeAsync(
+                        item -> item.filter(i -> i.revision() > owner.revision())
+                                .map(i -> CompletableFuture.completedFuture(told(q, i)))
+                                .orElseGet(() -> countedHere(q)),
+                        loop::execute);
     }
 
-    /** Without an owner nothing begins: the jobs that have no progress are those that wait. */
+    private static OptionalInt told(QueueConfig q, StoreItem report) {
+        return OptionalInt.of(RecordCodec.read(report.value(), ServiceReport.class)
+                .map(r -> r.pendingByQueue().getOrDefault(q.name(), 0))
+                .getOrElse(0));
+    }
+
+    /** Many callers ask for one count; they share a read while it is under way, and for a while after it. */
     private CompletableFuture<OptionalInt> countedHere(QueueConfig q) {
+        Counting known = counting.get(q.name());
+        boolean fresh =
+                known != null && (!known.count.isDone() || loop.clock().millis() - known.startedAt <= COUNT_MILLIS);
+        if (known != null && fresh) {
+            return known.count;
+        }
+        Counting next = new Counting(loop.clock().millis(), readCount(q));
+        counting.put(q.name(), next);
+        return next.count;
+    }
+
+    /** Without an owner nothing begins: the jobs that have no progress are those that wait. */
+    private CompletableFuture<OptionalInt> readCount(QueueConfig q) {
         String jobs = JobKeys.job(q.service(), new JobKey(q.name(), ""));
         String begun = JobKeys.progress(q.service(), new JobKey(q.name(), ""));
         return store.range(jobs).thenCombine(store.range(begun), (j, p) -> {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -108,7 +108,15 @@
         SchedulerTiming timing =
                 SchedulerTiming.usual(p.limits().longestHoldMillis(), p.limits().stopMillis(), BLIND_MILLIS);
         shared = new SchedulerHost.Entry(
-                p.store(), p.orders(), p.advice(), p.instances(), loop, p.wall(), timing, p.meters());
+                p.store(),
+                p.orders(),
+                p.advice(),
+                p.instances(),
+                loop,
+                ownership::reachesStore,
+                p.wall(),
+                timing,
+                p.meters());
         fleetShared = new FleetHost.Entry(
                 p.name(),
                 p.store(),
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -64,6 +64,10 @@
     // An entry that could not begin with a duty leaves it to the others for so long, and tries again if they can't
     // either.
     private static final long LEAVE_TO_OTHERS_MILLIS = 10_000;
+    private static final long LEAST_CAPACITY = 1;
+
+    // Its registration and its capacity.
+    private static final int KEYS_OF_AN_ENTRY = 2;
 
     private static final char LIFE_SEPARATOR = '/';
 
@@ -125,6 +129,11 @@
         return keptAt;
     }
 
+    /** Returns whether the store has answered within a lease's time. */
+    boolean reachesStore() {
+        return loop.clock().millis() - keptAt <= TTL_MILLIS;
+    }
+
     /** Returns until when the lease lives for certain, by this entry's clock. */
     long leaseEndsAt() {
         return keptAt + TTL_MILLIS;
@@ -175,9 +184,8 @@
      * for it again. Without another entry, or while the store is away, it is kept: nobody could do better.
      */
     void leaveToOthers(String duty, long fence, String why) {
-        boolean reachesStore = loop.clock().millis() - keptAt <= TTL_MILLIS;
         boolean mine = Long.valueOf(fence).equals(owned.get(duty));
-        if (!mine || !reachesStore || entries().size() == 1) {
+        if (!mine || !reachesStore() || entries().size() == 1) {
             return;
         }
         leftUntil.put(duty, loop.clock().millis() + LEAVE_TO_OTHERS_MILLIS);
@@ -191,9 +199,13 @@
         seekDuties();
     }
 
-    /** Returns how much this entry can do; next to nothing while it leaves a duty to others, so that none is given to it. */
-    private long capacityNow() {
-        return leftUntil.keySet().stream().anyMatch(this::leavesToOthers) ? 1 : capacity;
+    private boolean leavesAny() {
+        return leftUntil.keySet().stream().anyMatch(this::leavesToOthers);
+    }
+
+    /** Returns what the others are told: next to nothing while a duty is left to them, so that none is given to it. */
+    private long toldCapacity() {
+        return leavesAny() ? LEAST_CAPACITY : capacity;
     }
 
     private void tellCapacity() {
@@ -201,7 +213,7 @@
             return;
         }
         store.commit(StoreCommit.builder()
-                        .put(JobKeys.capacity(entry), Long.toString(capacityNow()), lease)
+                        .put(JobKeys.capacity(entry), Long.toString(toldCapacity()), lease)
                         .build())
                 .thenAcceptAsync(
                         r -> {
@@ -245,7 +257,7 @@
         long forLease = lease;
         store.commit(StoreCommit.builder()
                         .put(JobKeys.entry(entry), life, forLease)
-                        .put(JobKeys.capacity(entry), Long.toString(capacityNow()), forLease)
+                        .put(JobKeys.capacity(entry), Long.toString(toldCapacity()), forLease)
                         .build())
                 .thenAcceptAsync(
                         r -> {
@@ -311,8 +323,11 @@
 
     /** The store may take keys away while their lease lives on. */
     private void registerAgain() {
-        boolean known =
-                watch.items().stream().anyMatch(i -> i.key().equals(JobKeys.entry(entry)) && i.lease() == lease);
+        long mine = watch.items().stream()
+                .filter(i -> i.lease() == lease)
+                .filter(i -> i.key().equals(JobKeys.entry(entry)) || i.key().equals(JobKeys.capacity(entry)))
+                .count();
+        boolean known = mine == KEYS_OF_AN_ENTRY;
         if (!known && registered && lease != 0 && !stopping) {
             registered = false;
             register();
@@ -346,7 +361,9 @@
         for (String duty : RendezvousHash.rank(entry, duties)) {
             boolean free = !owners.containsKey(duty) && !owned.containsKey(duty) && !leavesToOthers(duty);
             if (free && attempts.add(duty)) {
-                int place = Math.min(MOST_PLACES, order(owners).of(entry, duty, entries()));
+                int place = leavesAny()
+                        ? MOST_PLACES
+                        : Math.min(MOST_PLACES, order(owners).of(entry, duty, entries()));
                 long later = place * STAGGER_MILLIS + Math.min(steps, MOST_STEPS) * NEXT_DUTY_MILLIS;
                 loop.after(later, () -> take(duty));
                 steps++;
@@ -363,7 +380,8 @@
         watch.items()
                 .forEach(i -> JobKeys.capacityOf(i.key())
                         .ifPresent(name -> capacity(i).ifPresent(c -> all.put(name, c))));
-        all.put(entry, capacityNow());
+        // What this entry does well it goes on doing, whatever else it leaves to others.
+        all.put(entry, capacity);
         return all;
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +36,7 @@
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.run.AdviceOrder;
 import org.lupinpaddle.core.run.HoldOrder;
+import org.lupinpaddle.core.run.OrderOutcome;
 import org.lupinpaddle.core.run.PaceOrder;
 import org.lupinpaddle.core.run.SchedulerEvent;
 import org.lupinpaddle.core.run.SchedulerPort;
@@ -45,6 +47,7 @@
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
 import org.lupinpaddle.daemon.port.AdviceService;
+import org.lupinpaddle.daemon.port.HoldResult;
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreChanges;
@@ -84,6 +87,7 @@
     private final WorkerFeed workers;
     private @Nullable ServiceReport reported;
     private long reportedAt = Long.MIN_VALUE / 2;
+    private boolean reporting;
     private boolean tickQueued;
     private long tickedAt;
     private boolean closed;
@@ -96,6 +100,7 @@
      * @param advice which workers may run a step
      * @param instances the list of instances
      * @param loop the event loop
+     * @param reachesStore whether the store answers this entry
      * @param wall the time of day
      * @param timing the scheduler's times
      * @param meters the entry's figures
@@ -106,6 +111,7 @@
             AdviceService advice,
             InstanceOrders instances,
             EventLoop loop,
+            BooleanSupplier reachesStore,
             Clock wall,
             SchedulerTiming timing,
             JobMeters meters) {}
@@ -123,7 +129,7 @@
         this.fence = fence;
         this.workers = workers;
         this.ownershipGone = ownershipGone;
-        patience = new StartPatience(entry.loop, () -> !closed && scheduler == null, canNotBegin);
+        patience = new StartPatience(entry.loop, () -> !closed && scheduler == null, entry.reachesStore, canNotBegin);
         startedAt = entry.loop.clock().millis();
         records = new OwnedRecords(entry.store, entry.loop, service, fence);
         earlier = new EarlierJobs(records, entry.loop, service);
@@ -324,6 +330,7 @@
         long sentAt = entry.loop.clock().millis();
         entry.orders
                 .hold(order, fence)
+                .exceptionally(why -> unreadable(order, why))
                 .thenAcceptAsync(
                         r -> told(s -> {
                             entry.meters.held(r.outcome());
@@ -336,6 +343,12 @@
                         entry.loop::execute);
     }
 
+    /** A worker whose answer can not be read is one that has not answered: without an outcome it is never asked again. */
+    private static HoldResult unreadable(HoldOrder order, Throwable why) {
+        Log.warn("hold-unreadable", "worker", order.worker().id(), "why", why);
+        return new HoldResult(OrderOutcome.UNKNOWN, null);
+    }
+
     @Override
     public void pace(PaceOrder order) {
         entry.orders.pace(order, fence).thenAcceptAsync(o -> told(s -> s.onPaced(order, o)), entry.loop::execute);
@@ -402,13 +415,16 @@
         long now = entry.loop.clock().millis();
         ServiceReport report = scheduler.report();
         boolean grown = reported == null || report.needed() > reported.needed();
-        if (report.equals(reported) || (!grown && now - reportedAt < REPORT_MILLIS)) {
+        if (reporting || report.equals(reported) || (!grown && now - reportedAt < REPORT_MILLIS)) {
             return;
         }
         reportedAt = now;
-        records.write(
-                Map.of(JobKeys.report(service), RecordCodec.write(report)),
-                outcome -> reported = outcome == OwnedRecords.Outcome.SAVED ? report : null);
+        // One at a time: at a slow store each would else meet the revision of the one before.
+        reporting = true;
+        records.write(Map.of(JobKeys.report(service), RecordCodec.write(report)), outcome -> {
+            reporting = false;
+            reported = outcome == OwnedRecords.Outcome.SAVED ? report : null;
+        });
     }
 
     private void tellLoad() {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/StartPatience.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/StartPatience.java
@@ -33,6 +33,7 @@
 
     private final EventLoop loop;
     private final BooleanSupplier needed;
+    private final BooleanSupplier reachesStore;
     private final Runnable giveUp;
     private volatile long movedAt;
 
@@ -40,11 +41,13 @@
      * Makes it; it looks from now on.
      *
      * @param needed whether the duty is still this owner's and has not been begun with
+     * @param reachesStore whether the store answers this entry; while it does not, nobody could read
      * @param giveUp is run each time when nothing has moved for too long
      */
-    StartPatience(EventLoop loop, BooleanSupplier needed, Runnable giveUp) {
+    StartPatience(EventLoop loop, BooleanSupplier needed, BooleanSupplier reachesStore, Runnable giveUp) {
         this.loop = loop;
         this.needed = needed;
+        this.reachesStore = reachesStore;
         this.giveUp = giveUp;
         moved();
         loop.after(LOOK_MILLIS, this::look);
@@ -59,6 +62,9 @@
         if (!needed.getAsBoolean()) {
             return;
         }
+        if (!reachesStore.getAsBoolean()) {
+            moved();
+        }
         if (loop.clock().millis() - movedAt > MOST_MILLIS) {
             giveUp.run();
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/PageReader.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/PageReader.java
@@ -67,7 +67,8 @@
 
     private CompletableFuture<StoreRange> failed(Throwable why, int attempt) {
         Throwable cause = why instanceof CompletionException && why.getCause() != null ? why.getCause() : why;
-        boolean lost = cause instanceof StoreException e && e.kind() == StoreException.Kind.AWAY;
+        // A refusal says that the store is busy or the rate used up for a moment: nothing that was read is wrong.
+        boolean lost = cause instanceof StoreException e && e.kind() != StoreException.Kind.HISTORY_GONE;
         // Before the first page there is nothing to keep: whoever reads decides when to begin again.
         if (items.isEmpty() || !lost || attempt >= MOST_TRIES) {
             return CompletableFuture.failedFuture(cause);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -104,13 +104,13 @@
         }
     }
 
+    private final QueueConfig queue =
+            new QueueConfig("q", "host", "/clips/", "clips", new Policy(0, 3, 1.5, 500, false));
+
     /** Its record is small by then; what callers are told is the same. */
     @Nested
     class AJobThatIsOver {
 
-        private final QueueConfig queue =
-                new QueueConfig("q", "host", "/clips/", "clips", new Policy(0, 3, 1.5, 500, false));
-
         @BeforeEach
         void end() {
             store.set(JOB, "over");
@@ -145,4 +145,28 @@
             assertEquals(1, intake.pending(queue).join().orElseThrow());
         }
     }
+
+    @Nested
+    class CountsOfWaitingJobs {
+
+        private static final String REPORT =
+                "{\"pendingByQueue\":{\"q\":7},\"needed\":1,\"firm\":1,\"late\":0,\"workers\":[]}";
+
+        @Test
+        void areTheOwnersOnceItHasToldThem() {
+            store.set(JobKeys.owner("clips"), "entry-2");
+            store.set(JobKeys.report("clips"), REPORT);
+            assertEquals(7, intake.pending(queue).join().orElseThrow());
+        }
+
+        @Test
+        void areReadWhileANewOwnerHasToldNothing() {
+            store.set(JobKeys.report("clips"), REPORT);
+            store.set(JobKeys.owner("clips"), "entry-2");
+            store.set(JobKeys.job("clips", new JobKey("q", "a")), "a job that waits");
+            store.set(JobKeys.job("clips", new JobKey("q", "b")), "a job that has begun");
+            store.set(JobKeys.progress("clips", new JobKey("q", "b")), "its progress");
+            assertEquals(1, intake.pending(queue).join().orElseThrow());
+        }
+    }
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -72,6 +72,7 @@
                 order -> CompletableFuture.completedFuture(Optional.empty()),
                 new NoInstances(),
                 loop,
+                () -> true,
                 loop.clock(),
                 timing,
                 new JobMeters());
