Look at a worker's runs only when one can have stood still, and sort and count without streams

Ruled out: a heap instead of the sort, for which ties would need an order of their own; leaving a pass out when no step's least need is free, for room comes free in nearly every pass of a busy service; remembering slowness between answers, since what is expected changes with every end.

Change: a worker's runs are looked at anew when it answers, or from the moment on at which one can have stood still at all; the order of steps is compared by hand; what is left of jobs and steps is added up in plain loops, open and lasting tasks are taken from the counts. A worker that told more than 100 percent would count as having nothing left, instead of less than nothing; no decision changes otherwise.

What deciding still costs at this size is spread out; calls cost more by now.

--- a/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/DemandReport.java
@@ -94,8 +94,7 @@
         double ready = 0;
         double widest = 0;
         for (LiveStep s : steps) {
-            double cpu = (double) s.room.cpuMillis()
-                    * s.tasks.stream().filter(t -> t.phase != Phase.DONE).count();
+            double cpu = (double) s.room.cpuMillis() * s.open();
             asked += cpu * Demand.share(state.expectedMillis(s), available);
             widest = Math.max(widest, cpu);
             ready += s.isReady(wall) ? cpu : 0;
@@ -134,10 +133,8 @@
     private List<WorkerLoad> loads() {
         List<WorkerLoad> loads = new ArrayList<>();
         for (LiveWorker w : state.workers.values()) {
-            int lasting =
-                    (int) w.tasks.stream().filter(t -> t.step.longRunning()).count();
-            loads.add(new WorkerLoad(
-                    w.facts().id(), lasting, w.tasks.size() - lasting, !state.isMissed(w) && !w.isDoubted()));
+            int finite = w.tasks.size() - w.lasting();
+            loads.add(new WorkerLoad(w.facts().id(), w.lasting(), finite, !state.isMissed(w) && !w.isDoubted()));
         }
         loads.sort(Comparator.comparing(WorkerLoad::worker));
         return loads;
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -100,11 +100,13 @@
 
     /** Returns how long what is left of a time takes one step after the other, by what is expected. */
     long leftMillis(int time) {
-        return steps.stream()
-                .filter(s -> s.time == time && !s.isDone())
-                .mapToLong(LiveStep::leftMillis)
-                .max()
-                .orElse(0);
+        long most = 0;
+        for (LiveStep s : steps) {
+            if (s.time == time && !s.isDone()) {
+                most = Math.max(most, s.leftMillis());
+            }
+        }
+        return most;
     }
 
     /** Returns within which time of its begin the job is to end, by what its steps are expected to take. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -70,6 +70,11 @@
         return one ? 1 : 0;
     }
 
+    /** Returns how many of its tasks need a further run or its end. */
+    int open() {
+        return tasks.size() - done;
+    }
+
     /** Returns how many of its tasks no worker holds. */
     int waiting() {
         return waiting;
@@ -101,13 +106,13 @@
 
     /** Returns how long the job still takes from this step on: less where all that is left of the step is at work. */
     long leftMillis() {
-        long afterwards = tailMillis - ownMillis;
-        long own = tasks.stream()
-                .filter(t -> t.phase != LiveTask.Phase.DONE)
-                .mapToLong(t -> t.leftMillis(ownMillis))
-                .max()
-                .orElse(0);
-        return afterwards + own;
+        long own = 0;
+        for (LiveTask t : tasks) {
+            if (t.phase != LiveTask.Phase.DONE) {
+                own = Math.max(own, t.leftMillis(ownMillis));
+            }
+        }
+        return tailMillis - ownMillis + own;
     }
 
     boolean hasWaiting() {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -59,6 +59,8 @@
     long holdDueAt;
     long lastAnswerAt = Long.MIN_VALUE / 2;
     long avoidUntil = Long.MIN_VALUE;
+    /** Before this moment, and before its next answer, none of its tasks can have stood still for too long. */
+    long standingFrom = Long.MIN_VALUE;
     /** It has been avoided: until one run has ended well on it, it gets one task at a time. */
     boolean onProbation;
     /** What speaks against the worker since the last run that ended well, each piece once. */
@@ -148,6 +150,11 @@
         return n;
     }
 
+    /** Returns how many lasting tasks it has. */
+    int lasting() {
+        return lasting;
+    }
+
     /** Returns whether it has a task that fills what others leave. */
     boolean carriesFilling() {
         return filling > 0;
@@ -157,6 +164,7 @@
         clockMillis = workerClock;
         clockReadAt = now;
         lastAnswerAt = now;
+        standingFrom = Long.MIN_VALUE;
         doubted = false;
         if (!fenced) {
             fenced = true;
--- a/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
@@ -15,8 +15,6 @@
  */
 package org.lupinpaddle.core.run;
 
-import org.lupinpaddle.core.run.LiveTask.Phase;
-
 /**
  * How much a service has to do and with what, at one moment: for the log.
  *
@@ -38,8 +36,7 @@
                 if (!s.isReady(wall)) {
                     continue;
                 }
-                int n = (int)
-                        s.tasks.stream().filter(t -> t.phase == Phase.WAITING).count();
+                int n = s.waiting();
                 waiting += n;
                 hopeless += StepUrgency.of(s, wall).tier() == StepUrgency.Tier.PAST ? n : 0;
             }
--- a/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
@@ -54,11 +54,18 @@
         }
     }
 
-    static final Comparator<StepUrgency> FIRST = Comparator.comparingInt(StepUrgency::priority)
-            .thenComparing(StepUrgency::tier)
-            .thenComparingLong(StepUrgency::latestStartMillis)
-            .thenComparing(u -> u.step.job.spec.key().toString())
-            .thenComparingInt(u -> u.step.number);
+    // By hand: a chain of comparators costs several times as much, and some hundred steps are sorted in a pass.
+    static final Comparator<StepUrgency> FIRST = (a, b) -> {
+        int byPriority = Integer.compare(a.priority, b.priority);
+        int byTier = byPriority != 0 ? byPriority : a.tier.compareTo(b.tier);
+        int byStart = byTier != 0 ? byTier : Long.compare(a.latestStartMillis, b.latestStartMillis);
+        return byStart != 0 ? byStart : byName(a.step, b.step);
+    };
+
+    private static int byName(LiveStep a, LiveStep b) {
+        int byJob = a.job.spec.key().toString().compareTo(b.job.spec.key().toString());
+        return byJob != 0 ? byJob : Integer.compare(a.number, b.number);
+    }
 
     /** Returns the urgency of a step at a time of day. */
     static StepUrgency of(LiveStep s, long wallMillis) {
--- a/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
@@ -62,20 +62,37 @@
         long now = state.now();
         for (LiveWorker w : state.workers.values()) {
             if (now - w.lastAnswerAt <= state.timing.silentMillis() && !w.tasks.isEmpty()) {
-                stopStanding(w, now);
+                if (now >= w.standingFrom) {
+                    stopStanding(w, now);
+                }
                 leaveSlow(w);
             }
         }
     }
 
     private void stopStanding(LiveWorker w, long now) {
+        // What begins from now on can not stand still for longer than this.
+        long from = now + STILL_MILLIS;
         for (LiveTask t : w.tasks) {
-            if (t.phase == Phase.RUNNING && !t.step.gang() && standsStill(t, now) && state.hasPlaceElsewhere(t)) {
+            if (t.phase != Phase.RUNNING || t.step.gang()) {
+                continue;
+            }
+            from = Math.min(from, standingFrom(t));
+            if (standsStill(t, now) && state.hasPlaceElsewhere(t)) {
                 t.avoid(w, now);
                 judge.onStandingStill(w, t);
                 state.stop(t, "stands-still percent=" + t.percent + " since-millis=" + (now - t.movedAt));
             }
         }
+        w.standingFrom = from;
+    }
+
+    /** Returns before when the task can not count as standing still, whatever is expected, if no answer tells more. */
+    private static long standingFrom(LiveTask t) {
+        if (t.step.longRunning()) {
+            return t.percent >= ALL_PERCENT ? Long.MAX_VALUE : t.begunAt + WARM_UP_MILLIS;
+        }
+        return t.movedAt + STILL_MILLIS;
     }
 
     private boolean standsStill(LiveTask t, long now) {
--- a/core/src/test/java/org/lupinpaddle/core/run/StragglerPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/StragglerPassTest.java
@@ -101,6 +101,72 @@
             assertTrue(d.port.stops.isEmpty());
         }
 
+        /** The moment must not depend on when the pass was here last: it looks at most workers now and then only. */
+        @Test
+        void isSeenOnceItsTimeIsUp() {
+            StartOrder first = startedOnTheFirstOfTwo(5_000);
+            String other = first.worker().id().equals("w1") ? "w2" : "w1";
+            tells(first.worker().id(), 1, 10, 0, first);
+            d.passes(1_000);
+            d.answers(other, List.of(), List.of());
+            d.passes(1_200);
+            assertTrue(d.port.stops.isEmpty(), "2.2 s since it moved");
+            d.passes(1);
+            assertEquals(1, d.port.stops.size());
+        }
+
+        @Test
+        void isSeenInATaskThatBeganAfterTheLastLook() {
+            StartOrder first = startedOnTheFirstOfTwo(20_000);
+            d.passes(2_000);
+            d.answers("w1", first.worker().id().equals("w1") ? List.of(told(first, 10)) : List.of(), List.of());
+            d.answers("w2", first.worker().id().equals("w2") ? List.of(told(first, 10)) : List.of(), List.of());
+            d.passes(100);
+            d.job("b", step(1, 20_000));
+            d.saved();
+            StartOrder second = d.lastStart();
+            d.scheduler.onStarted(second, OrderOutcome.ACCEPTED);
+            String worker = second.worker().id();
+            String other = worker.equals("w1") ? "w2" : "w1";
+            for (int percent = 11; percent < 14; percent++) {
+                d.passes(700);
+                boolean together = first.worker().equals(second.worker());
+                List<RunningReport> b = List.of(told(second, 0));
+                List<RunningReport> both = List.of(told(first, percent), told(second, 0));
+                d.answers(worker, together ? both : b, List.of());
+                d.answers(other, together ? List.of() : List.of(told(first, percent)), List.of());
+            }
+            assertTrue(d.port.stops.isEmpty());
+            d.passes(101);
+            assertEquals(1, d.port.stops.size());
+            assertEquals("b", d.port.stops.get(0).jobId());
+        }
+
+        @Test
+        void isALastingTaskThatIsNotAtWorkAnyMore() {
+            d.workers("w1", "w2");
+            d.answers("w1", List.of(), List.of());
+            d.answers("w2", List.of(), List.of());
+            d.job(
+                    "a",
+                    StepSpec.builder(1, SchedulerDriver.NEED)
+                            .longRunning(true, 1)
+                            .build());
+            d.saved();
+            StartOrder first = d.lastStart();
+            d.scheduler.onStarted(first, OrderOutcome.ACCEPTED);
+            String other = first.worker().id().equals("w1") ? "w2" : "w1";
+            tells(first.worker().id(), 60, 100, 0, first);
+            d.answers(other, List.of(), List.of());
+            assertTrue(d.port.stops.isEmpty());
+            tells(first.worker().id(), 1, 50, 0, first);
+            assertEquals(1, d.port.stops.size());
+        }
+
+        private RunningReport told(StartOrder o, int percent) {
+            return new RunningReport(o.jobId(), o.task(), o.run(), "", percent, -1);
+        }
+
         @Test
         void isNotATaskThatMoves() {
             StartOrder first = startedOnTheFirstOfTwo(5_000);
