--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -405,6 +405,55 @@
             assertEquals(other, d.lastStart().worker().id());
         }
 
+        /** Ends one run on w1 and leaves it with another until every deadline has passed; no record is durable. */
+        private void endsOneOfTwoAndIsSilent() {
+            startOnOneOf("w1");
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            d.job("b", ONE);
+            d.passes(100);
+            d.saved();
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            d.passes(10);
+            d.answers("w1", List.of(runsB()), List.of(ends(1, 1, EndKind.DONE)));
+            for (int i = 0; i < 12; i++) {
+                d.silent("w1");
+                d.passes(1_000);
+            }
+        }
+
+        private static RunningReport runsB() {
+            return new RunningReport("b", FIRST, 1, "", 50, -1);
+        }
+
+        private long mayForget() {
+            return d.port.holds.get(d.port.holds.size() - 1).forgetUpTo();
+        }
+
+        @Test
+        void thatAnswerAgainDoNotForgetEndsThatAreNotDurable() {
+            endsOneOfTwoAndIsSilent();
+            d.answers("w1", List.of(), List.of(ends(1, 1, EndKind.DONE)));
+            d.passes(100);
+            assertEquals(0, mayForget());
+            d.saved();
+            d.passes(100);
+            assertEquals(1, mayForget());
+        }
+
+        @Test
+        void thatAreListedAgainDoNotForgetEndsThatAreNotDurable() {
+            endsOneOfTwoAndIsSilent();
+            d.workers();
+            d.passes(60_000);
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of(ends(1, 1, EndKind.DONE)));
+            d.passes(100);
+            assertEquals(0, mayForget());
+            d.saved();
+            d.passes(100);
+            assertEquals(1, mayForget());
+        }
+
         @Test
         void loseTheirTasksAtOnceWhenAnotherLifeAnswers() {
             startOnOneOf("w1", "w2");
