--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -206,6 +206,13 @@
         return fenced ? byOwn : inheritedUntil;
     }
 
+    /** Goes on with the ends of the same life: what is not durable yet must not be forgotten there. */
+    void takeOverEnds(LiveWorker before) {
+        takenIn = before.takenIn;
+        durableUpTo = before.durableUpTo;
+        pending.putAll(before.pending);
+    }
+
     void awaitDurable(long endNumber, LiveJob job, long version) {
         pending.put(endNumber, new PendingEnd(job, version));
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -236,9 +236,8 @@
         } else if (e.kind().finishes() && !t.step.longRunning() && t.phase != Phase.DONE) {
             // An older run did the work after all: nothing is to run it again.
             doneByOlderRun(t);
-        } else {
-            return;
         }
+        // Also where nothing is left to do: it may have been taken in before, and its record be under way.
         w.awaitDurable(e.number(), t.job, t.job.version);
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -281,7 +281,7 @@
         runs.gone(w, "silent, and past every deadline it was given");
         if (keep) {
             LiveWorker again = new LiveWorker(w.facts(), state.now());
-            again.takenIn = w.takenIn;
+            again.takeOverEnds(w);
             again.holdInFlight = w.holdInFlight;
             state.workers.put(w.facts().id(), again);
         }
