--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -275,6 +275,84 @@
         }
     }
 
+    @Nested
+    class AfterFailures {
+
+        private static final long AVOIDED_MILLIS = 4_500;
+        private static final long STEP_MILLIS = 500;
+        private static final long WITHIN_MILLIS = 5_000;
+        private final StepSpec lasting =
+                StepSpec.builder(1, SchedulerDriver.NEED).longRunning(true, 0).build();
+
+        private static RunningReport at(String job) {
+            return new RunningReport(job, FIRST, 1, "", 50, -1);
+        }
+
+        /** Lets three jobs fail on the only worker, and waits until it may get a task again. */
+        private void threeFailed() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            List<String> jobs = List.of("a", "b", "c");
+            for (int i = 0; i < jobs.size(); i++) {
+                d.job(jobs.get(i), ONE);
+                d.passes(100);
+                d.saved();
+                d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+                d.passes(100);
+                EndReport failed = new EndReport(i + 1L, jobs.get(i), FIRST, 1, EndKind.FAILED, "");
+                d.answers("w1", List.of(), List.of(failed));
+            }
+            jobs.forEach(j -> d.scheduler.onCancel(new JobKey("q", j)));
+            pass(AVOIDED_MILLIS, List.of());
+        }
+
+        private void pass(long millis, List<RunningReport> running) {
+            for (long t = 0; t < millis; t += STEP_MILLIS) {
+                d.passes(STEP_MILLIS);
+                d.answers("w1", running, List.of());
+                d.saved();
+            }
+        }
+
+        private void begins(String job) {
+            assertEquals(job, d.lastStart().jobId());
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        }
+
+        @Test
+        void aLastingTaskThatGoesWellKeepsNoOtherFromTheWorker() {
+            threeFailed();
+            d.job("x", lasting);
+            pass(STEP_MILLIS, List.of());
+            begins("x");
+            d.job("y", lasting);
+            pass(WITHIN_MILLIS, List.of(at("x")));
+            begins("y");
+        }
+
+        @Test
+        void theWorkerGetsOneTaskAtATime() {
+            threeFailed();
+            d.job("x", ONE);
+            pass(STEP_MILLIS, List.of());
+            begins("x");
+            d.job("y", ONE);
+            pass(WITHIN_MILLIS, List.of(at("x")));
+            assertEquals("x", d.lastStart().jobId());
+        }
+
+        @Test
+        void aLastingTaskThatHasJustBegunProvesNothing() {
+            threeFailed();
+            d.job("x", lasting);
+            pass(STEP_MILLIS, List.of());
+            begins("x");
+            d.job("y", lasting);
+            pass(STEP_MILLIS, List.of(at("x")));
+            assertEquals("x", d.lastStart().jobId());
+        }
+    }
+
     @Nested
     class Records {
 
