--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -38,6 +38,10 @@
     // The longest regular pause between two answers, and the call.
     private static final long EXTEND_WITHIN_MILLIS = 2_600;
 
+    // A lasting task never ends well; after this it has shown what an end would. A third of the 6 s that one may
+    // be without a run, so that those that wait get there in time; what fails does so at once as a rule.
+    private static final long LASTING_PROOF_MILLIS = 2_000;
+
     private WorkerFacts facts;
     private long endsAt = Long.MAX_VALUE;
     final Set<LiveTask> tasks = new LinkedHashSet<>();
@@ -59,7 +63,7 @@
     long holdDueAt;
     long lastAnswerAt = Long.MIN_VALUE / 2;
     long avoidUntil = Long.MIN_VALUE;
-    /** It has been avoided: until one run has ended well on it, it gets one task at a time. */
+    /** It has been avoided: until one run has ended well on it, it gets one task at a time; lasting ones add up. */
     boolean onProbation;
     /** What speaks against the worker since the last run that ended well, each piece once. */
     final Set<String> evidence = new HashSet<>();
@@ -126,12 +130,20 @@
 
     @Override
     public Room free() {
-        if (onProbation && !tasks.isEmpty()) {
+        if (onProbation && tasks.stream().anyMatch(this::isOnTrial)) {
             return Room.NONE;
         }
         return facts.room().minus(used);
     }
 
+    /** Returns whether the task may still show that the worker fails what it runs. */
+    private boolean isOnTrial(LiveTask t) {
+        boolean goesWell = t.step.longRunning()
+                && t.phase == LiveTask.Phase.RUNNING
+                && lastAnswerAt - t.begunAt >= LASTING_PROOF_MILLIS;
+        return !goesWell;
+    }
+
     @Override
     public boolean carriesLasting() {
         return lasting > 0;
