--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -466,6 +466,59 @@
             assertTrue(atMost <= 100_000 + 10 + 2_600 + SchedulerDriver.HOLD_MILLIS, "deadline " + atMost);
         }
 
+        /** Lets the worker of run 1 be silent until run 2 has begun elsewhere; returns both workers. */
+        private List<String> begunTwice() {
+            startOnOneOf("w1", "w2");
+            String gone = d.lastStart().worker().id();
+            String other = gone.equals("w1") ? "w2" : "w1";
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            for (int i = 0; i < 20 && d.lastStart().run() == 1; i++) {
+                d.silent(gone);
+                d.answers(other, List.of(), List.of());
+                d.passes(1_000);
+                d.saved();
+            }
+            assertEquals(2, d.lastStart().run());
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            d.passes(100);
+            d.saved();
+            return List.of(gone, other);
+        }
+
+        @Test
+        void thatEndARunDoneAfterAllLeaveARecordThatSaysSo() {
+            String gone = begunTwice().get(0);
+            d.port.saves.clear();
+            d.answers(gone, List.of(), List.of(ends(1, 1, EndKind.DONE)));
+            d.passes(100);
+            TaskRecord written = d.port.saves.get(0).get(0).progress().tasks().get(0);
+            assertTrue(written.done(), "the worker may forget the end once this is written");
+            assertEquals(2, written.run());
+        }
+
+        @Test
+        void thatEndedARunDoneKeepTheNextOwnerFromRunningTheTaskAgain() {
+            List<String> both = begunTwice();
+            d.port.saves.clear();
+            d.answers(both.get(0), List.of(), List.of(ends(1, 1, EndKind.DONE)));
+            d.passes(100);
+            JobProgress left = d.port.saves.get(0).get(0).progress();
+            SchedulerDriver next = new SchedulerDriver();
+            next.workers("w1", "w2");
+            next.job("a", left, ONE);
+            next.answers(both.get(0), List.of(), List.of());
+            next.answers(both.get(1), List.of(runs(2)), List.of());
+            StopOrder stop = next.port.stops.get(0);
+            assertEquals(2, stop.run());
+            next.scheduler.onStopped(stop, OrderOutcome.ACCEPTED);
+            next.passes(100);
+            next.answers(both.get(1), List.of(), List.of());
+            next.passes(100);
+            next.saved();
+            next.passes(100);
+            assertTrue(next.port.starts.isEmpty());
+        }
+
         @Test
         void keepTheirTasksUntilEveryDeadlineHasPassed() {
             startOnOneOf("w1", "w2");
