Write that a task is done also while a run that nobody needs any more is being stopped

Cause: of a task that an older run had done, the record said done only once the newer run was off its worker; the end itself was forgotten as soon as that record was durable, so the next owner started the task again. Change: the record says both, done and held; the next owner stops what is held and starts nothing.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -137,7 +137,8 @@
             t.run = r.run();
             t.failures = r.failures();
             t.checkpoint = r.checkpoint();
-            if (r.done()) {
+            t.finished = r.done() && !r.worker().isEmpty();
+            if (r.done() && !t.finished) {
                 t.become(LiveTask.Phase.DONE);
             } else if (!r.worker().isEmpty()) {
                 held.add(r);
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -189,7 +189,8 @@
 
     TaskRecord record() {
         String w = worker == null ? "" : worker.facts().id();
-        boolean done = phase == Phase.DONE;
+        // Also while a run that nobody needs any more is being stopped: what says that it is done is soon forgotten.
+        boolean done = phase == Phase.DONE || finished;
         // What is done goes on nowhere; only members of a gang go on from each other's.
         String from = done && !step.gang() ? "" : checkpoint;
         return new TaskRecord(id.time(), id.step(), id.index(), run, failures, done, w, from);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -119,6 +119,8 @@
         t.inherited = true;
         if (job.state.ended()) {
             state.stop(t, "job-" + job.state);
+        } else if (t.finished) {
+            state.stop(t, "done, by an earlier owner's record");
         }
     }
 
