--- a/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
@@ -35,10 +35,10 @@
     private static final int FULL = (ROWS_PER_SAVE - ROWS_FOR_OWNERSHIP) / ROWS_A_RECORD;
     // Each write has its price; what gathers meanwhile goes into one, unless there is enough for a whole one.
     private static final long GATHER_MILLIS = 40;
-    // A write takes 10 ms, and 250 ms at a slow store. A large service changes some 700 records a second, 47 writes:
-    // one
-    // at a time is too few as soon as a write takes 21 ms. More than a quarter of the store's usual rate of 1,200
-    // writes a second is left to the others.
+    // A large service changes some 700 records a second, 47 full writes: one at a time is too few as soon as a write
+    // takes longer than 21 ms, four at a time until it takes 85 ms. A store gives a service no more than 400 a second
+    // by
+    // this, with 10 ms a write, of the 400 to 1,200 that all share.
     private static final int MOST_UNDER_WAY = 4;
 
     private final ServiceState state;
