Let a wave of upkeep go on over changes of the fleet's owner, and end within its time

Cause: a new owner of the fleet began no upkeep for 4 s, since it did not know how many instances its predecessor's orders had taken down; and it did not know since when a wave was asked for, so its last instances left one at a time of each pool that works, however little time was left. Ruled out: the bound on how many may be down at one time; the platform, which took each order at once. Change: what an earlier owner has ordered lately counts as down until it can not be any more, whoever lives, and so does what the platform lists in upkeep; a hand-over names what is down. All else may begin at once. The record of a wave keeps when an owner first saw it; once 70 % of its time have passed, instances leave as many at a time as may be down. Found while testing: an instance that the platform lists in upkeep by an earlier owner's order was not counted once 4 s had passed, so upkeep that takes longer than that could have taken down more than were allowed.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.fleet.InstanceErrand.Phase;
@@ -48,9 +49,14 @@
     private final WavePass waves;
     private boolean listed;
 
-    /** Makes the planner of a fleet whose ownership has just been won. */
-    public FleetPlanner(FleetTiming timing, FleetPort port, Clock clock) {
-        state = new FleetState(timing, port, clock);
+    /**
+     * Makes the planner of a fleet whose ownership has just been won.
+     *
+     * @param clock for the owner's own waits
+     * @param wall the time of day, by which a wave's time runs over changes of owner
+     */
+    public FleetPlanner(FleetTiming timing, FleetPort port, Clock clock, Clock wall) {
+        state = new FleetState(timing, port, clock, wall);
         sizer = new PoolSizer(state);
         waves = new WavePass(state);
     }
@@ -62,9 +68,12 @@
         all.forEach(i -> state.instances.put(i.id(), i));
     }
 
-    /** Takes in which instances an earlier owner has ordered lately; until this is known nothing is ordered. */
+    /**
+     * Takes in which instances an earlier owner has ordered lately, and has to be left alone with; until this is known
+     * nothing is ordered. Fewer of them may be told later, when the life that ordered them is known to be over.
+     */
     public void onEarlierOrders(Set<String> lately) {
-        state.earlierOrders = Set.copyOf(lately);
+        state.earlierOrders(lately);
     }
 
     /** Returns how many errands are under way. */
@@ -118,6 +127,18 @@
         if (record.completed()) {
             state.completed.add(wave);
         }
+        Long seen = record.seenMillis();
+        if (seen != null) {
+            state.waveSeen.put(wave, seen);
+        }
+    }
+
+    /** Returns the instances that are down for their upkeep, or about to be: a successor must count them. */
+    public Set<String> inUpkeep() {
+        return state.errands.values().stream()
+                .filter(e -> e.errand.kind() == Errand.Kind.UPKEEP && e.phase != Phase.EMPTYING)
+                .map(e -> e.instance)
+                .collect(Collectors.toSet());
     }
 
     /** Takes in what became of an order. */
@@ -153,7 +174,8 @@
         if (e.errand.kind() == Errand.Kind.UPKEEP) {
             long wave = Long.parseLong(e.errand.target());
             state.begun(wave).add(e.instance);
-            state.port.writeUpkeep(wave, new UpkeepRecord(List.copyOf(state.begun(wave)), false));
+            state.port.writeUpkeep(
+                    wave, new UpkeepRecord(List.copyOf(state.begun(wave)), false, state.seenMillis(wave)));
         }
     }
 
@@ -163,10 +185,7 @@
             return;
         }
         new ArrayList<>(state.errands.values()).forEach(this::step);
-        if (state.isAlone()) {
-            // Only then is it known how many instances an earlier owner's orders have taken down.
-            waves.run();
-        }
+        waves.run();
         sizer.run();
         // Instances that run nothing need no emptying: their orders go out at once.
         state.errands.values().stream()
@@ -211,8 +230,7 @@
             state.end(e, "another worker lives on the instance");
             return;
         }
-        boolean free = e.errand.kind() == Errand.Kind.MOVE ? state.mayOrder(e.instance) : state.isAlone();
-        if (free && !e.orderInFlight && state.now() >= e.orderDueAt) {
+        if (state.mayOrder(e.instance) && !e.orderInFlight && state.now() >= e.orderDueAt) {
             e.orderInFlight = true;
             state.port.order(e.instance, e.errand);
         }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -41,6 +41,7 @@
     final FleetTiming timing;
     final FleetPort port;
     final Clock clock;
+    final Clock wall;
     final Map<String, PlatformInstance> instances = new TreeMap<>();
     final Map<String, InstanceErrand> errands = new LinkedHashMap<>();
     final Map<String, ServiceReport> reports = new HashMap<>();
@@ -48,6 +49,8 @@
     final Map<Long, UpkeepWave> waves = new TreeMap<>();
     final Map<Long, Set<String>> begun = new HashMap<>();
     final Set<Long> completed = new HashSet<>();
+    /** When an owner first saw a wave, in milliseconds since 1970. */
+    final Map<Long, Long> waveSeen = new HashMap<>();
     /** Workers whose evacuation this planner has ended: their records go a moment later. */
     final Set<String> released = new HashSet<>();
     /** Workers that do not answer their owners, by the newest reports. */
@@ -61,13 +64,16 @@
     /** Instances that an earlier owner has ordered lately; null while that is not known. */
     @Nullable
     Set<String> earlierOrders;
+    /** Instances that earlier owners have ordered lately, whoever lives: they may be down by those orders. */
+    private final Set<String> orderedEarlier = new HashSet<>();
 
     private final long startedAt;
 
-    FleetState(FleetTiming timing, FleetPort port, Clock clock) {
+    FleetState(FleetTiming timing, FleetPort port, Clock clock, Clock wall) {
         this.timing = timing;
         this.port = port;
         this.clock = clock;
+        this.wall = wall;
         this.startedAt = clock.millis();
     }
 
@@ -76,6 +82,19 @@
         return now() - startedAt >= timing.takeOverMillis();
     }
 
+    /** Takes in which instances earlier owners have ordered lately that must be left alone. */
+    void earlierOrders(Set<String> lately) {
+        earlierOrders = Set.copyOf(lately);
+        orderedEarlier.addAll(lately);
+    }
+
+    /** Returns whether an instance is, or may be, down for upkeep by an earlier owner's order. */
+    boolean mayBeDownByOthers(PlatformInstance i) {
+        boolean byUs = errands.containsKey(i.id());
+        boolean lately = !isAlone() && orderedEarlier.contains(i.id());
+        return !byUs && (lately || i.state() == PlatformInstance.State.UPKEEP);
+    }
+
     /** Returns whether the instance may be ordered: no earlier owner has done so lately. */
     boolean mayOrder(String instance) {
         Set<String> earlier = earlierOrders;
@@ -162,6 +181,11 @@
         return w.lasting() * LASTING_WEIGHT + w.finite();
     }
 
+    /** Returns when an owner first saw the wave, in milliseconds since 1970: now, where none is known to have. */
+    long seenMillis(long wave) {
+        return waveSeen.computeIfAbsent(wave, w -> wall.millis());
+    }
+
     Set<String> begun(long wave) {
         return begun.computeIfAbsent(wave, w -> new HashSet<>());
     }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
@@ -17,10 +17,8 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.upkeep.UpkeepRecord;
@@ -32,13 +30,22 @@
  */
 final class WavePass {
 
-    // A wave that keeps to this share of its time disturbs no pool that has work for all its instances; one that is
-    // behind does.
+    // By this share of its time all of a wave is to have begun: what is left is for emptying the last workers, which
+    // takes as long as their tasks, and for their upkeep.
     private static final double PATIENT_SHARE = 0.7;
 
+    /** How a wave stands by its time, and what its pools have to bear for it. */
+    private enum Pace {
+        /** Only instances leave that their pool's work can do without. */
+        IN_TIME,
+        /** Too few have begun for the time that has passed: a pool that works gives one at a time. */
+        BEHIND,
+        /** As many leave as may be down at one time, whatever their pools have to do. */
+        OUT_OF_TIME
+    }
+
     private final FleetState state;
     private final Set<Long> told = new HashSet<>();
-    private final Map<Long, Long> freshSince = new HashMap<>();
 
     WavePass(FleetState state) {
         this.state = state;
@@ -54,20 +61,15 @@
 
     private void drive(UpkeepWave w) {
         if (told.add(w.number())) {
-            state.port.tellWaveRunning(w.number());
-            if (state.begun(w.number()).isEmpty()) {
-                freshSince.put(w.number(), state.now());
-            }
+            tellBegun(w);
         }
-        long out = state.errands.values().stream()
-                .filter(e -> e.errand.isUpkeepOf(w.number()))
-                .count();
-        List<PlatformInstance> next = candidates(w);
-        for (PlatformInstance i : next) {
+        long out = out(w);
+        Pace pace = pace(w);
+        for (PlatformInstance i : candidates(w)) {
             if (out >= w.most()) {
                 break;
             }
-            if (mayLeave(i, isBehind(w))) {
+            if (mayLeave(i, pace)) {
                 state.begin(i, Errand.upkeep(w.number()), false);
                 out++;
             }
@@ -77,6 +79,26 @@
         }
     }
 
+    private void tellBegun(UpkeepWave w) {
+        state.port.tellWaveRunning(w.number());
+        if (!state.waveSeen.containsKey(w.number())) {
+            long seen = state.seenMillis(w.number());
+            state.port.writeUpkeep(w.number(), new UpkeepRecord(List.copyOf(state.begun(w.number())), false, seen));
+        }
+    }
+
+    /** Returns how many instances of the wave are down, or on their way, by this owner's orders or an earlier one's. */
+    private long out(UpkeepWave w) {
+        long ours = state.errands.values().stream()
+                .filter(e -> e.errand.isUpkeepOf(w.number()))
+                .count();
+        long others = w.instances().stream()
+                .map(state.instances::get)
+                .filter(i -> i != null && state.mayBeDownByOthers(i))
+                .count();
+        return ours + others;
+    }
+
     private List<PlatformInstance> candidates(UpkeepWave w) {
         List<PlatformInstance> all = new ArrayList<>();
         for (String id : w.instances()) {
@@ -84,6 +106,7 @@
             boolean free = i != null
                     && i.state() == PlatformInstance.State.UP
                     && !state.errands.containsKey(id)
+                    && !state.mayBeDownByOthers(i)
                     && !state.begun(w.number()).contains(id);
             if (free) {
                 all.add(i);
@@ -94,8 +117,8 @@
         return all;
     }
 
-    private boolean mayLeave(PlatformInstance i, boolean behind) {
-        if (state.isHeadroom(i.pool())) {
+    private boolean mayLeave(PlatformInstance i, Pace pace) {
+        if (state.isHeadroom(i.pool()) || pace == Pace.OUT_OF_TIME) {
             return true;
         }
         ServiceReport r = state.reports.get(i.pool());
@@ -106,17 +129,20 @@
                 .filter(e -> e.service.equals(i.pool()))
                 .count();
         int spare = state.staying(i.pool()).size() - r.needed();
-        return spare > 0 || (behind && out == 0);
+        return spare > 0 || (pace == Pace.BEHIND && out == 0);
     }
 
-    /** Returns whether too few instances have begun for the time that has passed; unknown after a change of owner. */
-    private boolean isBehind(UpkeepWave w) {
-        Long since = freshSince.get(w.number());
-        if (since == null || w.durationMillis() <= 0) {
-            return true;
+    private Pace pace(UpkeepWave w) {
+        if (w.durationMillis() <= 0) {
+            return Pace.BEHIND;
+        }
+        double patient = PATIENT_SHARE * w.durationMillis();
+        long passed = state.wall.millis() - state.seenMillis(w.number());
+        if (passed >= patient) {
+            return Pace.OUT_OF_TIME;
         }
-        double due = w.instances().size() * (state.now() - since) / (PATIENT_SHARE * w.durationMillis());
-        return state.begun(w.number()).size() < due;
+        double due = w.instances().size() * passed / patient;
+        return state.begun(w.number()).size() < due ? Pace.BEHIND : Pace.IN_TIME;
     }
 
     private boolean isDone(UpkeepWave w) {
@@ -128,6 +154,7 @@
     private void complete(UpkeepWave w) {
         state.completed.add(w.number());
         state.port.note("wave-completed", "", "wave=" + w.number());
-        state.port.tellWaveCompleted(w.number(), new UpkeepRecord(List.copyOf(state.begun(w.number())), true));
+        state.port.tellWaveCompleted(
+                w.number(), new UpkeepRecord(List.copyOf(state.begun(w.number())), true, state.seenMillis(w.number())));
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/upkeep/UpkeepRecord.java
+++ b/core/src/main/java/org/lupinpaddle/core/upkeep/UpkeepRecord.java
@@ -16,11 +16,15 @@
 package org.lupinpaddle.core.upkeep;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * How far a wave is, as the fleet's owner keeps it.
  *
  * @param begun the instances whose upkeep the platform has taken the order for, or that are not to have any
  * @param completed whether the operators have been told that the wave is done
+ * @param seenMillis when an owner first saw the wave, in milliseconds since 1970: its time runs from there, whoever
+ *     owns the fleet; null in a record of a version that did not keep it
  */
-public record UpkeepRecord(List<String> begun, boolean completed) {}
+public record UpkeepRecord(
+        List<String> begun, boolean completed, @Nullable Long seenMillis) {}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.lupinpaddle.core.capacity.ServiceReport;
+import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.fleet.Errand;
 import org.lupinpaddle.core.fleet.FleetPlanner;
@@ -95,6 +96,7 @@
      * @param names where the operators' records lie
      * @param loop the event loop
      * @param ownership this entry's lease
+     * @param wall the time of day
      * @param timing the planner's times
      * @param meters the entry's figures
      */
@@ -105,6 +107,7 @@
             PlatformRecords names,
             EventLoop loop,
             OwnershipKeeper ownership,
+            Clock wall,
             FleetTiming timing,
             JobMeters meters) {
 
@@ -117,7 +120,7 @@
     FleetHost(Entry entry, long fence) {
         this.entry = entry;
         this.fence = fence;
-        planner = new FleetPlanner(entry.timing, this, entry.loop.clock());
+        planner = new FleetPlanner(entry.timing, this, entry.loop.clock(), entry.wall);
         patience = new StartPatience(
                 entry.loop,
                 () -> !closed && !earlierKnown,
@@ -210,6 +213,7 @@
         // They are told on, should this owner be followed soon.
         long now = entry.loop.clock().millis();
         earlier.forEach((i, life) -> ordered.put(i, new Ordered(life, now)));
+        planner.onEarlierOrders(earlier.keySet());
         Log.info("fleet-owner-started", "fence", fence, "ordered-lately", earlier.size());
     }
 
@@ -351,13 +355,14 @@
 
     /**
      * Gives no more orders and tells the successor so: this process ends, and only instances whose order has no
-     * answer yet must be left alone. The future ends when that is durable, or soon in any case.
+     * answer yet must be left alone, and those counted that are down for upkeep. The future ends when that is durable, or soon in any case.
      */
     CompletableFuture<Void> handOver() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         handingOver = true;
         if (!writingOrders) {
-            ordered.keySet().retainAll(unanswered);
+            Set<String> down = planner.inUpkeep();
+            ordered.keySet().removeIf(i -> !unanswered.contains(i) && !down.contains(i));
             writeRecent(outcome -> {
                 Log.info("fleet-handed-over", "outcome", outcome, "unanswered", unanswered.size());
                 done.complete(null);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -124,6 +124,7 @@
                 p.records(),
                 loop,
                 ownership,
+                p.wall(),
                 FleetTiming.usual(
                         p.limits().upkeepMillis(),
                         FleetHost.Entry.takeOverMillis(p.limits().ownerLeaseMillis())),
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
@@ -189,7 +189,7 @@
         for (StoreItem i : waves.items()) {
             Either<String, UpkeepWave> wave = records.wave(i);
             wave.forEach(w -> {
-                UpkeepRecord r = done.getOrDefault(w.number(), new UpkeepRecord(List.of(), false));
+                UpkeepRecord r = done.getOrDefault(w.number(), new UpkeepRecord(List.of(), false, null));
                 lines.add("wave " + w.number() + "  " + (r.completed() ? "completed" : "running") + "  begun "
                         + r.begun().size() + " of " + w.instances().size() + ", at most " + w.most() + " at once");
             });
