Tell apart what made later steps late: waiting for room, runs that were long, runs begun anew

Change: an owner says of each placement how long its task has waited since it could start, and of each run that ends well how long it took and was expected to take; lupinctl report sorts by these. What remains is called several short waits together. Before and after: three new cases of ReportCommandTest; the cause they replace held them all.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -17,6 +17,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.placement.Room;
@@ -38,6 +39,8 @@
     private int wholeRuns;
     private long wholeRunsMillis;
     private long longestMillis;
+    /** When the last of its tasks was done, by the owner's clock. */
+    private long doneAt = Long.MIN_VALUE;
 
     /** How long the job still takes once this step begins, by what is expected: this step and those after it. */
     long tailMillis;
@@ -66,6 +69,19 @@
         done += count(to == LiveTask.Phase.DONE) - count(from == LiveTask.Phase.DONE);
     }
 
+    /** Takes in that one of its tasks was done just now. */
+    void doneAt(long now) {
+        doneAt = now;
+    }
+
+    /** Returns when the last of the steps before it was done here, by the owner's clock; nothing without such steps. */
+    OptionalLong readySince() {
+        return spec.after().stream()
+                .mapToLong(before -> job.step(time, before).doneAt)
+                .filter(at -> at != Long.MIN_VALUE)
+                .max();
+    }
+
     private static int count(boolean one) {
         return one ? 1 : 0;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -100,6 +100,8 @@
     long paceDueAt;
     /** Since when nothing that serves beside it is near its target. */
     long comfortableSince = Long.MAX_VALUE;
+    /** Since when no worker holds it; unknown while it has never been on one. */
+    private long waitingSince = Long.MIN_VALUE;
     /** When its worker is known to have begun this run, and whether from the beginning. */
     long begunAt = Long.MAX_VALUE;
 
@@ -150,6 +152,15 @@
         paceKnown = true;
         paceInFlight = false;
         enter(next, now);
+        waitingSince = now;
+        if (next == Phase.DONE) {
+            of.doneAt(now);
+        }
+    }
+
+    /** Returns since when it has waited for a worker, by the owner's clock: its job's begin counts for a first step. */
+    long waitingSince(long jobBegan) {
+        return Math.max(waitingSince, of.readySince().orElse(jobBegan));
     }
 
     void failedOn(LiveWorker w, long now) {
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -172,6 +172,12 @@
         }
         state.changed(job);
         t.placedVersion = job.version;
-        state.note(SchedulerEvent.Kind.TASK_PLACED, t, "", "attempts=" + t.failures + " version=" + t.placedVersion);
+        String detail = "attempts=" + t.failures + " version=" + t.placedVersion + " waited-millis=" + waitedMillis(t);
+        state.note(SchedulerEvent.Kind.TASK_PLACED, t, "", detail);
+    }
+
+    private long waitedMillis(LiveTask t) {
+        long age = state.wallNow() - t.job.beginsMillis(t.id.time());
+        return state.now() - t.waitingSince(state.now() - age);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -252,8 +252,7 @@
     }
 
     private void apply(LiveWorker w, LiveTask t, EndReport e) {
-        state.note(
-                SchedulerEvent.Kind.RUN_ENDED, t, e.kind().name(), "number=" + e.number() + " attempts=" + t.failures);
+        state.note(SchedulerEvent.Kind.RUN_ENDED, t, e.kind().name(), detail(t, e));
         if (!e.checkpoint().isEmpty()) {
             t.checkpoint = e.checkpoint();
         }
@@ -275,6 +274,13 @@
         completeIfDone(t.job);
     }
 
+    private String detail(LiveTask t, EndReport e) {
+        String times = t.begunAt == Long.MAX_VALUE
+                ? ""
+                : " took-millis=" + (state.now() - t.begunAt) + " expected-millis=" + state.expectedMillis(t.of);
+        return "number=" + e.number() + " attempts=" + t.failures + times;
+    }
+
     private void learn(LiveTask t, EndKind kind) {
         if (kind.finishes() && t.begunAfresh && t.begunAt != Long.MAX_VALUE) {
             long took = Math.max(1, state.now() - t.begunAt);
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/Cause.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/Cause.java
@@ -31,8 +31,14 @@
     RUN_LOST("runs lost with their worker", j -> j.runsLost > 0),
     /** Runs failed and were tried again. */
     RUN_FAILED("runs failed", j -> j.runsFailed > 0),
-    /** Later steps waited, or runs took longer than was expected. */
-    LATER("later steps or slow runs", j -> true);
+    /** Runs were stopped, to go on elsewhere. */
+    RUN_STOPPED("runs stopped, begun anew", j -> j.runsStopped > 0),
+    /** Later steps were ready, and no worker had room for them. */
+    LATER_ROOM("later steps waited for room", j -> j.laterWaitMillis() > share(j)),
+    /** Runs took longer than their owner expected. */
+    SLOW("runs longer than expected", j -> j.slowMillis() > share(j)),
+    /** No single one of these took long. */
+    TOGETHER("several short waits together", j -> true);
 
     // A wait that takes more than this part of the objective is what made the job late.
     private static final int PARTS = 4;
@@ -57,7 +63,7 @@
                 return c;
             }
         }
-        return LATER;
+        return TOGETHER;
     }
 
     private static long share(JobTrace j) {
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
@@ -15,12 +15,15 @@
  */
 package org.lupinpaddle.ctl.report;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.lupinpaddle.core.job.Policy;
 
 /** What the lines tell of one job, times in milliseconds by their clocks; {@link #UNKNOWN} where nothing is told. */
 final class JobTrace {
 
     static final long UNKNOWN = Long.MIN_VALUE;
+    private static final String FIRST_STEP = "0.0";
 
     final String service;
     long acceptedAt = UNKNOWN;
@@ -36,6 +39,11 @@
     String outcome = "";
     int runsLost;
     int runsFailed;
+    int runsStopped;
+    /** The longest wait for a worker of any task of a step, and by how much its longest run was longer than expected. */
+    private final Map<String, Long> waitByStep = new HashMap<>();
+
+    private final Map<String, Long> excessByStep = new HashMap<>();
 
     /** How a job has ended by its objective. */
     enum End {
@@ -53,6 +61,34 @@
         this.service = service;
     }
 
+    /** Takes in how long a task waited for its worker. */
+    void placed(String task, long waitedMillis) {
+        waitByStep.merge(step(task), waitedMillis, Math::max);
+    }
+
+    /** Takes in by how much a task's run was longer than its owner expected. */
+    void ran(String task, long excessMillis) {
+        excessByStep.merge(step(task), excessMillis, Math::max);
+    }
+
+    /** A task is named by time, step and index. */
+    private static String step(String task) {
+        return task.substring(0, Math.max(0, task.lastIndexOf('.')));
+    }
+
+    /** Returns how long the job's steps but the first waited for workers; they follow one another. */
+    long laterWaitMillis() {
+        return waitByStep.entrySet().stream()
+                .filter(e -> !e.getKey().equals(FIRST_STEP))
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+    }
+
+    /** Returns by how much the longest runs of its steps were longer than expected, one step after the other. */
+    long slowMillis() {
+        return excessByStep.values().stream().mapToLong(Long::longValue).sum();
+    }
+
     End end(long lastLineAt) {
         if (objectiveMillis == UNKNOWN || outcome.equals("CANCELLED") || acceptedAt == UNKNOWN) {
             return End.OPEN;
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
@@ -106,12 +106,12 @@
             }
         } else if (l.decides("TASK_PLACED")) {
             j.placedAt = first(j.placedAt, l.atMillis());
+            j.placed(l.text("task"), l.number("waited-millis", 0));
             second(j.service, l.atMillis()).placed++;
         } else if (l.decides("JOB_BEGUN")) {
             j.begunAt = first(j.begunAt, l.atMillis());
         } else if (l.decides("RUN_ENDED")) {
-            j.runsLost += l.text("outcome").equals("LAPSED") ? 1 : 0;
-            j.runsFailed += l.text("outcome").equals("FAILED") ? 1 : 0;
+            ended(j, l);
         } else if (l.decides("JOB_ENDED")) {
             j.endedAt = l.atMillis();
             j.ageMillis = l.number("age-millis", JobTrace.UNKNOWN);
@@ -119,6 +119,18 @@
         }
     }
 
+    private static void ended(JobTrace j, LogLine l) {
+        switch (l.text("outcome")) {
+            case "LAPSED" -> j.runsLost++;
+            case "FAILED" -> j.runsFailed++;
+            case "STOPPED" -> j.runsStopped++;
+            case "DONE" -> j.ran(l.text("task"), l.number("took-millis", 0) - l.number("expected-millis", 0));
+            default -> {
+                // Says nothing of why the job is late.
+            }
+        }
+    }
+
     private static long first(long known, long at) {
         return known == JobTrace.UNKNOWN ? at : Math.min(known, at);
     }
--- a/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
+++ b/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import javax.imageio.ImageIO;
@@ -34,6 +35,8 @@
 
     private static final String ENTRY = " north-1 2026-12-02 10:00:00.000 level=INFO ";
 
+    private static final String JOB = "00000000000000aa";
+
     private static String line(double seconds, String text) {
         return seconds + ENTRY + text;
     }
@@ -97,6 +100,42 @@
             assertEquals(Map.of("clips", Map.of(Cause.OWNER, 1)), report(lines).causes());
         }
 
+        /** A job whose first step is placed at once; what follows is given, and it ends 3 s after its begin, not 2. */
+        private Map<String, Map<Cause, Integer>> causesWith(String... lines) {
+            List<String> all = new ArrayList<>(List.of(
+                    aLateJob().get(0),
+                    decision(10.0, "JOB_TAKEN", JOB, "why=\"objective-millis=2000 lasting=false\""),
+                    decision(10.1, "TASK_PLACED", JOB, "task=0.0.0 run=1 why=\"waited-millis=10\""),
+                    decision(10.1, "JOB_BEGUN", JOB, "")));
+            all.addAll(List.of(lines));
+            all.add(decision(13.0, "JOB_ENDED", JOB, "outcome=COMPLETED age-millis=3000"));
+            return report(all).causes();
+        }
+
+        @Test
+        void whoseLaterStepsWaitedAreToldFromThoseThatRanLong() {
+            String waited = decision(12.0, "TASK_PLACED", JOB, "task=0.1.3 run=1 why=\"waited-millis=900\"");
+            String ran = decision(
+                    12.0,
+                    "RUN_ENDED",
+                    JOB,
+                    "task=0.0.0 run=1 outcome=DONE why=\"took-millis=1900 expected-millis=1000\"");
+            assertEquals(Map.of("clips", Map.of(Cause.LATER_ROOM, 1)), causesWith(waited));
+            assertEquals(Map.of("clips", Map.of(Cause.SLOW, 1)), causesWith(ran));
+        }
+
+        @Test
+        void whoseRunsWereStoppedAreToldFromThoseThatWaitedAfterwards() {
+            String stopped = decision(10.9, "RUN_ENDED", JOB, "task=0.0.0 run=1 outcome=STOPPED");
+            String anew = decision(12.0, "TASK_PLACED", JOB, "task=0.0.0 run=2 why=\"waited-millis=900\"");
+            assertEquals(Map.of("clips", Map.of(Cause.RUN_STOPPED, 1)), causesWith(stopped, anew));
+        }
+
+        @Test
+        void withNoLongWaitAreCalledSo() {
+            assertEquals(Map.of("clips", Map.of(Cause.TOGETHER, 1)), causesWith());
+        }
+
         @Test
         void thatLastHaveNoObjective() {
             List<String> lines = List.of(
