Let no record that the store will never take keep the others back, and bound writes by their tasks

Cause: an answer that says a write is wrong for its form or size was taken for one that may be tried again. The write went out again for ever, and with it up to 14 other jobs' records, whose starts waited for it; the fleet's owner writes in order, so that there everything behind it stood still. Besides, 15 records of jobs with a thousand tasks each are 1.2 MB, 1.4 s of the thinnest link, where a call may take 1 s: such a write could never be made either. Change: a port's outcome of its own, REJECTED. Records that went together go one by one then; one that is rejected by itself is passed over with its key in the log, and a job whose progress can not be kept ends as failed with the reason. A write of progress takes at most 1,000 tasks, unless one job alone has more. Before and after: RecordPassTest and OwnedRecordsTest.goOnPastARecordThatTheStoreWillNeverTake; without the outcome the other jobs of RecordPassTest never start, and without the bound one write holds 3 records of a thousand tasks.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -43,6 +43,8 @@
     long savedVersion;
     /** Whether a write of its record is under way. */
     boolean beingSaved;
+    /** Whether its record goes by itself: a write that held it was refused for good. */
+    boolean savedAlone;
 
     long endedAt = Long.MAX_VALUE;
     private final Map<TaskId, LiveTask> byId = new HashMap<>();
--- a/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
@@ -19,6 +19,7 @@
 import java.util.Iterator;
 import java.util.List;
 import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobState;
 
 /**
  * Writes the progress of jobs that have changed: whoever has waited longest first, several writes at a time, and of one
@@ -32,6 +33,10 @@
     private static final int ROWS_FOR_OWNERSHIP = 1;
     private static final int ROWS_A_RECORD = 2;
     private static final int ROWS_A_JOB_OVER = 3;
+    // A task's entry takes some 80 bytes: a write stays under 80 kB, a tenth of a second of the thinnest link, unless
+    // one
+    // job alone is larger.
+    private static final int MOST_TASKS = 1_000;
     private static final int FULL = (ROWS_PER_SAVE - ROWS_FOR_OWNERSHIP) / ROWS_A_RECORD;
     // Each write has its price; what gathers meanwhile goes into one, unless there is enough for a whole one.
     private static final long GATHER_MILLIS = 40;
@@ -39,6 +44,8 @@
     // takes longer than 21 ms, four at a time until it takes 85 ms. With 10 ms a write, one service sends no more than
     // 400 writes a second by this; stores take 400 to 1,200 of all entries together.
     private static final int MOST_UNDER_WAY = 4;
+    // What is refused for another reason than its size is not to be asked for all the time.
+    private static final long REJECTED_RETRY_MILLIS = 1_000;
 
     private final ServiceState state;
     private int underWay;
@@ -74,20 +81,25 @@
     private List<SchedulerPort.Saving> next() {
         List<SchedulerPort.Saving> batch = new ArrayList<>();
         int rows = ROWS_FOR_OWNERSHIP;
+        int tasks = 0;
         Iterator<LiveJob> waiting = state.unsaved.values().iterator();
         while (waiting.hasNext()) {
             LiveJob job = waiting.next();
-            if (job.beingSaved) {
+            if (job.beingSaved || (job.savedAlone && !batch.isEmpty())) {
                 continue;
             }
             JobProgress progress = job.progress(state.wallNow());
             rows += progress.over() ? ROWS_A_JOB_OVER : ROWS_A_RECORD;
-            if (rows > ROWS_PER_SAVE) {
+            tasks += progress.tasks().size();
+            if (rows > ROWS_PER_SAVE || (tasks > MOST_TASKS && !batch.isEmpty())) {
                 return batch;
             }
             batch.add(new SchedulerPort.Saving(job.spec.key(), job.version, progress));
             job.beingSaved = true;
             waiting.remove();
+            if (job.savedAlone) {
+                return batch;
+            }
         }
         return batch;
     }
@@ -104,6 +116,37 @@
         }
     }
 
+    /**
+     * Takes in that the store will never take a write. Its records are written one by one, so that it shows which of
+     * them it is; that one's job ends, since nothing of it could be kept.
+     */
+    void rejected(List<SchedulerPort.Saving> batch) {
+        underWay--;
+        for (SchedulerPort.Saving s : batch) {
+            LiveJob job = state.jobs.get(s.job());
+            if (job == null) {
+                continue;
+            }
+            job.beingSaved = false;
+            job.savedAlone = true;
+            if (batch.size() > 1) {
+                state.unsaved.putIfAbsent(job.spec.key(), job);
+            } else {
+                endUnkept(job);
+            }
+        }
+    }
+
+    private void endUnkept(LiveJob job) {
+        if (job.state.ended()) {
+            // The record of a job that is over holds next to nothing: it is not the record's size.
+            state.unsaved.putIfAbsent(job.spec.key(), job);
+            notBefore = state.now() + REJECTED_RETRY_MILLIS;
+        } else {
+            state.end(job, JobState.FAILED, "the store does not take its record of " + job.tasks.size() + " tasks");
+        }
+    }
+
     /** Takes in that records may not be durable; they are written again, none before so long. */
     void failed(List<SchedulerPort.Saving> batch, long retryMillis) {
         underWay--;
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -257,6 +257,11 @@
         records.failed(batch, retryMillis);
     }
 
+    /** Takes in that the store will never take these records as they are. */
+    public void onSaveRejected(List<SchedulerPort.Saving> batch) {
+        records.rejected(batch);
+    }
+
     /** Does all that is due. Call after each event, and every few dozen milliseconds. */
     public void tick() {
         dropWorkers();
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/RecordPassTest.java
@@ -0,0 +1,132 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.StepSpec;
+
+/** What one write takes, and what becomes of records that the store will never take. */
+class RecordPassTest {
+
+    private static final long GATHERING_MILLIS = 50;
+
+    private final SchedulerDriver d = new SchedulerDriver();
+
+    private static StepSpec step(int tasks) {
+        return StepSpec.builder(tasks, new StepSpec.Need(1, 1, 0)).build();
+    }
+
+    private void begins() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+    }
+
+    @Nested
+    class Sizes {
+
+        /** 15 jobs of 1,000 tasks are 1.2 MB in one call: longer on a link of 7 Mbit/s than a call may take. */
+        @Test
+        void ofWritesAreBoundedByTheirTasks() {
+            begins();
+            for (int i = 0; i < 15; i++) {
+                d.job("job" + i, step(1_000));
+            }
+            Set<Integer> sizes = Set.of();
+            int written = 0;
+            for (int round = 0; round < 15; round++) {
+                d.passes(GATHERING_MILLIS);
+                sizes = d.port.saves.stream().map(List::size).collect(Collectors.toSet());
+                written += d.port.saves.stream().mapToInt(List::size).sum();
+                assertTrue(Set.of(1).containsAll(sizes), "records in one write: " + sizes);
+                d.saved();
+            }
+            assertTrue(written >= 4, "written: " + written);
+        }
+
+        @Test
+        void ofSmallJobsAreNot() {
+            begins();
+            for (int i = 0; i < 15; i++) {
+                d.job("job" + i, step(10));
+            }
+            d.passes(GATHERING_MILLIS);
+            assertTrue(d.port.saves.stream().anyMatch(s -> s.size() > 10));
+        }
+    }
+
+    @Nested
+    class Rejected {
+
+        /** Refuses each write that holds the job, as a store does for which its record is too large. */
+        private void answerAllBut(String job) {
+            List<List<SchedulerPort.Saving>> all = List.copyOf(d.port.saves);
+            d.port.saves.clear();
+            for (List<SchedulerPort.Saving> batch : all) {
+                if (batch.stream()
+                        .anyMatch(s -> s.job().id().equals(job) && !s.progress().over())) {
+                    d.scheduler.onSaveRejected(batch);
+                } else {
+                    d.scheduler.onSaved(batch);
+                }
+            }
+        }
+
+        private boolean starts(String job) {
+            return d.port.starts.stream().anyMatch(s -> s.jobId().equals(job));
+        }
+
+        @Test
+        void recordsKeepNoOtherJobBack() {
+            begins();
+            for (int i = 0; i < 5; i++) {
+                d.job("job" + i, step(1));
+            }
+            for (int round = 0; round < 10; round++) {
+                d.passes(GATHERING_MILLIS);
+                answerAllBut("job2");
+            }
+            d.passes(GATHERING_MILLIS);
+            for (int i = 0; i < 5; i++) {
+                assertEquals(i != 2, starts("job" + i), "job" + i);
+            }
+        }
+
+        @Test
+        void recordsEndTheirJobSinceNothingOfItCanBeKept() {
+            begins();
+            d.job("large", step(2));
+            List<SchedulerPort.Saving> written = new ArrayList<>();
+            for (int round = 0; round < 5; round++) {
+                d.passes(GATHERING_MILLIS);
+                d.port.saves.forEach(written::addAll);
+                answerAllBut("large");
+            }
+            JobProgress last = written.get(written.size() - 1).progress();
+            assertEquals(JobState.FAILED, last.state());
+            assertTrue(last.reason().contains("store"), last.reason());
+        }
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
@@ -47,6 +47,8 @@
     private final Map<String, Long> revisions = new HashMap<>();
     private final List<Map<String, String>> queue = new ArrayList<>();
     private boolean writing;
+    /** So many of the next writes go by themselves, since the store refused them together. */
+    private int oneByOne;
 
     /** What became of a write. */
     enum Outcome {
@@ -56,6 +58,8 @@
         RETRY,
         /** They are not, since another wrote one of them; its revision is known now, so the next try may hold. */
         OVERTAKEN,
+        /** They will never be as they are: the store takes no such record. */
+        REJECTED,
         /** Another entry owns the duty. */
         NOT_OWNER
     }
@@ -113,6 +117,7 @@
                 yield r.revisionOf(ownerKey) == fence ? Outcome.OVERTAKEN : Outcome.NOT_OWNER;
             }
             case LEASE_ENDED, REFUSED, UNKNOWN -> Outcome.RETRY;
+            case REJECTED -> Outcome.REJECTED;
         };
     }
 
@@ -140,6 +145,10 @@
                     writeNext(notOwner);
                 }
                 case OVERTAKEN -> writeNext(notOwner);
+                case REJECTED -> {
+                    passOver(taken);
+                    writeNext(notOwner);
+                }
                 case RETRY -> loop.after(RETRY_MILLIS, () -> writeNext(notOwner));
                 case NOT_OWNER -> {
                     queue.clear();
@@ -149,18 +158,30 @@
         });
     }
 
+    /** Leaves a write out that the store will never take; where several went together, they are written one by one. */
+    private void passOver(int taken) {
+        if (taken > 1) {
+            oneByOne = taken;
+        } else {
+            Map<String, String> bad = queue.remove(0);
+            bad.forEach((key, value) -> Log.warn(
+                    "record-rejected", "key", key, "bytes", value.length(), "why", "the store takes no such record"));
+        }
+    }
+
     /** Puts together what one write takes of what has waited longest; of one record the newest value counts. */
     private int gather(Map<String, String> together) {
         int taken = 0;
         for (Map<String, String> next : queue) {
             Map<String, String> more = new LinkedHashMap<>(together);
             more.putAll(next);
-            if (taken > 0 && more.size() > MOST_AT_ONCE) {
+            if (taken > 0 && (oneByOne > 0 || more.size() > MOST_AT_ONCE)) {
                 return taken;
             }
             together.putAll(next);
             taken++;
         }
+        oneByOne = Math.max(0, oneByOne - 1);
         return taken;
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -379,6 +379,10 @@
                         case SAVED -> s.onSaved(batch);
                         case OVERTAKEN -> s.onSaveFailed(batch, 0);
                         case RETRY -> s.onSaveFailed(batch, RETRY_MILLIS);
+                        case REJECTED -> {
+                            Log.warn("progress-rejected", "service", service, "records", values.keySet());
+                            s.onSaveRejected(batch);
+                        }
                         case NOT_OWNER -> notOwner();
                     }
                 }));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/CommitResult.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/CommitResult.java
@@ -36,6 +36,8 @@
         LEASE_ENDED,
         /** The store did not take the call; nothing was done. */
         REFUSED,
+        /** The store will never take the call as it is, for its form or its size; nothing was done. */
+        REJECTED,
         /** No answer: the changes may be made, or may still be made while their conditions hold. */
         UNKNOWN
     }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -47,6 +47,9 @@
     /** Whether commits wait, unanswered, until {@link #answerOne} is called. */
     boolean delaysCommits;
 
+    /** How long a value may be. */
+    int mostValueLength = Integer.MAX_VALUE;
+
     /** How many commits have been asked for. */
     int commits;
 
@@ -99,8 +102,9 @@
     }
 
     private CommitResult carryOut(StoreCommit c) {
-        if (c.conditions().size() + c.puts().size() + c.removals().size() > MOST_ROWS) {
-            return new CommitResult(CommitResult.Outcome.REFUSED, 0, List.of());
+        boolean tooLong = c.conditions().size() + c.puts().size() + c.removals().size() > MOST_ROWS;
+        if (tooLong || c.puts().stream().anyMatch(p -> p.value().length() > mostValueLength)) {
+            return new CommitResult(CommitResult.Outcome.REJECTED, 0, List.of());
         }
         boolean holds = c.conditions().stream().allMatch(w -> revisionOf(w.key()) == w.revision());
         if (!holds) {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OwnedRecordsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OwnedRecordsTest.java
@@ -131,6 +131,22 @@
             assertEquals("", store.value(KEY));
         }
 
+        @Test
+        void goOnPastARecordThatTheStoreWillNeverTake() {
+            store.mostValueLength = 5;
+            store.delaysCommits = true;
+            for (int i = 0; i < 4; i++) {
+                String value = i == 2 ? "too long" : "short";
+                records.writeInOrder(Map.of(KEY + i, value), () -> {});
+            }
+            for (int i = 0; i < 20 && store.answerOne(); i++) {
+                // One after the other, as the store answers.
+            }
+            assertEquals("short", store.value(KEY + 3));
+            assertEquals("", store.value(KEY + 2));
+            assertEquals(0, records.waiting());
+        }
+
         @Test
         void endWhenTheDutyIsOwnedElsewhere() {
             int[] lost = new int[1];
