--- a/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
@@ -19,6 +19,7 @@
 import java.util.Iterator;
 import java.util.List;
 import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobState;
 
 /**
  * Writes the progress of jobs that have changed: whoever has waited longest first, several writes at a time, and of one
@@ -32,18 +33,33 @@
     private static final int ROWS_FOR_OWNERSHIP = 1;
     private static final int ROWS_A_RECORD = 2;
     private static final int ROWS_A_JOB_OVER = 3;
+    // A task's entry takes some 80 bytes: a write stays under 80 kB, a tenth of a second of the thinnest link, unless
+    // one
+    // job alone is larger.
+    private static final int MOST_TASKS = 1_000;
     private static final int FULL = (ROWS_PER_SAVE - ROWS_FOR_OWNERSHIP) / ROWS_A_RECORD;
     // Each write has its price; what gathers meanwhile goes into one, unless there is enough for a whole one.
     private static final long GATHER_MILLIS = 40;
-    // A large service changes some 700 records a second, 47 full writes: one at a time is too few as soon as a write
-    // takes longer than 21 ms, four at a time until it takes 85 ms. With 10 ms a write, one service sends no more than
-    // 400 writes a second by this; stores take 400 to 1,200 of all entries together.
-    private static final int MOST_UNDER_WAY = 4;
+    // A large service changes some 700 records a second, 47 full writes: four at a time are too few as soon as a write
+    // takes longer than 85 ms, and a slow store takes 250 ms; sixteen are enough until 340 ms.
+    private static final int MOST_UNDER_WAY = 16;
+    // While writes fail the store is not to be asked for more.
+    private static final int MOST_UNDER_WAY_FAILING = 4;
+    // However fast the store answers, one service sends no more than 400 writes a second: stores take 400 to 3,200 of
+    // all entries together.
+    private static final long WINDOW_MILLIS = 25;
+    private static final int MOST_IN_WINDOW = 10;
+    // What is refused for another reason than its size is not to be asked for all the time.
+    private static final long REJECTED_RETRY_MILLIS = 1_000;
 
     private final ServiceState state;
     private int underWay;
     private long gatheredAt;
     private long notBefore;
+    private long windowAt = Long.MIN_VALUE / 2;
+    private int sentInWindow;
+    /** Whether the write that ended last got no answer, or was refused. */
+    private boolean failing;
 
     RecordPass(ServiceState state) {
         this.state = state;
@@ -51,17 +67,27 @@
 
     void run() {
         long now = state.now();
-        while (underWay < MOST_UNDER_WAY && now >= notBefore && (now >= gatheredAt || fillsOne())) {
+        if (now - windowAt >= WINDOW_MILLIS) {
+            windowAt = now;
+            sentInWindow = 0;
+        }
+        while (mayWrite(now) && (now >= gatheredAt || fillsOne())) {
             List<SchedulerPort.Saving> batch = next();
             if (batch.isEmpty()) {
                 return;
             }
             underWay++;
+            sentInWindow++;
             gatheredAt = now + GATHER_MILLIS;
             state.port.save(batch);
         }
     }
 
+    private boolean mayWrite(long now) {
+        int most = failing ? MOST_UNDER_WAY_FAILING : MOST_UNDER_WAY;
+        return now >= notBefore && underWay < most && sentInWindow < MOST_IN_WINDOW;
+    }
+
     private boolean fillsOne() {
         return state.unsaved.values().stream()
                         .filter(j -> !j.beingSaved)
@@ -74,20 +100,25 @@
     private List<SchedulerPort.Saving> next() {
         List<SchedulerPort.Saving> batch = new ArrayList<>();
         int rows = ROWS_FOR_OWNERSHIP;
+        int tasks = 0;
         Iterator<LiveJob> waiting = state.unsaved.values().iterator();
         while (waiting.hasNext()) {
             LiveJob job = waiting.next();
-            if (job.beingSaved) {
+            if (job.beingSaved || (job.savedAlone && !batch.isEmpty())) {
                 continue;
             }
             JobProgress progress = job.progress(state.wallNow());
             rows += progress.over() ? ROWS_A_JOB_OVER : ROWS_A_RECORD;
-            if (rows > ROWS_PER_SAVE) {
+            tasks += progress.tasks().size();
+            if (rows > ROWS_PER_SAVE || (tasks > MOST_TASKS && !batch.isEmpty())) {
                 return batch;
             }
             batch.add(new SchedulerPort.Saving(job.spec.key(), job.version, progress));
             job.beingSaved = true;
             waiting.remove();
+            if (job.savedAlone) {
+                return batch;
+            }
         }
         return batch;
     }
@@ -95,6 +126,7 @@
     /** Takes in that records are durable. */
     void saved(List<SchedulerPort.Saving> batch) {
         underWay--;
+        failing = false;
         for (SchedulerPort.Saving s : batch) {
             LiveJob job = state.jobs.get(s.job());
             if (job != null) {
@@ -104,9 +136,41 @@
         }
     }
 
+    /**
+     * Takes in that the store will never take a write. Its records are written one by one, so that it shows which of
+     * them it is; that one's job ends, since nothing of it could be kept.
+     */
+    void rejected(List<SchedulerPort.Saving> batch) {
+        underWay--;
+        for (SchedulerPort.Saving s : batch) {
+            LiveJob job = state.jobs.get(s.job());
+            if (job == null) {
+                continue;
+            }
+            job.beingSaved = false;
+            job.savedAlone = true;
+            if (batch.size() > 1) {
+                state.unsaved.putIfAbsent(job.spec.key(), job);
+            } else {
+                endUnkept(job);
+            }
+        }
+    }
+
+    private void endUnkept(LiveJob job) {
+        if (job.state.ended()) {
+            // The record of a job that is over holds next to nothing: it is not the record's size.
+            state.unsaved.putIfAbsent(job.spec.key(), job);
+            notBefore = state.now() + REJECTED_RETRY_MILLIS;
+        } else {
+            state.end(job, JobState.FAILED, "the store does not take its record of " + job.tasks.size() + " tasks");
+        }
+    }
+
     /** Takes in that records may not be durable; they are written again, none before so long. */
     void failed(List<SchedulerPort.Saving> batch, long retryMillis) {
         underWay--;
+        failing = retryMillis > 0;
         notBefore = state.now() + retryMillis;
         for (SchedulerPort.Saving s : batch) {
             LiveJob job = state.jobs.get(s.job());
