Hold the model to the size of hundreds of instances, and an owner's first holds to the thinnest link

Change: a site has entries of several kinds, each with its capacity and link; two more cases of AtSizeTest: 306 instances in six halls behind 18 large and 29 small entries, and one service of 250 workers behind links of 7 Mbit/s.

--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -17,7 +17,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.lupinpaddle.core.ownership.OwnerRank;
 import org.lupinpaddle.daemon.jobs.JobMeters;
 import org.lupinpaddle.daemon.jobs.JobNode;
 import org.lupinpaddle.daemon.settings.JobSettings;
@@ -30,14 +29,16 @@
     final String name;
     final String hall;
     private final World world;
+    private final EntryKind kind;
     private VirtualLoop loop;
     private JobNode node;
     private boolean up;
 
-    SimEntry(World world, String name, String hall) {
+    SimEntry(World world, String name, String hall, EntryKind kind) {
         this.world = world;
         this.name = name;
         this.hall = hall;
+        this.kind = kind;
         loop = new VirtualLoop(world.time);
         node = life();
     }
@@ -45,15 +46,15 @@
     private JobNode life() {
         loop = new VirtualLoop(world.time);
         up = true;
-        Link out = new Link(world.time, world.site.linkBytesPerMilli());
-        Link in = new Link(world.time, world.site.linkBytesPerMilli());
+        Link out = new Link(world.time, kind.linkBytesPerMilli());
+        Link in = new Link(world.time, kind.linkBytesPerMilli());
         JobSettings.Bounds bounds = new JobSettings.Bounds(
                 SimWorker.MOST_HOLD_MILLIS, SimWorker.STOP_MILLIS, 6, World.LEASE_MILLIS, World.UPKEEP_MILLIS, false);
         return new JobNode(
                 loop,
                 new JobNode.Parts(
                         name,
-                        OwnerRank.USUAL_CAPACITY,
+                        kind.capacity(),
                         new SimStorePort(world, name, hall, out, in),
                         new SimRecords(),
                         new SimWorkerPort(world, hall, out, in),
--- a/model/src/main/java/org/lupinpaddle/model/Site.java
+++ b/model/src/main/java/org/lupinpaddle/model/Site.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.model;
 
 import java.util.List;
+import org.lupinpaddle.core.ownership.OwnerRank;
 import org.lupinpaddle.core.placement.Room;
 
 /**
@@ -24,35 +25,32 @@
  * @param services the services whose workers run jobs
  * @param halls where entries and machines stand, by turns
  * @param racks how many racks a hall has
- * @param entries how many entries there are
+ * @param entryKinds what entries there are
  * @param workers how many machines work for services, by turns
  * @param spares how many machines are off
  * @param room what a machine has
  * @param textBytes how long the text is that a caller gives with a job
- * @param linkBytesPerMilli what each entry's link to the store carries, either way
  */
 record Site(
         List<String> services,
         List<String> halls,
         int racks,
-        int entries,
+        List<EntryKind> entryKinds,
         int workers,
         int spares,
         Room room,
-        int textBytes,
-        long linkBytesPerMilli) {
+        int textBytes) {
 
     /** The site of the seeded histories: small, so that thousands of them can be run. */
     static final Site SMALL = new Site(
             List.of("clips", "archive"),
             List.of("north", "south", "west"),
             2,
-            4,
+            List.of(new EntryKind(4, OwnerRank.USUAL_CAPACITY, Link.UNLIMITED)),
             8,
             4,
             new Room(8_000, 16_000, 0),
-            0,
-            Link.UNLIMITED);
+            0);
 
     /** Returns a site as large as the largest that the product is made for, with texts of this length and this rate of the
      * entries' links. */
@@ -61,11 +59,36 @@
                 List.of("news", "archive", "promo", "partner"),
                 List.of("north", "south", "west", "east"),
                 5,
-                37,
+                List.of(new EntryKind(37, OwnerRank.USUAL_CAPACITY, linkBytesPerMilli)),
                 207,
                 40,
                 new Room(16_000, 32_000, 0),
-                textBytes,
-                linkBytesPerMilli);
+                textBytes);
+    }
+
+    /** Returns a site of 306 instances in six halls, with entries of two kinds: 0.75 fast cores at 200 Mbit/s, 0.36 at 20. */
+    static Site hundreds(int textBytes) {
+        return new Site(
+                List.of("news", "archive", "promo", "partner"),
+                List.of("north", "south", "west", "east", "harbour", "airport"),
+                3,
+                List.of(new EntryKind(18, 1_500, 25_000), new EntryKind(29, 360, 2_500)),
+                264,
+                42,
+                new Room(16_000, 64_000, 0),
+                textBytes);
+    }
+
+    /** Returns a site whose one service has 250 workers, behind entries with the thinnest of links. */
+    static Site oneLargeService(int textBytes, long linkBytesPerMilli) {
+        return new Site(
+                List.of("news"),
+                List.of("north", "south", "west", "east"),
+                5,
+                List.of(new EntryKind(9, OwnerRank.USUAL_CAPACITY, linkBytesPerMilli)),
+                250,
+                10,
+                new Room(16_000, 64_000, 0),
+                textBytes);
     }
 }
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -153,8 +153,11 @@
             fleet.add(hall, "rack-" + hall + "-" + i % site.racks(), pool);
         }
         fleet.startLagging();
-        for (int i = 0; i < site.entries(); i++) {
-            entries.add(new SimEntry(this, "entry-" + i, halls.get(i % halls.size())));
+        for (EntryKind kind : site.entryKinds()) {
+            for (int i = 0; i < kind.count(); i++) {
+                int n = entries.size();
+                entries.add(new SimEntry(this, "entry-" + n, halls.get(n % halls.size()), kind));
+            }
         }
         entries.forEach(e -> time.after(random.nextInt(300), e::start));
     }
--- a/model/src/test/java/org/lupinpaddle/model/AtSizeTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/AtSizeTest.java
@@ -38,16 +38,27 @@
 
         @Test
         void isRecoveredFromOverThinLinks() {
-            recovers(THIN);
+            recovers(Site.large(TEXT_BYTES, THIN));
         }
 
         @Test
         void isRecoveredFromOverAmpleLinks() {
-            recovers(AMPLE);
+            recovers(Site.large(TEXT_BYTES, AMPLE));
         }
 
-        private static void recovers(long linkBytesPerMilli) {
-            World w = new World(1, Site.large(TEXT_BYTES, linkBytesPerMilli));
+        @Test
+        void isRecoveredFromByEntriesOfTwoKindsThatCarryHundredsOfInstances() {
+            recovers(Site.hundreds(TEXT_BYTES));
+        }
+
+        /** An owner's first holds go out together, and their answers carry all that its workers run. */
+        @Test
+        void isRecoveredFromByAnOwnerOf250WorkersOverAThinLink() {
+            recovers(Site.oneLargeService(TEXT_BYTES, THIN));
+        }
+
+        private static void recovers(Site site) {
+            World w = new World(1, site);
             try {
                 w.recover(POWER_LOSS_AFTER_MILLIS);
             } catch (RuleBrokenException e) {
