--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -123,6 +123,11 @@
         return store.read(JobKeys.owner(duty)).map(StoreItem::value).orElse("");
     }
 
+    /** Returns the fence of a duty's owner; 0 for nobody. */
+    long fence(String duty) {
+        return store.read(JobKeys.owner(duty)).map(StoreItem::revision).orElse(0L);
+    }
+
     /** Returns the entry with this name. */
     SimEntry entry(String name) {
         return entries.stream().filter(e -> e.name.equals(name)).findFirst().orElseThrow();
@@ -153,8 +158,11 @@
             fleet.add(hall, "rack-" + hall + "-" + i % site.racks(), pool);
         }
         fleet.startLagging();
-        for (int i = 0; i < site.entries(); i++) {
-            entries.add(new SimEntry(this, "entry-" + i, halls.get(i % halls.size())));
+        for (EntryKind kind : site.entryKinds()) {
+            for (int i = 0; i < kind.count(); i++) {
+                int n = entries.size();
+                entries.add(new SimEntry(this, "entry-" + n, halls.get(n % halls.size()), kind));
+            }
         }
         entries.forEach(e -> time.after(random.nextInt(300), e::start));
     }
