Give the view of the store's members a class of its own

Change: Members holds the last of these; behaviour as before. ModelTest and AtSizeTest.AStoreThatComesBack pass on it. Conclusion: the taking of duties and the lease could still part.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -25,7 +25,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.UUID;
 import org.lupinpaddle.core.common.RendezvousHash;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.ownership.OwnerRank;
@@ -64,20 +63,13 @@
     private static final long SETTLED_MILLIS = 2_000;
     // Nor before it has been of use: its owner has read all that it needs, and asked every worker.
     private static final long HELD_MILLIS = 5_000;
-    // When the store comes back after all leases have ended, entries come back within this; until then those count that
-    // were registered before.
+    // When the store comes back after all leases have ended, entries come back within this.
     private static final long RETURN_MILLIS = 1_000;
-    private static final long REMEMBERED_MILLIS = 30_000;
     // An entry that could not begin with a duty leaves it to the others for so long, and tries again if they can't
     // either.
     private static final long LEAVE_TO_OTHERS_MILLIS = 10_000;
     private static final long LEAST_CAPACITY = 1;
 
-    // Its registration and its capacity.
-    private static final int KEYS_OF_AN_ENTRY = 2;
-
-    private static final char LIFE_SEPARATOR = '/';
-
     private final KeyValueStore store;
     private final EventLoop loop;
     private final String entry;
@@ -85,6 +77,7 @@
     private final long capacity;
     private final Listener listener;
     private final PrefixWatch watch;
+    private final Members members;
     private final TreeMap<String, Long> owned = new TreeMap<>();
     private final Set<String> duties = new TreeSet<>();
     private final Set<String> attempts = new HashSet<>();
@@ -97,20 +90,14 @@
     private final Map<String, Long> freeSince = new HashMap<>();
     /** When a duty was won that this entry owns. */
     private final Map<String, Long> wonAt = new HashMap<>();
-    /** Entries that are, or lately were, registered. */
-    private final Map<String, Known> known = new HashMap<>();
 
     private long lease;
     private long reopenedAt = Long.MIN_VALUE / 2;
     private long keptAt = Long.MIN_VALUE / 2;
-    private final Map<String, Long> entrySince = new HashMap<>();
     private long sharedAt = Long.MIN_VALUE / 2;
     private boolean registered;
     private boolean stopping;
 
-    /** What is known of an entry that is or was registered. */
-    private record Known(long capacity, long seenAt) {}
-
     /** What is told of duties. */
     interface Listener {
         /** This entry owns the duty from now on. */
@@ -125,9 +112,10 @@
         this.loop = loop;
         this.entry = entry;
         this.capacity = capacity;
-        this.life = entry + LIFE_SEPARATOR + UUID.randomUUID();
+        this.life = Members.newLife(entry);
         this.listener = listener;
         watch = new PrefixWatch(store, loop, JobKeys.MEMBERS, this);
+        members = new Members(watch, loop.clock(), entry, capacity);
     }
 
     void start() {
@@ -169,20 +157,7 @@
 
     /** Returns whether a life is over for certain: its entry is registered with another one. */
     boolean isOver(String otherLife) {
-        String name = otherLife.substring(0, Math.max(0, otherLife.lastIndexOf(LIFE_SEPARATOR)));
-        if (name.equals(entry)) {
-            return !otherLife.equals(life);
-        }
-        return watch.items().stream()
-                .anyMatch(i -> i.key().equals(JobKeys.entry(name)) && !i.value().equals(otherLife));
-    }
-
-    /** Returns the entries that are registered. */
-    Set<String> entries() {
-        Set<String> all = new TreeSet<>();
-        watch.items().forEach(i -> JobKeys.entryOf(i.key()).ifPresent(all::add));
-        all.add(entry);
-        return all;
+        return members.isOver(otherLife, life);
     }
 
     /**
@@ -203,7 +178,7 @@
      */
     void leaveToOthers(String duty, long fence, String why) {
         boolean mine = Long.valueOf(fence).equals(owned.get(duty));
-        if (!mine || !reachesStore() || entries().size() == 1) {
+        if (!mine || !reachesStore() || members.entries().size() == 1) {
             return;
         }
         leftUntil.put(duty, loop.clock().millis() + LEAVE_TO_OTHERS_MILLIS);
@@ -328,9 +303,9 @@
     }
 
     private void review() {
-        Map<String, StoreItem> owners = owners();
+        Map<String, StoreItem> owners = members.owners();
         freeSince.keySet().removeAll(owners.keySet());
-        remember();
+        members.remember();
         for (Map.Entry<String, Long> o : new ArrayList<>(owned.entrySet())) {
             StoreItem i = owners.get(o.getKey());
             boolean seen = watch.revision() >= o.getValue();
@@ -343,21 +318,10 @@
         seekDuties();
     }
 
-    private void remember() {
-        long now = loop.clock().millis();
-        Map<String, Long> told = toldCapacities();
-        entries().forEach(e -> known.put(e, new Known(told.getOrDefault(e, OwnerRank.USUAL_CAPACITY), now)));
-        known.values().removeIf(k -> now - k.seenAt() > REMEMBERED_MILLIS);
-    }
-
     /** The store may take keys away while their lease lives on. */
     private void registerAgain() {
-        long mine = watch.items().stream()
-                .filter(i -> i.lease() == lease)
-                .filter(i -> i.key().equals(JobKeys.entry(entry)) || i.key().equals(JobKeys.capacity(entry)))
-                .count();
-        boolean known = mine == KEYS_OF_AN_ENTRY;
-        if (!known && registered && lease != 0 && !stopping) {
+        boolean whole = members.holdsAllOf(lease);
+        if (!whole && registered && lease != 0 && !stopping) {
             registered = false;
             register();
         }
@@ -374,17 +338,11 @@
         }
     }
 
-    private Map<String, StoreItem> owners() {
-        Map<String, StoreItem> owners = new HashMap<>();
-        watch.items().forEach(i -> JobKeys.ownedBy(i.key()).ifPresent(d -> owners.put(d, i)));
-        return owners;
-    }
-
     private void seekDuties() {
         if (stopping || lease == 0) {
             return;
         }
-        Map<String, StoreItem> owners = owners();
+        Map<String, StoreItem> owners = members.owners();
         List<String> free = duties.stream()
                 .filter(d -> !owners.containsKey(d) && !owned.containsKey(d) && !leavesToOthers(d))
                 .toList();
@@ -394,7 +352,7 @@
         }
         long now = loop.clock().millis();
         free.forEach(d -> freeSince.putIfAbsent(d, now));
-        OwnerRank order = order(owners);
+        OwnerRank order = members.order(owners);
         int steps = owned.size() + attempts.size();
         // Each entry begins with another one: where all start at once, all duties are tried for at once.
         for (String duty : RendezvousHash.rank(entry, free)) {
@@ -406,72 +364,32 @@
         }
     }
 
+    private boolean isReturning() {
+        return loop.clock().millis() - reopenedAt <= RETURN_MILLIS;
+    }
+
     /** Returns how long after it has become free this entry tries for a duty, with so many others that it has by then. */
     private long delayMillis(OwnerRank order, String duty, int steps) {
-        int place = leavesAny() ? MOST_PLACES : Math.min(MOST_PLACES, order.of(entry, duty, ranked()));
+        int place =
+                leavesAny() ? MOST_PLACES : Math.min(MOST_PLACES, order.of(entry, duty, members.ranked(isReturning())));
         return place * STAGGER_MILLIS + Math.min(steps, MOST_STEPS) * NEXT_DUTY_MILLIS;
     }
 
-    /** Returns the entries that may try for a duty: for a moment after the store's return also those not back yet. */
-    private Set<String> ranked() {
-        Set<String> all = entries();
-        if (loop.clock().millis() - reopenedAt <= RETURN_MILLIS) {
-            all.addAll(known.keySet());
-        }
-        return all;
-    }
-
-    private OwnerRank order(Map<String, StoreItem> owners) {
-        return new OwnerRank(ownedCounts(owners), capacities());
-    }
-
-    private Map<String, Long> toldCapacities() {
-        Map<String, Long> all = new HashMap<>();
-        watch.items()
-                .forEach(i -> JobKeys.capacityOf(i.key())
-                        .ifPresent(name -> capacity(i).ifPresent(c -> all.put(name, c))));
-        return all;
-    }
-
-    private Map<String, Long> capacities() {
-        Map<String, Long> all = new HashMap<>();
-        known.forEach((name, k) -> all.put(name, k.capacity()));
-        all.putAll(toldCapacities());
-        // What this entry does well it goes on doing, whatever else it leaves to others.
-        all.put(entry, capacity);
-        return all;
-    }
-
-    private static Optional<Long> capacity(StoreItem i) {
-        try {
-            return Optional.of(Long.parseLong(i.value())).filter(c -> c > 0);
-        } catch (NumberFormatException e) {
-            Log.warn("capacity-unreadable", "key", i.key(), "value", i.value());
-            return Optional.empty();
-        }
-    }
-
     /**
      * Hands one duty over when another entry had better do it: planned restarts leave all duties to the entry that is
      * restarted last, and a small entry may win one while the large ones start.
      */
     private void shareOut() {
         long now = loop.clock().millis();
-        Set<String> known = entries();
-        entrySince.keySet().retainAll(known);
-        known.forEach(e -> entrySince.putIfAbsent(e, now));
+        members.see();
         if (stopping || now - sharedAt < SHARE_EVERY_MILLIS || owned.isEmpty()) {
             return;
         }
-        Map<String, StoreItem> owners = owners();
-        List<String> settled = entrySince.entrySet().stream()
-                .filter(e -> now - e.getValue() >= SETTLED_MILLIS)
-                .map(Map.Entry::getKey)
-                .toList();
+        Map<String, StoreItem> owners = members.owners();
         // What it has done for longest it goes on doing.
         Optional<String> newest = owned.keySet().stream().max(Comparator.comparingLong(this::wonAt));
         Optional<String> held = newest.filter(d -> now - wonAt(d) >= HELD_MILLIS);
-        Optional<String> relief = order(owners).reliefOf(entry, settled);
+        Optional<String> relief = members.order(owners).reliefOf(entry, members.settled(SETTLED_MILLIS));
         if (held.isPresent() && relief.isPresent() && owners.keySet().containsAll(duties)) {
             sharedAt = now;
             release(held.get(), relief.get() + " has less to do for what it can do");
@@ -503,14 +421,8 @@
                         loop::execute);
     }
 
-    private Map<String, Integer> ownedCounts(Map<String, StoreItem> owners) {
-        Map<String, Integer> counts = new HashMap<>();
-        owners.values().forEach(i -> counts.merge(i.value(), 1, Integer::sum));
-        return counts;
-    }
-
     private void take(String duty) {
-        Map<String, StoreItem> owners = owners();
+        Map<String, StoreItem> owners = members.owners();
         boolean free = !owners.containsKey(duty) && !owned.containsKey(duty);
         if (!free || stopping || lease == 0 || !duties.contains(duty)) {
             attempts.remove(duty);
@@ -518,7 +430,7 @@
         }
         // It may have been owned and become free again since this try was planned: its time counts anew.
         long now = loop.clock().millis();
-        long due = freeSince.getOrDefault(duty, now) + delayMillis(order(owners), duty, owned.size());
+        long due = freeSince.getOrDefault(duty, now) + delayMillis(members.order(owners), duty, owned.size());
         if (now < due) {
             loop.after(due - now, () -> take(duty));
             return;
