--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -69,7 +69,7 @@
     }
 
     /**
-     * Takes in which instances an earlier owner has ordered lately, and has to be left alone with; until this is known
+     * Takes in which instances an earlier owner has ordered lately and which are to be left alone; until this is known
      * nothing is ordered. Fewer of them may be told later, when the life that ordered them is known to be over.
      */
     public void onEarlierOrders(Set<String> lately) {
--- a/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
@@ -34,8 +34,7 @@
     private static final int ROWS_A_RECORD = 2;
     private static final int ROWS_A_JOB_OVER = 3;
     // A task's entry takes some 80 bytes: a write stays under 80 kB, a tenth of a second of the thinnest link, unless
-    // one
-    // job alone is larger.
+    // one job alone is larger.
     private static final int MOST_TASKS = 1_000;
     private static final int FULL = (ROWS_PER_SAVE - ROWS_FOR_OWNERSHIP) / ROWS_A_RECORD;
     // Each write has its price; what gathers meanwhile goes into one, unless there is enough for a whole one.
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
@@ -29,10 +29,15 @@
 final class LoadReport {
 
     private static final int MILLIS = 1_000;
+    // Millis since 1970 of a day in 1973: what is less counts from a begin of its own.
+    private static final long A_TIME_OF_DAY = 100_000_000_000L;
 
     private final Map<String, JobTrace> jobs = new HashMap<>();
     private final Map<String, Long> acceptedAt = new HashMap<>();
     private final Map<String, TreeMap<Long, Second>> seconds = new TreeMap<>();
+    /** From when on seconds count: the first line, where lines tell the time of day. */
+    private long begunAt = JobTrace.UNKNOWN;
+
     private long refused;
     private long lastLineAt = JobTrace.UNKNOWN;
 
@@ -72,7 +77,11 @@
         LogLine.parse(text).ifPresent(this::add);
     }
 
-    private void add(LogLine l) {
+    private void add(LogLine dated) {
+        if (begunAt == JobTrace.UNKNOWN) {
+            begunAt = dated.atMillis() < A_TIME_OF_DAY ? 0 : dated.atMillis() / MILLIS * MILLIS;
+        }
+        LogLine l = new LogLine(dated.atMillis() - begunAt, dated.event(), dated.fields());
         lastLineAt = Math.max(lastLineAt, l.atMillis());
         switch (l.event()) {
             case "accept" -> accepted(l);
--- a/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
+++ b/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
@@ -194,6 +194,14 @@
     @Nested
     class Times {
 
+        @Test
+        void ofTheTableCountFromTheFirstLine() {
+            LoadReport r = report(List.of(
+                    "2026-12-02 10:00:00.250 level=INFO event=started",
+                    "2026-12-02 10:00:07.500 level=INFO event=service-load service=clips workers=7"));
+            assertEquals(7, second(r, "clips", 7).workers);
+        }
+
         @Test
         void areTheLinesOwnWhereNobodyHasPutSecondsInFront() {
             LogLine a =
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -355,7 +355,8 @@
 
     /**
      * Gives no more orders and tells the successor so: this process ends, and only instances whose order has no
-     * answer yet must be left alone, and those counted that are down for upkeep. The future ends when that is durable, or soon in any case.
+     * answer yet must be left alone, and those counted that are down for upkeep. The future ends when that is durable,
+     * or soon in any case.
      */
     CompletableFuture<Void> handOver() {
         CompletableFuture<Void> done = new CompletableFuture<>();
