Put two words right: a line as it was written, and how large the model's site is

Cause: the last read of the change. A line of the report was called dated before it is known whether it is, and a site of the model was said to be the largest, which it no longer is. Change: a parameter's name and a comment; behaviour as before. Conclusion: nothing else was mended. Left: an entry remembers all members at each change of any of them, where once a renewal would do, beside the walk that notes since when they are there.

--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
@@ -77,11 +77,11 @@
         LogLine.parse(text).ifPresent(this::add);
     }
 
-    private void add(LogLine dated) {
+    private void add(LogLine asWritten) {
         if (begunAt == JobTrace.UNKNOWN) {
-            begunAt = dated.atMillis() < A_TIME_OF_DAY ? 0 : dated.atMillis() / MILLIS * MILLIS;
+            begunAt = asWritten.atMillis() < A_TIME_OF_DAY ? 0 : asWritten.atMillis() / MILLIS * MILLIS;
         }
-        LogLine l = new LogLine(dated.atMillis() - begunAt, dated.event(), dated.fields());
+        LogLine l = new LogLine(asWritten.atMillis() - begunAt, asWritten.event(), asWritten.fields());
         lastLineAt = Math.max(lastLineAt, l.atMillis());
         switch (l.event()) {
             case "accept" -> accepted(l);
--- a/model/src/main/java/org/lupinpaddle/model/Site.java
+++ b/model/src/main/java/org/lupinpaddle/model/Site.java
@@ -52,7 +52,7 @@
             new Room(8_000, 16_000, 0),
             0);
 
-    /** Returns a site as large as the largest that the product is made for, with texts of this length and this rate of the
+    /** Returns a site of 247 instances in four halls, with texts of this length and this rate of the
      * entries' links. */
     static Site large(int textBytes, long linkBytesPerMilli) {
         return new Site(
