Tell in the log which ends of other runs are taken in, and what a worker that goes might forget

Cause: after a task ran again although its end was noted, the log told neither ends of older runs nor ends of tasks that nobody knew, and not up to which end a worker had been told to forget. Change: one line for each answer with such ends, the first eight of them; and a worker's numbers of ends as it is dropped.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -254,6 +254,11 @@
         return durableUpTo;
     }
 
+    /** Returns which of its ends are taken in and which it may forget, for the log. */
+    String tellEnds() {
+        return "ends-taken-in=" + takenIn + " may-forget=" + lastDurable();
+    }
+
     boolean hasPendingEnds() {
         lastDurable();
         return !pending.isEmpty();
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -17,7 +17,9 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.run.LiveTask.Phase;
@@ -35,6 +37,8 @@
     // A worker without room sees more of it as soon as one of its tasks ends.
     private static final long NO_ROOM_AVOID_MILLIS = 300;
     private static final long UNHEALTHY_AVOID_MILLIS = 1_000;
+    // A line of the log stays readable, and one that is searched for is found as a rule.
+    private static final int MOST_ENDS_TOLD = 8;
 
     private final ServiceState state;
     private final WorkerJudge judge;
@@ -176,12 +180,14 @@
     void onHeld(LiveWorker w, long sentAt, HoldAnswer answer) {
         Set<LiveTask> shown = new HashSet<>();
         answer.running().forEach(r -> running(w, r, shown));
+        List<EndReport> others = new ArrayList<>();
         for (EndReport e : answer.ended()) {
             if (e.number() > w.takenIn) {
                 w.takenIn = e.number();
-                ended(w, e);
+                ended(w, e, others);
             }
         }
+        tellOthers(w, others);
         for (LiveTask t : new ArrayList<>(w.tasks)) {
             if (!shown.contains(t) && t.provenFrom <= sentAt) {
                 notShown(t);
@@ -226,16 +232,33 @@
         }
     }
 
-    private void ended(LiveWorker w, EndReport e) {
+    /** One line an answer, however many there are: a new owner is told hundreds that others have taken in. */
+    private void tellOthers(LiveWorker w, List<EndReport> others) {
+        if (others.isEmpty()) {
+            return;
+        }
+        String some = others.stream()
+                .limit(MOST_ENDS_TOLD)
+                .map(e -> e.number() + ":" + e.jobId() + "." + e.task() + "/" + e.run() + ":" + e.kind())
+                .collect(Collectors.joining(","));
+        state.note(SchedulerEvent.Kind.OTHER_ENDS_TOLD, w, "count=" + others.size() + " ends=" + some);
+    }
+
+    /** Takes an end in; one that is not of its task's newest run is added to {@code others}. */
+    private void ended(LiveWorker w, EndReport e, List<EndReport> others) {
         LiveTask t = state.task(e.jobId(), e.task());
         if (t == null) {
+            others.add(e);
             return;
         }
         if (t.worker == w && t.run == e.run()) {
             apply(w, t, e);
-        } else if (e.kind().finishes() && !t.step.longRunning() && t.phase != Phase.DONE) {
-            // An older run did the work after all: nothing is to run it again.
-            doneByOlderRun(t);
+        } else {
+            others.add(e);
+            if (e.kind().finishes() && !t.step.longRunning() && t.phase != Phase.DONE) {
+                // An older run did the work after all: nothing is to run it again.
+                doneByOlderRun(t);
+            }
         }
         // Also where nothing is left to do: it may have been taken in before, and its record be under way.
         w.awaitDurable(e.number(), t.job, t.job.version);
@@ -344,7 +367,8 @@
 
     /** Frees all tasks of a worker on which nothing can be alive any more. */
     void gone(LiveWorker w, String evidence) {
-        state.note(SchedulerEvent.Kind.WORKER_GONE, w, "tasks=" + w.tasks.size() + " evidence=" + evidence);
+        String detail = "tasks=" + w.tasks.size() + " evidence=" + evidence + " " + w.tellEnds();
+        state.note(SchedulerEvent.Kind.WORKER_GONE, w, detail);
         state.workers.remove(w.facts().id());
         for (LiveTask t : new ArrayList<>(w.tasks)) {
             state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.LAPSED.name(), "evidence=" + evidence);
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -55,6 +55,8 @@
         START_ANSWERED,
         /** A run ended. */
         RUN_ENDED,
+        /** A worker told ends of runs that are not their task's newest, or of tasks that nobody knows. */
+        OTHER_ENDS_TOLD,
         /** A stop was ordered. */
         STOP_ORDERED,
         /** A task that fills is to work at another share of its speed. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -281,6 +281,7 @@
             if (silent && now > w.emptyAt() && (!w.tasks.isEmpty() || !w.listed)) {
                 freeOrForget(w);
             } else if (!w.listed && w.tasks.isEmpty() && now - w.unlistedSince > UNLISTED_KEEP_MILLIS) {
+                state.note(SchedulerEvent.Kind.WORKER_GONE, w, "tasks=0 evidence=unlisted " + w.tellEnds());
                 state.workers.remove(w.facts().id());
             }
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
@@ -51,8 +51,14 @@
                 count("job.ends", e.outcome());
                 time("job.end", queue(e), e.ageMillis());
             }
-            case JOB_TAKEN, TASK_PLACED, TASK_PACED, STOP_ORDERED, WORKER_GONE, WORKER_REACH, WORKER_AVOIDED ->
-                count("decisions", e.kind());
+            case JOB_TAKEN,
+                    TASK_PLACED,
+                    TASK_PACED,
+                    STOP_ORDERED,
+                    OTHER_ENDS_TOLD,
+                    WORKER_GONE,
+                    WORKER_REACH,
+                    WORKER_AVOIDED -> count("decisions", e.kind());
         }
     }
 
