--- a/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
@@ -21,7 +21,9 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.StepSpec;
@@ -136,6 +138,37 @@
             assertTrue(d.port.emptied.isEmpty());
         }
 
+        private EndReport done() {
+            return new EndReport(1, "a", new TaskId(0, 0, 0), 1, EndKind.DONE, "");
+        }
+
+        /** Until a record says so, only the worker can tell the next owner that the task is done. */
+        @Test
+        @Tag("known-red")
+        void isNotToldBeforeEndsThatTheWorkerToldAreDurable() {
+            aTaskOfASecondRuns();
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of());
+            d.passes(100);
+            d.answers("w1", List.of(), List.of(done()));
+            d.passes(100);
+            assertTrue(d.port.emptied.isEmpty(), "the next owner would find a run on a worker that is gone");
+            d.saved();
+            assertTrue(d.port.emptied.contains("w1"));
+        }
+
+        @Test
+        @Tag("known-red")
+        void thatIsUrgentWaitsForSuchEndsToo() {
+            aTaskOfASecondRuns();
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of("w1"));
+            d.passes(100);
+            d.answers("w1", List.of(), List.of(done()));
+            d.passes(100);
+            assertTrue(d.port.emptied.isEmpty());
+            d.saved();
+            assertTrue(d.port.emptied.contains("w1"));
+        }
+
         @Test
         void isToldWhenNothingIsLeft() {
             d.workers("w1");
--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.JobKey;
@@ -685,6 +686,78 @@
         }
     }
 
+    /** A task runs again only on proof that its run is over; what merely looks like one must not do. */
+    @Nested
+    class ProofThatARunIsOver {
+
+        // As many as a worker lists at once.
+        private static final int MOST_ENDS = 500;
+
+        private final JobProgress left =
+                new JobProgress(JobState.RUNNING, List.of(new TaskRecord(0, 0, 0, 4, 0, false, "w1", "")), "", 0);
+
+        private void runsOnTheFirstOf(String... workers) {
+            startOnOneOf(workers);
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            d.passes(100);
+            d.answers(d.lastStart().worker().id(), List.of(runs(1)), List.of());
+            d.saved();
+        }
+
+        @Test
+        @Tag("known-red")
+        void isNotAListOfInstancesWhenTheWorkerWasToBeEmptiedAndIsNotAnyMore() {
+            runsOnTheFirstOf("w1", "w2");
+            String w = d.lastStart().worker().id();
+            d.scheduler.onEvacuations(Set.of(w), Set.of());
+            d.passes(3_000);
+            d.answers(w, List.of(runs(1)), List.of());
+            d.scheduler.onEvacuations(Set.of(), Set.of());
+            assertFalse(d.scheduler.missesWorkers(), "it answered just now");
+            d.scheduler.onLiving(Set.of("w1", "w2"));
+            d.scheduler.onLiving(Set.of());
+            d.passes(100);
+            d.saved();
+            assertEquals(1, d.port.starts.size());
+        }
+
+        @Test
+        @Tag("known-red")
+        void isNotAFullListOfEndsThatDoesNotHoldIt() {
+            d.workers("w1", "w2");
+            d.job("a", left, ONE);
+            List<EndReport> others = IntStream.rangeClosed(1, MOST_ENDS)
+                    .mapToObj(i -> new EndReport(i, "other-" + i, FIRST, 1, EndKind.DONE, ""))
+                    .toList();
+            d.answers("w1", List.of(), others);
+            d.answers("w2", List.of(), List.of());
+            d.passes(100);
+            d.saved();
+            assertTrue(d.port.starts.isEmpty(), "its end may be the next that the worker lists");
+            d.answers("w1", List.of(), List.of(ends(MOST_ENDS + 1, 4, EndKind.DONE)));
+            d.passes(100);
+            d.saved();
+            assertTrue(d.port.starts.isEmpty());
+        }
+
+        @Test
+        @Tag("known-red")
+        void isNotAListOfEndsInAnotherOrder() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            d.job("a", ONE);
+            d.job("b", ONE);
+            d.passes(100);
+            d.saved();
+            List.copyOf(d.port.starts).forEach(s -> d.scheduler.onStarted(s, OrderOutcome.ACCEPTED));
+            d.passes(100);
+            EndReport second = new EndReport(2, "b", FIRST, 1, EndKind.DONE, "");
+            d.answers("w1", List.of(), List.of(second, ends(1, 1, EndKind.DONE)));
+            assertEquals(0, d.scheduler.load().running(), "both are done");
+            assertTrue(d.port.stops.isEmpty());
+        }
+    }
+
     @Nested
     class Cancelling {
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -41,6 +41,7 @@
     private final List<StoreCommit> held = new ArrayList<>();
     private final List<Watching> watching = new ArrayList<>();
     private long revision;
+    private long leases;
 
     private record Watching(String prefix, long after, CompletableFuture<StoreChanges> answer) {}
 
@@ -158,12 +159,14 @@
 
     @Override
     public CompletableFuture<Long> openLease(long ttlMillis) {
-        throw new UnsupportedOperationException("not needed here");
+        leases++;
+        return CompletableFuture.completedFuture(leases);
     }
 
+    /** Leases never end by themselves. */
     @Override
     public CompletableFuture<Boolean> keepLease(long lease) {
-        throw new UnsupportedOperationException("not needed here");
+        return CompletableFuture.completedFuture(true);
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OwnershipKeeperTest.java
@@ -0,0 +1,113 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.JobKeys;
+
+/** A duty is held under one fence from its taking to its end, and under a greater one after that. */
+class OwnershipKeeperTest {
+
+    private static final long SOON_MILLIS = 3_000;
+    private static final long TELL_MILLIS = 50;
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final TimedLoop loop = new TimedLoop();
+    private final List<Long> fences = new ArrayList<>();
+    private final OwnershipKeeper keeper = new OwnershipKeeper(store, loop, "entry", 1_000, new Listener());
+
+    private final class Listener implements OwnershipKeeper.Listener {
+        @Override
+        public void won(String duty, long fence) {
+            fences.add(fence);
+        }
+
+        @Override
+        public void lost(String duty, String why) {}
+    }
+
+    private void passes(long millis) {
+        for (long left = millis; left > 0; left -= TELL_MILLIS) {
+            loop.passes(TELL_MILLIS);
+            store.tellWatches();
+        }
+    }
+
+    private void ownsClips() {
+        keeper.start();
+        keeper.setDuties(Set.of("clips"));
+        passes(SOON_MILLIS);
+        assertEquals(1, fences.size());
+    }
+
+    /** The store still says that the duty is this entry's, after it has given it up. */
+    @Nested
+    class ADutyThatIsTakenUpAgain {
+
+        /** Orders and writes of its first time may still be under way, and must meet a greater fence. */
+        @Test
+        @Tag("known-red")
+        void hasAGreaterFence() {
+            ownsClips();
+            keeper.giveUp("clips", fences.get(0), "a worker refused an order");
+            passes(SOON_MILLIS);
+            assertEquals(2, fences.size());
+            assertTrue(fences.get(1) > fences.get(0));
+            assertEquals(
+                    fences.get(1),
+                    store.read(JobKeys.owner("clips")).join().orElseThrow().revision());
+        }
+
+        @Test
+        void isTakenOverByNobodyElseMeanwhile() {
+            ownsClips();
+            keeper.giveUp("clips", fences.get(0), "a worker refused an order");
+            store.set(JobKeys.owner("clips"), "another entry");
+            passes(SOON_MILLIS);
+            assertEquals(1, fences.size());
+        }
+    }
+
+    @Nested
+    class ADutyWhoseTakingGotNoAnswer {
+
+        @Test
+        void isWonWithTheRevisionOfThatWrite() {
+            keeper.start();
+            passes(SOON_MILLIS);
+            store.holdsCommits = true;
+            keeper.setDuties(Set.of("clips"));
+            passes(150);
+            store.holdsCommits = false;
+            store.carryOutHeld();
+            passes(SOON_MILLIS);
+            assertEquals(
+                    List.of(store.read(JobKeys.owner("clips"))
+                            .join()
+                            .orElseThrow()
+                            .revision()),
+                    fences);
+        }
+    }
+}
