--- a/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
@@ -132,33 +132,47 @@
             assertTrue(d.port.emptied.isEmpty(), "what ends there now could not be told any more");
             assertEquals(1, d.port.stops.size(), "it is late, and other work waits for the instance");
             d.scheduler.onStopped(d.port.stops.get(0), OrderOutcome.ACCEPTED);
-            d.answers("w1", List.of(), List.of(ended(EndKind.DONE)));
+            d.answers("w1", List.of(), List.of(done()));
             d.saved();
             assertTrue(d.port.emptied.contains("w1"));
             assertEquals(1, d.port.starts.size(), "it ended done before the stop");
         }
 
         @Test
-        void isNotToldWhileAnEndIsNotDurable() {
+        void thatIsNotUrgentLetsTasksEndWhereTheyAre() {
             aTaskOfASecondRuns();
             d.scheduler.onEvacuations(Set.of("w1"), Set.of());
-            d.answers("w1", List.of(), List.of(ended(EndKind.DONE)));
-            d.passes(100);
-            assertTrue(d.port.emptied.isEmpty(), "a next owner could hear of the end from the worker alone");
-            d.saved();
-            assertTrue(d.port.emptied.contains("w1"));
+            d.passes(1_600);
+            assertTrue(d.port.emptied.isEmpty());
         }
 
-        private EndReport ended(EndKind kind) {
-            return new EndReport(1, "a", new TaskId(0, 0, 0), 1, kind, "");
+        private EndReport done() {
+            return new EndReport(1, "a", new TaskId(0, 0, 0), 1, EndKind.DONE, "");
         }
 
+        /** Until a record says so, only the worker can tell the next owner that the task is done. */
         @Test
-        void thatIsNotUrgentLetsTasksEndWhereTheyAre() {
+        void isNotToldBeforeEndsThatTheWorkerToldAreDurable() {
             aTaskOfASecondRuns();
             d.scheduler.onEvacuations(Set.of("w1"), Set.of());
-            d.passes(1_600);
+            d.passes(100);
+            d.answers("w1", List.of(), List.of(done()));
+            d.passes(100);
+            assertTrue(d.port.emptied.isEmpty(), "the next owner would find a run on a worker that is gone");
+            d.saved();
+            assertTrue(d.port.emptied.contains("w1"));
+        }
+
+        @Test
+        void thatIsUrgentWaitsForSuchEndsToo() {
+            aTaskOfASecondRuns();
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of("w1"));
+            d.passes(100);
+            d.answers("w1", List.of(), List.of(done()));
+            d.passes(100);
             assertTrue(d.port.emptied.isEmpty());
+            d.saved();
+            assertTrue(d.port.emptied.contains("w1"));
         }
 
         @Test
