Test that a worker whose entry has gone is emptied of what lasts before it ends

Cause: some workers never say that they drain; their entry goes and they serve on for seconds. Today their lasting tasks stay until the worker ends, and are away until it is missed. Ruled out: an entry that lapsed while the store was away; it is back within 2 s of the store's return. Change: three cases, of which isEmptiedOfWhatLastsBeforeItEnds fails; the other two hold what must not change.

--- a/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/EvacuatorTest.java
@@ -20,6 +20,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.JobProgress;
@@ -156,4 +157,83 @@
             assertTrue(d.port.starts.isEmpty(), "its instance may have been ordered away meanwhile");
         }
     }
+
+    /** Some workers never say that they drain: their entry goes, and they serve on for some seconds before they end. */
+    @Nested
+    class AWorkerWhoseEntryHasGone {
+
+        private static final long RETURN_MILLIS = 2_000;
+
+        private String leaving = "";
+
+        private void oneOfThreeIsUnlisted() {
+            d.workers("w1", "w2", "w3", "w4", "w5");
+            answerAll();
+            d.job("a", THREE_LASTING);
+            d.saved();
+            List.copyOf(d.port.starts).forEach(s -> d.scheduler.onStarted(s, OrderOutcome.ACCEPTED));
+            d.passes(10);
+            answerAll();
+            leaving = d.port.starts.get(0).worker().id();
+            listAllBut(leaving);
+        }
+
+        private void answerAll() {
+            for (String w : List.of("w1", "w2", "w3", "w4", "w5")) {
+                List<RunningReport> running = d.port.starts.stream()
+                        .filter(s -> s.worker().id().equals(w))
+                        .map(s -> new RunningReport("a", s.task(), s.run(), "", 100, -1))
+                        .toList();
+                d.answers(w, running, List.of());
+            }
+        }
+
+        private void listAllBut(String worker) {
+            d.workers(Stream.of("w1", "w2", "w3", "w4", "w5")
+                    .filter(w -> !w.equals(worker))
+                    .toArray(String[]::new));
+        }
+
+        @Test
+        void isEmptiedOfWhatLastsBeforeItEnds() {
+            oneOfThreeIsUnlisted();
+            d.passes(RETURN_MILLIS);
+            answerAll();
+            assertTrue(d.port.stops.isEmpty(), "its entry may have lapsed, and be back");
+            d.passes(1);
+            assertEquals(
+                    List.of(leaving),
+                    d.port.stops.stream().map(s -> s.worker().id()).toList());
+        }
+
+        @Test
+        void thatComesBackIsLeftAlone() {
+            oneOfThreeIsUnlisted();
+            d.passes(RETURN_MILLIS);
+            listAllBut("");
+            answerAll();
+            d.passes(1_000);
+            assertTrue(d.port.stops.isEmpty());
+        }
+
+        @Test
+        void isLeftAloneWhileTheListMayBeOld() {
+            oneOfThreeIsUnlisted();
+            answerAll();
+            d.now += RETURN_MILLIS + 1;
+            answerWithoutNews();
+            assertTrue(d.port.stops.isEmpty(), "nobody has looked for its entry since");
+        }
+
+        private void answerWithoutNews() {
+            HoldOrder last = d.port.holds.stream()
+                    .filter(h -> h.worker().id().equals(leaving))
+                    .reduce((a, b) -> b)
+                    .orElseThrow();
+            RunningReport run = new RunningReport(
+                    "a", d.port.starts.get(0).task(), d.port.starts.get(0).run(), "", 100, -1);
+            d.scheduler.onHeld(last, d.now, new HoldAnswer(100_000 + d.now, List.of(run), List.of()));
+            d.scheduler.tick();
+        }
+    }
 }
