Test that a hold sent in the millisecond of a start's answer does not take the run back

Cause: a hold that does not list a run proves that it is gone when it was sent after the start was answered; both are told in whole milliseconds, and one sent in the same one may have reached the worker first. The run is then stopped at work as vanished and runs again. Change: a case that fails.

--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -160,6 +160,19 @@
             assertEquals("w1", d.lastStart().worker().id());
         }
 
+        /** Both are told in whole milliseconds: which of the two reached the worker first is open. */
+        @Test
+        void isNotTakenBackByAHoldSentInTheMillisecondOfItsAnswer() {
+            startOnOneOf("w1");
+            d.passes(10);
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            d.answers("w1", List.of(), List.of());
+            assertTrue(d.port.stops.isEmpty(), "the hold may have been answered before the start");
+            d.passes(1);
+            d.answers("w1", List.of(), List.of());
+            assertEquals(1, d.port.stops.size());
+        }
+
         @Test
         void withoutAnswerIsTriedAgainThereAndNowhereElse() {
             startOnOneOf("w1", "w2");
