Let only a hold that was sent after a start's answer prove that the run is gone

Cause: both moments are told in whole milliseconds; a hold sent in the millisecond of the answer may have been carried out before the start. Ruled out: that a take-over gets slower by it; a new owner's first hold counts as before, since it is sent after anything that an earlier owner could have ordered. Change: later, not at the same time. Before: ServiceSchedulerTest.Starting failed in the new case; after: all of core.run holds.

--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -191,7 +191,8 @@
             return;
         }
         for (LiveTask t : new ArrayList<>(w.tasks)) {
-            if (!shown.contains(t) && t.provenFrom <= sentAt) {
+            // Not within one millisecond: the hold may have reached the worker before the order did.
+            if (!shown.contains(t) && t.provenFrom < sentAt) {
                 notShown(t);
             }
         }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -115,7 +115,8 @@
         t.worker = w;
         w.add(t);
         t.enter(Phase.RECOVERING, state.now());
-        t.provenFrom = startedAt;
+        // Any hold of this owner comes after all that an earlier one could have ordered.
+        t.provenFrom = startedAt - 1;
         t.inherited = true;
         if (job.state.ended()) {
             state.stop(t, "job-" + job.state);
