Failing tests: one lost answer takes a worker out of use until its next hold

Usable workers of the services fell from 32 to 7 within 3 s, while 367 to 626 tasks waited in one service whose workers went on answering; the fleet counted the same workers as out of reach and fetched 14 instances from the other pools. Ruled out here: the change of the fleet's owner (it had owned the fleet from 7.7 s on and its orders were taken).

--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/DoubtedWorkerTest.java
@@ -0,0 +1,151 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.capacity.WorkerLoad;
+import org.lupinpaddle.core.job.StepSpec;
+
+/** Whether a worker that left an order unanswered counts as out of reach. */
+class DoubtedWorkerTest {
+
+    private static final StepSpec ONE =
+            StepSpec.builder(1, SchedulerDriver.NEED).build();
+    // As long as a start waits for its answer.
+    private static final long CALL_MILLIS = 500;
+    private static final long ROUND_TRIP_MILLIS = 5;
+    // Records that change within this time are written together.
+    private static final long GATHERING_MILLIS = 50;
+
+    private final SchedulerDriver d = new SchedulerDriver();
+
+    private void handIn(String job) {
+        d.job(job, ONE);
+        d.passes(GATHERING_MILLIS);
+        d.saved();
+    }
+
+    private StartOrder starts(String job) {
+        handIn(job);
+        StartOrder s = d.lastStart();
+        assertEquals(job, s.jobId());
+        return s;
+    }
+
+    private void onlyWorkerAnswers() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.passes(ROUND_TRIP_MILLIS);
+    }
+
+    private boolean isStarted(String job) {
+        return d.port.starts.stream().anyMatch(s -> s.jobId().equals(job));
+    }
+
+    private boolean isReached() {
+        return d.scheduler.report().workers().stream().allMatch(WorkerLoad::reached);
+    }
+
+    @Nested
+    class Placing {
+
+        @Test
+        @Tag("known-red")
+        void goesOnOnceTheNextStartIsAnswered() {
+            onlyWorkerAnswers();
+            StartOrder first = starts("a");
+            d.passes(CALL_MILLIS);
+            d.scheduler.onStarted(first, OrderOutcome.UNKNOWN);
+            d.passes(CALL_MILLIS);
+            StartOrder again = d.lastStart();
+            assertNotEquals(first, again);
+            d.passes(ROUND_TRIP_MILLIS);
+            d.scheduler.onStarted(again, OrderOutcome.ACCEPTED);
+            handIn("b");
+            assertTrue(isStarted("b"), "the worker has answered; a hold that waits for an end says no more");
+        }
+
+        @Test
+        @Tag("known-red")
+        void goesOnWhenALaterOrderWasAnsweredMeanwhile() {
+            onlyWorkerAnswers();
+            StartOrder lost = starts("a");
+            StartOrder answered = starts("b");
+            d.passes(ROUND_TRIP_MILLIS);
+            d.scheduler.onStarted(answered, OrderOutcome.ACCEPTED);
+            d.passes(CALL_MILLIS);
+            d.scheduler.onStarted(lost, OrderOutcome.UNKNOWN);
+            handIn("c");
+            assertTrue(isStarted("c"));
+        }
+
+        @Test
+        void waitsWhenAllAnswersAreOlderThanTheOrder() {
+            onlyWorkerAnswers();
+            StartOrder answered = starts("a");
+            d.passes(ROUND_TRIP_MILLIS);
+            d.scheduler.onStarted(answered, OrderOutcome.ACCEPTED);
+            d.passes(ROUND_TRIP_MILLIS);
+            StartOrder lost = starts("b");
+            d.passes(CALL_MILLIS);
+            d.scheduler.onStarted(lost, OrderOutcome.UNKNOWN);
+            handIn("c");
+            assertFalse(isStarted("c"));
+        }
+    }
+
+    @Nested
+    class Looking {
+
+        @Test
+        @Tag("known-red")
+        void doesNotWaitForAnEnd() {
+            onlyWorkerAnswers();
+            d.silent("w1");
+            d.passes(CALL_MILLIS);
+            assertEquals(0, d.port.holds.get(d.port.holds.size() - 1).waitMillis());
+        }
+    }
+
+    @Nested
+    class Reporting {
+
+        @Test
+        @Tag("known-red")
+        void countsTheWorkerAsReachedAfterOneSilence() {
+            onlyWorkerAnswers();
+            d.silent("w1");
+            assertTrue(isReached(), "one lost answer is no reason to fetch an instance in its place");
+        }
+
+        @Test
+        void countsItAsOutOfReachWhenTheNextLookIsUnansweredToo() {
+            onlyWorkerAnswers();
+            d.silent("w1");
+            d.passes(CALL_MILLIS);
+            d.silent("w1");
+            assertFalse(isReached());
+        }
+    }
+}
