--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -41,6 +41,7 @@
     private final List<StoreCommit> held = new ArrayList<>();
     private final List<Watching> watching = new ArrayList<>();
     private long revision;
+    private long leases;
 
     private record Watching(String prefix, long after, CompletableFuture<StoreChanges> answer) {}
 
@@ -156,14 +157,16 @@
                 revision)));
     }
 
+    /** Leases never end here. */
     @Override
     public CompletableFuture<Long> openLease(long ttlMillis) {
-        throw new UnsupportedOperationException("not needed here");
+        leases++;
+        return CompletableFuture.completedFuture(leases);
     }
 
     @Override
     public CompletableFuture<Boolean> keepLease(long lease) {
-        throw new UnsupportedOperationException("not needed here");
+        return CompletableFuture.completedFuture(true);
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHostTest.java
@@ -0,0 +1,154 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.capacity.ServiceReport;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.FleetTiming;
+import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
+import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.daemon.port.InstanceOrders;
+
+/** Which instances the owners of a fleet order when, as one follows the other. */
+class FleetHostTest {
+
+    private static final long UPKEEP_MILLIS = 2_000;
+    /** The platform asks for so long between the orders of two owners to one instance. */
+    private static final long OWNER_LEASE_MILLIS = 3_000;
+    // What an owner knows of its last order's age when it ends: it writes it down every so often.
+    private static final long WRITTEN_EVERY_MILLIS = 500;
+    private static final long STEP_MILLIS = 50;
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final TimedLoop loop = new TimedLoop();
+    private final Instances instances = new Instances();
+
+    /** A platform whose list always shows one instance that stands by. */
+    private final class Instances implements InstanceOrders {
+
+        private final List<Long> orderedAt = new ArrayList<>();
+        private boolean answers = true;
+
+        @Override
+        public CompletableFuture<List<PlatformInstance>> list() {
+            return CompletableFuture.completedFuture(
+                    List.of(new PlatformInstance("m1", "spare", PlatformInstance.State.UP, "north", "")));
+        }
+
+        @Override
+        public CompletableFuture<InstanceOrderOutcome> order(String instance, Errand errand, String holder, long f) {
+            orderedAt.add(loop.clock().millis());
+            return answers ? CompletableFuture.completedFuture(InstanceOrderOutcome.TAKEN) : new CompletableFuture<>();
+        }
+    }
+
+    private static final class NoDuties implements OwnershipKeeper.Listener {
+
+        @Override
+        public void won(String duty, long fence) {}
+
+        @Override
+        public void lost(String duty, String why) {}
+    }
+
+    @BeforeEach
+    void aPoolAsksForAnInstance() {
+        ServiceReport report = new ServiceReport(Map.of(), 1, 1, 0, List.of());
+        store.set(JobKeys.report("clips"), RecordCodec.write(report));
+    }
+
+    private FleetHost owner(String name) {
+        OwnershipKeeper ownership = new OwnershipKeeper(store, loop, name, 1, new NoDuties());
+        ownership.start();
+        passes(STEP_MILLIS);
+        FleetTiming timing = FleetTiming.usual(UPKEEP_MILLIS, FleetHost.Entry.takeOverMillis(OWNER_LEASE_MILLIS));
+        FleetHost.Entry entry = new FleetHost.Entry(
+                name, store, instances, new FakeRecords(), loop, ownership, loop.clock(), timing, new JobMeters());
+        FleetHost host = new FleetHost(entry, store.set(JobKeys.owner(JobNode.FLEET), name));
+        host.start(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
+        return host;
+    }
+
+    private void passes(long millis) {
+        for (long left = millis; left > 0; left -= STEP_MILLIS) {
+            loop.passes(STEP_MILLIS);
+            store.tellWatches();
+        }
+    }
+
+    /** Lets one owner after the other own the fleet for this long. */
+    private void ownersFollowEachOther(long eachMillis, String... names) {
+        for (String n : names) {
+            FleetHost host = owner(n);
+            passes(eachMillis);
+            host.close();
+        }
+    }
+
+    @Nested
+    class ASuccessor {
+
+        private long betweenOrders() {
+            assertEquals(2, instances.orderedAt.size());
+            return instances.orderedAt.get(1) - instances.orderedAt.get(0);
+        }
+
+        private void soonAfterTheLeaseOfTheFirst(int changes) {
+            long between = betweenOrders();
+            assertTrue(between >= OWNER_LEASE_MILLIS, between + " ms between two owners' orders");
+            long latest = OWNER_LEASE_MILLIS + changes * WRITTEN_EVERY_MILLIS + WRITTEN_EVERY_MILLIS;
+            assertTrue(between <= latest, between + " ms between two owners' orders, though the first was answered");
+        }
+
+        @Test
+        @Tag("known-red")
+        void waitsOnlyForTheRestOfThePredecessorsTime() {
+            ownersFollowEachOther(2_000, "entry-1");
+            ownersFollowEachOther(10_000, "entry-2");
+            soonAfterTheLeaseOfTheFirst(1);
+        }
+
+        @Test
+        @Tag("known-red")
+        void doesNotWaitAnewForWhatThePredecessorWaitedFor() {
+            ownersFollowEachOther(1_000, "entry-1", "entry-2");
+            ownersFollowEachOther(10_000, "entry-3");
+            soonAfterTheLeaseOfTheFirst(2);
+        }
+
+        @Test
+        void waitsForAllThatAnUnansweredOrderMayTake() {
+            instances.answers = false;
+            ownersFollowEachOther(WRITTEN_EVERY_MILLIS, "entry-1");
+            ownersFollowEachOther(10_000, "entry-2");
+            assertTrue(betweenOrders() >= OWNER_LEASE_MILLIS + InstanceOrders.CALL_MILLIS);
+        }
+    }
+}
