--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
@@ -247,6 +248,25 @@
             assertEquals(Set.of("m3 MOVE:clips", "m4 MOVE:clips"), Set.copyOf(port.orders));
         }
 
+        @Test
+        @Tag("known-red")
+        void areNotGivenAwayForThoseThatAreStillOnTheirWay() {
+            List<PlatformInstance> all = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                all.add(up("here" + i, "clips", "w" + i));
+                all.add(new PlatformInstance("coming" + i, "clips", PlatformInstance.State.MOVING, "north", ""));
+            }
+            all.add(up("m1", "archive", "a1"));
+            all.add(up("m2", "archive", "a2"));
+            twoPools(report(5, 0, 0), report(3, 0, 0), all.toArray(PlatformInstance[]::new));
+            passes(0);
+            assertTrue(port.asked.isEmpty(), "four are here and six are needed, whatever comes later");
+            all.replaceAll(i -> i.state() == PlatformInstance.State.UP ? i : up(i.id(), "clips", "w-" + i.id()));
+            planner.onInstances(all);
+            passes(100);
+            assertEquals(2, port.asked.size(), "all are here: two are too many");
+        }
+
         @Test
         void keepWhatHopelessWorkCanUseUntilSomebodyElseWantsIt() {
             twoPools(report(0, 0, 0), report(0, 0, 6), sixOfArchive());
