A pool gives an instance away only when it has more at work than it keeps

Cause: a pool's supply counted instances on their way to it also where it was asked for one, so that it gave away those at work; they were missed for the 2 to 4 s until the others came, and the pools exchanged instances. Change: the donor's count leaves out what is still coming; what a pool asks for itself counts it as before.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -126,12 +126,20 @@
             return off;
         }
         return state.runningPools().stream()
-                .filter(p -> !p.equals(pool) && supply(p) > kept.getOrDefault(p, 0))
+                .filter(p -> !p.equals(pool) && mayGive(p))
                 .flatMap(p -> state.useful(p).stream())
                 .filter(i -> mayMove(i, pool) && (!isShort || state.hasStayed(i)))
                 .min(Comparator.comparingInt(state::load));
     }
 
+    /**
+     * Returns whether a pool has more at work than it keeps. Those on their way to it do not count: they come 2 to 4 s later,
+     * and a quarter to a half of all moves took instances from pools that were waiting for others.
+     */
+    private boolean mayGive(String pool) {
+        return state.useful(pool).size() > kept.getOrDefault(pool, 0);
+    }
+
     private boolean mayMove(PlatformInstance i, String pool) {
         return state.mayOrder(i.id()) && !state.impossibleMoves.contains(i.id() + ">" + pool);
     }
--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -25,7 +25,6 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
@@ -249,7 +248,6 @@
         }
 
         @Test
-        @Tag("known-red")
         void areNotGivenAwayForThoseThatAreStillOnTheirWay() {
             List<PlatformInstance> all = new ArrayList<>();
             for (int i = 0; i < 4; i++) {
