--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.core.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
@@ -303,6 +305,30 @@
             assertEquals(List.of("m3 MOVE:clips", "m2 MOVE:clips"), port.orders);
         }
 
+        @Test
+        @Tag("known-red")
+        void emptiesAnInstanceWhileItMayNotBeOrderedYet() {
+            now = 10_000;
+            FleetPlanner successor = successor();
+            successor.onServices(
+                    List.of(new ServiceConfig("clips", false, true), new ServiceConfig("archive", false, true)));
+            successor.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3")));
+            successor.onReport("clips", new ServiceReport(Map.of(), 0, 0, 0, List.of()));
+            successor.onReport("archive", new ServiceReport(Map.of(), 1, 1, 0, List.of()));
+            successor.onEarlierOrders(Map.of("m1", now + 1_000, "m2", now + 1_000, "m3", now + 1_000));
+            successor.tick();
+            assertFalse(port.asked.isEmpty(), "emptying takes as long as what is left to wait");
+            EvacuationRecord asked = port.asked.get(0);
+            successor.onEvacuations(Map.of(
+                    new EvacuationRecord(asked.worker(), asked.instance(), asked.errand(), false, true), "clips"));
+            now += 999;
+            successor.tick();
+            assertTrue(port.orders.isEmpty());
+            now += 1;
+            successor.tick();
+            assertEquals(List.of(asked.instance() + " MOVE:archive"), port.orders);
+        }
+
         private FleetPlanner ofSpares(Set<String> orderedLately, int most, PlatformInstance... all) {
             now = 10_000;
             FleetPlanner s = successor();
