A renewal without an answer is followed by another after 250 ms

Cause: two renewals in a row without an answer filled the 1.5 s of a lease. While the store loses half of its answers a lease ended every few seconds, with all that its entry owned: services and the fleet went without an owner for 1 to 3 s each. Change: the next renewal goes out beside one that has no answer after 250 ms, so that there are four before a lease ends. While all is well there are as many as before.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -47,6 +47,10 @@
     static final long TTL_MILLIS = 1_500;
 
     private static final long RENEW_MILLIS = 450;
+    // A renewal that has no answer by then is followed by another beside it: four go out before a lease ends, so that a
+    // store
+    // that loses half of its answers ends one lease in sixteen, not one in four. A slow store takes 250 ms.
+    private static final long RENEW_AGAIN_MILLIS = 250;
     private static final long RETRY_MILLIS = 200;
     // An entry takes a duty this much later for each one that comes before it: a write takes 10 ms.
     private static final long STAGGER_MILLIS = 100;
@@ -92,6 +96,9 @@
     private final Map<String, Long> wonAt = new HashMap<>();
 
     private long lease;
+    /** The number of the newest renewal; one more once that is answered. */
+    private long renewal;
+
     private long reopenedAt = Long.MIN_VALUE / 2;
     private long keptAt = Long.MIN_VALUE / 2;
     private long sharedAt = Long.MIN_VALUE / 2;
@@ -267,24 +274,42 @@
     }
 
     private void renew() {
-        if (stopping) {
+        if (stopping || lease == 0) {
             return;
         }
+        long forLease = lease;
         long sentAt = loop.clock().millis();
-        store.keepLease(lease)
+        long number = ++renewal;
+        loop.after(RENEW_AGAIN_MILLIS, () -> renewUnless(number));
+        store.keepLease(forLease)
                 .whenComplete((alive, why) -> loop.execute(() -> {
-                    if (why != null) {
-                        loop.after(RETRY_MILLIS, this::renew);
-                    } else if (alive) {
-                        keptAt = sentAt;
-                        shareOut();
-                        loop.after(Math.max(0, RENEW_MILLIS - (loop.clock().millis() - sentAt)), this::renew);
-                    } else {
-                        leaseEnded();
+                    if (why == null && forLease == lease) {
+                        renewed(number, sentAt, alive);
                     }
                 }));
     }
 
+    /** Renews again unless the newest renewal, with this number, has been answered. */
+    private void renewUnless(long number) {
+        if (number == renewal) {
+            renew();
+        }
+    }
+
+    private void renewed(long number, long sentAt, boolean alive) {
+        if (!alive) {
+            leaseEnded();
+            return;
+        }
+        keptAt = Math.max(keptAt, sentAt);
+        shareOut();
+        if (number == renewal) {
+            renewal++;
+            long next = renewal;
+            loop.after(Math.max(0, RENEW_MILLIS - (loop.clock().millis() - sentAt)), () -> renewUnless(next));
+        }
+    }
+
     private void leaseEnded() {
         Log.warn("lease-ended", "lease", lease, "owned", owned.size());
         lease = 0;
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/LeaseRenewalTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/LeaseRenewalTest.java
@@ -20,7 +20,6 @@
 
 import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** An entry's lease while the store leaves renewals unanswered. */
@@ -74,7 +73,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void livesThroughThreeLostRenewalsInARow() {
         store.renewalsToLose = 3;
         assertTrue(passes(LONG_MILLIS), "there is time for a fourth before it ends");
