Merge a fleet whose owner is lost: shorter waits of successors, pools that keep what works, doubt by answer, renewals

What must be answered by a hold (a worker that may be gone) and what any answer ends (one that left a call unanswered) are told apart; a worker's silence stays as it was told.

--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -236,7 +236,7 @@
         w.holdAwaitsRecords = false;
         w.holdDueAt = state.now() + HOLD_RETRY_MILLIS;
         if (outcome.isSilence()) {
-            w.mustAnswerAgain();
+            w.unanswered(w.holdSentAt);
         }
         if (outcome == OrderOutcome.OTHER_LIFE) {
             runs.gone(w, "another life answers at its address");
@@ -299,6 +299,7 @@
             LiveWorker again = new LiveWorker(w.facts(), state.now());
             again.takeOverEnds(w);
             again.holdInFlight = w.holdInFlight;
+            again.holdSentAt = w.holdSentAt;
             state.workers.put(w.facts().id(), again);
         }
     }
@@ -310,8 +311,12 @@
                 continue;
             }
             w.holdInFlight = true;
+            w.holdSentAt = now;
             long wait = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
-            boolean look = !w.fenced || w.hasPendingEnds() || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
+            boolean look = !w.fenced
+                    || w.isDoubted()
+                    || w.hasPendingEnds()
+                    || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             state.port.hold(new HoldOrder(
                     w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.lastDurable(), look ? 0 : wait));
         }
--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -16,9 +16,11 @@
 package org.lupinpaddle.core.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -55,7 +57,7 @@
     }
 
     private void fleet(int needed, PlatformInstance... all) {
-        planner.onEarlierOrders(Set.of());
+        planner.onEarlierOrders(Map.of());
         planner.onServices(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
         planner.onInstances(List.of(all));
         List<WorkerLoad> loads = new ArrayList<>();
@@ -179,7 +181,7 @@
     class Shares {
 
         private void twoPools(ServiceReport clips, ServiceReport archive, PlatformInstance... all) {
-            planner.onEarlierOrders(Set.of());
+            planner.onEarlierOrders(Map.of());
             planner.onServices(List.of(
                     new ServiceConfig("clips", false, true),
                     new ServiceConfig("archive", false, true),
@@ -246,6 +248,24 @@
             assertEquals(Set.of("m3 MOVE:clips", "m4 MOVE:clips"), Set.copyOf(port.orders));
         }
 
+        @Test
+        void areNotGivenAwayForThoseThatAreStillOnTheirWay() {
+            List<PlatformInstance> all = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                all.add(up("here" + i, "clips", "w" + i));
+                all.add(new PlatformInstance("coming" + i, "clips", PlatformInstance.State.MOVING, "north", ""));
+            }
+            all.add(up("m1", "archive", "a1"));
+            all.add(up("m2", "archive", "a2"));
+            twoPools(report(5, 0, 0), report(3, 0, 0), all.toArray(PlatformInstance[]::new));
+            passes(0);
+            assertTrue(port.asked.isEmpty(), "four are here and six are needed, whatever comes later");
+            all.replaceAll(i -> i.state() == PlatformInstance.State.UP ? i : up(i.id(), "clips", "w-" + i.id()));
+            planner.onInstances(all);
+            passes(100);
+            assertEquals(2, port.asked.size(), "all are here: two are too many");
+        }
+
         @Test
         void keepWhatHopelessWorkCanUseUntilSomebodyElseWantsIt() {
             twoPools(report(0, 0, 0), report(0, 0, 6), sixOfArchive());
@@ -276,7 +296,7 @@
             successor.onReport("clips", new ServiceReport(Map.of(), 2, 2, 0, List.of()));
             successor.tick();
             assertTrue(port.orders.isEmpty());
-            successor.onEarlierOrders(Set.of("m2"));
+            successor.onEarlierOrders(Map.of("m2", 14_000L));
             successor.tick();
             assertEquals(List.of("m3 MOVE:clips"), port.orders, "the other instance was ordered lately");
             now += 4_000;
@@ -284,12 +304,37 @@
             assertEquals(List.of("m3 MOVE:clips", "m2 MOVE:clips"), port.orders);
         }
 
+        @Test
+        void emptiesAnInstanceWhileItMayNotBeOrderedYet() {
+            now = 10_000;
+            FleetPlanner successor = successor();
+            successor.onServices(
+                    List.of(new ServiceConfig("clips", false, true), new ServiceConfig("archive", false, true)));
+            successor.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3")));
+            successor.onReport("clips", new ServiceReport(Map.of(), 0, 0, 0, List.of()));
+            successor.onReport("archive", new ServiceReport(Map.of(), 1, 1, 0, List.of()));
+            successor.onEarlierOrders(Map.of("m1", now + 1_000, "m2", now + 1_000, "m3", now + 1_000));
+            successor.tick();
+            assertFalse(port.asked.isEmpty(), "emptying takes as long as what is left to wait");
+            EvacuationRecord asked = port.asked.get(0);
+            successor.onEvacuations(Map.of(
+                    new EvacuationRecord(asked.worker(), asked.instance(), asked.errand(), false, true), "clips"));
+            now += 999;
+            successor.tick();
+            assertTrue(port.orders.isEmpty());
+            now += 1;
+            successor.tick();
+            assertEquals(List.of(asked.instance() + " MOVE:archive"), port.orders);
+        }
+
         private FleetPlanner ofSpares(Set<String> orderedLately, int most, PlatformInstance... all) {
             now = 10_000;
             FleetPlanner s = successor();
             s.onServices(List.of(new ServiceConfig("spare", true, true)));
             s.onInstances(List.of(all));
-            s.onEarlierOrders(orderedLately);
+            Map<String, Long> until = new HashMap<>();
+            orderedLately.forEach(i -> until.put(i, now + 4_000));
+            s.onEarlierOrders(until);
             List<String> ids = Stream.of(all).map(PlatformInstance::id).toList();
             s.onWaves(List.of(new UpkeepWave(1, ids, 20_000, most)));
             return s;
@@ -309,7 +354,7 @@
         @Test
         void countsItAlsoWhenTheLifeThatOrderedItIsOver() {
             FleetPlanner s = ofSpares(Set.of("m1"), 1, up("m1", "spare", ""), up("m2", "spare", ""));
-            s.onEarlierOrders(Set.of());
+            s.onEarlierOrders(Map.of());
             s.tick();
             assertTrue(port.orders.isEmpty(), "its order has been carried out all the same");
             now += 4_000;
@@ -344,7 +389,7 @@
             s.onServices(List.of(new ServiceConfig("clips", false, true)));
             s.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2")));
             s.onReport("clips", new ServiceReport(Map.of(), 2, 2, 0, List.of()));
-            s.onEarlierOrders(Set.of());
+            s.onEarlierOrders(Map.of());
             s.onUpkeep(1, new UpkeepRecord(List.of(), false, wall()));
             s.onWaves(List.of(new UpkeepWave(1, List.of("m1", "m2"), 20_000, 2)));
             s.tick();
@@ -387,7 +432,7 @@
 
         @Test
         void stayWithoutAReport() {
-            planner.onEarlierOrders(Set.of());
+            planner.onEarlierOrders(Map.of());
             planner.onServices(
                     List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
             planner.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3")));
