--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/ReviewRunsTest.java
@@ -0,0 +1,101 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+
+/** Suspected holes of the mend, found by review. */
+class ReviewRunsTest {
+
+    private static final TaskId FIRST = new TaskId(0, 0, 0);
+    private static final StepSpec ONE =
+            StepSpec.builder(1, SchedulerDriver.NEED).build();
+
+    private final SchedulerDriver d = new SchedulerDriver();
+
+    /** The answer was on its way, or waited in the owner's queue, when the owner took the worker to be over. */
+    @Test
+    void anEndThatArrivesAfterItsWorkerWasTakenToBeOverIsTakenIn() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job("a", ONE);
+        d.saved();
+        d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        d.passes(100);
+        d.answers("w1", List.of(new RunningReport("a", FIRST, 1, "half", 50, -1)), List.of());
+        HoldOrder asked = d.port.holds.get(d.port.holds.size() - 1);
+        long sentAt = d.now;
+        d.scheduler.onWorkers(List.of(SchedulerDriver.worker("w2")));
+        d.passes(2_800);
+        d.scheduler.onLiving(Set.of("w2"), d.now);
+        d.passes(10);
+        d.saved();
+        assertEquals(0, d.scheduler.load().running(), "it is taken to be over");
+        EndReport done = new EndReport(1, "a", FIRST, 1, EndKind.DONE, "half");
+        d.scheduler.onHeld(asked, sentAt, new HoldAnswer(101_000, List.of(), List.of(done)));
+        d.answers("w2", List.of(), List.of());
+        d.passes(100);
+        d.saved();
+        d.passes(100);
+        d.saved();
+        assertEquals(1, d.port.starts.size(), "its owner has been told that it is done");
+    }
+
+    /** Stopped for nothing: the worker stays anyway, and what is late begins anew elsewhere. */
+    @Test
+    void whatIsLateIsNotStoppedWhileItsWorkerCanNotGoAnyway() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job(
+                "late",
+                StepSpec.builder(1, SchedulerDriver.NEED).estimateMillis(1_000).build());
+        d.saved();
+        d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        d.passes(2_600);
+        d.answers("w1", List.of(new RunningReport("late", FIRST, 1, "", 10, -1)), List.of());
+        d.job(
+                "long",
+                StepSpec.builder(1, SchedulerDriver.NEED).estimateMillis(60_000).build());
+        d.passes(50);
+        d.saved();
+        d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        assertEquals(2, d.port.starts.size());
+        d.scheduler.onEvacuations(Set.of("w1"), Set.of("w1"));
+        d.passes(10);
+        assertTrue(d.port.emptied.isEmpty());
+        assertTrue(d.port.stops.isEmpty(), "the other task keeps the worker for a minute, and is not stopped");
+    }
+
+    /** A stop costs what was done; what has not begun yet costs nothing. */
+    @Test
+    void whatIsPlacedOnAWorkerThatIsToBeEmptiedIsNotStartedThere() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job("a", ONE);
+        d.scheduler.onEvacuations(Set.of("w1"), Set.of());
+        d.passes(50);
+        d.saved();
+        assertTrue(d.port.starts.isEmpty(), "its choice of worker was still being written");
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/ReviewEmptiedWorkerTest.java
@@ -0,0 +1,222 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
+import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.job.Policy;
+import org.lupinpaddle.core.job.Repeat;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.placement.Room;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.run.HoldAnswer;
+import org.lupinpaddle.core.run.HoldOrder;
+import org.lupinpaddle.core.run.OrderOutcome;
+import org.lupinpaddle.core.run.PaceOrder;
+import org.lupinpaddle.core.run.SchedulerTiming;
+import org.lupinpaddle.core.run.StartOrder;
+import org.lupinpaddle.core.run.StopOrder;
+import org.lupinpaddle.core.upkeep.EvacuationRecord;
+import org.lupinpaddle.daemon.port.CommitResult;
+import org.lupinpaddle.daemon.port.HoldResult;
+import org.lupinpaddle.daemon.port.InstanceOrders;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.StoreChanges;
+import org.lupinpaddle.daemon.port.StoreCommit;
+import org.lupinpaddle.daemon.port.StoreItem;
+import org.lupinpaddle.daemon.port.StorePage;
+import org.lupinpaddle.daemon.port.WorkerOrders;
+
+/** What a service's owner has called empty stays empty, also when another owner follows. */
+class ReviewEmptiedWorkerTest {
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final TimedLoop loop = new TimedLoop();
+    private final Workers orders = new Workers();
+
+    /** Answers each hold 20 ms later, and takes each start. */
+    private final class Workers implements WorkerOrders {
+        private final List<String> startedOn = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<OrderOutcome> start(StartOrder order, long fence) {
+            startedOn.add(order.worker().id());
+            return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+        }
+
+        @Override
+        public CompletableFuture<OrderOutcome> stop(StopOrder order, long fence) {
+            return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+        }
+
+        @Override
+        public CompletableFuture<OrderOutcome> pace(PaceOrder order, long fence) {
+            return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+        }
+
+        @Override
+        public CompletableFuture<HoldResult> hold(HoldOrder order, long fence) {
+            CompletableFuture<HoldResult> r = new CompletableFuture<>();
+            HoldAnswer a = new HoldAnswer(100_000 + loop.clock().millis(), List.of(), List.of());
+            loop.after(20, () -> r.complete(new HoldResult(OrderOutcome.ACCEPTED, a)));
+            return r;
+        }
+    }
+
+    private static final class NoInstances implements InstanceOrders {
+        @Override
+        public CompletableFuture<List<PlatformInstance>> list() {
+            return CompletableFuture.completedFuture(List.of());
+        }
+
+        @Override
+        public CompletableFuture<InstanceOrderOutcome> order(String i, Errand e, String holder, long fence) {
+            throw new UnsupportedOperationException("not needed here");
+        }
+    }
+
+    /** Takes a while for the pages of a prefix, since an answer was lost; for the empty one it is slow in all. */
+    private final class SlowFor implements KeyValueStore {
+        private final String prefix;
+        private final long millis;
+
+        private SlowFor(String prefix, long millis) {
+            this.prefix = prefix;
+            this.millis = millis;
+        }
+
+        @Override
+        public CompletableFuture<Optional<StoreItem>> read(String key) {
+            return store.read(key);
+        }
+
+        @Override
+        public CompletableFuture<StorePage> page(String p, String after) {
+            if (!p.equals(prefix) && !prefix.isEmpty()) {
+                return store.page(p, after);
+            }
+            CompletableFuture<StorePage> r = new CompletableFuture<>();
+            loop.after(millis, () -> store.page(p, after).thenAccept(r::complete));
+            return r;
+        }
+
+        @Override
+        public CompletableFuture<StoreChanges> watch(String p, long after, long wait) {
+            return store.watch(p, after, wait);
+        }
+
+        @Override
+        public CompletableFuture<CommitResult> commit(StoreCommit c) {
+            if (!prefix.isEmpty()) {
+                return store.commit(c);
+            }
+            CompletableFuture<CommitResult> r = new CompletableFuture<>();
+            loop.after(millis, () -> store.commit(c).thenAccept(r::complete));
+            return r;
+        }
+
+        @Override
+        public CompletableFuture<Long> openLease(long ttl) {
+            return store.openLease(ttl);
+        }
+
+        @Override
+        public CompletableFuture<Boolean> keepLease(long lease) {
+            return store.keepLease(lease);
+        }
+
+        @Override
+        public CompletableFuture<Boolean> endLease(long lease) {
+            return store.endLease(lease);
+        }
+    }
+
+    private void owner(String slowPrefix, long slowMillis) {
+        long fence = store.set(JobKeys.owner("clips"), "entry");
+        SchedulerTiming timing = new SchedulerTiming(5_000, 1_000, 2_000, 2_700, 7_000, 2_000);
+        SchedulerHost.Entry entry = new SchedulerHost.Entry(
+                new SlowFor(slowPrefix, slowMillis),
+                orders,
+                order -> CompletableFuture.completedFuture(Optional.empty()),
+                new NoInstances(),
+                loop,
+                () -> true,
+                loop.clock(),
+                timing,
+                new JobMeters());
+        WorkerFeed workers = new WorkerFeed(store, loop, new FakeRecords(), () -> {});
+        workers.start();
+        passes(50);
+        new SchedulerHost(entry, "clips", fence, workers, () -> {}, () -> {}).start();
+    }
+
+    private void passes(long millis) {
+        for (long left = millis; left > 0; left -= 50) {
+            loop.passes(50);
+            store.tellWatches();
+        }
+    }
+
+    private void anEmptiedWorkerAndAJobThatWaits() {
+        WorkerFacts w =
+                new WorkerFacts("w1", "clips", "at-w1", "north", false, 0, new Room(4_000, 8_000, 0), List.of("rack"));
+        store.set("worker/w1", RecordCodec.write(w));
+        EvacuationRecord emptied = new EvacuationRecord("w1", "m1", "MOVE:spare", true, true);
+        store.set(JobKeys.evacuation("clips", "w1"), RecordCodec.write(emptied));
+        StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
+        JobKey key = new JobKey("q", "a");
+        Policy policy = new Policy(0, 3, 1.5, 500, false);
+        JobSpec spec = new JobSpec(key, "clips", "text", List.of(one), Repeat.ONCE, policy, 0);
+        store.set(JobKeys.job("clips", key), RecordCodec.write(spec));
+    }
+
+    @Test
+    void getsNothingFromASuccessorThatKnowsOfTheRequest() {
+        anEmptiedWorkerAndAJobThatWaits();
+        owner(JobKeys.evacuations("clips"), 0);
+        passes(1_000);
+        assertEquals(List.of(), orders.startedOn);
+    }
+
+    @Test
+    void getsNothingFromASuccessorBeforeItHasReadTheRequests() {
+        anEmptiedWorkerAndAJobThatWaits();
+        owner(JobKeys.evacuations("clips"), 300);
+        passes(1_000);
+        assertTrue(orders.startedOn.isEmpty(), "its instance may be ordered away at any moment: it was called empty");
+    }
+
+    @Test
+    void getsNothingFromASuccessorWhoseStoreIsSlow() {
+        anEmptiedWorkerAndAJobThatWaits();
+        owner("", 250);
+        passes(3_000);
+        assertTrue(orders.startedOn.isEmpty(), "it was chosen before the requests were read, and started after");
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/ReviewHandOverTest.java
@@ -0,0 +1,118 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.capacity.ServiceReport;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.FleetTiming;
+import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
+import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.daemon.port.InstanceOrders;
+
+/** A hand-over says what this process has ordered; what others have ordered is as recent as before. */
+class ReviewHandOverTest {
+
+    private static final long OWNER_LEASE_MILLIS = 3_000;
+    private static final long STEP_MILLIS = 50;
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final TimedLoop loop = new TimedLoop();
+    private final List<String> holders = new ArrayList<>();
+    private final List<Long> orderedAt = new ArrayList<>();
+
+    private final class Instances implements InstanceOrders {
+        @Override
+        public CompletableFuture<List<PlatformInstance>> list() {
+            return CompletableFuture.completedFuture(
+                    List.of(new PlatformInstance("m1", "spare", PlatformInstance.State.UP, "north", "")));
+        }
+
+        @Override
+        public CompletableFuture<InstanceOrderOutcome> order(String instance, Errand errand, String holder, long f) {
+            holders.add(holder);
+            orderedAt.add(loop.clock().millis());
+            return CompletableFuture.completedFuture(InstanceOrderOutcome.BUSY);
+        }
+    }
+
+    private static final class NoDuties implements OwnershipKeeper.Listener {
+        @Override
+        public void won(String duty, long fence) {}
+
+        @Override
+        public void lost(String duty, String why) {}
+    }
+
+    private FleetHost owner(String name) {
+        OwnershipKeeper ownership = new OwnershipKeeper(store, loop, name, 1, new NoDuties());
+        ownership.start();
+        passes(STEP_MILLIS);
+        FleetTiming timing = FleetTiming.usual(2_000, FleetHost.Entry.takeOverMillis(OWNER_LEASE_MILLIS));
+        FleetHost.Entry entry = new FleetHost.Entry(
+                name,
+                store,
+                new Instances(),
+                new FakeRecords(),
+                loop,
+                ownership,
+                loop.clock(),
+                timing,
+                new JobMeters());
+        FleetHost host = new FleetHost(entry, store.set(JobKeys.owner(JobNode.FLEET), name));
+        host.start(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
+        return host;
+    }
+
+    private void passes(long millis) {
+        for (long left = millis; left > 0; left -= STEP_MILLIS) {
+            loop.passes(STEP_MILLIS);
+            store.tellWatches();
+        }
+    }
+
+    @Test
+    void doesNotShortenTheWaitForAnEarlierOwnerThatLivesOn() {
+        store.set(JobKeys.report("clips"), RecordCodec.write(new ServiceReport(Map.of(), 1, 1, 0, List.of())));
+        FleetHost first = owner("entry-1");
+        passes(300);
+        first.close();
+        assertTrue(holders.contains("entry-1"));
+        long last = orderedAt.get(orderedAt.size() - 1);
+        int before = holders.size();
+        FleetHost second = owner("entry-2");
+        passes(200);
+        assertEquals(before, holders.size(), "it leaves the instance alone");
+        second.handOver();
+        passes(100);
+        second.close();
+        owner("entry-3");
+        passes(6_000);
+        assertEquals("entry-3", holders.get(before));
+        long between = orderedAt.get(before) - last;
+        assertTrue(between >= OWNER_LEASE_MILLIS, between + " ms after the order of entry-1, which is alive");
+    }
+}
