Let a new owner place nothing before it knows which workers are to go, and a hand-over forget only its own orders

Change: placing waits for the requests; a hand-over forgets what its own life has ordered and has an answer to.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -38,6 +38,7 @@
     private final PrefixWatch watch;
     private final BiConsumer<Set<String>, Set<String>> onChange;
     private final Map<String, StoreItem> asked = new HashMap<>();
+    private boolean read;
     /** The revision of the request that was answered last, by worker: asked anew, it is answered anew. */
     private final Map<String, Long> answered = new HashMap<>();
 
@@ -63,7 +64,13 @@
         watch.start();
     }
 
+    /** Returns whether it is known which workers are to be emptied. */
+    boolean isRead() {
+        return read;
+    }
+
     private void changed() {
+        read = true;
         asked.clear();
         Set<String> urgent = new HashSet<>();
         watch.items()
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -396,7 +396,11 @@
         handingOver = true;
         if (!writingOrders) {
             Set<String> down = planner.inUpkeep();
-            ordered.keySet().removeIf(i -> !unanswered.contains(i) && !down.contains(i));
+            // What others have ordered is as recent as before: they may live, and be in touch.
+            ordered.entrySet()
+                    .removeIf(o -> o.getValue().life().equals(entry.ownership.life())
+                            && !unanswered.contains(o.getKey())
+                            && !down.contains(o.getKey()));
             writeRecent(outcome -> {
                 Log.info("fleet-handed-over", "outcome", outcome, "unanswered", unanswered.size());
                 done.complete(null);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -304,7 +304,12 @@
         tickQueued = false;
         tickedAt = entry.loop.clock().millis();
         if (!closed && scheduler != null) {
-            scheduler.onWorkersKnown(workers.confirmedAt());
+            // A worker that an earlier owner has called empty may be ordered away at any moment: nothing is placed
+            // before
+            // the requests are read.
+            if (evacuations.isRead()) {
+                scheduler.onWorkersKnown(workers.confirmedAt());
+            }
             scheduler.tick();
         }
     }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -54,7 +54,7 @@
 import org.lupinpaddle.daemon.port.WorkerOrders;
 
 /** What a service's owner has called empty stays empty, also when another owner follows. */
-class ReviewEmptiedWorkerTest {
+class EmptiedWorkerTest {
 
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final TimedLoop loop = new TimedLoop();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHandOverTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHandOverTest.java
@@ -34,7 +34,7 @@
 import org.lupinpaddle.daemon.port.InstanceOrders;
 
 /** A hand-over says what this process has ordered; what others have ordered is as recent as before. */
-class ReviewHandOverTest {
+class FleetHandOverTest {
 
     private static final long OWNER_LEASE_MILLIS = 3_000;
     private static final long STEP_MILLIS = 50;
