A hold without an answer counts by when its answer was due; the look that follows goes out at once

Change: as told; two silences in a row, after which an instance is fetched, take 0.5 s more than one. The bookkeeping of ordered instances has a class of its own.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -41,7 +41,7 @@
     // A lasting task never ends well; after this it has shown what an end would. A third of the 6 s that one may
     // be without a run, so that those that wait get there in time; what fails does so at once as a rule.
     private static final long LASTING_PROOF_MILLIS = 2_000;
-    // The call that got no answer, and the look that follows it within some 0.3 s.
+    // The call that got no answer, and the look that follows it at once and takes 0.5 s at most.
     private static final int SILENCES_OUT_OF_REACH = 2;
 
     private WorkerFacts facts;
@@ -60,15 +60,17 @@
 
     /** When anything came back from it last: an answer to an order or to a hold. */
     private long heardAt = Long.MIN_VALUE / 2;
-    /** When the newest of its calls went out that has got no answer. */
-    private long unansweredSentAt = Long.MIN_VALUE;
+    /** When the newest of its calls was to be answered that got no answer. */
+    private long unansweredDueAt = Long.MIN_VALUE;
     /** How many calls got no answer since it was last heard. */
     private int silences;
 
     private long fencedAt = Long.MAX_VALUE;
 
     boolean holdInFlight;
-    long holdSentAt;
+    /** When the newest hold is answered at the latest, but for the way back. */
+    long holdAnswerDueAt;
+
     long holdDueAt;
     /** Whether the next hold waits for ends to become durable, so that the worker may forget them. */
     boolean holdAwaitsRecords;
@@ -223,20 +225,20 @@
     }
 
     /**
-     * Takes in that an order or a hold that was sent at {@code sentAt} got no answer: whether the worker can be reached
+     * Takes in that an order or a hold that the worker was to answer at {@code dueAt} got no answer: whether the worker can be reached
      * is open until it answers. One that has answered something else meanwhile can be reached, and only the one
      * answer was lost: workers that lose three in ten answers were all given up at once while hundreds of tasks waited.
      */
-    void unanswered(long sentAt) {
-        if (sentAt >= heardAt) {
-            unansweredSentAt = sentAt;
+    void unanswered(long dueAt) {
+        if (dueAt >= heardAt) {
+            unansweredDueAt = dueAt;
             silences++;
         }
     }
 
-    /** Returns whether something has gone unanswered that was sent since the worker was last heard. */
+    /** Returns whether something has gone unanswered that was due since the worker was last heard. */
     boolean isDoubted() {
-        return unansweredSentAt >= heardAt;
+        return unansweredDueAt >= heardAt;
     }
 
     /** Returns whether nothing came back to several calls: an instance in its place is worth its move then. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -229,10 +229,12 @@
         }
         w.holdInFlight = false;
         w.holdAwaitsRecords = false;
-        w.holdDueAt = state.now() + HOLD_RETRY_MILLIS;
         if (outcome.isSilence()) {
-            w.unanswered(w.holdSentAt);
+            w.unanswered(Math.min(w.holdAnswerDueAt, state.now()));
         }
+        // The look that tells a lost answer from a worker out of reach follows at once.
+        boolean looks = w.isDoubted() && !w.isOutOfReach();
+        w.holdDueAt = state.now() + (looks ? 0 : HOLD_RETRY_MILLIS);
         if (outcome == OrderOutcome.OTHER_LIFE) {
             runs.gone(w, "another life answers at its address");
         } else if (outcome == OrderOutcome.FENCED) {
@@ -293,7 +295,7 @@
             LiveWorker again = new LiveWorker(w.facts(), state.now());
             again.takeOverEnds(w);
             again.holdInFlight = w.holdInFlight;
-            again.holdSentAt = w.holdSentAt;
+            again.holdAnswerDueAt = w.holdAnswerDueAt;
             state.workers.put(w.facts().id(), again);
         }
     }
@@ -305,14 +307,15 @@
                 continue;
             }
             w.holdInFlight = true;
-            w.holdSentAt = now;
             long wait = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
             boolean look = !w.fenced
                     || w.isDoubted()
                     || w.hasPendingEnds()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
-            state.port.hold(new HoldOrder(
-                    w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.lastDurable(), look ? 0 : wait));
+            long waits = look ? 0 : wait;
+            w.holdAnswerDueAt = now + waits;
+            state.port.hold(
+                    new HoldOrder(w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.lastDurable(), waits));
         }
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/run/DoubtedWorkerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/DoubtedWorkerTest.java
@@ -34,6 +34,8 @@
     // As long as a start waits for its answer.
     private static final long CALL_MILLIS = 500;
     private static final long ROUND_TRIP_MILLIS = 5;
+    // As long as a hold waits on a worker that runs nothing when it is sent.
+    private static final long IDLE_WAIT_MILLIS = 2_000;
     // Records that change within this time are written together.
     private static final long GATHERING_MILLIS = 50;
 
@@ -115,6 +117,36 @@
     @Nested
     class Looking {
 
+        @Test
+        void countsAHoldByWhenItsAnswerWasDue() {
+            onlyWorkerAnswers();
+            StartOrder answered = starts("a");
+            d.passes(ROUND_TRIP_MILLIS);
+            d.scheduler.onStarted(answered, OrderOutcome.ACCEPTED);
+            d.passes(IDLE_WAIT_MILLIS + CALL_MILLIS);
+            d.silent("w1");
+            handIn("b");
+            assertFalse(isStarted("b"), "the worker was last heard long before the hold was to be answered");
+        }
+
+        @Test
+        void endsTheDoubtAlsoWhereTheHoldFailedBeforeItWasDue() {
+            onlyWorkerAnswers();
+            d.silent("w1");
+            d.passes(ROUND_TRIP_MILLIS);
+            d.answers("w1", List.of(), List.of());
+            handIn("a");
+            assertTrue(isStarted("a"));
+        }
+
+        @Test
+        void followsTheFirstSilenceAtOnce() {
+            onlyWorkerAnswers();
+            int before = d.port.holds.size();
+            d.silent("w1");
+            assertEquals(before + 1, d.port.holds.size());
+        }
+
         @Test
         void doesNotWaitForAnEnd() {
             onlyWorkerAnswers();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -21,7 +21,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.lupinpaddle.core.capacity.ServiceReport;
@@ -74,8 +73,7 @@
     private final Entry entry;
     private final long fence;
     private final Map<String, Errand> toOrder = new LinkedHashMap<>();
-    private final Map<String, Ordered> ordered = new HashMap<>();
-    private final Map<String, Ordered> earlier = new HashMap<>();
+    private final OrderedInstances ordered;
     private final Set<String> unanswered = new HashSet<>();
     private final OwnedRecords owned;
     private final PrefixWatch records;
@@ -91,15 +89,6 @@
     private boolean handingOver;
     private boolean closed;
 
-    /**
-     * An instance that this owner or an earlier one has ordered.
-     *
-     * @param life the life of the entry that ordered it
-     * @param at when that was known or written down
-     * @param freeAt from when on an owner of another life may order it
-     */
-    private record Ordered(String life, long at, long freeAt) {}
-
     /**
      * What the planner's host is given by its entry.
      *
@@ -134,6 +123,7 @@
         this.entry = entry;
         this.fence = fence;
         wonAt = entry.loop.clock().millis();
+        ordered = new OrderedInstances(entry.timing.takeOverMillis(), ORDER_MILLIS);
         planner = new FleetPlanner(entry.timing, this, entry.loop.clock(), entry.wall);
         patience = new StartPatience(
                 entry.loop,
@@ -221,38 +211,22 @@
                 .forEach(i -> {
                     owned.known(i.key(), i.revision());
                     RecordCodec.read(i.value(), RecentOrders.class)
-                            .peek(this::takeEarlier)
+                            .peek(r -> ordered.takeOver(r, wonAt))
                             .peekLeft(why -> unreadable(i, why));
                 });
-        // They are told on, should this owner be followed soon.
-        ordered.putAll(earlier);
-        tellEarlier();
-        Log.info("fleet-owner-started", "fence", fence, "ordered-lately", earlier.size());
-    }
-
-    /** The record was written before this ownership was won: what was left to wait then is no longer now. */
-    private void takeEarlier(RecentOrders r) {
-        r.lifeByInstance().forEach((i, life) -> {
-            long wait = r.waitMillis(i, entry.timing.takeOverMillis());
-            earlier.put(i, new Ordered(life, wonAt, wonAt + wait));
-        });
-    }
-
-    private void tellEarlier() {
-        Map<String, Long> until = new HashMap<>();
-        earlier.forEach((i, o) -> until.put(i, o.freeAt()));
+        Map<String, Long> until = ordered.leftAloneUntil();
         planner.onEarlierOrders(until);
+        Log.info("fleet-owner-started", "fence", fence, "ordered-lately", until.size());
     }
 
     /** Instances that a life which is over has ordered need not be left alone. */
     private void forgetOverLives() {
-        int before = earlier.size();
-        earlier.values().removeIf(o -> entry.ownership.isOver(o.life()));
-        ordered.values().removeIf(o -> entry.ownership.isOver(o.life()));
-        if (earlier.size() < before) {
-            Log.info("earlier-orders-over", "instances", before - earlier.size(), "left", earlier.size());
+        int over = ordered.dropOver(entry.ownership::isOver);
+        Map<String, Long> until = ordered.leftAloneUntil();
+        if (over > 0) {
+            Log.info("earlier-orders-over", "instances", over, "left", until.size());
         }
-        tellEarlier();
+        planner.onEarlierOrders(until);
     }
 
     private void recordsChanged() {
@@ -340,8 +314,7 @@
         Map<String, Errand> orders = new LinkedHashMap<>(toOrder);
         toOrder.clear();
         long writtenAt = entry.loop.clock().millis();
-        long freeAt = writtenAt + entry.timing.takeOverMillis();
-        orders.keySet().forEach(i -> ordered.put(i, new Ordered(entry.ownership.life(), writtenAt, freeAt)));
+        ordered.ordering(orders.keySet(), entry.ownership.life(), writtenAt);
         writeRecent(outcome -> {
             if (outcome == OwnedRecords.Outcome.SAVED) {
                 orders.forEach((i, errand) -> orderAsOwner(i, errand, writtenAt));
@@ -354,15 +327,7 @@
 
     private void writeRecent(Consumer<OwnedRecords.Outcome> onEnd) {
         writingOrders = true;
-        long now = entry.loop.clock().millis();
-        ordered.values().removeIf(o -> now - o.at() > entry.timing.takeOverMillis());
-        Map<String, String> lives = new TreeMap<>();
-        Map<String, Long> waits = new TreeMap<>();
-        ordered.forEach((i, o) -> {
-            lives.put(i, o.life());
-            waits.put(i, Math.max(0, o.freeAt() - now));
-        });
-        String record = RecordCodec.write(new RecentOrders(lives, waits));
+        String record = RecordCodec.write(ordered.record(entry.loop.clock().millis()));
         owned.write(Map.of(JobKeys.recentOrders(), record), outcome -> {
             writingOrders = false;
             recordSaved = outcome == OwnedRecords.Outcome.SAVED;
@@ -379,9 +344,8 @@
             return;
         }
         long now = entry.loop.clock().millis();
-        boolean old = ordered.values().stream().anyMatch(o -> now - o.at() > entry.timing.takeOverMillis());
-        boolean ages = recordSaved && ordered.values().stream().anyMatch(o -> now < o.freeAt());
-        if ((old || ages) && !writingOrders) {
+        boolean ages = recordSaved && ordered.hasWaiting(now);
+        if ((ages || ordered.hasOld(now)) && !writingOrders) {
             writeRecent(outcome -> Log.debug("fleet-record-pruned", "outcome", outcome));
         }
         entry.loop.after(PRUNE_EVERY_MILLIS, this::prune);
@@ -397,7 +361,7 @@
         handingOver = true;
         if (!writingOrders) {
             Set<String> down = planner.inUpkeep();
-            ordered.keySet().removeIf(i -> !unanswered.contains(i) && !down.contains(i));
+            ordered.keepOnly(i -> unanswered.contains(i) || down.contains(i));
             writeRecent(outcome -> {
                 Log.info("fleet-handed-over", "outcome", outcome, "unanswered", unanswered.size());
                 done.complete(null);
@@ -428,7 +392,7 @@
         entry.meters.instanceOrdered(o);
         if (o != InstanceOrderOutcome.UNKNOWN) {
             unanswered.remove(instance);
-            answered(instance);
+            ordered.answered(instance, entry.loop.clock().millis());
         }
         if (closed) {
             return;
@@ -439,12 +403,6 @@
         planner.onOrdered(instance, errand, o);
     }
 
-    /** No order of before can reach the platform any more: the time between two owners' orders runs from now on. */
-    private void answered(String instance) {
-        long freeAt = entry.loop.clock().millis() + entry.timing.takeOverMillis() - ORDER_MILLIS;
-        ordered.computeIfPresent(instance, (i, o) -> new Ordered(o.life(), o.at(), Math.min(o.freeAt(), freeAt)));
-    }
-
     @Override
     public void note(String kind, String instance, String detail) {
         Log.info("fleet", "kind", kind, "instance", instance, "why", detail);
