Hold the model to ends that workers have kept, and count failures only where the lease has not lapsed since

The model held tasks to ends only from the moment at which a worker was told to forget them, so it could not show a task that runs again because its end was lost with a worker that an order took away. Now an end must be known as long as its worker keeps it under a lease that has not lapsed, and after an order that took the worker away 100 ms or more after it listed the end. Only a worker that crashes may take an end with it. A focused test tells what the scheduler does.

--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -537,6 +537,19 @@
             assertTrue(next.port.starts.isEmpty());
         }
 
+        /** An end is noted unless its worker's lease has lapsed since; so the task keeps all attempts that were noted. */
+        @Test
+        void thatEndedARunFailedAreNoAttemptOnceTheirLeaseHasLapsed() {
+            List<String> both = begunTwice();
+            d.port.saves.clear();
+            d.answers(both.get(0), List.of(), List.of(ends(1, 1, EndKind.FAILED)));
+            d.answers(both.get(1), List.of(), List.of(ends(1, 2, EndKind.FAILED)));
+            d.passes(100);
+            TaskRecord written = d.port.saves.get(0).get(0).progress().tasks().get(0);
+            assertEquals(1, written.failures());
+            assertFalse(written.done());
+        }
+
         @Test
         void keepTheirTasksUntilEveryDeadlineHasPassed() {
             startOnOneOf("w1", "w2");
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/SimEnd.java
@@ -0,0 +1,50 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+/**
+ * The end of a run that did its task, and whether whoever places tasks has to know of it: as long as its worker keeps
+ * it under a lease that has not lapsed since; and also after an order that took the worker away, if it was listed
+ * before. Only with a worker that crashes may an end be lost.
+ */
+final class SimEnd {
+
+    // So long after it was listed an end counts as heard.
+    private static final long HEARD_MILLIS = 100;
+
+    final SimWorker on;
+    final int lapsesBefore;
+    private long listedAt = World.NEVER;
+
+    SimEnd(SimWorker on, int lapsesBefore) {
+        this.on = on;
+        this.lapsesBefore = lapsesBefore;
+    }
+
+    /** Takes in that the worker tells of it. */
+    void listed(long now) {
+        listedAt = Math.min(listedAt, now);
+    }
+
+    boolean wasListedBy(long moment) {
+        return listedAt + HEARD_MILLIS <= moment;
+    }
+
+    /** Returns whether the task must not be started again. */
+    boolean mustBeKnown() {
+        return on.hasKept(this);
+    }
+}
--- a/model/src/main/java/org/lupinpaddle/model/SimWorker.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorker.java
@@ -51,6 +51,8 @@
     private final double rate;
     private WorkerFacts facts;
     private boolean up = true;
+    private long takenAwayAt = World.NEVER;
+    private boolean lapsedAsTakenAway;
     private long drainsSince = World.NEVER;
     private long fence;
     private long deadline;
@@ -66,7 +68,7 @@
 
     private record Name(String job, TaskId task) {}
 
-    private record Ended(EndReport report, int lapsesBefore) {}
+    private record Ended(EndReport report, int lapsesBefore, SimEnd truth) {}
 
     private static final class Running {
         final int run;
@@ -146,6 +148,8 @@
 
     /** An order takes the worker away. */
     void takeAway(String by) {
+        takenAwayAt = time.now();
+        lapsedAsTakenAway = clock() >= deadline;
         running.forEach((n, r) -> rules.takenAway(this, n.job, n.task, by));
         crash();
     }
@@ -217,7 +221,11 @@
         running.remove(n);
         closedRuns.merge(n, r.run, Math::max);
         rules.ended(this, n.job, n.task, r.run, kind);
-        ends.add(new Ended(new EndReport(nextEnd++, n.job, n.task, r.run, kind, ""), lapses));
+        SimEnd truth = new SimEnd(this, lapses);
+        if (kind == EndKind.DONE) {
+            rules.done(n.job, n.task, truth);
+        }
+        ends.add(new Ended(new EndReport(nextEnd++, n.job, n.task, r.run, kind, ""), lapses, truth));
         List<Runnable> waiting = List.copyOf(holds);
         holds.clear();
         waiting.forEach(Runnable::run);
@@ -289,7 +297,17 @@
         }
     }
 
+    /** Returns whether an end can still be learnt here, or could before an order took the worker away. */
+    boolean hasKept(SimEnd e) {
+        boolean held = lapses == e.lapsesBefore;
+        if (up) {
+            return held && clock() < deadline;
+        }
+        return held && takenAwayAt != World.NEVER && !lapsedAsTakenAway && e.wasListedBy(takenAwayAt);
+    }
+
     private HoldAnswer answer() {
+        ends.forEach(e -> e.truth.listed(time.now()));
         List<RunningReport> all = new ArrayList<>();
         running.forEach((n, r) -> all.add(new RunningReport(n.job, n.task, r.run, "", percent(r), -1)));
         return new HoldAnswer(clock(), all, ends.stream().map(Ended::report).toList());
