--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -514,6 +514,19 @@
             assertEquals(2, written.run());
         }
 
+        @Test
+        void thatTellTheirOlderEndLastChangeNothingOfWhatIsDone() {
+            List<String> both = begunTwice();
+            d.answers(both.get(1), List.of(), List.of(ends(1, 2, EndKind.DONE)));
+            d.answers(both.get(0), List.of(), List.of(ends(1, 1, EndKind.FAILED)));
+            d.passes(100);
+            d.saved();
+            d.passes(100);
+            d.saved();
+            assertEquals(2, d.lastStart().run());
+            assertEquals(0, d.scheduler.load().waiting());
+        }
+
         @Test
         void thatEndedARunDoneKeepTheNextOwnerFromRunningTheTaskAgain() {
             List<String> both = begunTwice();
@@ -654,6 +667,34 @@
             assertTrue(d.port.stops.isEmpty());
         }
 
+        /** The earlier owner may have heard of the end, and have been closed or killed before it wrote that. */
+        @Test
+        void takesInEndsThatItsPredecessorDidNotWrite() {
+            d.workers("w1", "w2");
+            d.job("a", left, ONE);
+            d.answers("w2", List.of(), List.of());
+            d.answers("w1", List.of(), List.of(ends(1, 4, EndKind.DONE)));
+            d.passes(100);
+            JobProgress written = d.port.saves.get(0).get(0).progress();
+            assertEquals(JobState.COMPLETED, written.state());
+            d.saved();
+            assertTrue(d.port.starts.isEmpty());
+        }
+
+        @Test
+        void isNotToldThatAWorkerIsEmptyBeforeItHasLearntWhatBecameOfItsRuns() {
+            d.workers("w1", "w2");
+            d.job("a", left, ONE);
+            d.scheduler.onEvacuations(Set.of("w1"), Set.of("w1"));
+            d.passes(100);
+            assertTrue(d.port.emptied.isEmpty());
+            d.answers("w1", List.of(), List.of(ends(1, 4, EndKind.DONE)));
+            d.passes(100);
+            assertTrue(d.port.emptied.isEmpty(), "its end is not durable");
+            d.saved();
+            assertTrue(d.port.emptied.contains("w1"));
+        }
+
         @Test
         void startsAnewWhatNeverBegan() {
             d.workers("w1", "w2");
