--- a/core/src/main/java/org/lupinpaddle/core/common/RecordCodec.java
+++ b/core/src/main/java/org/lupinpaddle/core/common/RecordCodec.java
@@ -16,20 +16,43 @@
 package org.lupinpaddle.core.common;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.exc.InputCoercionException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
+import com.fasterxml.jackson.databind.exc.InvalidFormatException;
+import com.fasterxml.jackson.databind.exc.InvalidNullException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.type.LogicalType;
 import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.stream.Collectors;
 
 /**
  * Writes the records of the store as JSON and reads them back. Members that this version does not know
- * are passed over, so that two versions can share a store during a roll-out.
+ * are passed over, so that two versions can share a store during a roll-out. All else is strict: a member that is absent
+ * without being nullable, or of another type, makes the record unreadable instead of standing for nothing.
  */
 public final class RecordCodec {
 
     private static final ObjectMapper MAPPER = JsonMapper.builder()
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+            .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+            .withCoercionConfig(LogicalType.Textual, c -> {
+                c.setCoercion(CoercionInputShape.Integer, CoercionAction.Fail);
+                c.setCoercion(CoercionInputShape.Float, CoercionAction.Fail);
+                c.setCoercion(CoercionInputShape.Boolean, CoercionAction.Fail);
+            })
+            .annotationIntrospector(new RequiredMembers())
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
             .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
             .build();
@@ -46,12 +69,38 @@
     }
 
     /** Returns the record that the text holds, or what is wrong with the text. */
-    public static <T> Either<String, T> read(String text, Class<T> type) {
+    public static <T> Either<Unreadable, T> read(String text, Class<T> type) {
         try {
             T value = MAPPER.readValue(text, type);
-            return value == null ? Either.left("empty record") : Either.right(value);
+            return value == null ? Either.left(Unreadable.Reason.NOT_AN_OBJECT.whole()) : checked(value);
+        } catch (JsonMappingException e) {
+            return Either.left(unreadable(e));
         } catch (JsonProcessingException e) {
-            return Either.left(e.getOriginalMessage());
+            return Either.left(Unreadable.Reason.NOT_JSON.whole());
         }
     }
+
+    private static <T> Either<Unreadable, T> checked(T value) {
+        Optional<Unreadable> wrong = value instanceof CheckedRecord r ? r.wrong() : Optional.empty();
+        return wrong.<Either<Unreadable, T>>map(Either::left).orElse(Either.right(value));
+    }
+
+    private static Unreadable unreadable(JsonMappingException e) {
+        String path = e.getPath().stream()
+                .map(r -> r.getFieldName() == null ? Integer.toString(r.getIndex()) : r.getFieldName())
+                .collect(Collectors.joining("."));
+        return new Unreadable(path.isEmpty() ? Unreadable.Reason.NOT_AN_OBJECT : reason(e), path);
+    }
+
+    private static Unreadable.Reason reason(JsonMappingException e) {
+        if (e instanceof InvalidNullException) {
+            return Unreadable.Reason.MISSING;
+        }
+        if (e instanceof InvalidFormatException f && f.getTargetType().isEnum()) {
+            return Unreadable.Reason.UNKNOWN_WORD;
+        }
+        return e.getCause() instanceof InputCoercionException
+                ? Unreadable.Reason.OUT_OF_RANGE
+                : Unreadable.Reason.WRONG_TYPE;
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/common/RequiredMembers.java
@@ -0,0 +1,50 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.common;
+
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
+import com.fasterxml.jackson.databind.introspect.Annotated;
+import com.fasterxml.jackson.databind.introspect.AnnotatedMember;
+import com.fasterxml.jackson.databind.introspect.AnnotatedParameter;
+import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
+import java.lang.reflect.RecordComponent;
+import org.jspecify.annotations.Nullable;
+
+/** Tells the codec that a member of a record must be there, and not be null, unless it is declared nullable. */
+final class RequiredMembers extends JacksonAnnotationIntrospector {
+
+    private static final long serialVersionUID = 1;
+
+    @Override
+    public @Nullable Boolean hasRequiredMarker(AnnotatedMember m) {
+        return isRequired(m) ? Boolean.TRUE : super.hasRequiredMarker(m);
+    }
+
+    @Override
+    public JsonSetter.Value findSetterInfo(Annotated a) {
+        return isRequired(a) ? JsonSetter.Value.forValueNulls(Nulls.FAIL, Nulls.FAIL) : super.findSetterInfo(a);
+    }
+
+    private static boolean isRequired(Annotated a) {
+        if (!(a instanceof AnnotatedParameter p) || !p.getDeclaringClass().isRecord()) {
+            return false;
+        }
+        RecordComponent[] all = p.getDeclaringClass().getRecordComponents();
+        boolean canonical = p.getOwner().getParameterCount() == all.length;
+        return canonical && !all[p.getIndex()].getAnnotatedType().isAnnotationPresent(Nullable.class);
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
@@ -128,6 +128,11 @@
         return key.substring(EVACUATIONS.length(), key.lastIndexOf('/'));
     }
 
+    /** Returns the worker that the key asks to be emptied. */
+    public static String evacuatedWorker(String key) {
+        return key.substring(key.lastIndexOf('/') + 1);
+    }
+
     /** Returns the prefix of what asks for workers of a service to be emptied. */
     public static String evacuations(String service) {
         return EVACUATIONS + service + "/";
--- a/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
@@ -16,6 +16,9 @@
 package org.lupinpaddle.core.job;
 
 import java.util.List;
+import java.util.Optional;
+import org.lupinpaddle.core.common.CheckedRecord;
+import org.lupinpaddle.core.common.Unreadable;
 
 /**
  * How far a job is; the small record beside the immutable {@link JobSpec}, written by its service's owner.
@@ -25,13 +28,21 @@
  * @param reason why the job failed; empty otherwise
  * @param changedMillis when the state last changed, in milliseconds since 1970
  */
-public record JobProgress(JobState state, List<TaskRecord> tasks, String reason, long changedMillis) {
+public record JobProgress(JobState state, List<TaskRecord> tasks, String reason, long changedMillis)
+        implements CheckedRecord {
 
     /** Returns what is true of a job that no owner has written of yet. */
     public static JobProgress none(long acceptedMillis) {
         return new JobProgress(JobState.QUEUED, List.of(), "", acceptedMillis);
     }
 
+    @Override
+    public Optional<Unreadable> wrong() {
+        return tasks.stream().allMatch(TaskRecord::isSound)
+                ? Optional.empty()
+                : Optional.of(Unreadable.Reason.OUT_OF_RANGE.in("tasks"));
+    }
+
     /** Returns whether the job has ended and no worker holds anything of it. */
     public boolean over() {
         return state.ended() && tasks.isEmpty();
--- a/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
@@ -16,6 +16,9 @@
 package org.lupinpaddle.core.job;
 
 import java.util.List;
+import java.util.Optional;
+import org.lupinpaddle.core.common.CheckedRecord;
+import org.lupinpaddle.core.common.Unreadable;
 
 /**
  * A job as it was accepted. It lies in the store under its key and never changes.
@@ -35,9 +38,23 @@
         List<StepSpec> steps,
         Repeat repeat,
         Policy policy,
-        long acceptedMillis) {
+        long acceptedMillis)
+        implements CheckedRecord {
 
     // No JSON: nothing reads it as a job by mistake.
     /** What lies in the place of a job's record once the job is over; that the key is there still says "accepted". */
     public static final String OVER = "over";
+
+    @Override
+    public Optional<Unreadable> wrong() {
+        if (SubmissionCheck.wrong(new Submission(text, steps, repeat)).isPresent()) {
+            return Optional.of(Unreadable.Reason.OUT_OF_RANGE.in("steps"));
+        }
+        return policy.isSound() ? Optional.empty() : Optional.of(Unreadable.Reason.OUT_OF_RANGE.in("policy"));
+    }
+
+    /** Returns whether this is the job whose record lies under the key of a service. */
+    public boolean isAt(String ofService, JobKey at) {
+        return service.equals(ofService) && key.equals(at);
+    }
 }
--- a/core/src/main/java/org/lupinpaddle/core/job/Policy.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/Policy.java
@@ -28,4 +28,9 @@
 
     /** A job that ends within this many times its objective is late; beyond that its end does not count. */
     public static final int LATE_FACTOR = 3;
+
+    /** Returns whether all values have a meaning. */
+    boolean isSound() {
+        return priority >= 0 && maxAttempts >= 0 && sloMillis >= 0 && Double.isFinite(extension) && extension >= 0;
+    }
 }
--- a/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
@@ -34,4 +34,10 @@
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({"time", "step", "index", "run", "failures", "done", "worker", "checkpoint"})
 public record TaskRecord(
-        int time, int step, int index, int run, int failures, boolean done, String worker, String checkpoint) {}
+        int time, int step, int index, int run, int failures, boolean done, String worker, String checkpoint) {
+
+    /** Returns whether all numbers have a meaning. */
+    boolean isSound() {
+        return time >= 0 && step >= 0 && index >= 0 && run >= 0 && failures >= 0;
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -191,6 +191,9 @@
 
     private void running(LiveWorker w, RunningReport r, Set<LiveTask> shown) {
         LiveTask t = state.task(r.jobId(), r.task());
+        if (t == null && state.leftAlone.contains(r.jobId())) {
+            return;
+        }
         if (t == null || t.worker != w || t.run != r.run()) {
             state.note(
                     SchedulerEvent.Kind.STOP_ORDERED, w, "unknown-run=" + r.jobId() + "." + r.task() + "/" + r.run());
@@ -211,6 +214,23 @@
         }
     }
 
+    /** The end of a run whose job is left alone is written nowhere else: who repairs the job's record needs it. */
+    private void tellUnknown(LiveWorker w, EndReport e) {
+        if (state.leftAlone.contains(e.jobId())) {
+            String id = w.facts().id();
+            String detail = "left-alone=" + e.jobId();
+            state.port.note(new SchedulerEvent(
+                    SchedulerEvent.Kind.RUN_ENDED,
+                    null,
+                    e.task(),
+                    e.run(),
+                    id,
+                    e.kind().name(),
+                    detail,
+                    0));
+        }
+    }
+
     private void notShown(LiveTask t) {
         if (t.phase == Phase.RUNNING) {
             // Not known to happen; a stop makes sure before the task runs elsewhere.
@@ -229,6 +249,7 @@
     private void ended(LiveWorker w, EndReport e) {
         LiveTask t = state.task(e.jobId(), e.task());
         if (t == null) {
+            tellUnknown(w, e);
             return;
         }
         if (t.worker == w && t.run == e.run()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -81,6 +81,7 @@
         if (state.jobs.containsKey(spec.key())) {
             return;
         }
+        state.leftAlone.remove(spec.key().id());
         LiveJob job = new LiveJob(spec, state.times);
         state.add(job);
         noteArrival(job);
@@ -95,6 +96,16 @@
         state.note(SchedulerEvent.Kind.JOB_TAKEN, job, job.state.name(), detail);
     }
 
+    /**
+     * Takes in that what the store says of a job can not be read. Unless the job is known, it is left alone: what it
+     * runs is neither stopped nor begun anew, since it may have been done.
+     */
+    public void onUnreadableJob(JobKey key) {
+        if (!state.jobs.containsKey(key)) {
+            state.leftAlone.add(key.id());
+        }
+    }
+
     private void noteArrival(LiveJob job) {
         ArrivalRate.Work work = new ArrivalRate.Work();
         for (LiveStep s : job.steps) {
@@ -126,6 +137,8 @@
 
     /** Takes in that a caller has cancelled a job. */
     public void onCancel(JobKey key) {
+        // Whatever its records say, nothing of a cancelled job is to run on.
+        state.leftAlone.remove(key.id());
         LiveJob job = state.jobs.get(key);
         if (job != null && !job.state.ended()) {
             state.end(job, JobState.CANCELLED, "the caller cancelled it");
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -52,6 +52,8 @@
     final Set<String> evacuating = new HashSet<>();
     /** Those that other work waits for. */
     final Set<String> urgentlyEvacuating = new HashSet<>();
+    /** Callers' ids of jobs whose records can not be read: what they run is left as it is. */
+    final Set<String> leftAlone = new HashSet<>();
     /** Since when the list of workers may be out of date. */
     long workersKnownAt;
 
--- a/core/src/main/java/org/lupinpaddle/core/upkeep/EvacuationRecord.java
+++ b/core/src/main/java/org/lupinpaddle/core/upkeep/EvacuationRecord.java
@@ -17,6 +17,7 @@
 
 import io.vavr.control.Either;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 
 /**
  * The fleet owner asks the owner of a service to empty a worker; the answer is written into the same record.
@@ -30,9 +31,12 @@
  */
 public record EvacuationRecord(String worker, String instance, String errand, boolean urgent, boolean empty) {
 
-    /** Returns the record, or what is wrong with the text. */
-    public static Either<String, EvacuationRecord> read(String text) {
-        return RecordCodec.read(text, EvacuationRecord.class);
+    /** Returns the record that lies under the key of a worker, or what is wrong with the text. */
+    public static Either<Unreadable, EvacuationRecord> read(String text, String keyOf) {
+        return RecordCodec.read(text, EvacuationRecord.class)
+                .flatMap(r -> r.worker.equals(keyOf)
+                        ? Either.right(r)
+                        : Either.left(Unreadable.Reason.NOT_OF_ITS_KEY.in("worker")));
     }
 
     /** Returns the answer: the worker is empty. */
--- a/core/src/main/java/org/lupinpaddle/core/view/FleetView.java
+++ b/core/src/main/java/org/lupinpaddle/core/view/FleetView.java
@@ -29,6 +29,7 @@
 import java.util.function.BiConsumer;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.common.StoreKeys;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.instance.InstanceRecord;
 import org.lupinpaddle.core.instance.ShardRecord;
 import org.lupinpaddle.core.pool.PoolRecord;
@@ -90,7 +91,7 @@
     }
 
     private static <T> boolean put(StoredRecord r, Class<T> type, BiConsumer<String, T> target) {
-        Either<String, T> value = RecordCodec.read(r.value(), type);
+        Either<Unreadable, T> value = RecordCodec.read(r.value(), type);
         value.forEach(v -> target.accept(r.key(), v));
         return value.isRight();
     }
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/common/RecordCodecProperties.java
@@ -0,0 +1,199 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.common;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.BooleanNode;
+import com.fasterxml.jackson.databind.node.DoubleNode;
+import com.fasterxml.jackson.databind.node.LongNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.lupinpaddle.core.fleet.RecentOrders;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.Policy;
+import org.lupinpaddle.core.job.Repeat;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskRecord;
+import org.lupinpaddle.core.upkeep.EvacuationRecord;
+
+/** Records of ours as another version, or another program, may have written them: read whole or not at all. */
+class RecordCodecProperties {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private static final JobProgress PROGRESS =
+            new JobProgress(JobState.RUNNING, List.of(new TaskRecord(0, 0, 1, 2, 1, false, "w1", "cp")), "why", 9);
+
+    private static final List<Object> RECORDS = List.of(
+            new JobSpec(
+                    new JobKey("q", "a"),
+                    "clips",
+                    "text",
+                    List.of(StepSpec.builder(2, new StepSpec.Need(1, 1, 0))
+                            .place("gpu", "r1")
+                            .build()),
+                    new Repeat(2, 1_000, 500),
+                    new Policy(0, 3, 1.5, 500, false),
+                    7),
+            PROGRESS,
+            new EvacuationRecord("w1", "m1", "UPKEEP:1", false, false),
+            new RecentOrders(Map.of("m1", "entry/1")));
+
+    @Provide
+    Arbitrary<Object> records() {
+        return Arbitraries.of(RECORDS);
+    }
+
+    @Provide
+    Arbitrary<JsonNode> values() {
+        Arbitrary<JsonNode> longs = Arbitraries.longs().map(LongNode::new);
+        Arbitrary<JsonNode> doubles = Arbitraries.integers().map(i -> new DoubleNode(i + 0.5));
+        Arbitrary<JsonNode> texts =
+                Arbitraries.of("", "1", "true", "NaN", "RUNNING", "x").map(TextNode::new);
+        Arbitrary<JsonNode> others = Arbitraries.of(
+                NullNode.getInstance(),
+                BooleanNode.TRUE,
+                JSON.createObjectNode(),
+                JSON.createArrayNode().add(1));
+        return Arbitraries.oneOf(longs, doubles, texts, others);
+    }
+
+    /** Returns the pointers to all values within a node. */
+    private static List<String> paths(JsonNode n, String at) {
+        List<String> all = new ArrayList<>();
+        n.fields().forEachRemaining(e -> {
+            all.add(at + "/" + e.getKey());
+            all.addAll(paths(e.getValue(), at + "/" + e.getKey()));
+        });
+        for (int i = 0; n.isArray() && i < n.size(); i++) {
+            all.add(at + "/" + i);
+            all.addAll(paths(n.get(i), at + "/" + i));
+        }
+        return all;
+    }
+
+    private static JsonNode tree(Object record) {
+        try {
+            return JSON.readTree(RecordCodec.write(record));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    private static void set(JsonNode parent, String name, JsonNode value) {
+        if (parent instanceof ArrayNode a) {
+            a.set(Integer.parseInt(name), value);
+        } else {
+            ((ObjectNode) parent).set(name, value);
+        }
+    }
+
+    /** Returns whether a value may stand where the other stands; a whole number may stand for any number. */
+    private static boolean fits(JsonNode there, JsonNode value) {
+        return there.getNodeType() == value.getNodeType()
+                && (there.isIntegralNumber() == value.isIntegralNumber() || there.isFloatingPointNumber());
+    }
+
+    @Property(tries = 100)
+    void comeBackAsTheyWereWritten(@ForAll("records") Object record) {
+        assertEquals(
+                record,
+                RecordCodec.read(RecordCodec.write(record), record.getClass()).get());
+    }
+
+    @Property(tries = 1_000)
+    void withAValueOfAnotherTypeAreNotRead(
+            @ForAll("records") Object record, @ForAll int drawn, @ForAll("values") JsonNode value) {
+        JsonNode tree = tree(record);
+        List<String> paths = paths(tree, "");
+        String path = paths.get(Math.floorMod(drawn, paths.size()));
+        int slash = path.lastIndexOf('/');
+        if (!fits(tree.at(path), value)) {
+            set(tree.at(path.substring(0, slash)), path.substring(slash + 1), value);
+            assertTrue(RecordCodec.read(tree.toString(), record.getClass()).isLeft(), tree.toString());
+        }
+    }
+
+    @Property(tries = 300)
+    void withoutAMemberAreNotRead(@ForAll("records") Object record, @ForAll int drawn) {
+        JsonNode tree = tree(record);
+        List<String> paths = paths(tree, "").stream()
+                .filter(p -> tree.at(p.substring(0, p.lastIndexOf('/'))).isObject())
+                .filter(p -> !p.startsWith("/lifeByInstance/"))
+                .toList();
+        String path = paths.get(Math.floorMod(drawn, paths.size()));
+        int slash = path.lastIndexOf('/');
+        ((ObjectNode) tree.at(path.substring(0, slash))).remove(path.substring(slash + 1));
+        assertTrue(RecordCodec.read(tree.toString(), record.getClass()).isLeft(), tree.toString());
+    }
+
+    @Property(tries = 200)
+    void thatAreCutOffAreNotRead(@ForAll("records") Object record, @ForAll int drawn) {
+        String whole = RecordCodec.write(record);
+        String cut = whole.substring(0, Math.floorMod(drawn, whole.length()));
+        assertTrue(RecordCodec.read(cut, record.getClass()).isLeft(), cut);
+    }
+
+    @Property(tries = 500)
+    void ofRandomBytesAreNotRead(@ForAll("records") Object record, @ForAll byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        assertTrue(RecordCodec.read(text, record.getClass()).isLeft());
+    }
+
+    @Property(tries = 100)
+    void mayHaveMembersOfALaterVersion(@ForAll("records") Object record, @ForAll("values") JsonNode value) {
+        ObjectNode tree = (ObjectNode) tree(record);
+        tree.set("ofALaterVersion", value);
+        assertEquals(
+                record, RecordCodec.read(tree.toString(), record.getClass()).get());
+    }
+
+    @Property(tries = 200)
+    void ofTasksWithNegativeNumbersAreNotRead(@ForAll("negative") int negative, @ForAll("columns") int column) {
+        JsonNode tree = tree(PROGRESS);
+        set(tree.at("/tasks/0"), Integer.toString(column), new LongNode(negative));
+        assertTrue(RecordCodec.read(tree.toString(), JobProgress.class).isLeft(), tree.toString());
+    }
+
+    @Provide
+    Arbitrary<Integer> negative() {
+        return Arbitraries.integers().lessOrEqual(-1);
+    }
+
+    @Provide
+    Arbitrary<Integer> columns() {
+        return Arbitraries.integers().between(0, 4);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/UnreadableTest.java
@@ -0,0 +1,134 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+
+/** What an owner does about jobs and workers whose records can not be read. */
+class UnreadableTest {
+
+    private static final TaskId FIRST = new TaskId(0, 0, 0);
+    private static final JobKey JOB = new JobKey("q", "a");
+    private static final StepSpec ONE =
+            StepSpec.builder(1, SchedulerDriver.NEED).build();
+    private static final List<RunningReport> RUNS = List.of(new RunningReport("a", FIRST, 3, "", 50, -1));
+
+    private final SchedulerDriver d = new SchedulerDriver();
+
+    private void answering(String... workers) {
+        d.workers(workers);
+        for (String w : workers) {
+            d.answers(w, List.of(), List.of());
+        }
+    }
+
+    private long holds(String worker) {
+        return d.port.holds.stream().filter(h -> h.worker().id().equals(worker)).count();
+    }
+
+    @Nested
+    class AJob {
+
+        @Test
+        void runsOnAndIsNotBegunAnew() {
+            answering("w1");
+            d.scheduler.onUnreadableJob(JOB);
+            d.answers("w1", RUNS, List.of());
+            d.passes(1_000);
+            d.answers("w1", List.of(), List.of(new EndReport(1, "a", FIRST, 3, EndKind.FAILED, "")));
+            d.passes(1_000);
+            assertEquals(List.of(), d.port.stops);
+            assertEquals(List.of(), d.port.starts);
+            assertEquals(List.of(), d.port.saves);
+        }
+
+        @Test
+        void thatIsCancelledIsStopped() {
+            answering("w1");
+            d.scheduler.onUnreadableJob(JOB);
+            d.scheduler.onCancel(JOB);
+            d.answers("w1", RUNS, List.of());
+            assertEquals(1, d.port.stops.size());
+            assertEquals(3, d.port.stops.get(0).run());
+        }
+
+        @Test
+        void thatIsKnownGoesOnAsItWas() {
+            answering("w1");
+            d.job("a", ONE);
+            d.saved();
+            int run = d.lastStart().run();
+            d.scheduler.onUnreadableJob(JOB);
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            d.answers("w1", List.of(), List.of(new EndReport(1, "a", FIRST, run, EndKind.DONE, "")));
+            d.passes(1_000);
+            assertTrue(d.port.saves.stream()
+                    .flatMap(List::stream)
+                    .anyMatch(s -> s.progress().state().ended()));
+        }
+    }
+
+    @Nested
+    class AWorker {
+
+        private static final long LONG_MILLIS = 60_000;
+
+        /** A worker with an unreadable record is left out of the list. */
+        @Test
+        void isAskedOnAtTheAddressThatItHadAndGetsNothingNew() {
+            answering("w1");
+            d.job("a", ONE);
+            d.saved();
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            int run = d.lastStart().run();
+            d.workers();
+            long before = holds("w1");
+            for (long t = 0; t < LONG_MILLIS; t += 500) {
+                d.answers("w1", List.of(new RunningReport("a", FIRST, run, "", 50, -1)), List.of());
+                d.passes(500);
+            }
+            d.job("b", ONE);
+            d.saved();
+            assertTrue(holds("w1") > before + 10);
+            assertEquals(
+                    "at-w1", d.port.holds.get(d.port.holds.size() - 1).worker().address());
+            assertEquals(
+                    List.of("a"), d.port.starts.stream().map(StartOrder::jobId).toList());
+            assertEquals(List.of(), d.port.stops);
+        }
+
+        @Test
+        void thatIsListedAgainGetsNewWork() {
+            answering("w1");
+            d.workers();
+            d.job("a", ONE);
+            d.saved();
+            assertEquals(List.of(), d.port.starts);
+            answering("w1");
+            d.saved();
+            assertEquals("w1", d.lastStart().worker().id());
+        }
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -15,7 +15,6 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
-import io.vavr.control.Either;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +22,7 @@
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
 import org.lupinpaddle.daemon.port.StoreChanges;
@@ -37,15 +37,22 @@
     private final KeyValueStore store;
     private final EventLoop loop;
     private final PlatformRecords records;
+    private final UnreadableEntries unreadable;
     private final PrefixWatch watch;
     private final Runnable onChange;
     private @Nullable JobConfiguration configuration;
     private long revision;
 
-    ConfigurationFeed(KeyValueStore store, EventLoop loop, PlatformRecords records, Runnable onChange) {
+    ConfigurationFeed(
+            KeyValueStore store,
+            EventLoop loop,
+            PlatformRecords records,
+            UnreadableEntries unreadable,
+            Runnable onChange) {
         this.store = store;
         this.loop = loop;
         this.records = records;
+        this.unreadable = unreadable;
         this.onChange = onChange;
         watch = new PrefixWatch(store, loop, records.configurationKey(), this);
     }
@@ -59,7 +66,7 @@
         return Optional.ofNullable(configuration);
     }
 
-    /** Returns the store's revision of the configuration in force. */
+    /** Returns the store's newest revision of the configuration that is known here, which is in force if it is readable. */
     long revision() {
         return revision;
     }
@@ -94,21 +101,23 @@
         if (!item.key().equals(records.configurationKey()) || item.revision() <= revision) {
             return;
         }
-        Either<String, JobConfiguration> read = records.configuration(item);
-        if (read.isLeft()) {
-            Log.warn("configuration-unreadable", "revision", item.revision(), "why", read.getLeft());
+        JobConfiguration read = unreadable.taken(Kind.CONFIGURATION, item, records.configuration(item));
+        if (read == null) {
+            // The last one that could be read holds on; jobs are taken on the condition that the store has nothing
+            // newer.
+            revision = configuration == null ? revision : item.revision();
             return;
         }
         revision = item.revision();
-        configuration = read.get();
+        configuration = read;
         Log.info(
                 "configuration-in-force",
                 "version",
-                read.get().version(),
+                read.version(),
                 "revision",
                 revision,
                 "queues",
-                read.get().queues().size());
+                read.queues().size());
         onChange.run();
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EarlierJobs.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EarlierJobs.java
@@ -15,19 +15,19 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
-import io.vavr.control.Either;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
-import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.daemon.common.EventLoop;
-import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
 import org.lupinpaddle.daemon.port.StoreItem;
 import org.lupinpaddle.daemon.port.StoreRange;
 
@@ -46,14 +46,19 @@
     private final OwnedRecords records;
     private final EventLoop loop;
     private final String service;
+    private final UnreadableEntries unreadable;
     private final Map<JobKey, JobProgress> progress = new HashMap<>();
     /** Jobs that are over, with when their records may be removed. */
     private final Map<JobKey, Long> over = new HashMap<>();
 
-    EarlierJobs(OwnedRecords records, EventLoop loop, String service) {
+    /** Jobs whose progress is written in a way that this version can not read. */
+    private final Set<JobKey> unread = new HashSet<>();
+
+    EarlierJobs(OwnedRecords records, EventLoop loop, String service, UnreadableEntries unreadable) {
         this.records = records;
         this.loop = loop;
         this.service = service;
+        this.unreadable = unreadable;
     }
 
     /** Takes in the progress of all jobs of the service. */
@@ -63,9 +68,20 @@
 
     private void read(JobKey job, StoreItem i) {
         records.known(i.key(), i.revision());
-        Either<String, JobProgress> p = RecordCodec.read(i.value(), JobProgress.class);
-        p.peek(good -> progress.put(job, good))
-                .peekLeft(why -> Log.warn("progress-unreadable", "key", i.key(), "why", why));
+        JobProgress p = unreadable.taken(Kind.PROGRESS, i, i.read(JobProgress.class));
+        if (p == null) {
+            unread.add(job);
+        } else {
+            progress.put(job, p);
+        }
+    }
+
+    /**
+     * Returns whether a job has progress that can not be read. It may have run in part or as a whole, so it must neither
+     * be begun as a new one nor be written of.
+     */
+    boolean isUnread(JobKey job) {
+        return unread.contains(job);
     }
 
     /** Returns how many jobs have progress that nobody has taken yet. */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -15,16 +15,19 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
+import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreItem;
 
@@ -35,6 +38,7 @@
 
     private final EventLoop loop;
     private final OwnedRecords records;
+    private final UnreadableEntries unreadable;
     private final PrefixWatch watch;
     private final BiConsumer<Set<String>, Set<String>> onChange;
     private final Map<String, StoreItem> asked = new HashMap<>();
@@ -52,9 +56,11 @@
             EventLoop loop,
             String service,
             OwnedRecords records,
+            UnreadableEntries unreadable,
             BiConsumer<Set<String>, Set<String>> onChange) {
         this.loop = loop;
         this.records = records;
+        this.unreadable = unreadable;
         this.onChange = onChange;
         watch = new PrefixWatch(store, loop, JobKeys.evacuations(service), PrefixWatch.Listener.same(this::changed));
     }
@@ -66,15 +72,15 @@
     private void changed() {
         asked.clear();
         Set<String> urgent = new HashSet<>();
-        watch.items()
-                .forEach(i -> EvacuationRecord.read(i.value())
-                        .peek(r -> {
-                            asked.put(r.worker(), i);
-                            if (r.urgent()) {
-                                urgent.add(r.worker());
-                            }
-                        })
-                        .peekLeft(why -> unreadable(i, why)));
+        for (StoreItem i : watch.items()) {
+            EvacuationRecord r = unreadable.taken(Kind.EVACUATION, i, read(i));
+            if (r != null) {
+                asked.put(r.worker(), i);
+                if (r.urgent()) {
+                    urgent.add(r.worker());
+                }
+            }
+        }
         answered.keySet().retainAll(asked.keySet());
         onChange.accept(asked.keySet(), urgent);
     }
@@ -88,7 +94,7 @@
         if (item == null || Long.valueOf(item.revision()).equals(answered.get(worker))) {
             return;
         }
-        EvacuationRecord record = EvacuationRecord.read(item.value()).getOrNull();
+        EvacuationRecord record = read(item).getOrNull();
         if (record != null && !record.empty()) {
             answered.put(worker, item.revision());
             Log.info("worker-emptied", "worker", worker, "errand", record.errand());
@@ -105,8 +111,9 @@
         });
     }
 
-    private static void unreadable(StoreItem i, String why) {
-        Log.warn("evacuation-unreadable", "key", i.key(), "why", why);
+    /** Returns the request that an item holds, or what is wrong with it. */
+    static Either<Unreadable, EvacuationRecord> read(StoreItem i) {
+        return i.text().flatMap(t -> EvacuationRecord.read(t, JobKeys.evacuatedWorker(i.key())));
     }
 
     @Override
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -15,18 +15,22 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
+import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.fleet.Errand;
 import org.lupinpaddle.core.fleet.FleetPlanner;
 import org.lupinpaddle.core.fleet.FleetPort;
@@ -39,6 +43,7 @@
 import org.lupinpaddle.core.upkeep.UpkeepRecord;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
@@ -99,6 +104,7 @@
      * @param wall the time of day
      * @param timing the planner's times
      * @param meters the entry's figures
+     * @param unreadable entries of the store that can not be read
      */
     record Entry(
             String name,
@@ -109,7 +115,8 @@
             OwnershipKeeper ownership,
             Clock wall,
             FleetTiming timing,
-            JobMeters meters) {
+            JobMeters meters,
+            UnreadableEntries unreadable) {
 
         /** Returns how long after a change of owner an instance that was ordered lately is left alone. */
         static long takeOverMillis(long ownerLeaseMillis) {
@@ -206,9 +213,10 @@
                 .filter(i -> i.key().equals(JobKeys.recentOrders()))
                 .forEach(i -> {
                     owned.known(i.key(), i.revision());
-                    RecordCodec.read(i.value(), RecentOrders.class)
-                            .peek(r -> earlier.putAll(r.lifeByInstance()))
-                            .peekLeft(why -> unreadable(i, why));
+                    RecentOrders r = taken(Kind.RECENT_ORDERS, i, i.read(RecentOrders.class));
+                    if (r != null) {
+                        earlier.putAll(r.lifeByInstance());
+                    }
                 });
         // They are told on, should this owner be followed soon.
         long now = entry.loop.clock().millis();
@@ -233,30 +241,39 @@
         for (StoreItem i : records.items()) {
             if (JobKeys.isEvacuation(i.key())) {
                 owned.seen(i.key(), i.revision());
-                EvacuationRecord.read(i.value())
-                        .peek(r -> evacuations.put(r, JobKeys.evacuatedService(i.key())))
-                        .peekLeft(why -> unreadable(i, why));
+                EvacuationRecord r = taken(Kind.EVACUATION, i, EvacuationFeed.read(i));
+                if (r != null) {
+                    evacuations.put(r, JobKeys.evacuatedService(i.key()));
+                }
             }
-            JobKeys.reportOf(i.key())
-                    .ifPresent(s -> RecordCodec.read(i.value(), ServiceReport.class)
-                            .peek(r -> planner.onReport(s, r))
-                            .peekLeft(why -> unreadable(i, why)));
-            JobKeys.upkeepOf(i.key())
-                    .ifPresent(w -> RecordCodec.read(i.value(), UpkeepRecord.class)
-                            .peek(r -> planner.onUpkeep(w, r))
-                            .peekLeft(why -> unreadable(i, why)));
+            JobKeys.reportOf(i.key()).ifPresent(s -> takeReport(s, i));
+            JobKeys.upkeepOf(i.key()).ifPresent(w -> takeUpkeep(w, i));
         }
         planner.onEvacuations(evacuations);
     }
 
-    private static void unreadable(StoreItem i, String why) {
-        Log.warn("fleet-record-unreadable", "key", i.key(), "why", why);
+    private void takeReport(String service, StoreItem i) {
+        ServiceReport r = taken(Kind.REPORT, i, i.read(ServiceReport.class));
+        if (r != null) {
+            planner.onReport(service, r);
+        }
+    }
+
+    private void takeUpkeep(long wave, StoreItem i) {
+        UpkeepRecord r = taken(Kind.UPKEEP, i, i.read(UpkeepRecord.class));
+        if (r != null) {
+            planner.onUpkeep(wave, r);
+        }
+    }
+
+    private <T> @Nullable T taken(Kind kind, StoreItem i, Either<Unreadable, T> record) {
+        return entry.unreadable.taken(kind, i, record);
     }
 
     private void wavesChanged() {
         planner.onWaves(waves.items().stream()
-                .flatMap(i ->
-                        entry.names.wave(i).peekLeft(why -> unreadable(i, why)).toJavaStream())
+                .map(i -> taken(Kind.WAVE, i, entry.names.wave(i)))
+                .filter(Objects::nonNull)
                 .toList());
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobAnswer.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobAnswer.java
@@ -21,12 +21,12 @@
 /**
  * What a caller is told of a job.
  *
- * @param known whether the store answered; if not, nothing can be said of the job now
+ * @param known whether the store answered with what can be read; if not, nothing can be said of the job now
  * @param state the job's state; nothing when there is no such job
  */
 public record JobAnswer(boolean known, Optional<JobState> state) {
 
-    static final JobAnswer STORE_AWAY = new JobAnswer(false, Optional.empty());
+    static final JobAnswer UNKNOWN = new JobAnswer(false, Optional.empty());
     static final JobAnswer NO_JOB = new JobAnswer(true, Optional.empty());
 
     static JobAnswer of(JobState state) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -185,7 +185,7 @@
     public CompletableFuture<JobAnswer> state(QueueConfig q, String id) {
         return stateIn(services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
             Log.info("state-unknown", "job", id, "why", StoreFailure.text(why));
-            return JobAnswer.STORE_AWAY;
+            return JobAnswer.UNKNOWN;
         });
     }
 
@@ -207,7 +207,7 @@
         return store.read(JobKeys.progress(service, key))
                 .thenComposeAsync(
                         p -> p.isPresent()
-                                ? CompletableFuture.completedFuture(JobAnswer.of(stateOf(p.get())))
+                                ? CompletableFuture.completedFuture(stateOf(p.get()))
                                 : queuedIn(services, index, key),
                         loop::execute);
     }
@@ -221,17 +221,19 @@
                         loop::execute);
     }
 
-    private static JobState stateOf(StoreItem progress) {
-        return RecordCodec.read(progress.value(), JobProgress.class)
-                .map(JobProgress::state)
-                .getOrElse(JobState.RUNNING);
+    /** Of a job whose progress can not be read nothing is known: any state might be untrue. */
+    private static JobAnswer stateOf(StoreItem progress) {
+        return progress.read(JobProgress.class)
+                .map(p -> JobAnswer.of(p.state()))
+                .peekLeft(why -> Log.info("state-unreadable", "key", progress.key(), "why", why))
+                .getOrElse(JobAnswer.UNKNOWN);
     }
 
     /** Cancels a job; the future tells whether there is such a job, and is known only when that is durable. */
     public CompletableFuture<JobAnswer> cancel(QueueConfig q, String id) {
         return cancelIn(services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
             Log.info("cancel-unknown", "job", id, "why", StoreFailure.text(why));
-            return JobAnswer.STORE_AWAY;
+            return JobAnswer.UNKNOWN;
         });
     }
 
@@ -258,7 +260,7 @@
                             }
                             return attempt < MOST_TRIES
                                     ? writeCancel(service, key, attempt + 1)
-                                    : CompletableFuture.completedFuture(JobAnswer.STORE_AWAY);
+                                    : CompletableFuture.completedFuture(JobAnswer.UNKNOWN);
                         },
                         loop::execute);
     }
@@ -279,15 +281,14 @@
         return store.read(JobKeys.report(q.service()))
                 .thenComposeAsync(
                         item -> item.filter(i -> i.revision() > owner.revision())
-                                .map(i -> CompletableFuture.completedFuture(told(q, i)))
+                                .flatMap(i -> i.read(ServiceReport.class).toJavaOptional())
+                                .map(r -> CompletableFuture.completedFuture(told(q, r)))
                                 .orElseGet(() -> countedHere(q)),
                         loop::execute);
     }
 
-    private static OptionalInt told(QueueConfig q, StoreItem report) {
-        return OptionalInt.of(RecordCodec.read(report.value(), ServiceReport.class)
-                .map(r -> r.pendingByQueue().getOrDefault(q.name(), 0))
-                .getOrElse(0));
+    private static OptionalInt told(QueueConfig q, ServiceReport report) {
+        return OptionalInt.of(report.pendingByQueue().getOrDefault(q.name(), 0));
     }
 
     /** Many callers ask for one count; they share a read while it is under way, and for a while after it. */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
@@ -75,6 +75,11 @@
         count("instance.orders", outcome);
     }
 
+    /** Counts an entry of the store that can not be read, once for each reason why. */
+    void unreadable(UnreadableEntries.Kind kind) {
+        count("entries.unreadable", kind.word());
+    }
+
     /** Counts a call to the store by its kind and answer, and how long the answer took. */
     void storeCalled(String call, String answer, long millis) {
         count("store.calls." + call, answer);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -59,6 +59,7 @@
     private @Nullable WorkerFeed workers;
     private final OwnershipKeeper ownership;
     private final JobMeters meters;
+    private final UnreadableEntries unreadable;
     private final JobIntake intake;
     private final JobQuestions questions;
     private final SchedulerHost.Entry shared;
@@ -98,10 +99,11 @@
     /** Makes a node; it does nothing until {@link #start}. */
     public JobNode(EventLoop loop, Parts p) {
         this.loop = loop;
-        configuration = new ConfigurationFeed(p.store(), loop, p.records(), this::configurationChanged);
-        feeds = () -> new WorkerFeed(p.store(), loop, p.records(), this::workersChanged);
-        ownership = new OwnershipKeeper(p.store(), loop, p.name(), p.capacity(), this);
         meters = p.meters();
+        unreadable = new UnreadableEntries(meters);
+        configuration = new ConfigurationFeed(p.store(), loop, p.records(), unreadable, this::configurationChanged);
+        feeds = () -> new WorkerFeed(p.store(), loop, p.records(), unreadable, this::workersChanged);
+        ownership = new OwnershipKeeper(p.store(), loop, p.name(), p.capacity(), this);
         addGauges();
         intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall(), this::reachesStore);
         questions = new JobQuestions(p.store(), p.records(), intake);
@@ -116,7 +118,8 @@
                 ownership::reachesStore,
                 p.wall(),
                 timing,
-                p.meters());
+                p.meters(),
+                unreadable);
         fleetShared = new FleetHost.Entry(
                 p.name(),
                 p.store(),
@@ -128,7 +131,8 @@
                 FleetTiming.usual(
                         p.limits().upkeepMillis(),
                         FleetHost.Entry.takeOverMillis(p.limits().ownerLeaseMillis())),
-                p.meters());
+                p.meters(),
+                unreadable);
     }
 
     /** Begins. */
@@ -149,6 +153,7 @@
                 "configuration.version",
                 () -> configuration.current().map(JobConfiguration::version).orElse(0L));
         meters.gauge("configuration.age.millis", () -> loop.clock().millis() - configuration.confirmedAt());
+        meters.gauge("entries.unreadable.now", unreadable::count);
         meters.gauge("log.lines.left.out", Log::leftOut);
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
@@ -27,7 +27,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.command.CommandParser;
 import org.lupinpaddle.core.command.OperatorCommand;
-import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobProgress;
@@ -110,9 +110,9 @@
         if (key == null) {
             return Optional.empty();
         }
-        JobSpec spec = RecordCodec.read(i.value(), JobSpec.class).getOrNull();
+        JobSpec spec = i.read(JobSpec.class).getOrNull();
         JobProgress progress = Optional.ofNullable(byKey.get(JobKeys.progress(service, key)))
-                .flatMap(p -> RecordCodec.read(p.value(), JobProgress.class).toJavaOptional())
+                .flatMap(p -> p.read(JobProgress.class).toJavaOptional())
                 .orElse(spec == null ? null : JobProgress.none(spec.acceptedMillis()));
         boolean readable = spec != null || i.value().equals(JobSpec.OVER);
         if (progress == null || !readable) {
@@ -168,7 +168,7 @@
     private List<String> workers(StoreRange listed) {
         List<String> lines = new ArrayList<>();
         for (StoreItem i : listed.items()) {
-            Either<String, WorkerFacts> w = records.worker(i);
+            Either<Unreadable, WorkerFacts> w = records.worker(i);
             lines.add(w.fold(
                     why -> i.key() + "  unreadable: " + why,
                     f -> f.service() + "  " + f.id() + "  " + f.address() + "  hall " + f.hall() + "  "
@@ -183,11 +183,10 @@
         Map<Long, UpkeepRecord> done = new TreeMap<>();
         fleet.items()
                 .forEach(i -> JobKeys.upkeepOf(i.key())
-                        .ifPresent(w ->
-                                RecordCodec.read(i.value(), UpkeepRecord.class).forEach(r -> done.put(w, r))));
+                        .ifPresent(w -> i.read(UpkeepRecord.class).forEach(r -> done.put(w, r))));
         List<String> lines = new ArrayList<>();
         for (StoreItem i : waves.items()) {
-            Either<String, UpkeepWave> wave = records.wave(i);
+            Either<Unreadable, UpkeepWave> wave = records.wave(i);
             wave.forEach(w -> {
                 UpkeepRecord r = done.getOrDefault(w.number(), new UpkeepRecord(List.of(), false, null));
                 lines.add("wave " + w.number() + "  " + (r.completed() ? "completed" : "running") + "  begun "
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
@@ -46,6 +47,7 @@
 import org.lupinpaddle.core.run.StopOrder;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
 import org.lupinpaddle.daemon.port.AdviceService;
 import org.lupinpaddle.daemon.port.HoldResult;
 import org.lupinpaddle.daemon.port.InstanceOrders;
@@ -104,6 +106,7 @@
      * @param wall the time of day
      * @param timing the scheduler's times
      * @param meters the entry's figures
+     * @param unreadable entries of the store that can not be read
      */
     record Entry(
             KeyValueStore store,
@@ -114,7 +117,8 @@
             BooleanSupplier reachesStore,
             Clock wall,
             SchedulerTiming timing,
-            JobMeters meters) {}
+            JobMeters meters,
+            UnreadableEntries unreadable) {}
 
     /**
      * Makes the host.
@@ -132,13 +136,14 @@
         patience = new StartPatience(entry.loop, () -> !closed && scheduler == null, entry.reachesStore, canNotBegin);
         startedAt = entry.loop.clock().millis();
         records = new OwnedRecords(entry.store, entry.loop, service, fence);
-        earlier = new EarlierJobs(records, entry.loop, service);
+        earlier = new EarlierJobs(records, entry.loop, service, entry.unreadable);
         inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), this);
         evacuations = new EvacuationFeed(
                 entry.store,
                 entry.loop,
                 service,
                 records,
+                entry.unreadable,
                 (leaving, urgent) -> told(s -> s.onEvacuations(leaving, urgent)));
     }
 
@@ -248,12 +253,22 @@
         JobKey key = JobKeys.jobOf(service, i.key()).orElse(null);
         // A small record is never a job, even if nothing is known of its progress.
         if (key != null && !earlier.isOver(key) && !i.value().equals(JobSpec.OVER)) {
-            Either<String, JobSpec> spec = RecordCodec.read(i.value(), JobSpec.class);
-            spec.peek(good -> s.onJob(good, earlier.takeProgress(good.key())))
-                    .peekLeft(why -> Log.warn("job-unreadable", "key", i.key(), "why", why));
+            JobSpec spec = entry.unreadable.taken(Kind.JOB, i, read(i, key));
+            if (spec == null || earlier.isUnread(key)) {
+                s.onUnreadableJob(key);
+            } else {
+                s.onJob(spec, earlier.takeProgress(key));
+            }
         }
     }
 
+    private Either<Unreadable, JobSpec> read(StoreItem i, JobKey key) {
+        return i.read(JobSpec.class)
+                .flatMap(s -> s.isAt(service, key)
+                        ? Either.right(s)
+                        : Either.left(Unreadable.Reason.NOT_OF_ITS_KEY.in("key")));
+    }
+
     private void takeCancellation(StoreItem i) {
         if (scheduler != null) {
             JobKeys.cancelled(service, i.key()).ifPresent(scheduler::onCancel);
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
@@ -0,0 +1,149 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.common.Unreadable;
+import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/**
+ * The entries of the store that this process could not read when it last saw them. Each is told of in one log line, and
+ * again when what is wrong with it changes. Any thread may call.
+ */
+public final class UnreadableEntries {
+
+    // Another writer may write any number of entries: beyond so many, new ones are counted but not told of one by one.
+    private static final int MOST_TOLD = 1_000;
+
+    private final JobMeters meters;
+    private final Map<String, Entry> byKey = new HashMap<>();
+    private boolean leftOutTold;
+
+    /** What an entry would say if it could be read. */
+    public enum Kind {
+        /** What a worker says of itself. */
+        WORKER,
+        /** The operators' configuration. */
+        CONFIGURATION,
+        /** A wave of upkeep that the operators ask for. */
+        WAVE,
+        /** A job as it was accepted. */
+        JOB,
+        /** How far a job is. */
+        PROGRESS,
+        /** A request to empty a worker. */
+        EVACUATION,
+        /** What a service has to do and with what. */
+        REPORT,
+        /** How far a wave of upkeep is. */
+        UPKEEP,
+        /** Which instances were ordered lately. */
+        RECENT_ORDERS,
+        /** How much an entry of the fleet can do. */
+        CAPACITY,
+        /** A row of the platform's list of instances. */
+        INSTANCE;
+
+        /** Returns the word for it in log lines and names of figures. */
+        String word() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+
+    /**
+     * One of them.
+     *
+     * @param kind what it would say
+     * @param key its key
+     * @param revision the revision at which it was first unreadable for this reason
+     * @param why what is wrong with it
+     */
+    public record Entry(Kind kind, String key, long revision, Unreadable why) {}
+
+    /** Makes an empty list. */
+    public UnreadableEntries(JobMeters meters) {
+        this.meters = meters;
+    }
+
+    /** Takes in what came of reading an item, and returns its record; null when it is unreadable. */
+    <T> @Nullable T taken(Kind kind, StoreItem item, Either<Unreadable, T> record) {
+        if (record.isRight()) {
+            readable(item.key());
+            return record.get();
+        }
+        unreadable(new Entry(kind, item.key(), item.revision(), record.getLeft()));
+        return null;
+    }
+
+    /** Takes in that an entry can not be read. */
+    synchronized void unreadable(Entry e) {
+        Entry known = byKey.get(e.key());
+        if (known != null && known.why().equals(e.why())) {
+            return;
+        }
+        meters.unreadable(e.kind());
+        if (known == null && byKey.size() >= MOST_TOLD) {
+            tellLeftOut();
+            return;
+        }
+        byKey.put(e.key(), e);
+        Log.warn("entry-unreadable", "kind", e.kind().word(), "key", e.key(), "revision", e.revision(), "why", e.why());
+    }
+
+    private void tellLeftOut() {
+        if (!leftOutTold) {
+            leftOutTold = true;
+            Log.warn("entries-unreadable-left-out", "told", MOST_TOLD);
+        }
+    }
+
+    /** Takes in that an entry can be read. */
+    synchronized void readable(String key) {
+        Entry e = byKey.remove(key);
+        if (e != null) {
+            Log.info("entry-readable-again", "kind", e.kind().word(), "key", key);
+        }
+    }
+
+    /** Takes in that an entry is gone. */
+    synchronized void gone(String key) {
+        byKey.remove(key);
+    }
+
+    /** Takes in all keys that there are of a kind: what is not among them is gone. */
+    synchronized void onlyThese(Kind kind, Set<String> keys) {
+        byKey.values().removeIf(e -> e.kind() == kind && !keys.contains(e.key()));
+    }
+
+    /** Returns all of them, in the order of their keys. */
+    public synchronized List<Entry> now() {
+        return new ArrayList<>(new TreeMap<>(byKey).values());
+    }
+
+    /** Returns how many there are. */
+    synchronized int count() {
+        return byKey.size();
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
@@ -15,14 +15,14 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
-import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.daemon.common.EventLoop;
-import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
 import org.lupinpaddle.daemon.port.StoreChanges;
@@ -35,12 +35,19 @@
     private static final long PAUSE_MILLIS = 250;
 
     private final PlatformRecords records;
+    private final UnreadableEntries unreadable;
     private final PrefixWatch watch;
     private final Runnable onChange;
     private final Map<String, WorkerFacts> byKey = new HashMap<>();
 
-    WorkerFeed(KeyValueStore store, EventLoop loop, PlatformRecords records, Runnable onChange) {
+    WorkerFeed(
+            KeyValueStore store,
+            EventLoop loop,
+            PlatformRecords records,
+            UnreadableEntries unreadable,
+            Runnable onChange) {
         this.records = records;
+        this.unreadable = unreadable;
         this.onChange = onChange;
         watch = new PrefixWatch(store, loop, records.workerPrefix(), PAUSE_MILLIS, this);
     }
@@ -62,6 +69,8 @@
     @Override
     public void onRead() {
         byKey.clear();
+        unreadable.onlyThese(
+                Kind.WORKER, watch.items().stream().map(StoreItem::key).collect(Collectors.toSet()));
         new ArrayList<>(watch.items()).forEach(this::take);
         onChange.run();
     }
@@ -71,6 +80,7 @@
         for (StoreChanges.Change c : changes) {
             if (c.item() == null) {
                 byKey.remove(c.key());
+                unreadable.gone(c.key());
             } else {
                 take(c.item());
             }
@@ -78,12 +88,16 @@
         onChange.run();
     }
 
+    /**
+     * A worker whose record can not be read is not listed, also when it was before: nothing is started there. What runs
+     * there is held on: its owner goes on with the address that it has.
+     */
     private void take(StoreItem item) {
-        Either<String, WorkerFacts> w = records.worker(item);
-        if (w.isLeft()) {
-            Log.warn("worker-record-unreadable", "key", item.key(), "why", w.getLeft());
+        WorkerFacts w = unreadable.taken(Kind.WORKER, item, records.worker(item));
+        if (w == null) {
+            byKey.remove(item.key());
         } else {
-            byKey.put(item.key(), w.get());
+            byKey.put(item.key(), w);
         }
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/PlatformRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/PlatformRecords.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.daemon.port;
 
 import io.vavr.control.Either;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.upkeep.UpkeepWave;
@@ -30,16 +31,16 @@
     String workerPrefix();
 
     /** Returns the configuration that the item holds, or what is wrong with it. */
-    Either<String, JobConfiguration> configuration(StoreItem item);
+    Either<Unreadable, JobConfiguration> configuration(StoreItem item);
 
     /** Returns what a worker says of itself, or what is wrong with it. */
-    Either<String, WorkerFacts> worker(StoreItem item);
+    Either<Unreadable, WorkerFacts> worker(StoreItem item);
 
     /** Returns the prefix of the waves of upkeep that the operators ask for. */
     String wavePrefix();
 
     /** Returns the wave of upkeep that the item holds, or what is wrong with it. */
-    Either<String, UpkeepWave> wave(StoreItem item);
+    Either<Unreadable, UpkeepWave> wave(StoreItem item);
 
     /** Returns the key under which the operators look for how a wave stands. */
     String waveStatusKey(long wave);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EarlierJobsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EarlierJobsTest.java
@@ -39,7 +39,8 @@
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final DirectLoop loop = new DirectLoop();
     private final long fence = store.set(JobKeys.owner("clips"), "entry-1");
-    private final EarlierJobs jobs = new EarlierJobs(new OwnedRecords(store, loop, "clips", fence), loop, "clips");
+    private final EarlierJobs jobs = new EarlierJobs(
+            new OwnedRecords(store, loop, "clips", fence), loop, "clips", new UnreadableEntries(new JobMeters()));
 
     @BeforeEach
     void read() {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EvacuationFeedTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EvacuationFeedTest.java
@@ -35,13 +35,18 @@
     private final DirectLoop loop = new DirectLoop();
     private final Set<String> wanted = new HashSet<>();
     private final EvacuationFeed feed = new EvacuationFeed(
-            store, loop, "clips", new OwnedRecords(store, loop, "clips", fence), (workers, urgent) -> {
+            store,
+            loop,
+            "clips",
+            new OwnedRecords(store, loop, "clips", fence),
+            new UnreadableEntries(new JobMeters()),
+            (workers, urgent) -> {
                 wanted.clear();
                 wanted.addAll(workers);
             });
 
     private boolean saysEmpty() {
-        return EvacuationRecord.read(store.value(KEY)).get().empty();
+        return EvacuationRecord.read(store.value(KEY), "w1").get().empty();
     }
 
     @Nested
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -24,6 +24,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.lupinpaddle.daemon.port.CommitResult;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreChanges;
@@ -39,6 +40,7 @@
 
     private final Map<String, StoreItem> items = new HashMap<>();
     private final List<StoreCommit> held = new ArrayList<>();
+    private final Map<String, Long> gone = new HashMap<>();
     private final List<Watching> watching = new ArrayList<>();
     private long revision;
 
@@ -66,6 +68,19 @@
         return revision;
     }
 
+    /** Puts bytes that are no text. */
+    void setNoText(String key) {
+        revision++;
+        items.put(key, StoreItem.notText(key, revision, 0));
+    }
+
+    /** Removes an item; watches are told with the next change. */
+    void remove(String key) {
+        revision++;
+        items.remove(key);
+        gone.put(key, revision);
+    }
+
     String value(String key) {
         StoreItem i = items.get(key);
         return i == null ? "" : i.value();
@@ -144,16 +159,22 @@
         return w.answer;
     }
 
-    /** Answers the watches that wait, with what was written since; removals are not told. */
+    /** Answers the watches that wait, with what was written or removed by {@link #remove} since. */
     void tellWatches() {
         List<Watching> told = List.copyOf(watching);
         watching.clear();
-        told.forEach(w -> w.answer.complete(new StoreChanges(
-                items.values().stream()
-                        .filter(i -> i.key().startsWith(w.prefix) && i.revision() > w.after)
-                        .map(i -> new StoreChanges.Change(i.key(), i))
-                        .toList(),
-                revision)));
+        told.forEach(w -> w.answer.complete(new StoreChanges(changes(w), revision)));
+    }
+
+    private List<StoreChanges.Change> changes(Watching w) {
+        Stream<StoreChanges.Change> removed = gone.entrySet().stream()
+                .filter(e -> e.getKey().startsWith(w.prefix) && e.getValue() > w.after)
+                .filter(e -> !items.containsKey(e.getKey()))
+                .map(e -> new StoreChanges.Change(e.getKey(), null));
+        Stream<StoreChanges.Change> written = items.values().stream()
+                .filter(i -> i.key().startsWith(w.prefix) && i.revision() > w.after)
+                .map(i -> new StoreChanges.Change(i.key(), i));
+        return Stream.concat(removed, written).toList();
     }
 
     @Override
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
@@ -16,7 +16,7 @@
 package org.lupinpaddle.daemon.jobs;
 
 import io.vavr.control.Either;
-import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.upkeep.UpkeepWave;
@@ -39,13 +39,13 @@
     }
 
     @Override
-    public Either<String, JobConfiguration> configuration(StoreItem item) {
-        return RecordCodec.read(item.value(), JobConfiguration.class);
+    public Either<Unreadable, JobConfiguration> configuration(StoreItem item) {
+        return item.read(JobConfiguration.class);
     }
 
     @Override
-    public Either<String, WorkerFacts> worker(StoreItem item) {
-        return RecordCodec.read(item.value(), WorkerFacts.class);
+    public Either<Unreadable, WorkerFacts> worker(StoreItem item) {
+        return item.read(WorkerFacts.class);
     }
 
     @Override
@@ -54,8 +54,8 @@
     }
 
     @Override
-    public Either<String, UpkeepWave> wave(StoreItem item) {
-        return RecordCodec.read(item.value(), UpkeepWave.class);
+    public Either<Unreadable, UpkeepWave> wave(StoreItem item) {
+        return item.read(UpkeepWave.class);
     }
 
     @Override
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -42,7 +42,8 @@
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final DirectLoop loop = new DirectLoop();
     private final FakeRecords records = new FakeRecords();
-    private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, () -> {});
+    private final ConfigurationFeed feed =
+            new ConfigurationFeed(store, loop, records, new UnreadableEntries(new JobMeters()), () -> {});
     private boolean reached = true;
     private final JobIntake intake = new JobIntake(store, loop, records, feed, () -> 0, () -> reached);
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
@@ -37,7 +37,8 @@
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final DirectLoop loop = new DirectLoop();
     private final FakeRecords records = new FakeRecords();
-    private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, () -> {});
+    private final ConfigurationFeed feed =
+            new ConfigurationFeed(store, loop, records, new UnreadableEntries(new JobMeters()), () -> {});
     private final JobQuestions questions =
             new JobQuestions(store, records, new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true));
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -22,6 +22,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
@@ -75,8 +76,10 @@
                 () -> true,
                 loop.clock(),
                 timing,
-                new JobMeters());
-        WorkerFeed workers = new WorkerFeed(store, loop, new FakeRecords(), () -> {});
+                new JobMeters(),
+                new UnreadableEntries(new JobMeters()));
+        WorkerFeed workers =
+                new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMeters()), () -> {});
         SchedulerHost host = new SchedulerHost(entry, "clips", fence, workers, () -> {}, () -> {});
         host.start();
         return host;
@@ -106,7 +109,7 @@
 
     private JobProgress progress(String id) {
         return RecordCodec.read(store.value(JobKeys.progress("clips", key(id))), JobProgress.class)
-                .getOrElseThrow(why -> new IllegalStateException(why));
+                .getOrElseThrow(why -> new IllegalStateException(why.toString()));
     }
 
     private String record(String id) {
@@ -186,6 +189,75 @@
         }
     }
 
+    @Nested
+    class ARecordThatCanNotBeRead {
+
+        private void keepsAllAsItIs() {
+            List<StoreItem> before = readByASuccessor();
+            owner();
+            passes(SOON_MILLIS);
+            passes(2 * INHERITED_MILLIS);
+            assertEquals(Set.copyOf(before), Set.copyOf(readByASuccessor()));
+        }
+
+        @Test
+        void ofProgressIsNeitherTakenForNoneNorOverwritten() {
+            accept("a");
+            store.set(JobKeys.progress("clips", key("a")), "{\"state\":\"HALF_DONE\"}");
+            keepsAllAsItIs();
+        }
+
+        @Test
+        void ofBytesIsNeitherTakenForNoneNorOverwritten() {
+            accept("a");
+            store.setNoText(JobKeys.progress("clips", key("a")));
+            keepsAllAsItIs();
+        }
+
+        @Test
+        void ofAJobIsNotOverwritten() {
+            store.set(JobKeys.job("clips", key("a")), "{\"key\":3}");
+            store.setNoText(JobKeys.job("clips", key("b")));
+            keepsAllAsItIs();
+        }
+
+        @Test
+        void ofAJobUnderAnotherKeyIsNotTaken() {
+            accept("a");
+            store.set(JobKeys.job("clips", key("b")), record("a"));
+            store.remove(JobKeys.job("clips", key("a")));
+            keepsAllAsItIs();
+        }
+
+        @Test
+        void holdsUpNoOtherJob() {
+            accept("a");
+            accept("b");
+            store.setNoText(JobKeys.progress("clips", key("a")));
+            cancel("b");
+            owner();
+            passes(SOON_MILLIS);
+            assertTrue(progress("b").over());
+        }
+
+        @Test
+        void thatIsMendedLaterIsTakenWithItsProgress() {
+            accept("a");
+            String good = record("a");
+            JobProgress done =
+                    new JobProgress(JobState.RUNNING, List.of(new TaskRecord(0, 0, 0, 4, 1, false, "", "")), "", 0);
+            store.set(JobKeys.progress("clips", key("a")), RecordCodec.write(done));
+            store.setNoText(JobKeys.job("clips", key("a")));
+            owner();
+            passes(SOON_MILLIS);
+            store.set(JobKeys.job("clips", key("a")), good);
+            passes(SOON_MILLIS);
+            cancel("a");
+            passes(SOON_MILLIS);
+            assertTrue(progress("a").over());
+        }
+    }
+
     @Nested
     class TheRecordOfAJob {
 
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/WorkerFeedTest.java
@@ -0,0 +1,171 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.placement.Room;
+import org.lupinpaddle.core.placement.WorkerFacts;
+
+/** Which workers are listed while records of another writer come and go among them. */
+class WorkerFeedTest {
+
+    private static final String BAD = "{\"service\":7}";
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final TimedLoop loop = new TimedLoop();
+    private final JobMeters meters = new JobMeters();
+    private final UnreadableEntries unreadable = new UnreadableEntries(meters);
+    private final WorkerFeed feed = new WorkerFeed(store, loop, new FakeRecords(), unreadable, () -> {});
+
+    @BeforeEach
+    void twoWorkers() {
+        good("w1");
+        good("w2");
+    }
+
+    private void good(String id) {
+        Room room = new Room(4_000, 4_000, 0);
+        WorkerFacts f = new WorkerFacts(id, "clips", id + ":1", "north", false, 0, room, List.of());
+        store.set("worker/" + id, RecordCodec.write(f));
+    }
+
+    private void started() {
+        feed.start();
+        passes();
+    }
+
+    private void passes() {
+        for (int i = 0; i < 10; i++) {
+            loop.passes(50);
+            store.tellWatches();
+        }
+        loop.passes(50);
+    }
+
+    private Set<String> listed() {
+        return feed.of("clips").stream().map(WorkerFacts::id).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private long counted() {
+        return meters.registry().counter("entries.unreadable.worker").getCount();
+    }
+
+    @Nested
+    class ABadRecord {
+
+        @Test
+        void thatWasThereBeforeNamesNoWorker() {
+            store.set("worker/a-first", BAD);
+            store.setNoText("worker/b-second");
+            started();
+            assertEquals(Set.of("w1", "w2"), listed());
+            assertEquals(2, counted());
+        }
+
+        @Test
+        void thatReplacesAGoodOneTakesItsWorkerOffTheList() {
+            started();
+            store.set("worker/w1", BAD);
+            passes();
+            assertEquals(Set.of("w2"), listed());
+        }
+
+        @Test
+        void thatIsReplacedByAGoodOneIsForgotten() {
+            started();
+            store.setNoText("worker/w1");
+            passes();
+            good("w1");
+            passes();
+            assertEquals(Set.of("w1", "w2"), listed());
+            assertEquals(List.of(), unreadable.now());
+        }
+
+        @Test
+        void thatIsRemovedIsForgotten() {
+            started();
+            store.set("worker/w1", BAD);
+            passes();
+            store.remove("worker/w1");
+            passes();
+            assertEquals(Set.of("w2"), listed());
+            assertEquals(List.of(), unreadable.now());
+        }
+
+        @Test
+        void doesNotHoldUpWhatComesWithIt() {
+            started();
+            store.set("worker/w1", BAD);
+            good("w3");
+            passes();
+            assertEquals(Set.of("w2", "w3"), listed());
+        }
+
+        @Test
+        void isCountedOnceForEachReason() {
+            started();
+            for (int i = 0; i < 5; i++) {
+                store.set("worker/w1", BAD);
+                passes();
+            }
+            assertEquals(1, counted());
+            store.setNoText("worker/w1");
+            passes();
+            assertEquals(2, counted());
+        }
+    }
+
+    @Nested
+    class WhereAllAreBad {
+
+        @Test
+        void noneIsListedUntilOneIsGood() {
+            store.set("worker/w1", BAD);
+            store.setNoText("worker/w2");
+            started();
+            assertEquals(Set.of(), listed());
+            good("w2");
+            passes();
+            assertEquals(Set.of("w2"), listed());
+        }
+    }
+
+    @Nested
+    class AnyNumberOfBadRecords {
+
+        private static final int MANY = 5_000;
+
+        @Test
+        void isRememberedInPartAndCountedInFull() {
+            for (int i = 0; i < MANY; i++) {
+                store.set("worker/bad-" + i, BAD);
+            }
+            started();
+            assertEquals(MANY, counted());
+            assertEquals(1_000, unreadable.now().size());
+            assertEquals(Set.of("w1", "w2"), listed());
+        }
+    }
+}
--- a/model/src/main/java/org/lupinpaddle/model/SimRecords.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimRecords.java
@@ -16,7 +16,7 @@
 package org.lupinpaddle.model;
 
 import io.vavr.control.Either;
-import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.upkeep.UpkeepWave;
@@ -37,13 +37,13 @@
     }
 
     @Override
-    public Either<String, JobConfiguration> configuration(StoreItem item) {
-        return RecordCodec.read(item.value(), JobConfiguration.class);
+    public Either<Unreadable, JobConfiguration> configuration(StoreItem item) {
+        return item.read(JobConfiguration.class);
     }
 
     @Override
-    public Either<String, WorkerFacts> worker(StoreItem item) {
-        return RecordCodec.read(item.value(), WorkerFacts.class);
+    public Either<Unreadable, WorkerFacts> worker(StoreItem item) {
+        return item.read(WorkerFacts.class);
     }
 
     @Override
@@ -52,8 +52,8 @@
     }
 
     @Override
-    public Either<String, UpkeepWave> wave(StoreItem item) {
-        return RecordCodec.read(item.value(), UpkeepWave.class);
+    public Either<Unreadable, UpkeepWave> wave(StoreItem item) {
+        return item.read(UpkeepWave.class);
     }
 
     @Override
