Read instances, hold answers and registrations strictly

Cause: an instance of an unknown state counted as down, so a wave could take one more; a row without a name was an instance called "", and one that the list did not name any more completed a wave or ended a silent worker. A registration of another writer ended the life of the entry that it named, an unreadable list of instances ordered lately was an empty one, an unreadable report said that nothing waits.

Change: PlatformInstance.State.UNKNOWN is neither up nor down: it is not ordered, counts against a wave's bound and completes no wave. InstanceList says whether all rows could be read; without that no instance and no worker is taken to be gone. An owner of the fleet that can not read which instances were ordered lately orders none until such orders are past. lupinctl job list and job upkeep show what is unreadable.

Ruled out: keeping the last readable row of an instance (it may be in upkeep by now).

--- a/core/src/main/java/org/lupinpaddle/core/common/RequiredMembers.java
+++ b/core/src/main/java/org/lupinpaddle/core/common/RequiredMembers.java
@@ -18,7 +18,6 @@
 import com.fasterxml.jackson.annotation.JsonSetter;
 import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.databind.introspect.Annotated;
-import com.fasterxml.jackson.databind.introspect.AnnotatedMember;
 import com.fasterxml.jackson.databind.introspect.AnnotatedParameter;
 import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
 import java.lang.reflect.RecordComponent;
@@ -29,11 +28,6 @@
 
     private static final long serialVersionUID = 1;
 
-    @Override
-    public @Nullable Boolean hasRequiredMarker(AnnotatedMember m) {
-        return isRequired(m) ? Boolean.TRUE : super.hasRequiredMarker(m);
-    }
-
     @Override
     public JsonSetter.Value findSetterInfo(Annotated a) {
         return isRequired(a) ? JsonSetter.Value.forValueNulls(Nulls.FAIL, Nulls.FAIL) : super.findSetterInfo(a);
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -61,11 +61,16 @@
         waves = new WavePass(state);
     }
 
-    /** Takes in the platform's list, whole. */
-    public void onInstances(List<PlatformInstance> all) {
+    /** Takes in the platform's list. What an incomplete one does not name may be behind a row that can not be read. */
+    public void onInstances(InstanceList list) {
         listed = true;
-        state.instances.clear();
-        all.forEach(i -> state.instances.put(i.id(), i));
+        state.listIsWhole = list.isWhole();
+        if (list.isWhole()) {
+            state.instances.clear();
+        } else {
+            state.instances.replaceAll((id, i) -> PlatformInstance.unknown(id));
+        }
+        list.instances().forEach(i -> state.instances.put(i.id(), i));
     }
 
     /**
@@ -104,6 +109,9 @@
             return;
         }
         PlatformInstance i = state.instances.get(r.instance());
+        if (i != null && i.state() == PlatformInstance.State.UNKNOWN) {
+            return;
+        }
         boolean current = i != null
                 && i.worker().equals(r.worker())
                 && i.pool().equals(service)
@@ -204,6 +212,9 @@
 
     private void stepEmptying(InstanceErrand e) {
         PlatformInstance i = state.instances.get(e.instance);
+        if (i != null && i.state() == PlatformInstance.State.UNKNOWN) {
+            return;
+        }
         if (i == null || !i.worker().equals(e.worker) || i.state() != PlatformInstance.State.UP) {
             state.end(e, "the instance changed while it was emptied");
             return;
@@ -230,7 +241,8 @@
             state.end(e, "another worker lives on the instance");
             return;
         }
-        if (state.mayOrder(e.instance) && !e.orderInFlight && state.now() >= e.orderDueAt) {
+        boolean unknown = i != null && i.state() == PlatformInstance.State.UNKNOWN;
+        if (!unknown && state.mayOrder(e.instance) && !e.orderInFlight && state.now() >= e.orderDueAt) {
             e.orderInFlight = true;
             state.port.order(e.instance, e.errand);
         }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -61,6 +61,8 @@
     final Set<String> impossibleMoves = new HashSet<>();
 
     List<ServiceConfig> services = List.of();
+    /** Whether the newest list of instances names all of them. */
+    boolean listIsWhole = true;
     /** Instances that an earlier owner has ordered lately; null while that is not known. */
     @Nullable
     Set<String> earlierOrders;
@@ -92,7 +94,8 @@
     boolean mayBeDownByOthers(PlatformInstance i) {
         boolean byUs = errands.containsKey(i.id());
         boolean lately = !isAlone() && orderedEarlier.contains(i.id());
-        return !byUs && (lately || i.state() == PlatformInstance.State.UPKEEP);
+        boolean unseen = i.state() == PlatformInstance.State.UPKEEP || i.state() == PlatformInstance.State.UNKNOWN;
+        return !byUs && (lately || unseen);
     }
 
     /** Returns whether the instance may be ordered: no earlier owner has done so lately. */
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PlatformInstance.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PlatformInstance.java
@@ -26,6 +26,11 @@
  */
 public record PlatformInstance(String id, String pool, State state, String hall, String worker) {
 
+    /** Returns an instance of which nothing but its id can be read. */
+    public static PlatformInstance unknown(String id) {
+        return new PlatformInstance(id, "", State.UNKNOWN, "", "");
+    }
+
     /** What an instance is doing. */
     public enum State {
         /** It is part of its pool. */
@@ -35,6 +40,8 @@
         /** It is being maintained. */
         UPKEEP,
         /** It is out of order. */
-        DOWN
+        DOWN,
+        /** What the platform says of it can not be read: it may be doing any of these. */
+        UNKNOWN
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/WavePass.java
@@ -146,7 +146,8 @@
     }
 
     private boolean isDone(UpkeepWave w) {
-        return !state.instances.isEmpty()
+        return state.listIsWhole
+                && !state.instances.isEmpty()
                 && w.instances().stream()
                         .allMatch(i -> state.begun(w.number()).contains(i) || !state.instances.containsKey(i));
     }
--- a/core/src/test/java/org/lupinpaddle/core/common/RecordCodecProperties.java
+++ b/core/src/test/java/org/lupinpaddle/core/common/RecordCodecProperties.java
@@ -156,7 +156,8 @@
         String path = paths.get(Math.floorMod(drawn, paths.size()));
         int slash = path.lastIndexOf('/');
         ((ObjectNode) tree.at(path.substring(0, slash))).remove(path.substring(slash + 1));
-        assertTrue(RecordCodec.read(tree.toString(), record.getClass()).isLeft(), tree.toString());
+        Unreadable why = RecordCodec.read(tree.toString(), record.getClass()).getLeft();
+        assertEquals(Unreadable.Reason.MISSING, why.reason(), tree.toString());
     }
 
     @Property(tries = 200)
--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.queue.ServiceConfig;
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
 import org.lupinpaddle.core.upkeep.UpkeepRecord;
@@ -57,7 +58,7 @@
     private void fleet(int needed, PlatformInstance... all) {
         planner.onEarlierOrders(Set.of());
         planner.onServices(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
-        planner.onInstances(List.of(all));
+        planner.onInstances(InstanceList.of(List.of(all)));
         List<WorkerLoad> loads = new ArrayList<>();
         for (PlatformInstance i : all) {
             loads.add(new WorkerLoad(i.worker(), 0, i.worker().equals("w1") ? 3 : 0, true));
@@ -97,7 +98,7 @@
             passes(0);
             emptied("w2", "m2", errand);
             planner.onOrdered("m2", errand, InstanceOrderOutcome.TAKEN);
-            planner.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w3")));
+            planner.onInstances(InstanceList.of(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w3"))));
             passes(UPKEEP_MILLIS - 1);
             assertEquals(1, port.asked.size(), "the list may show a life from before the upkeep");
             passes(2);
@@ -159,7 +160,7 @@
             passes(0);
             emptied("w2", "m2", errand);
             planner.onOrdered("m2", errand, InstanceOrderOutcome.BUSY);
-            planner.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w9")));
+            planner.onInstances(InstanceList.of(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w9"))));
             int before = port.orders.size();
             passes(1_000);
             assertEquals(before, port.orders.size());
@@ -184,7 +185,7 @@
                     new ServiceConfig("clips", false, true),
                     new ServiceConfig("archive", false, true),
                     new ServiceConfig("spare", true, true)));
-            planner.onInstances(List.of(all));
+            planner.onInstances(InstanceList.of(List.of(all)));
             planner.onReport("clips", clips);
             planner.onReport("archive", archive);
         }
@@ -272,7 +273,8 @@
             FleetPlanner successor = successor();
             successor.onServices(
                     List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
-            successor.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "spare", ""), up("m3", "spare", "")));
+            successor.onInstances(
+                    InstanceList.of(List.of(up("m1", "clips", "w1"), up("m2", "spare", ""), up("m3", "spare", ""))));
             successor.onReport("clips", new ServiceReport(Map.of(), 2, 2, 0, List.of()));
             successor.tick();
             assertTrue(port.orders.isEmpty());
@@ -288,7 +290,7 @@
             now = 10_000;
             FleetPlanner s = successor();
             s.onServices(List.of(new ServiceConfig("spare", true, true)));
-            s.onInstances(List.of(all));
+            s.onInstances(InstanceList.of(List.of(all)));
             s.onEarlierOrders(orderedLately);
             List<String> ids = Stream.of(all).map(PlatformInstance::id).toList();
             s.onWaves(List.of(new UpkeepWave(1, ids, 20_000, most)));
@@ -325,11 +327,37 @@
             now += 30_000;
             s.tick();
             assertTrue(port.orders.isEmpty());
-            s.onInstances(List.of(up("m1", "spare", ""), up("m2", "spare", "")));
+            s.onInstances(InstanceList.of(List.of(up("m1", "spare", ""), up("m2", "spare", ""))));
             s.tick();
             assertEquals(1, port.orders.size());
         }
 
+        @Test
+        void countsAnInstanceOfWhichNothingCanBeReadAsAwayAndDoesNotOrderIt() {
+            FleetPlanner s = ofSpares(Set.of(), 1, PlatformInstance.unknown("m1"), up("m2", "spare", ""));
+            s.tick();
+            now += 30_000;
+            s.tick();
+            assertTrue(port.orders.isEmpty(), "it may be down, and one is allowed");
+            s.onInstances(InstanceList.of(List.of(up("m1", "spare", ""), up("m2", "spare", ""))));
+            s.tick();
+            assertEquals(1, port.orders.size());
+        }
+
+        @Test
+        void completesNoWaveByAListThatMayLackAnInstance() {
+            InstanceList none = new InstanceList(
+                    List.of(up("m9", "spare", "")), Map.of(InstanceList.NAMELESS, Unreadable.Reason.MISSING.whole()));
+            FleetPlanner s = ofSpares(Set.of(), 2, up("m1", "spare", ""));
+            s.onInstances(none);
+            s.onWaves(List.of(new UpkeepWave(2, List.of("m1", "m2"), 20_000, 1)));
+            s.tick();
+            now += 30_000;
+            s.tick();
+            assertEquals(List.of(), port.completed);
+            assertEquals(List.of(), port.orders);
+        }
+
         @Test
         void beginsUpkeepAtOnceWhereNothingWasOrderedLately() {
             FleetPlanner s = ofSpares(Set.of(), 1, up("m1", "spare", ""), up("m2", "spare", ""));
@@ -342,7 +370,7 @@
             now = 16_000;
             FleetPlanner s = successor();
             s.onServices(List.of(new ServiceConfig("clips", false, true)));
-            s.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2")));
+            s.onInstances(InstanceList.of(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"))));
             s.onReport("clips", new ServiceReport(Map.of(), 2, 2, 0, List.of()));
             s.onEarlierOrders(Set.of());
             s.onUpkeep(1, new UpkeepRecord(List.of(), false, wall()));
@@ -390,7 +418,8 @@
             planner.onEarlierOrders(Set.of());
             planner.onServices(
                     List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
-            planner.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3")));
+            planner.onInstances(InstanceList.of(
+                    List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3"))));
             passes(0);
             passes(5_000);
             assertTrue(port.asked.isEmpty());
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -35,6 +35,7 @@
 import org.lupinpaddle.core.fleet.FleetPlanner;
 import org.lupinpaddle.core.fleet.FleetPort;
 import org.lupinpaddle.core.fleet.FleetTiming;
+import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
 import org.lupinpaddle.core.fleet.RecentOrders;
 import org.lupinpaddle.core.job.JobKeys;
@@ -86,6 +87,9 @@
     private final FleetPlanner planner;
     private final StartPatience patience;
     private boolean earlierKnown;
+    /** Whether which instances were ordered lately could not be read; then it is not overwritten either. */
+    private boolean earlierUnread;
+
     private boolean writingOrders;
     private boolean handingOver;
     private boolean closed;
@@ -170,6 +174,7 @@
                     if (why != null) {
                         Log.info("instances-unread", "why", StoreFailure.text(why));
                     } else if (!closed) {
+                        tellUnreadable(all);
                         planner.onInstances(all);
                         recordsChanged();
                     }
@@ -177,11 +182,20 @@
                 }));
     }
 
+    /** The rows have no keys and no revisions of the store; their instances' names stand for them. */
+    private void tellUnreadable(InstanceList all) {
+        Map<String, Unreadable> byKey = new HashMap<>();
+        all.unreadable().forEach((id, why) -> byKey.put("instance/" + id, why));
+        entry.unreadable.onlyThese(Kind.INSTANCE, byKey.keySet());
+        byKey.forEach(
+                (key, why) -> entry.unreadable.unreadable(new UnreadableEntries.Entry(Kind.INSTANCE, key, 0, why)));
+    }
+
     private void tick() {
         if (closed) {
             return;
         }
-        if (earlierKnown) {
+        if (earlierKnown && !earlierUnread) {
             forgetOverLives();
         }
         planner.tick();
@@ -214,10 +228,17 @@
                 .forEach(i -> {
                     owned.known(i.key(), i.revision());
                     RecentOrders r = taken(Kind.RECENT_ORDERS, i, i.read(RecentOrders.class));
+                    earlierUnread = r == null;
                     if (r != null) {
                         earlier.putAll(r.lifeByInstance());
                     }
                 });
+        if (earlierUnread) {
+            // Any instance may have been ordered lately: none is, until no earlier owner's order can be under way.
+            Log.warn("earlier-orders-unknown", "fence", fence, "waits-millis", entry.timing.takeOverMillis());
+            entry.loop.after(entry.timing.takeOverMillis(), this::earlierOrdersPast);
+            return;
+        }
         // They are told on, should this owner be followed soon.
         long now = entry.loop.clock().millis();
         earlier.forEach((i, life) -> ordered.put(i, new Ordered(life, now)));
@@ -225,6 +246,11 @@
         Log.info("fleet-owner-started", "fence", fence, "ordered-lately", earlier.size());
     }
 
+    private void earlierOrdersPast() {
+        earlierUnread = false;
+        planner.onEarlierOrders(Set.of());
+    }
+
     /** Instances that a life which is over has ordered need not be left alone. */
     private void forgetOverLives() {
         int before = earlier.size();
@@ -378,7 +404,7 @@
     CompletableFuture<Void> handOver() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         handingOver = true;
-        if (!writingOrders) {
+        if (!writingOrders && !earlierUnread) {
             Set<String> down = planner.inUpkeep();
             ordered.keySet().removeIf(i -> !unanswered.contains(i) && !down.contains(i));
             writeRecent(outcome -> {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -216,11 +216,17 @@
         return store.read(JobKeys.job(services.get(index), key))
                 .thenComposeAsync(
                         j -> j.isPresent()
-                                ? CompletableFuture.completedFuture(JobAnswer.of(JobState.QUEUED))
+                                ? CompletableFuture.completedFuture(unbegun(j.get()))
                                 : stateIn(services, index + 1, key),
                         loop::execute);
     }
 
+    private static JobAnswer unbegun(StoreItem job) {
+        boolean known =
+                job.value().equals(JobSpec.OVER) || job.read(JobSpec.class).isRight();
+        return known ? JobAnswer.of(JobState.QUEUED) : JobAnswer.UNKNOWN;
+    }
+
     /** Of a job whose progress can not be read nothing is known: any state might be untrue. */
     private static JobAnswer stateOf(StoreItem progress) {
         return progress.read(JobProgress.class)
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
@@ -24,6 +24,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.command.CommandParser;
 import org.lupinpaddle.core.command.OperatorCommand;
@@ -73,7 +74,7 @@
 
     private CompletableFuture<List<String>> answer(OperatorCommand command) {
         if (command instanceof OperatorCommand.JobList) {
-            return allJobs().thenApply(JobQuestions::listed);
+            return allJobs().thenCombine(unreadableJobs(), JobQuestions::listed);
         } else if (command instanceof OperatorCommand.JobExplain q) {
             return explain(q.id());
         } else if (command instanceof OperatorCommand.JobOwners) {
@@ -121,8 +122,27 @@
         return Optional.of(new Known(key, service, spec, progress, byKey.containsKey(JobKeys.cancel(service, key))));
     }
 
-    private static List<String> listed(List<Known> all) {
-        List<String> lines = new ArrayList<>();
+    /** Returns a line for each record of a job that can not be read: such a job is left alone. */
+    private CompletableFuture<List<String>> unreadableJobs() {
+        return store.range(JobKeys.allInputs()).thenCombine(store.range(JobKeys.allProgress()), (inputs, progress) -> {
+            Stream<String> jobs = inputs.items().stream()
+                    .filter(i -> JobKeys.jobOf(JobKeys.serviceOfInput(i.key()), i.key())
+                            .isPresent())
+                    .filter(i -> !i.value().equals(JobSpec.OVER))
+                    .flatMap(i -> unreadable(i, i.read(JobSpec.class)));
+            Stream<String> begun = progress.items().stream().flatMap(i -> unreadable(i, i.read(JobProgress.class)));
+            return Stream.concat(jobs, begun).toList();
+        });
+    }
+
+    private static Stream<String> unreadable(StoreItem i, Either<Unreadable, ?> record) {
+        return record.isRight()
+                ? Stream.empty()
+                : Stream.of(i.key() + "  unreadable: " + record.getLeft() + "  revision " + i.revision());
+    }
+
+    private static List<String> listed(List<Known> all, List<String> unreadable) {
+        List<String> lines = new ArrayList<>(unreadable);
         for (Known k : all) {
             lines.add(k.key.id() + "  " + k.progress.state() + "  queue " + k.key.queue() + "  service " + k.service
                     + (k.cancelled ? "  cancelled by its caller" : ""));
@@ -187,6 +207,7 @@
         List<String> lines = new ArrayList<>();
         for (StoreItem i : waves.items()) {
             Either<Unreadable, UpkeepWave> wave = records.wave(i);
+            wave.peekLeft(why -> lines.add(i.key() + "  unreadable: " + why));
             wave.forEach(w -> {
                 UpkeepRecord r = done.getOrDefault(w.number(), new UpkeepRecord(List.of(), false, null));
                 lines.add("wave " + w.number() + "  " + (r.completed() ? "completed" : "running") + "  begun "
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/Members.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/Members.java
@@ -47,6 +47,9 @@
     /** Since when an entry has been registered without a break. */
     private final Map<String, Long> since = new HashMap<>();
 
+    /** Capacities that can not be read, with the revision that was told of. */
+    private final Map<String, Long> unreadable = new HashMap<>();
+
     /** What is known of an entry that is or was registered. */
     private record Known(long capacity, long seenAt) {}
 
@@ -75,7 +78,12 @@
             return !otherLife.equals(ownLife);
         }
         return watch.items().stream()
-                .anyMatch(i -> i.key().equals(JobKeys.entry(name)) && !i.value().equals(otherLife));
+                .anyMatch(i -> i.key().equals(JobKeys.entry(name)) && isAnother(i.value(), name, otherLife));
+    }
+
+    /** A registration that names no life of the entry, as another writer may have put it, does not end any. */
+    private static boolean isAnother(String life, String name, String otherLife) {
+        return life.startsWith(name + LIFE_SEPARATOR) && !life.equals(otherLife);
     }
 
     /** Returns the entries that are registered, this one among them. */
@@ -146,6 +154,14 @@
                 .toList();
     }
 
+    /** This is read at every change of any entry; one line tells of a value. */
+    private void tellUnreadable(StoreItem i) {
+        Long told = unreadable.put(i.key(), i.revision());
+        if (!Long.valueOf(i.revision()).equals(told)) {
+            Log.warn("capacity-unreadable", "key", i.key(), "revision", i.revision());
+        }
+    }
+
     private Map<String, Long> capacities() {
         Map<String, Long> all = new HashMap<>();
         known.forEach((name, k) -> all.put(name, k.capacity()));
@@ -163,11 +179,11 @@
         return all;
     }
 
-    private static Optional<Long> capacity(StoreItem i) {
+    private Optional<Long> capacity(StoreItem i) {
         try {
             return Optional.of(Long.parseLong(i.value())).filter(c -> c > 0);
         } catch (NumberFormatException e) {
-            Log.warn("capacity-unreadable", "key", i.key(), "value", i.value());
+            tellUnreadable(i);
             return Optional.empty();
         }
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -292,8 +292,8 @@
                 .whenComplete((all, why) -> entry.loop.execute(() -> {
                     if (why != null) {
                         Log.info("instances-unread", "service", service, "why", StoreFailure.text(why));
-                    } else if (!all.isEmpty()) {
-                        told(s -> s.onLiving(living(all)));
+                    } else if (!all.instances().isEmpty() && all.namesAllWorkers()) {
+                        told(s -> s.onLiving(living(all.instances())));
                     }
                 }));
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/InstanceOrders.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/InstanceOrders.java
@@ -15,11 +15,10 @@
  */
 package org.lupinpaddle.daemon.port;
 
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
-import org.lupinpaddle.core.fleet.PlatformInstance;
 
 /** The platform's list of instances, and orders on them. */
 public interface InstanceOrders {
@@ -28,8 +27,8 @@
     /** The longest that a call takes, in milliseconds. */
     long CALL_MILLIS = 700;
 
-    /** Reads the list, whole; the future ends with a {@link StoreException} when the platform does not serve it. */
-    CompletableFuture<List<PlatformInstance>> list();
+    /** Reads all pages of the list; the future ends with a {@link StoreException} when the platform does not serve it. */
+    CompletableFuture<InstanceList> list();
 
     /** Orders an errand; {@code holder} and {@code fence} name the owner. The future never ends exceptionally. */
     CompletableFuture<InstanceOrderOutcome> order(String instance, Errand errand, String holder, long fence);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -108,6 +108,49 @@
     private final QueueConfig queue =
             new QueueConfig("q", "host", "/clips/", "clips", new Policy(0, 3, 1.5, 500, false));
 
+    @Nested
+    class AJobThatCanNotBeRead {
+
+        private final JobKey job = new JobKey("q", "a");
+
+        @Test
+        void hasNoStateThatIsTold() {
+            store.set(JOB, "{}");
+            assertEquals(JobAnswer.UNKNOWN, intake.state(queue, "a").join());
+            store.setNoText(JobKeys.progress("clips", job));
+            assertEquals(JobAnswer.UNKNOWN, intake.state(queue, "a").join());
+            store.set(JobKeys.progress("clips", job), "{\"state\":\"DONE\"}");
+            assertEquals(JobAnswer.UNKNOWN, intake.state(queue, "a").join());
+        }
+
+        @Test
+        void isNotTakenASecondTime() {
+            store.setNoText(JOB);
+            long commits = store.commits;
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertEquals(commits + 1, store.commits);
+        }
+
+        @Test
+        void mayBeCancelled() {
+            store.setNoText(JOB);
+            assertEquals(
+                    JobAnswer.of(JobState.CANCELLED), intake.cancel(queue, "a").join());
+        }
+    }
+
+    @Nested
+    class AReportThatCanNotBeRead {
+
+        @Test
+        void isNotTakenForNothingWaiting() {
+            store.set(JobKeys.owner("clips"), "entry");
+            store.set(JobKeys.report("clips"), "{\"pendingByQueue\":7}");
+            store.set(JobKeys.job("clips", new JobKey("q", "c")), "a job that waits");
+            assertEquals(1, intake.pending(queue).join().orElseThrow());
+        }
+    }
+
     /** Its record is small by then; what callers are told is the same. */
     @Nested
     class AJobThatIsOver {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
@@ -48,6 +48,20 @@
         return lines;
     }
 
+    @Nested
+    class ARecordThatCanNotBeRead {
+
+        @Test
+        void isListedWithWhatIsWrongWithIt() {
+            store.set(JobKeys.job("clips", A), "{}");
+            store.setNoText(JobKeys.progress("clips", A));
+            List<String> lines = answer("job list");
+            assertEquals(2, lines.size(), lines.toString());
+            assertTrue(lines.get(0).startsWith(JobKeys.job("clips", A) + "  unreadable: missing:"), lines.get(0));
+            assertTrue(lines.get(1).startsWith(JobKeys.progress("clips", A) + "  unreadable: not-text"), lines.get(1));
+        }
+    }
+
     @Nested
     class AJobThatIsOver {
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -29,8 +29,8 @@
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
-import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobProgress;
@@ -346,8 +346,8 @@
     /** The list of instances is empty. */
     private static final class NoInstances implements InstanceOrders {
         @Override
-        public CompletableFuture<List<PlatformInstance>> list() {
-            return CompletableFuture.completedFuture(List.of());
+        public CompletableFuture<InstanceList> list() {
+            return CompletableFuture.completedFuture(InstanceList.of(List.of()));
         }
 
         @Override
--- a/model/src/main/java/org/lupinpaddle/model/SimInstancePort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimInstancePort.java
@@ -15,11 +15,10 @@
  */
 package org.lupinpaddle.model;
 
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
-import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.daemon.port.InstanceOrders;
 
 /** One entry's way to the instances. */
@@ -34,11 +33,12 @@
     }
 
     @Override
-    public CompletableFuture<List<PlatformInstance>> list() {
-        CompletableFuture<List<PlatformInstance>> f = new CompletableFuture<>();
+    public CompletableFuture<InstanceList> list() {
+        CompletableFuture<InstanceList> f = new CompletableFuture<>();
         world.fleet
                 .list(world.net)
-                .thenAccept(all -> in.carry(WireBytes.ofInstances(all), () -> true, () -> f.complete(all)));
+                .thenAccept(all ->
+                        in.carry(WireBytes.ofInstances(all), () -> true, () -> f.complete(InstanceList.of(all))));
         return f;
     }
 
