Let another writer spoil entries in the model; a good request to empty is not taken back

Cause: a request to empty a worker that turned unreadable was taken for one that is gone, so the worker got new tasks while the owner of the fleet might be about to order its instance away. Nothing in the model wrote entries that can not be read.

Change: EvacuationFeed keeps the last readable request until its entry is gone, and does not answer it meanwhile.

Tests: EvacuationFeedTest.ARequestThatCanNotBeRead, and ModelTest.AnotherWriter: 40 histories without and 80 with up to 3 faults, pass.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -42,6 +42,8 @@
     private final PrefixWatch watch;
     private final BiConsumer<Set<String>, Set<String>> onChange;
     private final Map<String, StoreItem> asked = new HashMap<>();
+    /** Workers whose request was readable once and is not now; such a one is not answered. */
+    private final Set<String> unread = new HashSet<>();
     /** The revision of the request that was answered last, by worker: asked anew, it is answered anew. */
     private final Map<String, Long> answered = new HashMap<>();
 
@@ -70,11 +72,15 @@
     }
 
     private void changed() {
+        Map<String, StoreItem> before = Map.copyOf(asked);
         asked.clear();
+        unread.clear();
         Set<String> urgent = new HashSet<>();
         for (StoreItem i : watch.items()) {
             EvacuationRecord r = unreadable.taken(Kind.EVACUATION, i, read(i));
-            if (r != null) {
+            if (r == null) {
+                keep(i, before);
+            } else {
                 asked.put(r.worker(), i);
                 if (r.urgent()) {
                     urgent.add(r.worker());
@@ -85,13 +91,25 @@
         onChange.accept(asked.keySet(), urgent);
     }
 
+    /** A request that was good is not taken back by what nobody can read: its errand may be about to be ordered. */
+    private void keep(StoreItem i, Map<String, StoreItem> before) {
+        String worker = JobKeys.evacuatedWorker(i.key());
+        StoreItem good = before.get(worker);
+        if (good != null) {
+            asked.put(worker, good);
+            unread.add(worker);
+        }
+    }
+
     /**
      * Answers that a worker carries nothing. A request that is written again, because its writer got no answer, has
      * lost what was answered before; so each one that does not show the answer gets it.
      */
     void answerEmpty(String worker) {
         StoreItem item = asked.get(worker);
-        if (item == null || Long.valueOf(item.revision()).equals(answered.get(worker))) {
+        if (item == null
+                || unread.contains(worker)
+                || Long.valueOf(item.revision()).equals(answered.get(worker))) {
             return;
         }
         EvacuationRecord record = read(item).getOrNull();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EvacuationFeedTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EvacuationFeedTest.java
@@ -49,6 +49,52 @@
         return EvacuationRecord.read(store.value(KEY), "w1").get().empty();
     }
 
+    @Nested
+    class ARequestThatCanNotBeRead {
+
+        private static final String BAD = "{\"worker\":1}";
+
+        @Test
+        void asksForNothing() {
+            store.set(KEY, BAD);
+            feed.start();
+            assertEquals(Set.of(), wanted);
+        }
+
+        @Test
+        void doesNotTakeBackTheOneThatStoodThereAndIsNotAnswered() {
+            store.set(KEY, ASKED);
+            feed.start();
+            store.set(KEY, BAD);
+            store.tellWatches();
+            assertEquals(Set.of("w1"), wanted);
+            feed.answerEmpty("w1");
+            assertEquals(BAD, store.value(KEY));
+            store.set(KEY, ASKED);
+            store.tellWatches();
+            feed.answerEmpty("w1");
+            assertEquals(true, saysEmpty());
+        }
+
+        @Test
+        void isGoneOnceItsEntryIs() {
+            store.set(KEY, ASKED);
+            feed.start();
+            store.set(KEY, BAD);
+            store.tellWatches();
+            store.remove(KEY);
+            store.tellWatches();
+            assertEquals(Set.of(), wanted);
+        }
+
+        @Test
+        void underTheKeyOfAnotherWorkerAsksForNothing() {
+            store.set(JobKeys.evacuation("clips", "w2"), ASKED);
+            feed.start();
+            assertEquals(Set.of(), wanted);
+        }
+    }
+
     @Nested
     class AnAnswer {
 
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/OtherWriter.java
@@ -0,0 +1,94 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.Random;
+import org.lupinpaddle.core.job.JobKeys;
+
+/**
+ * Writes entries that can not be read into the store, beside what entries and workers write: over workers' records, under
+ * keys of workers that there are none of, and as requests and records of the fleet's owner. Its luck is its own, so that
+ * a seed means the same history with and without it.
+ */
+final class OtherWriter {
+
+    private static final long EVERY_MILLIS = 400;
+    private static final int MOST_SPOILT_MILLIS = 6_000;
+    private static final long SEED = 0x0dd;
+    private static final String[] VALUES = {
+        "",
+        "{",
+        "[]",
+        "{}",
+        "null",
+        "7",
+        "\"text\"",
+        "{\"id\":7}",
+        "{\"id\":\"w\",\"service\":\"clips\"}",
+        "\u0000\uffff"
+    };
+
+    private final World world;
+    private final Random random;
+    private final long until;
+
+    OtherWriter(World world, long seed, long until) {
+        this.world = world;
+        this.until = until;
+        random = new Random(seed ^ SEED);
+    }
+
+    void start() {
+        world.time.after(EVERY_MILLIS, this::write);
+    }
+
+    private void write() {
+        if (world.time.now() >= until) {
+            return;
+        }
+        switch (random.nextInt(4)) {
+            case 0, 1 -> world.fleet.spoil(worker(), value(), 1 + random.nextInt(MOST_SPOILT_MILLIS));
+            case 2 -> passing(World.WORKERS + "nobody-" + random.nextInt(5));
+            default -> passing(JobKeys.evacuation("clips", "nobody-" + random.nextInt(5)));
+        }
+        world.time.after(EVERY_MILLIS, this::write);
+    }
+
+    private SimWorker worker() {
+        var all = world.fleet.workers();
+        return all.get(random.nextInt(all.size()));
+    }
+
+    /** Puts an entry and takes it away again. */
+    private void passing(String key) {
+        world.history.add("another writer puts " + key);
+        put(world.store, key, value());
+        world.time.after(1 + random.nextInt(MOST_SPOILT_MILLIS), () -> world.store.clear(key));
+    }
+
+    private String value() {
+        return VALUES[random.nextInt(VALUES.length)];
+    }
+
+    /** Puts a value; the empty one stands for bytes that are no text. */
+    static void put(SimStore store, String key, String value) {
+        if (value.isEmpty()) {
+            store.setNoText(key);
+        } else {
+            store.set(key, value);
+        }
+    }
+}
--- a/model/src/main/java/org/lupinpaddle/model/SimFleet.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimFleet.java
@@ -193,6 +193,18 @@
     }
 
     /** The store forgets a worker that lives on, for a while. */
+    /** Another writer writes over a worker's record; if the worker lives, it puts its own again after a time. */
+    void spoil(SimWorker w, String value, long millis) {
+        OtherWriter.put(store, World.WORKERS + w.id(), value);
+        time.after(millis, () -> {
+            if (w.isUp()) {
+                list(w);
+            } else {
+                store.clear(World.WORKERS + w.id());
+            }
+        });
+    }
+
     void lapse(SimWorker w, long millis) {
         store.clear(World.WORKERS + w.id());
         time.after(millis, () -> {
--- a/model/src/main/java/org/lupinpaddle/model/SimStore.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimStore.java
@@ -181,6 +181,13 @@
         wake();
     }
 
+    /** Writes bytes that are no text. */
+    void setNoText(String key) {
+        revision++;
+        put(StoreItem.notText(key, revision, 0));
+        wake();
+    }
+
     void clear(String key) {
         revision++;
         remove(key);
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -95,6 +95,12 @@
         faults = new FaultPlan(this, history, mostFaults);
     }
 
+    /** Lets another writer put entries that can not be read, from the beginning until the calm at the end. */
+    World withOtherWriter(long seed) {
+        new OtherWriter(this, seed, TRAFFIC_FROM + TRAFFIC_MILLIS).start();
+        return this;
+    }
+
     /** Lets a history happen; throws a {@link RuleBrokenException} at the first rule that is broken. */
     public void run() {
         build();
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -33,7 +33,10 @@
 class ModelTest {
 
     private static void holds(long seed, int faults) {
-        World w = new World(seed, faults);
+        holds(seed, faults, new World(seed, faults));
+    }
+
+    private static void holds(long seed, int faults, World w) {
         try {
             w.run();
         } catch (RuleBrokenException e) {
@@ -65,6 +68,20 @@
         }
     }
 
+    @Nested
+    class AnotherWriter {
+
+        @Test
+        void breaksNoRule() {
+            LongStream.range(0, 40).parallel().forEach(s -> holds(s, 0, new World(s, 0).withOtherWriter(s)));
+        }
+
+        @Test
+        void breaksNoRuleAmongFaults() {
+            LongStream.range(0, 80).parallel().forEach(s -> holds(s, 3, new World(s, 3).withOtherWriter(s)));
+        }
+    }
+
     @Nested
     class AColdStart {
 
