Let the platform's stand-in hold entries that can not be read

Cause: the whole path was tried with readable entries only.

Change: the stand-in takes a value as it is to be stored, so also bytes that are no base64 and no UTF-8.

--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
@@ -213,11 +213,23 @@
         x.answer(OK, answer);
     }
 
+    /** Writes what operators write; with {@code coded} also a value that is no JSON, no text or not even base64. */
     private void operatorPuts(Exchange x) {
-        writeRecord(x.body.path("key").asText(), x.body.path("value").toString());
+        String key = x.body.path("key").asText();
+        if (x.body.has("coded")) {
+            writeCoded(key, x.body.path("coded").asText());
+        } else {
+            writeRecord(key, x.body.path("value").toString());
+        }
         x.answer(OK, JsonHttp.object().put("revision", store.revision()));
     }
 
+    private void writeCoded(String key, String coded) {
+        ArrayNode puts = JsonHttp.array();
+        puts.addObject().put("privateKey", key).put("value", coded).put("lease", 0);
+        store.change(puts, JsonHttp.array());
+    }
+
     /** Writes a record of the platform's own; an empty value removes it. */
     private synchronized void writeRecord(String key, String value) {
         ArrayNode puts = JsonHttp.array();
