--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -64,6 +64,8 @@
     final Set<String> impossibleMoves = new HashSet<>();
 
     List<ServiceConfig> services = List.of();
+    /** Whether the newest list of instances names all of them. */
+    boolean listIsWhole = true;
     /** Until when instances are left alone that an earlier owner has ordered lately; null while that is not known. */
     @Nullable
     Map<String, Long> earlierOrders;
@@ -95,7 +97,8 @@
     boolean mayBeDownByOthers(PlatformInstance i) {
         boolean byUs = errands.containsKey(i.id());
         boolean lately = !isAlone() && orderedEarlier.contains(i.id());
-        return !byUs && (lately || i.state() == PlatformInstance.State.UPKEEP);
+        boolean unseen = i.state() == PlatformInstance.State.UPKEEP || i.state() == PlatformInstance.State.UNKNOWN;
+        return !byUs && (lately || unseen);
     }
 
     /** Returns whether the instance may be ordered: no earlier owner has done so lately. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -98,8 +98,17 @@
     long takenIn;
 
     private long durableUpTo;
+    private static final long NONE_KEPT = Long.MAX_VALUE;
+    /** The first end that is kept there, since it is of a job whose records can not be read. */
+    private long keptFrom = NONE_KEPT;
+    /** Whether its newest answer shows a run of such a job. */
+    boolean runsLeftAlone;
+
     private final TreeMap<Long, PendingEnd> pending = new TreeMap<>();
 
+    // A worker lists 500 ends at once: beyond this, kept ones would hide those of its other tasks.
+    private static final int MOST_KEPT = 400;
+
     private record PendingEnd(LiveJob job, long version) {}
 
     LiveWorker(WorkerFacts facts, long inheritedUntil) {
@@ -282,6 +291,25 @@
         takenIn = before.takenIn;
         durableUpTo = before.durableUpTo;
         pending.putAll(before.pending);
+        keptFrom = before.keptFrom;
+    }
+
+    /** Lets the worker keep an end, and those after it, for who can tell what it means. */
+    void keep(long endNumber) {
+        keptFrom = Math.min(keptFrom, endNumber);
+    }
+
+    /** Returns whether it keeps an end that nobody here has taken in. */
+    boolean keepsEnds() {
+        return takenIn - keptFrom < MOST_KEPT && keptFrom != NONE_KEPT;
+    }
+
+    /** Takes in the ends anew that were kept: what they mean may be known now. */
+    void takeKeptAnew() {
+        if (keepsEnds()) {
+            takenIn = keptFrom - 1;
+        }
+        keptFrom = NONE_KEPT;
     }
 
     void awaitDurable(long endNumber, LiveJob job, long version) {
@@ -290,6 +318,11 @@
 
     /** Returns the number up to which all ends are durable: what the worker may forget. */
     long lastDurable() {
+        long durable = passDurable();
+        return keepsEnds() ? Math.min(durable, keptFrom - 1) : durable;
+    }
+
+    private long passDurable() {
         while (!pending.isEmpty()) {
             var first = pending.firstEntry();
             if (first.getValue().job().savedVersion < first.getValue().version()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -182,6 +182,7 @@
 
     void onHeld(LiveWorker w, long sentAt, HoldAnswer answer) {
         Set<LiveTask> shown = new HashSet<>();
+        w.runsLeftAlone = false;
         answer.running().forEach(r -> running(w, r, shown));
         List<EndReport> others = new ArrayList<>();
         for (EndReport e : w.newEnds(answer)) {
@@ -217,6 +218,10 @@
 
     private void running(LiveWorker w, RunningReport r, Set<LiveTask> shown) {
         LiveTask t = state.task(r.jobId(), r.task());
+        if (t == null && state.leftAlone.contains(r.jobId())) {
+            w.runsLeftAlone = true;
+            return;
+        }
         if (t == null || t.worker != w || t.run != r.run()) {
             state.note(
                     SchedulerEvent.Kind.STOP_ORDERED, w, "unknown-run=" + r.jobId() + "." + r.task() + "/" + r.run());
@@ -269,6 +274,9 @@
         LiveTask t = state.task(e.jobId(), e.task());
         if (t == null) {
             others.add(e);
+            if (state.leftAlone.contains(e.jobId())) {
+                w.keep(e.number());
+            }
             return;
         }
         if (t.worker == w && t.run == e.run()) {
--- a/core/src/test/java/org/lupinpaddle/core/fleet/EvacuationAnswerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/EvacuationAnswerTest.java
@@ -41,7 +41,7 @@
     void isNotGoneByForTheNextErrand() {
         planner.onEarlierOrders(Map.of());
         planner.onServices(List.of(new ServiceConfig("clips", false, true)));
-        planner.onInstances(List.of(up("m1", "w1"), up("m2", "w2"), up("m3", "w3")));
+        planner.onInstances(InstanceList.of(List.of(up("m1", "w1"), up("m2", "w2"), up("m3", "w3"))));
         planner.onReport("clips", new ServiceReport(Map.of(), 1, 1, 0, List.of()));
         planner.onWaves(List.of(new UpkeepWave(1, List.of("m2"), 20_000, 1)));
         planner.tick();
--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.queue.ServiceConfig;
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
 import org.lupinpaddle.core.upkeep.UpkeepRecord;
@@ -59,7 +60,7 @@
     private void fleet(int needed, PlatformInstance... all) {
         planner.onEarlierOrders(Map.of());
         planner.onServices(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
-        planner.onInstances(List.of(all));
+        planner.onInstances(InstanceList.of(List.of(all)));
         List<WorkerLoad> loads = new ArrayList<>();
         for (PlatformInstance i : all) {
             loads.add(new WorkerLoad(i.worker(), 0, i.worker().equals("w1") ? 3 : 0, true));
@@ -99,7 +100,7 @@
             passes(0);
             emptied("w2", "m2", errand);
             planner.onOrdered("m2", errand, InstanceOrderOutcome.TAKEN);
-            planner.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w3")));
+            planner.onInstances(InstanceList.of(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w3"))));
             passes(UPKEEP_MILLIS - 1);
             assertEquals(1, port.asked.size(), "the list may show a life from before the upkeep");
             passes(2);
@@ -161,7 +162,7 @@
             passes(0);
             emptied("w2", "m2", errand);
             planner.onOrdered("m2", errand, InstanceOrderOutcome.BUSY);
-            planner.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w9")));
+            planner.onInstances(InstanceList.of(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w9"))));
             int before = port.orders.size();
             passes(1_000);
             assertEquals(before, port.orders.size());
@@ -186,7 +187,7 @@
                     new ServiceConfig("clips", false, true),
                     new ServiceConfig("archive", false, true),
                     new ServiceConfig("spare", true, true)));
-            planner.onInstances(List.of(all));
+            planner.onInstances(InstanceList.of(List.of(all)));
             planner.onReport("clips", clips);
             planner.onReport("archive", archive);
         }
@@ -261,7 +262,7 @@
             passes(0);
             assertTrue(port.asked.isEmpty(), "four are here and six are needed, whatever comes later");
             all.replaceAll(i -> i.state() == PlatformInstance.State.UP ? i : up(i.id(), "clips", "w-" + i.id()));
-            planner.onInstances(all);
+            planner.onInstances(InstanceList.of(all));
             passes(100);
             assertEquals(2, port.asked.size(), "all are here: two are too many");
         }
@@ -292,7 +293,8 @@
             FleetPlanner successor = successor();
             successor.onServices(
                     List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
-            successor.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "spare", ""), up("m3", "spare", "")));
+            successor.onInstances(
+                    InstanceList.of(List.of(up("m1", "clips", "w1"), up("m2", "spare", ""), up("m3", "spare", ""))));
             successor.onReport("clips", new ServiceReport(Map.of(), 2, 2, 0, List.of()));
             successor.tick();
             assertTrue(port.orders.isEmpty());
@@ -310,7 +312,8 @@
             FleetPlanner successor = successor();
             successor.onServices(
                     List.of(new ServiceConfig("clips", false, true), new ServiceConfig("archive", false, true)));
-            successor.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3")));
+            successor.onInstances(InstanceList.of(
+                    List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3"))));
             successor.onReport("clips", new ServiceReport(Map.of(), 0, 0, 0, List.of()));
             successor.onReport("archive", new ServiceReport(Map.of(), 1, 1, 0, List.of()));
             successor.onEarlierOrders(Map.of("m1", now + 1_000, "m2", now + 1_000, "m3", now + 1_000));
@@ -331,7 +334,7 @@
             now = 10_000;
             FleetPlanner s = successor();
             s.onServices(List.of(new ServiceConfig("spare", true, true)));
-            s.onInstances(List.of(all));
+            s.onInstances(InstanceList.of(List.of(all)));
             Map<String, Long> until = new HashMap<>();
             orderedLately.forEach(i -> until.put(i, now + 4_000));
             s.onEarlierOrders(until);
@@ -370,11 +373,37 @@
             now += 30_000;
             s.tick();
             assertTrue(port.orders.isEmpty());
-            s.onInstances(List.of(up("m1", "spare", ""), up("m2", "spare", "")));
+            s.onInstances(InstanceList.of(List.of(up("m1", "spare", ""), up("m2", "spare", ""))));
             s.tick();
             assertEquals(1, port.orders.size());
         }
 
+        @Test
+        void countsAnInstanceOfWhichNothingCanBeReadAsAwayAndDoesNotOrderIt() {
+            FleetPlanner s = ofSpares(Set.of(), 1, PlatformInstance.unknown("m1"), up("m2", "spare", ""));
+            s.tick();
+            now += 30_000;
+            s.tick();
+            assertTrue(port.orders.isEmpty(), "it may be down, and one is allowed");
+            s.onInstances(InstanceList.of(List.of(up("m1", "spare", ""), up("m2", "spare", ""))));
+            s.tick();
+            assertEquals(1, port.orders.size());
+        }
+
+        @Test
+        void completesNoWaveByAListThatMayLackAnInstance() {
+            InstanceList none = new InstanceList(
+                    List.of(up("m9", "spare", "")), Map.of(InstanceList.NAMELESS, Unreadable.Reason.MISSING.whole()));
+            FleetPlanner s = ofSpares(Set.of(), 2, up("m1", "spare", ""));
+            s.onInstances(none);
+            s.onWaves(List.of(new UpkeepWave(2, List.of("m1", "m2"), 20_000, 1)));
+            s.tick();
+            now += 30_000;
+            s.tick();
+            assertEquals(List.of(), port.completed);
+            assertEquals(List.of(), port.orders);
+        }
+
         @Test
         void beginsUpkeepAtOnceWhereNothingWasOrderedLately() {
             FleetPlanner s = ofSpares(Set.of(), 1, up("m1", "spare", ""), up("m2", "spare", ""));
@@ -387,7 +416,7 @@
             now = 16_000;
             FleetPlanner s = successor();
             s.onServices(List.of(new ServiceConfig("clips", false, true)));
-            s.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2")));
+            s.onInstances(InstanceList.of(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"))));
             s.onReport("clips", new ServiceReport(Map.of(), 2, 2, 0, List.of()));
             s.onEarlierOrders(Map.of());
             s.onUpkeep(1, new UpkeepRecord(List.of(), false, wall()));
@@ -435,7 +464,8 @@
             planner.onEarlierOrders(Map.of());
             planner.onServices(
                     List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
-            planner.onInstances(List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3")));
+            planner.onInstances(InstanceList.of(
+                    List.of(up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3"))));
             passes(0);
             passes(5_000);
             assertTrue(port.asked.isEmpty());
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -15,21 +15,26 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
+import io.vavr.control.Either;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.fleet.Errand;
 import org.lupinpaddle.core.fleet.FleetPlanner;
 import org.lupinpaddle.core.fleet.FleetPort;
 import org.lupinpaddle.core.fleet.FleetTiming;
+import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
 import org.lupinpaddle.core.fleet.RecentOrders;
 import org.lupinpaddle.core.job.JobKeys;
@@ -38,6 +43,7 @@
 import org.lupinpaddle.core.upkeep.UpkeepRecord;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
@@ -81,6 +87,9 @@
     private final StartPatience patience;
     private final long wonAt;
     private boolean earlierKnown;
+    /** Whether which instances were ordered lately could not be read; then it is not overwritten either. */
+    private boolean earlierUnread;
+
     private boolean writingOrders;
     /** Whether the newest write of the record was answered: while the store loses answers it is written for orders only. */
     private boolean recordSaved;
@@ -100,6 +109,7 @@
      * @param wall the time of day
      * @param timing the planner's times
      * @param meters the entry's figures
+     * @param unreadable entries of the store that can not be read
      */
     record Entry(
             String name,
@@ -110,7 +120,8 @@
             OwnershipKeeper ownership,
             Clock wall,
             FleetTiming timing,
-            JobMeters meters) {
+            JobMeters meters,
+            UnreadableEntries unreadable) {
 
         /** Returns how long after a change of owner an instance that was ordered lately is left alone. */
         static long takeOverMillis(long ownerLeaseMillis) {
@@ -166,6 +177,7 @@
                     if (why != null) {
                         Log.info("instances-unread", "why", StoreFailure.text(why));
                     } else if (!closed) {
+                        tellUnreadable(all);
                         planner.onInstances(all);
                         recordsChanged();
                     }
@@ -173,11 +185,20 @@
                 }));
     }
 
+    /** The rows have no keys and no revisions of the store; their instances' names stand for them. */
+    private void tellUnreadable(InstanceList all) {
+        Map<String, Unreadable> byKey = new HashMap<>();
+        all.unreadable().forEach((id, why) -> byKey.put("instance/" + id, why));
+        entry.unreadable.onlyThese(Kind.INSTANCE, byKey.keySet());
+        byKey.forEach(
+                (key, why) -> entry.unreadable.unreadable(new UnreadableEntries.Entry(Kind.INSTANCE, key, 0, why)));
+    }
+
     private void tick() {
         if (closed) {
             return;
         }
-        if (earlierKnown) {
+        if (earlierKnown && !earlierUnread) {
             forgetOverLives();
         }
         planner.tick();
@@ -209,15 +230,28 @@
                 .filter(i -> i.key().equals(JobKeys.recentOrders()))
                 .forEach(i -> {
                     owned.known(i.key(), i.revision());
-                    RecordCodec.read(i.value(), RecentOrders.class)
-                            .peek(r -> ordered.takeOver(r, wonAt))
-                            .peekLeft(why -> unreadable(i, why));
+                    RecentOrders r = taken(Kind.RECENT_ORDERS, i, i.read(RecentOrders.class));
+                    earlierUnread = r == null;
+                    if (r != null) {
+                        ordered.takeOver(r, wonAt);
+                    }
                 });
+        if (earlierUnread) {
+            // Any instance may have been ordered lately: none is, until no earlier owner's order can be under way.
+            Log.warn("earlier-orders-unknown", "fence", fence, "waits-millis", entry.timing.takeOverMillis());
+            entry.loop.after(entry.timing.takeOverMillis(), this::earlierOrdersPast);
+            return;
+        }
         Map<String, Long> until = ordered.leftAloneUntil();
         planner.onEarlierOrders(until);
         Log.info("fleet-owner-started", "fence", fence, "ordered-lately", until.size());
     }
 
+    private void earlierOrdersPast() {
+        earlierUnread = false;
+        planner.onEarlierOrders(Map.of());
+    }
+
     /** Instances that a life which is over has ordered need not be left alone. */
     private void forgetOverLives() {
         int over = ordered.dropOver(entry.ownership::isOver);
@@ -233,30 +267,39 @@
         for (StoreItem i : records.items()) {
             if (JobKeys.isEvacuation(i.key())) {
                 owned.seen(i.key(), i.revision());
-                EvacuationRecord.read(i.value())
-                        .peek(r -> evacuations.put(r, JobKeys.evacuatedService(i.key())))
-                        .peekLeft(why -> unreadable(i, why));
+                EvacuationRecord r = taken(Kind.EVACUATION, i, EvacuationFeed.read(i));
+                if (r != null) {
+                    evacuations.put(r, JobKeys.evacuatedService(i.key()));
+                }
             }
-            JobKeys.reportOf(i.key())
-                    .ifPresent(s -> RecordCodec.read(i.value(), ServiceReport.class)
-                            .peek(r -> planner.onReport(s, r))
-                            .peekLeft(why -> unreadable(i, why)));
-            JobKeys.upkeepOf(i.key())
-                    .ifPresent(w -> RecordCodec.read(i.value(), UpkeepRecord.class)
-                            .peek(r -> planner.onUpkeep(w, r))
-                            .peekLeft(why -> unreadable(i, why)));
+            JobKeys.reportOf(i.key()).ifPresent(s -> takeReport(s, i));
+            JobKeys.upkeepOf(i.key()).ifPresent(w -> takeUpkeep(w, i));
         }
         planner.onEvacuations(evacuations);
     }
 
-    private static void unreadable(StoreItem i, String why) {
-        Log.warn("fleet-record-unreadable", "key", i.key(), "why", why);
+    private void takeReport(String service, StoreItem i) {
+        ServiceReport r = taken(Kind.REPORT, i, i.read(ServiceReport.class));
+        if (r != null) {
+            planner.onReport(service, r);
+        }
+    }
+
+    private void takeUpkeep(long wave, StoreItem i) {
+        UpkeepRecord r = taken(Kind.UPKEEP, i, i.read(UpkeepRecord.class));
+        if (r != null) {
+            planner.onUpkeep(wave, r);
+        }
+    }
+
+    private <T> @Nullable T taken(Kind kind, StoreItem i, Either<Unreadable, T> record) {
+        return entry.unreadable.taken(kind, i, record);
     }
 
     private void wavesChanged() {
         planner.onWaves(waves.items().stream()
-                .flatMap(i ->
-                        entry.names.wave(i).peekLeft(why -> unreadable(i, why)).toJavaStream())
+                .map(i -> taken(Kind.WAVE, i, entry.names.wave(i)))
+                .filter(Objects::nonNull)
                 .toList());
     }
 
@@ -358,7 +401,7 @@
     CompletableFuture<Void> handOver() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         handingOver = true;
-        if (!writingOrders) {
+        if (!writingOrders && !earlierUnread) {
             Set<String> down = planner.inUpkeep();
             // What others have ordered is as recent as before: they may live, and be in touch.
             String own = entry.ownership.life();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
@@ -24,10 +24,11 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.command.CommandParser;
 import org.lupinpaddle.core.command.OperatorCommand;
-import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobProgress;
@@ -73,7 +74,7 @@
 
     private CompletableFuture<List<String>> answer(OperatorCommand command) {
         if (command instanceof OperatorCommand.JobList) {
-            return allJobs().thenApply(JobQuestions::listed);
+            return allJobs().thenCombine(unreadableJobs(), JobQuestions::listed);
         } else if (command instanceof OperatorCommand.JobExplain q) {
             return explain(q.id());
         } else if (command instanceof OperatorCommand.JobOwners) {
@@ -110,9 +111,9 @@
         if (key == null) {
             return Optional.empty();
         }
-        JobSpec spec = RecordCodec.read(i.value(), JobSpec.class).getOrNull();
+        JobSpec spec = i.read(JobSpec.class).getOrNull();
         JobProgress progress = Optional.ofNullable(byKey.get(JobKeys.progress(service, key)))
-                .flatMap(p -> RecordCodec.read(p.value(), JobProgress.class).toJavaOptional())
+                .flatMap(p -> p.read(JobProgress.class).toJavaOptional())
                 .orElse(spec == null ? null : JobProgress.none(spec.acceptedMillis()));
         boolean readable = spec != null || i.value().equals(JobSpec.OVER);
         if (progress == null || !readable) {
@@ -121,8 +122,27 @@
         return Optional.of(new Known(key, service, spec, progress, byKey.containsKey(JobKeys.cancel(service, key))));
     }
 
-    private static List<String> listed(List<Known> all) {
-        List<String> lines = new ArrayList<>();
+    /** Returns a line for each record of a job that can not be read: such a job is left alone. */
+    private CompletableFuture<List<String>> unreadableJobs() {
+        return store.range(JobKeys.allInputs()).thenCombine(store.range(JobKeys.allProgress()), (inputs, progress) -> {
+            Stream<String> jobs = inputs.items().stream()
+                    .filter(i -> JobKeys.jobOf(JobKeys.serviceOfInput(i.key()), i.key())
+                            .isPresent())
+                    .filter(i -> !i.value().equals(JobSpec.OVER))
+                    .flatMap(i -> unreadable(i, i.read(JobSpec.class)));
+            Stream<String> begun = progress.items().stream().flatMap(i -> unreadable(i, i.read(JobProgress.class)));
+            return Stream.concat(jobs, begun).toList();
+        });
+    }
+
+    private static Stream<String> unreadable(StoreItem i, Either<Unreadable, ?> record) {
+        return record.isRight()
+                ? Stream.empty()
+                : Stream.of(i.key() + "  unreadable: " + record.getLeft() + "  revision " + i.revision());
+    }
+
+    private static List<String> listed(List<Known> all, List<String> unreadable) {
+        List<String> lines = new ArrayList<>(unreadable);
         for (Known k : all) {
             lines.add(k.key.id() + "  " + k.progress.state() + "  queue " + k.key.queue() + "  service " + k.service
                     + (k.cancelled ? "  cancelled by its caller" : ""));
@@ -168,7 +188,7 @@
     private List<String> workers(StoreRange listed) {
         List<String> lines = new ArrayList<>();
         for (StoreItem i : listed.items()) {
-            Either<String, WorkerFacts> w = records.worker(i);
+            Either<Unreadable, WorkerFacts> w = records.worker(i);
             lines.add(w.fold(
                     why -> i.key() + "  unreadable: " + why,
                     f -> f.service() + "  " + f.id() + "  " + f.address() + "  hall " + f.hall() + "  "
@@ -183,11 +203,11 @@
         Map<Long, UpkeepRecord> done = new TreeMap<>();
         fleet.items()
                 .forEach(i -> JobKeys.upkeepOf(i.key())
-                        .ifPresent(w ->
-                                RecordCodec.read(i.value(), UpkeepRecord.class).forEach(r -> done.put(w, r))));
+                        .ifPresent(w -> i.read(UpkeepRecord.class).forEach(r -> done.put(w, r))));
         List<String> lines = new ArrayList<>();
         for (StoreItem i : waves.items()) {
-            Either<String, UpkeepWave> wave = records.wave(i);
+            Either<Unreadable, UpkeepWave> wave = records.wave(i);
+            wave.peekLeft(why -> lines.add(i.key() + "  unreadable: " + why));
             wave.forEach(w -> {
                 UpkeepRecord r = done.getOrDefault(w.number(), new UpkeepRecord(List.of(), false, null));
                 lines.add("wave " + w.number() + "  " + (r.completed() ? "completed" : "running") + "  begun "
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -25,8 +25,8 @@
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
-import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobSpec;
@@ -91,8 +91,8 @@
 
     private static final class NoInstances implements InstanceOrders {
         @Override
-        public CompletableFuture<List<PlatformInstance>> list() {
-            return CompletableFuture.completedFuture(List.of());
+        public CompletableFuture<InstanceList> list() {
+            return CompletableFuture.completedFuture(InstanceList.of(List.of()));
         }
 
         @Override
@@ -169,8 +169,10 @@
                 () -> true,
                 loop.clock(),
                 timing,
-                new JobMeters());
-        WorkerFeed workers = new WorkerFeed(store, loop, new FakeRecords(), () -> {});
+                new JobMeters(),
+                new UnreadableEntries(new JobMeters()));
+        WorkerFeed workers =
+                new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMeters()), () -> {});
         workers.start();
         passes(50);
         new SchedulerHost(entry, "clips", fence, workers, () -> {}, () -> {}).start();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHandOverTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHandOverTest.java
@@ -27,6 +27,7 @@
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.fleet.Errand;
 import org.lupinpaddle.core.fleet.FleetTiming;
+import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
 import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKeys;
@@ -46,9 +47,9 @@
 
     private final class Instances implements InstanceOrders {
         @Override
-        public CompletableFuture<List<PlatformInstance>> list() {
-            return CompletableFuture.completedFuture(
-                    List.of(new PlatformInstance("m1", "spare", PlatformInstance.State.UP, "north", "")));
+        public CompletableFuture<InstanceList> list() {
+            return CompletableFuture.completedFuture(InstanceList.of(
+                    List.of(new PlatformInstance("m1", "spare", PlatformInstance.State.UP, "north", ""))));
         }
 
         @Override
@@ -81,7 +82,8 @@
                 ownership,
                 loop.clock(),
                 timing,
-                new JobMeters());
+                new JobMeters(),
+                new UnreadableEntries(new JobMeters()));
         FleetHost host = new FleetHost(entry, store.set(JobKeys.owner(JobNode.FLEET), name));
         host.start(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
         return host;
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHostTest.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.fleet.Errand;
 import org.lupinpaddle.core.fleet.FleetTiming;
+import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
 import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKeys;
@@ -56,9 +57,9 @@
         private boolean answers = true;
 
         @Override
-        public CompletableFuture<List<PlatformInstance>> list() {
-            return CompletableFuture.completedFuture(
-                    List.of(new PlatformInstance("m1", "spare", PlatformInstance.State.UP, "north", "")));
+        public CompletableFuture<InstanceList> list() {
+            return CompletableFuture.completedFuture(InstanceList.of(
+                    List.of(new PlatformInstance("m1", "spare", PlatformInstance.State.UP, "north", ""))));
         }
 
         @Override
@@ -89,7 +90,16 @@
         passes(STEP_MILLIS);
         FleetTiming timing = FleetTiming.usual(UPKEEP_MILLIS, FleetHost.Entry.takeOverMillis(OWNER_LEASE_MILLIS));
         FleetHost.Entry entry = new FleetHost.Entry(
-                name, store, instances, new FakeRecords(), loop, ownership, loop.clock(), timing, new JobMeters());
+                name,
+                store,
+                instances,
+                new FakeRecords(),
+                loop,
+                ownership,
+                loop.clock(),
+                timing,
+                new JobMeters(),
+                new UnreadableEntries(new JobMeters()));
         FleetHost host = new FleetHost(entry, store.set(JobKeys.owner(JobNode.FLEET), name));
         host.start(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
         return host;
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
@@ -37,7 +37,8 @@
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final DirectLoop loop = new DirectLoop();
     private final FakeRecords records = new FakeRecords();
-    private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, () -> {});
+    private final ConfigurationFeed feed =
+            new ConfigurationFeed(store, loop, records, new UnreadableEntries(new JobMeters()), () -> {});
     private final JobQuestions questions =
             new JobQuestions(store, records, new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true));
 
@@ -47,6 +48,20 @@
         return lines;
     }
 
+    @Nested
+    class ARecordThatCanNotBeRead {
+
+        @Test
+        void isListedWithWhatIsWrongWithIt() {
+            store.set(JobKeys.job("clips", A), "{}");
+            store.setNoText(JobKeys.progress("clips", A));
+            List<String> lines = answer("job list");
+            assertEquals(2, lines.size(), lines.toString());
+            assertTrue(lines.get(0).startsWith(JobKeys.job("clips", A) + "  unreadable: missing:"), lines.get(0));
+            assertTrue(lines.get(1).startsWith(JobKeys.progress("clips", A) + "  unreadable: not-text"), lines.get(1));
+        }
+    }
+
     @Nested
     class AJobThatIsOver {
 
