--- a/core/src/test/java/org/lupinpaddle/core/fleet/ReviewOldAnswerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/ReviewOldAnswerTest.java
@@ -60,4 +60,23 @@
         assertEquals(2, port.asked.size());
         assertEquals(List.of("m2 UPKEEP:1"), port.orders, "the watch still shows the answer to the first request");
     }
+
+    /** The platform's list lags: a worker that has come since was never asked, and may have tasks by now. */
+    @Test
+    void isNotSparedForAWorkerThatHasComeSinceTheInstanceWasListedWithoutOne() {
+        planner.onEarlierOrders(Set.of());
+        planner.onServices(List.of(new ServiceConfig("clips", false, true)));
+        planner.onInstances(List.of(up("m1", "w1"), up("m2", ""), up("m3", "w3")));
+        planner.onReport("clips", new ServiceReport(Map.of(), 1, 1, 0, List.of()));
+        planner.onWaves(List.of(new UpkeepWave(1, List.of("m2"), 20_000, 1)));
+        planner.tick();
+        assertEquals(List.of("m2 UPKEEP:1"), port.orders);
+        planner.onOrdered("m2", Errand.upkeep(1), InstanceOrderOutcome.REFUSED);
+        planner.onInstances(List.of(up("m1", "w1"), up("m2", "w9"), up("m3", "w3")));
+        for (int i = 0; i < 10; i++) {
+            now += 100;
+            planner.tick();
+        }
+        assertEquals(List.of("m2 UPKEEP:1"), port.orders, "w9 has not been emptied");
+    }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/ReviewRunsTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ReviewRunsTest.java
@@ -98,4 +98,27 @@
         d.saved();
         assertTrue(d.port.starts.isEmpty(), "its choice of worker was still being written");
     }
+
+    /** In place of the one in ServiceSchedulerTest, which passes without the mend: no worker there could take the task. */
+    @Test
+    void aListOfInstancesThatWasAskedForBeforeTheLastAnswerProvesNothing() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job("a", ONE);
+        d.saved();
+        d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        d.passes(1_000);
+        long askedAt = d.now;
+        d.answers("w1", List.of(new RunningReport("a", FIRST, 1, "", 50, -1)), List.of());
+        d.workers("w1", "w2");
+        d.passes(3_000);
+        d.answers("w2", List.of(), List.of());
+        assertTrue(d.scheduler.missesWorkers());
+        d.scheduler.onLiving(Set.of("w2"), askedAt);
+        for (int i = 0; i < 3; i++) {
+            d.passes(100);
+            d.saved();
+        }
+        assertEquals(1, d.port.starts.size());
+    }
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/ReviewEmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/ReviewEmptiedWorkerTest.java
@@ -27,18 +27,23 @@
 import org.lupinpaddle.core.fleet.Errand;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
 import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.Policy;
 import org.lupinpaddle.core.job.Repeat;
 import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.run.EndReport;
 import org.lupinpaddle.core.run.HoldAnswer;
 import org.lupinpaddle.core.run.HoldOrder;
 import org.lupinpaddle.core.run.OrderOutcome;
 import org.lupinpaddle.core.run.PaceOrder;
+import org.lupinpaddle.core.run.RunningReport;
 import org.lupinpaddle.core.run.SchedulerTiming;
 import org.lupinpaddle.core.run.StartOrder;
 import org.lupinpaddle.core.run.StopOrder;
@@ -63,6 +68,8 @@
     /** Answers each hold 20 ms later, and takes each start. */
     private final class Workers implements WorkerOrders {
         private final List<String> startedOn = new ArrayList<>();
+        private List<RunningReport> running = List.of();
+        private List<EndReport> ended = List.of();
 
         @Override
         public CompletableFuture<OrderOutcome> start(StartOrder order, long fence) {
@@ -83,7 +90,7 @@
         @Override
         public CompletableFuture<HoldResult> hold(HoldOrder order, long fence) {
             CompletableFuture<HoldResult> r = new CompletableFuture<>();
-            HoldAnswer a = new HoldAnswer(100_000 + loop.clock().millis(), List.of(), List.of());
+            HoldAnswer a = new HoldAnswer(100_000 + loop.clock().millis(), running, ended);
             loop.after(20, () -> r.complete(new HoldResult(OrderOutcome.ACCEPTED, a)));
             return r;
         }
@@ -157,7 +164,7 @@
         }
     }
 
-    private void owner(String slowPrefix, long slowMillis) {
+    private SchedulerHost owner(String slowPrefix, long slowMillis) {
         long fence = store.set(JobKeys.owner("clips"), "entry");
         SchedulerTiming timing = new SchedulerTiming(5_000, 1_000, 2_000, 2_700, 7_000, 2_000);
         SchedulerHost.Entry entry = new SchedulerHost.Entry(
@@ -173,7 +180,9 @@
         WorkerFeed workers = new WorkerFeed(store, loop, new FakeRecords(), () -> {});
         workers.start();
         passes(50);
-        new SchedulerHost(entry, "clips", fence, workers, () -> {}, () -> {}).start();
+        SchedulerHost host = new SchedulerHost(entry, "clips", fence, workers, () -> {}, () -> {});
+        host.start();
+        return host;
     }
 
     private void passes(long millis) {
@@ -184,11 +193,15 @@
     }
 
     private void anEmptiedWorkerAndAJobThatWaits() {
+        aWorkerAndAJob();
+        EvacuationRecord emptied = new EvacuationRecord("w1", "m1", "MOVE:spare", true, true);
+        store.set(JobKeys.evacuation("clips", "w1"), RecordCodec.write(emptied));
+    }
+
+    private void aWorkerAndAJob() {
         WorkerFacts w =
                 new WorkerFacts("w1", "clips", "at-w1", "north", false, 0, new Room(4_000, 8_000, 0), List.of("rack"));
         store.set("worker/w1", RecordCodec.write(w));
-        EvacuationRecord emptied = new EvacuationRecord("w1", "m1", "MOVE:spare", true, true);
-        store.set(JobKeys.evacuation("clips", "w1"), RecordCodec.write(emptied));
         StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
         JobKey key = new JobKey("q", "a");
         Policy policy = new Policy(0, 3, 1.5, 500, false);
@@ -219,4 +232,26 @@
         passes(3_000);
         assertTrue(orders.startedOn.isEmpty(), "it was chosen before the requests were read, and started after");
     }
+
+    /** Its worker drains, and may be gone before the next owner has asked it; one write of its end is lost. */
+    @Test
+    void anEndThatWasHeardIsWrittenBeforeItsOwnerHandsTheServiceOver() {
+        aWorkerAndAJob();
+        SchedulerHost host = owner(JobKeys.evacuations("clips"), 0);
+        TaskId first = new TaskId(0, 0, 0);
+        orders.running = List.of(new RunningReport("a", first, 1, "", 50, -1));
+        passes(1_000);
+        assertEquals(List.of("w1"), orders.startedOn);
+        orders.running = List.of();
+        orders.ended = List.of(new EndReport(1, "a", first, 1, EndKind.DONE, ""));
+        store.holdsCommits = true;
+        loop.passes(30);
+        store.holdsCommits = false;
+        host.close();
+        passes(1_000);
+        JobProgress left = RecordCodec.read(
+                        store.value(JobKeys.progress("clips", new JobKey("q", "a"))), JobProgress.class)
+                .get();
+        assertTrue(left.over(), "heard some milliseconds before the hand-over: " + left);
+    }
 }
