--- a/core/src/test/java/org/lupinpaddle/core/run/ReviewRunsTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ReviewRunsTest.java
@@ -121,4 +121,19 @@
         }
         assertEquals(1, d.port.starts.size());
     }
+
+    /** The test that was replaced said so of a worker that is called empty; of a stop none says it. */
+    @Test
+    void whatCanStillEndInTimeAndGoesOnNowhereIsNotStopped() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job(
+                "a",
+                StepSpec.builder(1, SchedulerDriver.NEED).estimateMillis(10_000).build());
+        d.saved();
+        d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        d.scheduler.onEvacuations(Set.of("w1"), Set.of("w1"));
+        d.passes(100);
+        assertTrue(d.port.stops.isEmpty(), "its work would be lost");
+    }
 }
