--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -233,8 +233,10 @@
 
     private void stepOrdering(InstanceErrand e) {
         PlatformInstance i = state.instances.get(e.instance);
+        // The headroom pool's workers run nothing and are not asked; elsewhere one may have come since.
+        boolean asked = !e.worker.isEmpty() || (i != null && !state.isHeadroom(i.pool()));
         boolean otherLife = i != null
-                && !e.worker.isEmpty()
+                && asked
                 && i.state() == PlatformInstance.State.UP
                 && !i.worker().equals(e.worker);
         if (otherLife && !e.orderInFlight) {
--- a/core/src/test/java/org/lupinpaddle/core/run/EmptyingRacesTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/EmptyingRacesTest.java
@@ -98,4 +98,42 @@
         d.saved();
         assertTrue(d.port.starts.isEmpty(), "its choice of worker was still being written");
     }
+
+    /** Another worker could take the task at once. */
+    @Test
+    void aListOfInstancesThatWasAskedForBeforeTheLastAnswerProvesNothing() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job("a", ONE);
+        d.saved();
+        d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        d.passes(1_000);
+        long askedAt = d.now;
+        d.answers("w1", List.of(new RunningReport("a", FIRST, 1, "", 50, -1)), List.of());
+        d.workers("w1", "w2");
+        d.passes(3_000);
+        d.answers("w2", List.of(), List.of());
+        assertTrue(d.scheduler.missesWorkers());
+        d.scheduler.onLiving(Set.of("w2"), askedAt);
+        for (int i = 0; i < 3; i++) {
+            d.passes(100);
+            d.saved();
+        }
+        assertEquals(1, d.port.starts.size());
+    }
+
+    /** The test that was replaced said so of a worker that is called empty; of a stop none says it. */
+    @Test
+    void whatCanStillEndInTimeAndGoesOnNowhereIsNotStopped() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job(
+                "a",
+                StepSpec.builder(1, SchedulerDriver.NEED).estimateMillis(10_000).build());
+        d.saved();
+        d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+        d.scheduler.onEvacuations(Set.of("w1"), Set.of("w1"));
+        d.passes(100);
+        assertTrue(d.port.stops.isEmpty(), "its work would be lost");
+    }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -786,21 +786,6 @@
             assertEquals(1, d.port.starts.size());
         }
 
-        @Test
-        void isNotAListOfInstancesThatWasAskedForBeforeTheWorkersLastAnswer() {
-            runsOnTheFirstOf("w1", "w2");
-            String w = d.lastStart().worker().id();
-            d.passes(1_000);
-            long askedAt = d.now;
-            d.answers(w, List.of(runs(1)), List.of());
-            d.passes(3_000);
-            assertTrue(d.scheduler.missesWorkers());
-            d.scheduler.onLiving(Set.of(), askedAt);
-            d.passes(100);
-            d.saved();
-            assertEquals(1, d.port.starts.size());
-        }
-
         @Test
         void isNotThatTheWorkersEntryNoLongerSaysWhereItIs() {
             runsOnTheFirstOf("w1", "w2");
