Let an owner of the fleet that is stopped tell on what it was told of the owner before it

Cause: an owner that is stopped hands over only orders of its own that are open, and instances in upkeep. What an owner before it, whose process goes on, had ordered within the last seconds was left out, so that the third owner ordered such an instance within a lease's time.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -355,15 +355,15 @@
 
     /**
      * Gives no more orders and tells the successor so: this process ends, and only instances whose order has no
-     * answer yet must be left alone, and those counted that are down for upkeep. The future ends when that is durable,
-     * or soon in any case.
+     * answer yet must be left alone, those that an owner before this one ordered lately, whose process may go on, and
+     * those counted that are down for upkeep. The future ends when that is durable, or soon in any case.
      */
     CompletableFuture<Void> handOver() {
         CompletableFuture<Void> done = new CompletableFuture<>();
         handingOver = true;
         if (!writingOrders) {
             Set<String> down = planner.inUpkeep();
-            ordered.keySet().removeIf(i -> !unanswered.contains(i) && !down.contains(i));
+            ordered.keySet().removeIf(i -> !unanswered.contains(i) && !earlier.containsKey(i) && !down.contains(i));
             writeRecent(outcome -> {
                 Log.info("fleet-handed-over", "outcome", outcome, "unanswered", unanswered.size());
                 done.complete(null);
