Start a task whose choice waited for the store only by a list of workers that is new

Cause: a choice of worker that waits for the store through an outage was started at the moment at which its record was written, by a list of workers from before the outage; a worker that had said meanwhile that it leaves got a task. Placing asks how old the list is, starting did not. Change: starting asks the same; and what was placed on a worker that leaves is taken back.

--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -72,6 +72,10 @@
 
     private void empty(LiveWorker w) {
         for (LiveTask t : List.copyOf(w.tasks)) {
+            if (t.phase == Phase.PLACED && w.facts().draining()) {
+                // Its choice waited for the store, and the worker has said meanwhile that it leaves.
+                state.stop(t, "worker-drains");
+            }
             if (t.phase != Phase.RUNNING) {
                 continue;
             }
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -27,10 +27,6 @@
 /** Gives waiting tasks their workers, the most urgent steps first. */
 final class PlacementPass {
 
-    // A list that nobody has confirmed for longer may hide that a worker drains: it gives 2 s notice of that, and a
-    // watch that works is confirmed every 1.8 s.
-    private static final long STALE_MILLIS = 2_500;
-
     private final ServiceState state;
     private final Advisor advisor;
 
@@ -40,7 +36,7 @@
     }
 
     void run() {
-        if (state.now() - state.workersKnownAt > STALE_MILLIS) {
+        if (!state.knowsWorkers()) {
             return;
         }
         List<LiveWorker> usable =
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -63,7 +63,7 @@
     }
 
     private void sendDue(LiveWorker w, LiveTask t, long now) {
-        if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion) {
+        if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion && state.knowsWorkers()) {
             t.enter(Phase.STARTING, now);
         }
         if (t.orderInFlight || now < t.orderDueAt || w.facts().address().isEmpty()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -35,6 +35,10 @@
 /** What the owner of a service believes: the jobs, the workers, and the steps that several parts share. */
 final class ServiceState {
 
+    // A list that nobody has confirmed for longer may hide that a worker drains: it gives 2 s notice of that, and a
+    // watch that works is confirmed every 1.8 s.
+    private static final long STALE_MILLIS = 2_500;
+
     final String service;
     final SchedulerTiming timing;
     final SchedulerPort port;
@@ -114,6 +118,11 @@
         return new WorkerFacts(id, service, "", "", true, 0, Room.NONE, List.of());
     }
 
+    /** Returns whether the list of workers is new enough for tasks to be placed and started by it. */
+    boolean knowsWorkers() {
+        return now() - workersKnownAt <= STALE_MILLIS;
+    }
+
     /** Returns whether new tasks may go to the worker now. */
     boolean isUsable(LiveWorker w) {
         long now = now();
--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -160,6 +160,27 @@
             assertEquals("w1", d.lastStart().worker().id());
         }
 
+        /** The choice may have waited for the store for seconds, and its worker may have said that it leaves. */
+        @Test
+        void waitsUntilTheListOfWorkersIsKnownToBeNew() {
+            d.workers("w1", "w2");
+            d.answers("w1", List.of(), List.of());
+            d.answers("w2", List.of(), List.of());
+            d.job("a", ONE);
+            d.now += 5_000;
+            List.copyOf(d.port.saves).forEach(d.scheduler::onSaved);
+            d.scheduler.tick();
+            assertTrue(d.port.starts.isEmpty());
+            d.scheduler.onWorkers(List.of(leaving("w1"), leaving("w2")));
+            d.passes(10);
+            assertTrue(d.port.starts.isEmpty(), "both are about to end");
+        }
+
+        private WorkerFacts leaving(String id) {
+            WorkerFacts f = SchedulerDriver.worker(id);
+            return new WorkerFacts(id, f.service(), f.address(), f.hall(), true, 2_000, f.room(), f.labels());
+        }
+
         @Test
         void withoutAnswerIsTriedAgainThereAndNowhereElse() {
             startOnOneOf("w1", "w2");
