--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -37,7 +37,7 @@
 
     // A move takes an instance away for two seconds: it stays for as long, or the move was for nothing.
     private static final long LEAST_STAY_MILLIS = 2_500;
-    // A loaded worker is empty 0.6 to 2 s after it was asked for: the wait for an earlier owner's order passes
+    // A loaded worker is empty 0.6 to 2 s after it was asked for; the wait for an earlier owner's order passes
     // meanwhile.
     private static final long EMPTYING_MILLIS = 1_200;
 
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -68,7 +68,7 @@
     private long fencedAt = Long.MAX_VALUE;
 
     boolean holdInFlight;
-    /** When the newest hold is answered at the latest, but for the way back. */
+    /** When the worker answers the newest hold at the latest. */
     long holdAnswerDueAt;
 
     long holdDueAt;
@@ -225,9 +225,9 @@
     }
 
     /**
-     * Takes in that an order or a hold that the worker was to answer at {@code dueAt} got no answer: whether the worker can be reached
-     * is open until it answers. One that has answered something else meanwhile can be reached, and only the one
-     * answer was lost: workers that lose three in ten answers were all given up at once while hundreds of tasks waited.
+     * Takes in that an order or a hold that the worker was to answer at {@code dueAt} got no answer: whether it can be
+     * reached is open until it answers. One that has answered something else meanwhile can be reached, and only the one
+     * answer was lost: where three answers in ten are lost, all workers of a service would be given up at one time.
      */
     void unanswered(long dueAt) {
         if (dueAt >= heardAt) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -61,9 +61,8 @@
     private static final long FRESH_MILLIS = 700;
     // An order reaches the platform at the latest so long after its record was written.
     private static final long ORDER_MILLIS = FRESH_MILLIS + InstanceOrders.CALL_MILLIS;
-    // How old the orders are is written down again as often, and what is too old to matter is taken off, so that a
-    // successor
-    // leaves few instances alone and not for long: instances that it may not order are half a turn of a queue late.
+    // So often the record of orders is written anew, with how old they are by then and without those too old to matter:
+    // a successor leaves few instances alone, and none for longer than it must.
     private static final long PRUNE_EVERY_MILLIS = 500;
     // A hand-over waits this long for the store; the successor then goes by the record as it is.
     private static final long HAND_OVER_MILLIS = 300;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -47,9 +47,8 @@
     static final long TTL_MILLIS = 1_500;
 
     private static final long RENEW_MILLIS = 450;
-    // A renewal that has no answer by then is followed by another beside it: four go out before a lease ends, so that a
-    // store
-    // that loses half of its answers ends one lease in sixteen, not one in four. A slow store takes 250 ms.
+    // A renewal that has no answer by then is followed by another beside it. Four go out before a lease ends, so that a
+    // store that loses half of its answers ends it one time in sixteen, not in four. A slow store takes 250 ms.
     private static final long RENEW_AGAIN_MILLIS = 250;
     private static final long RETRY_MILLIS = 200;
     // An entry takes a duty this much later for each one that comes before it: a write takes 10 ms.
