Show all unreadable entries, and pass over keys that another writer has made up

Cause: a key under fleet/upkeep/ that ends in no number, or one under fleet/evacuate/ without a service, threw in the owner of the fleet at every look at its records, as did a request whose errand is the upkeep of no wave: from then on it took in no record. Which entries are unreadable was shown in part.

Change: JobKeys and Errand.parse take only what has their form. lupinctl job unreadable lists the unreadable entries of all kinds, from the store.

--- a/core/src/main/java/org/lupinpaddle/core/command/JobWords.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/JobWords.java
@@ -26,7 +26,13 @@
     private JobWords() {}
 
     static List<Class<? extends CommandWords>> all() {
-        return List.of(ListWords.class, ExplainWords.class, OwnersWords.class, WorkersWords.class, UpkeepWords.class);
+        return List.of(
+                ListWords.class,
+                ExplainWords.class,
+                OwnersWords.class,
+                WorkersWords.class,
+                UpkeepWords.class,
+                UnreadableWords.class);
     }
 
     /** Lists the jobs. */
@@ -69,6 +75,15 @@
         }
     }
 
+    /** Lists what can not be read. */
+    @Command(name = "unreadable", description = "Lists the store's entries that can not be read, and what is wrong")
+    public static final class UnreadableWords extends CommandWords {
+        @Override
+        public OperatorCommand get() {
+            return new OperatorCommand.JobUnreadable();
+        }
+    }
+
     /** Lists the waves of upkeep. */
     @Command(name = "upkeep", description = "Lists the platform's waves of upkeep and how far they are")
     public static final class UpkeepWords extends CommandWords {
--- a/core/src/main/java/org/lupinpaddle/core/command/OperatorCommand.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/OperatorCommand.java
@@ -150,4 +150,7 @@
 
     /** The platform's waves of upkeep. */
     record JobUpkeep() implements Question {}
+
+    /** The entries of the platform's store that can not be read. */
+    record JobUnreadable() implements Question {}
 }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/Errand.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/Errand.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.core.fleet;
 
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * What an instance is to be taken out of its pool for.
@@ -26,6 +27,7 @@
 public record Errand(Kind kind, String target) {
 
     private static final char SEPARATOR = ':';
+    private static final Pattern WAVE = Pattern.compile("[0-9]{1,18}");
 
     /** Upkeep or a move. */
     public enum Kind {
@@ -58,12 +60,17 @@
         }
         for (Kind k : Kind.values()) {
             if (k.name().equals(text.substring(0, at))) {
-                return Optional.of(new Errand(k, text.substring(at + 1)));
+                return Optional.of(new Errand(k, text.substring(at + 1))).filter(Errand::isSound);
             }
         }
         return Optional.empty();
     }
 
+    /** Returns whether the target is one of its kind: a wave's number, or the name of a pool. */
+    private boolean isSound() {
+        return kind == Kind.UPKEEP ? WAVE.matcher(target).matches() : !target.isBlank();
+    }
+
     @Override
     public String toString() {
         return kind.name() + SEPARATOR + target;
--- a/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.core.job;
 
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Where the job scheduler's records lie in the store. What the owner of a service must notice lies under one
@@ -39,6 +40,10 @@
     private static final String UPKEEP = FLEET + "upkeep/";
     private static final String RECENT_ORDERS = FLEET + "recent-orders";
 
+    // Any writer of the store can make up a key: what is no such name is passed over.
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
+    private static final Pattern WORKER_OF_SERVICE = Pattern.compile("(?s).+/[^/]+");
+
     private JobKeys() {}
 
     /** Returns the key of an entry's registration. */
@@ -120,7 +125,9 @@
 
     /** Returns whether the key asks for a worker to be emptied. */
     public static boolean isEvacuation(String key) {
-        return key.startsWith(EVACUATIONS);
+        return after(EVACUATIONS, key)
+                .filter(k -> WORKER_OF_SERVICE.matcher(k).matches())
+                .isPresent();
     }
 
     /** Returns the service of whose worker the key asks that it be emptied. */
@@ -170,7 +177,7 @@
 
     /** Returns the wave whose record lies under the key, or nothing. */
     public static Optional<Long> upkeepOf(String key) {
-        return after(UPKEEP, key).map(Long::valueOf);
+        return after(UPKEEP, key).filter(k -> NUMBER.matcher(k).matches()).map(Long::valueOf);
     }
 
     /** Returns the key of which instances were ordered lately. */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobQuestions.java
@@ -24,7 +24,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.command.CommandParser;
 import org.lupinpaddle.core.command.OperatorCommand;
@@ -51,12 +50,14 @@
     private final KeyValueStore store;
     private final PlatformRecords records;
     private final JobIntake intake;
+    private final UnreadableQuestion unreadable;
 
     /** Makes it. */
     public JobQuestions(KeyValueStore store, PlatformRecords records, JobIntake intake) {
         this.store = store;
         this.records = records;
         this.intake = intake;
+        unreadable = new UnreadableQuestion(store, records);
     }
 
     @Override
@@ -74,7 +75,7 @@
 
     private CompletableFuture<List<String>> answer(OperatorCommand command) {
         if (command instanceof OperatorCommand.JobList) {
-            return allJobs().thenCombine(unreadableJobs(), JobQuestions::listed);
+            return allJobs().thenCombine(unreadable.ofJobs(), JobQuestions::listed);
         } else if (command instanceof OperatorCommand.JobExplain q) {
             return explain(q.id());
         } else if (command instanceof OperatorCommand.JobOwners) {
@@ -84,6 +85,9 @@
         } else if (command instanceof OperatorCommand.JobUpkeep) {
             return store.range(records.wavePrefix()).thenCombine(store.range(JobKeys.fleet()), this::upkeep);
         }
+        if (command instanceof OperatorCommand.JobUnreadable) {
+            return unreadable.all().thenApply(l -> l.isEmpty() ? List.of("all entries can be read") : l);
+        }
         return CompletableFuture.completedFuture(
                 List.of("this entry runs jobs on the operators' platform; it answers the group job"));
     }
@@ -122,25 +126,6 @@
         return Optional.of(new Known(key, service, spec, progress, byKey.containsKey(JobKeys.cancel(service, key))));
     }
 
-    /** Returns a line for each record of a job that can not be read: such a job is left alone. */
-    private CompletableFuture<List<String>> unreadableJobs() {
-        return store.range(JobKeys.allInputs()).thenCombine(store.range(JobKeys.allProgress()), (inputs, progress) -> {
-            Stream<String> jobs = inputs.items().stream()
-                    .filter(i -> JobKeys.jobOf(JobKeys.serviceOfInput(i.key()), i.key())
-                            .isPresent())
-                    .filter(i -> !i.value().equals(JobSpec.OVER))
-                    .flatMap(i -> unreadable(i, i.read(JobSpec.class)));
-            Stream<String> begun = progress.items().stream().flatMap(i -> unreadable(i, i.read(JobProgress.class)));
-            return Stream.concat(jobs, begun).toList();
-        });
-    }
-
-    private static Stream<String> unreadable(StoreItem i, Either<Unreadable, ?> record) {
-        return record.isRight()
-                ? Stream.empty()
-                : Stream.of(i.key() + "  unreadable: " + record.getLeft() + "  revision " + i.revision());
-    }
-
     private static List<String> listed(List<Known> all, List<String> unreadable) {
         List<String> lines = new ArrayList<>(unreadable);
         for (Known k : all) {
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableQuestion.java
@@ -0,0 +1,106 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lupinpaddle.core.capacity.ServiceReport;
+import org.lupinpaddle.core.common.Unreadable;
+import org.lupinpaddle.core.fleet.RecentOrders;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.upkeep.UpkeepRecord;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.PlatformRecords;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/** Answers which entries of the store can not be read now, from the store itself: a line for each. */
+final class UnreadableQuestion {
+
+    private final KeyValueStore store;
+    private final PlatformRecords records;
+
+    UnreadableQuestion(KeyValueStore store, PlatformRecords records) {
+        this.store = store;
+        this.records = records;
+    }
+
+    /** What is wrong with an item; nothing for one that can be read, or that is none of its kind. */
+    private interface Check {
+        Optional<Unreadable> wrong(StoreItem i);
+    }
+
+    /** Returns lines of all kinds. */
+    CompletableFuture<List<String>> all() {
+        return under(records.configurationKey(), this::configuration)
+                .thenCombine(under(records.workerPrefix(), i -> why(records.worker(i))), UnreadableQuestion::both)
+                .thenCombine(under(records.wavePrefix(), i -> why(records.wave(i))), UnreadableQuestion::both)
+                .thenCombine(under(JobKeys.fleet(), UnreadableQuestion::ofFleet), UnreadableQuestion::both)
+                .thenCombine(ofJobs(), UnreadableQuestion::both);
+    }
+
+    /** Returns lines of jobs and their progress: such a job is left alone. */
+    CompletableFuture<List<String>> ofJobs() {
+        return under(JobKeys.allInputs(), UnreadableQuestion::ofJob)
+                .thenCombine(
+                        under(JobKeys.allProgress(), i -> why(i.read(JobProgress.class))), UnreadableQuestion::both);
+    }
+
+    private CompletableFuture<List<String>> under(String prefix, Check check) {
+        return store.range(prefix).thenApply(all -> {
+            List<String> lines = new ArrayList<>();
+            for (StoreItem i : all.items()) {
+                check.wrong(i)
+                        .ifPresent(why -> lines.add(i.key() + "  unreadable: " + why + "  revision " + i.revision()));
+            }
+            return lines;
+        });
+    }
+
+    private static List<String> both(List<String> some, List<String> others) {
+        List<String> all = new ArrayList<>(some);
+        all.addAll(others);
+        return all;
+    }
+
+    private static Optional<Unreadable> why(Either<Unreadable, ?> record) {
+        return record.isLeft() ? Optional.of(record.getLeft()) : Optional.empty();
+    }
+
+    private Optional<Unreadable> configuration(StoreItem i) {
+        return i.key().equals(records.configurationKey()) ? why(records.configuration(i)) : Optional.empty();
+    }
+
+    private static Optional<Unreadable> ofJob(StoreItem i) {
+        boolean isJob = JobKeys.jobOf(JobKeys.serviceOfInput(i.key()), i.key()).isPresent();
+        return isJob && !i.value().equals(JobSpec.OVER) ? why(i.read(JobSpec.class)) : Optional.empty();
+    }
+
+    private static Optional<Unreadable> ofFleet(StoreItem i) {
+        if (JobKeys.isEvacuation(i.key())) {
+            return why(EvacuationFeed.read(i));
+        } else if (JobKeys.reportOf(i.key()).isPresent()) {
+            return why(i.read(ServiceReport.class));
+        } else if (JobKeys.upkeepOf(i.key()).isPresent()) {
+            return why(i.read(UpkeepRecord.class));
+        }
+        return i.key().equals(JobKeys.recentOrders()) ? why(i.read(RecentOrders.class)) : Optional.empty();
+    }
+}
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobQuestionsTest.java
@@ -20,6 +20,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.common.RecordCodec;
@@ -60,6 +62,29 @@
             assertTrue(lines.get(0).startsWith(JobKeys.job("clips", A) + "  unreadable: missing:"), lines.get(0));
             assertTrue(lines.get(1).startsWith(JobKeys.progress("clips", A) + "  unreadable: not-text"), lines.get(1));
         }
+
+        @Test
+        void ofAnyKindIsListedByItself() {
+            assertEquals(List.of("all entries can be read"), answer("job unreadable"));
+            List<String> keys = List.of(
+                    FakeRecords.CONFIGURATION,
+                    "worker/w1",
+                    "wave/1",
+                    JobKeys.evacuation("clips", "w1"),
+                    JobKeys.report("clips"),
+                    JobKeys.upkeep(1),
+                    JobKeys.recentOrders(),
+                    JobKeys.job("clips", A),
+                    JobKeys.progress("clips", A));
+            keys.forEach(k -> store.set(k, "[]"));
+            store.set(JobKeys.cancel("clips", A), "");
+            List<String> lines = answer("job unreadable");
+            assertEquals(
+                    new TreeSet<>(keys),
+                    lines.stream()
+                            .map(l -> l.substring(0, l.indexOf("  unreadable: ")))
+                            .collect(Collectors.toCollection(TreeSet::new)));
+        }
     }
 
     @Nested
