Forget unreadable entries that are gone, of every kind

Cause: only workers' entries were forgotten when they were removed, so the gauge of unreadable entries stayed up for the others.

Change: whoever reads a prefix tells what is there; MembersTest says what a bad registration and a bad owner do.

Tests: MembersTest, WorkerFeedTest, EvacuationFeedTest, SchedulerHostTest and EarlierJobsTest pass.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EarlierJobs.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EarlierJobs.java
@@ -63,6 +63,7 @@
 
     /** Takes in the progress of all jobs of the service. */
     void read(StoreRange all) {
+        unreadable.onlyThese(JobKeys.progress(service), all.items());
         all.items().forEach(i -> JobKeys.progressOf(service, i.key()).ifPresent(job -> read(job, i)));
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -37,6 +37,7 @@
     private static final long RETRY_MILLIS = 150;
 
     private final EventLoop loop;
+    private final String service;
     private final OwnedRecords records;
     private final UnreadableEntries unreadable;
     private final PrefixWatch watch;
@@ -61,6 +62,7 @@
             UnreadableEntries unreadable,
             BiConsumer<Set<String>, Set<String>> onChange) {
         this.loop = loop;
+        this.service = service;
         this.records = records;
         this.unreadable = unreadable;
         this.onChange = onChange;
@@ -75,6 +77,7 @@
         Map<String, StoreItem> before = Map.copyOf(asked);
         asked.clear();
         unread.clear();
+        unreadable.onlyThese(JobKeys.evacuations(service), watch.items());
         Set<String> urgent = new HashSet<>();
         for (StoreItem i : watch.items()) {
             EvacuationRecord r = unreadable.taken(Kind.EVACUATION, i, read(i));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -72,6 +72,9 @@
     private static final long PRUNE_EVERY_MILLIS = 500;
     // A hand-over waits this long for the store; the successor then goes by the record as it is.
     private static final long HAND_OVER_MILLIS = 300;
+    /** Stands before the names of instances whose rows can not be read. */
+    private static final String INSTANCES = "instance/";
+
     // Between the check of the lease and the order's way out.
     private static final long SLACK_MILLIS = 100;
 
@@ -185,8 +188,8 @@
     /** The rows have no keys and no revisions of the store; their instances' names stand for them. */
     private void tellUnreadable(InstanceList all) {
         Map<String, Unreadable> byKey = new HashMap<>();
-        all.unreadable().forEach((id, why) -> byKey.put("instance/" + id, why));
-        entry.unreadable.onlyThese(Kind.INSTANCE, byKey.keySet());
+        all.unreadable().forEach((id, why) -> byKey.put(INSTANCES + id, why));
+        entry.unreadable.onlyThese(INSTANCES, byKey.keySet());
         byKey.forEach(
                 (key, why) -> entry.unreadable.unreadable(new UnreadableEntries.Entry(Kind.INSTANCE, key, 0, why)));
     }
@@ -263,6 +266,7 @@
     }
 
     private void recordsChanged() {
+        entry.unreadable.onlyThese(JobKeys.fleet(), records.items());
         Map<EvacuationRecord, String> evacuations = new HashMap<>();
         for (StoreItem i : records.items()) {
             if (JobKeys.isEvacuation(i.key())) {
@@ -297,6 +301,7 @@
     }
 
     private void wavesChanged() {
+        entry.unreadable.onlyThese(entry.names.wavePrefix(), waves.items());
         planner.onWaves(waves.items().stream()
                 .map(i -> taken(Kind.WAVE, i, entry.names.wave(i)))
                 .filter(Objects::nonNull)
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -187,6 +187,7 @@
         if (scheduler == null) {
             begin();
         }
+        entry.unreadable.onlyThese(JobKeys.inputs(service), inputs.items());
         takeAll(List.copyOf(inputs.items()));
     }
 
@@ -232,6 +233,7 @@
         if (closed) {
             return;
         }
+        changes.stream().filter(c -> c.item() == null).forEach(c -> entry.unreadable.gone(c.key()));
         takeAll(changes.stream()
                 .map(StoreChanges.Change::item)
                 .filter(Objects::nonNull)
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
@@ -17,12 +17,14 @@
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.daemon.common.Log;
@@ -132,9 +134,14 @@
         byKey.remove(key);
     }
 
-    /** Takes in all keys that there are of a kind: what is not among them is gone. */
-    synchronized void onlyThese(Kind kind, Set<String> keys) {
-        byKey.values().removeIf(e -> e.kind() == kind && !keys.contains(e.key()));
+    /** Takes in all items that there are under a prefix: what is not among them is gone. */
+    void onlyThese(String prefix, Collection<StoreItem> items) {
+        onlyThese(prefix, items.stream().map(StoreItem::key).collect(Collectors.toSet()));
+    }
+
+    /** Takes in all keys that there are under a prefix: what is not among them is gone. */
+    synchronized void onlyThese(String prefix, Set<String> keys) {
+        byKey.keySet().removeIf(k -> k.startsWith(prefix) && !keys.contains(k));
     }
 
     /** Returns all of them, in the order of their keys. */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
@@ -19,7 +19,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Collectors;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
@@ -69,8 +68,7 @@
     @Override
     public void onRead() {
         byKey.clear();
-        unreadable.onlyThese(
-                Kind.WORKER, watch.items().stream().map(StoreItem::key).collect(Collectors.toSet()));
+        unreadable.onlyThese(records.workerPrefix(), watch.items());
         new ArrayList<>(watch.items()).forEach(this::take);
         onChange.run();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/MembersTest.java
@@ -0,0 +1,78 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.JobKeys;
+
+/** What is concluded from records of members, also where another writer has put something into their place. */
+class MembersTest {
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final TimedLoop loop = new TimedLoop();
+    private final PrefixWatch watch =
+            new PrefixWatch(store, loop, JobKeys.MEMBERS, PrefixWatch.Listener.same(() -> {}));
+    private final Members members = new Members(watch, loop.clock(), "self", 500);
+    private final String life = Members.newLife("other");
+
+    private boolean isOver(String registered) {
+        store.set(JobKeys.entry("other"), registered);
+        return read();
+    }
+
+    private boolean read() {
+        watch.start();
+        loop.passes(1);
+        return members.isOver(life, Members.newLife("self"));
+    }
+
+    @Nested
+    class ALife {
+
+        @Test
+        void isOverOnceItsEntryIsRegisteredWithAnother() {
+            assertFalse(isOver(life));
+            assertTrue(isOver(Members.newLife("other")));
+        }
+
+        @Test
+        void isNotOverByWhatNamesNoLifeOfItsEntry() {
+            assertFalse(isOver(""));
+            assertFalse(isOver("{}"));
+            assertFalse(isOver(Members.newLife("third")));
+            store.setNoText(JobKeys.entry("other"));
+            assertFalse(read());
+        }
+    }
+
+    @Nested
+    class ADuty {
+
+        @Test
+        void isOwnedAlsoWhereItsOwnerCanNotBeRead() {
+            store.setNoText(JobKeys.owner("clips"));
+            store.set(JobKeys.owner("archive"), "");
+            read();
+            assertEquals(Set.of("clips", "archive"), members.owners().keySet());
+        }
+    }
+}
