--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -223,7 +223,7 @@
         EvacuationRecord r = state.evacuations.get(e.worker);
         if (r == null && state.now() - e.begunAt > ASK_MILLIS) {
             state.end(e, "the request to empty its worker is gone");
-        } else if (r != null && r.empty()) {
+        } else if (r != null && r.empty() && r.errand().equals(e.errand.toString())) {
             e.phase = Phase.ORDERING;
             stepOrdering(e);
         } else if (e.errand.kind() == Errand.Kind.MOVE && state.now() - e.begunAt > MOVE_PATIENCE_MILLIS) {
--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -80,8 +80,8 @@
 
     private void empty(LiveWorker w) {
         for (LiveTask t : List.copyOf(w.tasks)) {
-            if (t.phase == Phase.PLACED) {
-                // Its start has not gone out: another worker costs nothing.
+            if (t.phase == Phase.PLACED && !t.step.gang()) {
+                // Its start has not gone out: another worker costs nothing. A gang starts as a whole or not at all.
                 state.stop(t, "worker-is-emptied");
                 state.changed(t.job);
             }
