Tell each job's steps in the line that says it was taken

Cause: an account of starved queues needs the cores that each step asks for, and no line told them. The line of JOB_TAKEN now carries them in one word, as COUNTxMILLICORES with the steps that go before.

--- a/core/src/main/java/org/lupinpaddle/core/job/StepSpec.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/StepSpec.java
@@ -64,6 +64,16 @@
      */
     public record Need(long cpuMillis, long memoryMb, long accelerators) {}
 
+    /**
+     * Returns what a step asks for in one word, as {@code COUNTxMILLICORES}, followed by {@code >STEP} for each step
+     * that must be done first.
+     */
+    public String shape() {
+        StringBuilder text = new StringBuilder().append(count).append('x').append(need.cpuMillis());
+        after.forEach(s -> text.append('>').append(s));
+        return text.toString();
+    }
+
     /** Returns a builder of a step with this many tasks. */
     public static Builder builder(int count, Need need) {
         return new Builder(count, need);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ArrivalRate;
 import org.lupinpaddle.core.capacity.ServiceReport;
@@ -94,7 +95,9 @@
             state.over(job);
         }
         boolean lasting = spec.steps().stream().anyMatch(StepSpec::longRunning);
-        String detail = "version=" + job.version + " objective-millis=" + job.objectiveMillis() + " lasting=" + lasting;
+        String shape = spec.steps().stream().map(StepSpec::shape).collect(Collectors.joining(","));
+        String detail = "version=" + job.version + " objective-millis=" + job.objectiveMillis() + " lasting=" + lasting
+                + " steps=" + shape;
         state.note(SchedulerEvent.Kind.JOB_TAKEN, job, job.state.name(), detail);
     }
 
