--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
@@ -54,7 +54,12 @@
         /** Later than that, or failed. */
         PAST,
         /** It lasts, was cancelled, or its end is not told. */
-        OPEN
+        OPEN;
+
+        /** Returns whether a job that ended so has missed its objective. */
+        boolean missed() {
+            return this == LATE || this == PAST;
+        }
     }
 
     JobTrace(String service) {
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
@@ -56,6 +56,13 @@
         long hopeless = -1;
         final List<Long> firstStarts = new ArrayList<>();
         final Map<JobTrace.End, Integer> ends = new EnumMap<>(JobTrace.End.class);
+        /** Why jobs missed their objective, of those that were accepted in this second. */
+        final Map<Cause, Integer> causes = new EnumMap<>(Cause.class);
+
+        /** Returns how many jobs missed their objective. */
+        int missed() {
+            return causes.values().stream().mapToInt(Integer::intValue).sum();
+        }
 
         /** Returns another second that has seen the same lines, and no jobs yet. */
         private Second ofLines() {
@@ -184,7 +191,11 @@
             }
             Second s = second(all, j.service, j.acceptedAt);
             s.accepted++;
-            s.ends.merge(j.end(lastLineAt), 1, Integer::sum);
+            JobTrace.End end = j.end(lastLineAt);
+            s.ends.merge(end, 1, Integer::sum);
+            if (end.missed()) {
+                s.causes.merge(Cause.of(j), 1, Integer::sum);
+            }
             if (j.begunAt != JobTrace.UNKNOWN) {
                 s.firstStarts.add(JobTrace.between(j.acceptedAt, j.begunAt));
             }
@@ -197,8 +208,7 @@
         join();
         Map<String, Map<Cause, Integer>> all = new TreeMap<>();
         for (JobTrace j : jobs.values()) {
-            JobTrace.End end = j.end(lastLineAt);
-            if (end == JobTrace.End.LATE || end == JobTrace.End.PAST) {
+            if (j.end(lastLineAt).missed()) {
                 all.computeIfAbsent(j.service, s -> new EnumMap<>(Cause.class)).merge(Cause.of(j), 1, Integer::sum);
             }
         }
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadTable.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadTable.java
@@ -17,14 +17,18 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** Writes a {@link LoadReport} as a table of text. */
 final class LoadTable {
 
     private static final double MILLIS = 1_000;
+    // As many as a turn of high demand has.
+    private static final int WORST_SECONDS = 5;
 
     private LoadTable() {}
 
@@ -36,10 +40,32 @@
         report.causes()
                 .forEach((service, causes) ->
                         causes.forEach((c, n) -> lines.add(String.format("  %-16s %5d  %s", service, n, c.words()))));
+        report.seconds().forEach((service, seconds) -> addWorst(lines, service, seconds));
         report.seconds().forEach((service, seconds) -> addService(lines, service, seconds));
         return lines;
     }
 
+    /** Adds the seconds in which most jobs were accepted that missed their objective, the worst first. */
+    private static void addWorst(List<String> lines, String service, TreeMap<Long, LoadReport.Second> seconds) {
+        List<Map.Entry<Long, LoadReport.Second>> worst = seconds.entrySet().stream()
+                .filter(e -> e.getValue().missed() > 0)
+                .sorted(Comparator.comparingInt(e -> -e.getValue().missed()))
+                .limit(WORST_SECONDS)
+                .toList();
+        if (worst.isEmpty()) {
+            return;
+        }
+        lines.add("worst seconds of " + service + ":");
+        worst.forEach(e -> lines.add(worstRow(e.getKey(), e.getValue())));
+    }
+
+    private static String worstRow(long second, LoadReport.Second s) {
+        String causes = s.causes.entrySet().stream()
+                .map(e -> e.getValue() + " " + e.getKey().words())
+                .collect(Collectors.joining(", "));
+        return String.format("  %6d  %d of %d missed: %s", second, s.missed(), s.accepted, causes);
+    }
+
     private static void addService(List<String> lines, String service, TreeMap<Long, LoadReport.Second> seconds) {
         lines.add("");
         lines.add(service + "  (a job counts in the second in which it was accepted; first start in s)");
--- a/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
+++ b/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
@@ -78,6 +78,13 @@
             assertEquals(List.of(3_100L), s.firstStarts);
         }
 
+        @Test
+        void thatMissedTellTheirCauseInTheSecondInWhichTheyWereAccepted() {
+            LoadReport r = report(aLateJob());
+            assertEquals(Map.of(Cause.ROOM, 1), second(r, "clips", 10).causes);
+            assertEquals(0, second(r, "clips", 13).missed());
+        }
+
         @Test
         void countOnceHoweverOftenTheReportIsAsked() {
             LoadReport r = report(aLateJob());
@@ -178,6 +185,13 @@
             assertTrue(ImageIO.read(picture.toFile()).getWidth() > 0);
         }
 
+        @Test
+        void tellTheWorstSecondsWithTheirCauses() {
+            List<String> table = LoadTable.lines(report(aLateJob()));
+            int title = table.indexOf("worst seconds of clips:");
+            assertEquals("      10  1 of 1 missed: 1 waited for room", table.get(title + 1));
+        }
+
         @Test
         void withoutTimesOrEventsGiveAnEmptyTable(@TempDir Path folder) throws IOException {
             Path log = Files.write(folder.resolve("all.log"), List.of("nothing here", "event=accept job=a"));
