--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/MaxFlow.java
@@ -0,0 +1,111 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** The largest flow through a network whose connections have capacities, by Dinic's algorithm. */
+final class MaxFlow {
+
+    private static final int UNREACHED = -1;
+
+    private final List<List<Edge>> edges = new ArrayList<>();
+    private final int[] level;
+    private final int[] next;
+
+    /** A connection, or the way back along one: its capacity is what may still flow. */
+    private static final class Edge {
+        final int to;
+        final int reverse;
+        long capacity;
+
+        Edge(int to, int reverse, long capacity) {
+            this.to = to;
+            this.reverse = reverse;
+            this.capacity = capacity;
+        }
+    }
+
+    /** Makes a network of this many nodes, without connections. */
+    MaxFlow(int nodes) {
+        for (int i = 0; i < nodes; i++) {
+            edges.add(new ArrayList<>());
+        }
+        level = new int[nodes];
+        next = new int[nodes];
+    }
+
+    /** Connects two nodes, one way. */
+    void connect(int from, int to, long capacity) {
+        List<Edge> there = edges.get(from);
+        List<Edge> back = edges.get(to);
+        there.add(new Edge(to, back.size(), capacity));
+        back.add(new Edge(from, there.size() - 1, 0));
+    }
+
+    /** Returns the largest flow; it uses the capacities up, so it can be asked for once. */
+    long most(int source, int sink) {
+        long all = 0;
+        while (reaches(source, sink)) {
+            Arrays.fill(next, 0);
+            long more = push(source, sink, Long.MAX_VALUE);
+            while (more > 0) {
+                all += more;
+                more = push(source, sink, Long.MAX_VALUE);
+            }
+        }
+        return all;
+    }
+
+    /** Sets each node's distance from the source; returns whether the sink has one. */
+    private boolean reaches(int source, int sink) {
+        Arrays.fill(level, UNREACHED);
+        level[source] = 0;
+        ArrayDeque<Integer> reached = new ArrayDeque<>(List.of(source));
+        while (!reached.isEmpty()) {
+            int node = reached.remove();
+            for (Edge e : edges.get(node)) {
+                if (e.capacity > 0 && level[e.to] == UNREACHED) {
+                    level[e.to] = level[node] + 1;
+                    reached.add(e.to);
+                }
+            }
+        }
+        return level[sink] != UNREACHED;
+    }
+
+    /** Sends what one shortest way still takes, up to a limit; returns 0 when there is none left. */
+    private long push(int node, int sink, long limit) {
+        if (node == sink) {
+            return limit;
+        }
+        for (; next[node] < edges.get(node).size(); next[node]++) {
+            Edge e = edges.get(node).get(next[node]);
+            if (e.capacity > 0 && level[e.to] == level[node] + 1) {
+                long sent = push(e.to, sink, Math.min(limit, e.capacity));
+                if (sent > 0) {
+                    e.capacity -= sent;
+                    edges.get(e.to).get(e.reverse).capacity += sent;
+                    return sent;
+                }
+            }
+        }
+        return 0;
+    }
+}
