Tell the wait of every ordered instance: a record without it can not be read

Change: they are required. A record of an older version keeps all instances from orders for as long as one of them could be under way, as any that can not be read.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/RecentOrders.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/RecentOrders.java
@@ -16,7 +16,6 @@
 package org.lupinpaddle.core.fleet;
 
 import java.util.Map;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Which instances the owner of the fleet has ordered lately. It is written before the orders go out, so that a
@@ -26,15 +25,14 @@
  *     to its end. What a life that is over has ordered need not be waited for.
  * @param waitMillisByInstance for how long after the record's writing each of them is to be left alone, in milliseconds
  */
-public record RecentOrders(
-        Map<String, String> lifeByInstance, @Nullable Map<String, Long> waitMillisByInstance) {
+public record RecentOrders(Map<String, String> lifeByInstance, Map<String, Long> waitMillisByInstance) {
 
     /**
      * Returns for how long from the record's writing on a successor leaves the instance alone; {@code most} where the
      * writer has not told, and never more.
      */
     public long waitMillis(String instance, long most) {
-        Long told = waitMillisByInstance == null ? null : waitMillisByInstance.get(instance);
+        Long told = waitMillisByInstance.get(instance);
         return told == null ? most : Math.max(0, Math.min(most, told));
     }
 }
