Let jobs that have begun go first, and begin only those that fit with a margin

Cause: under a queue's turn the least slack first starts each job at its last moment; the next one then takes the room of its last tasks, and nearly all end a little late. Change: within a tier begun jobs go before others; a job not begun counts as in time if 1.25 times its expected chain fits.

--- a/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
@@ -20,10 +20,16 @@
 
 /**
  * How soon a step is to have its workers. First the queue's priority; then steps whose job can still end within its
- * objective, before those that are late and those that are later than a late end still counts; then the least slack.
- * With too little room, serving in the order of arrival would make every job late.
+ * objective, before those that are late and those that are later than a late end still counts; then jobs that have
+ * begun; then the least slack. With too little room, serving in the order of arrival would make every job late, and so
+ * would the least slack alone: each job would begin at its last moment, and the next one take the room of its last tasks.
  */
-record StepUrgency(LiveStep step, int priority, Tier tier, long latestStartMillis) {
+record StepUrgency(LiveStep step, int priority, Tier tier, boolean begun, long latestStartMillis) {
+
+    // By how much longer than expected a job is to fit, to be begun while others wait: room comes bit by bit, and the
+    // longest of some tasks is often longer than expected. On replays of overloaded turns 1.25 served more jobs in time
+    // than 1, and 1.75 fewer.
+    private static final double MARGIN_BEFORE_BEGIN = 1.25;
 
     /** What is still to be won by a job. */
     enum Tier {
@@ -58,7 +64,8 @@
     static final Comparator<StepUrgency> FIRST = (a, b) -> {
         int byPriority = Integer.compare(a.priority, b.priority);
         int byTier = byPriority != 0 ? byPriority : a.tier.compareTo(b.tier);
-        int byStart = byTier != 0 ? byTier : Long.compare(a.latestStartMillis, b.latestStartMillis);
+        int byBegun = byTier != 0 ? byTier : Boolean.compare(b.begun, a.begun);
+        int byStart = byBegun != 0 ? byBegun : Long.compare(a.latestStartMillis, b.latestStartMillis);
         return byStart != 0 ? byStart : byName(a.step, b.step);
     };
 
@@ -70,9 +77,17 @@
     /** Returns the urgency of a step at a time of day. */
     static StepUrgency of(LiveStep s, long wallMillis) {
         LiveJob job = s.job;
-        Tier tier = s.spec.longRunning() ? Tier.ON_TIME : Tier.of(job, s.time, wallMillis + s.tailMillis);
-        long begun = job.beginsMillis(s.time);
-        long latest = s.spec.longRunning() ? begun : begun + job.objectiveMillis() - s.tailMillis;
-        return new StepUrgency(s, job.spec.policy().priority(), tier, latest);
+        int priority = job.spec.policy().priority();
+        long askedAt = job.beginsMillis(s.time);
+        if (s.spec.longRunning()) {
+            return new StepUrgency(s, priority, Tier.ON_TIME, true, askedAt);
+        }
+        boolean begun = job.begun || job.onWorkers();
+        Tier tier = Tier.of(job, s.time, wallMillis + s.tailMillis);
+        if (!begun && tier == Tier.ON_TIME) {
+            long withMargin = Math.round(MARGIN_BEFORE_BEGIN * s.tailMillis);
+            tier = Tier.of(job, s.time, wallMillis + withMargin);
+        }
+        return new StepUrgency(s, priority, tier, begun, askedAt + job.objectiveMillis() - s.tailMillis);
     }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/PlacementPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/PlacementPassTest.java
@@ -69,6 +69,30 @@
             assertEquals("pressed", d.lastStart().jobId());
         }
 
+        @Test
+        void aJobThatHasBegunGoesBeforeOneThatIsMorePressed() {
+            d.workers("w1");
+            d.answers("w1", List.of(), List.of());
+            StepSpec two = StepSpec.builder(2, new StepSpec.Need(4_000, 100, 0))
+                    .estimateMillis(9_000)
+                    .build();
+            d.job("busy", two);
+            d.saved();
+            d.job("pressed", wide(1_000));
+            theWorkerIsFree();
+            assertEquals("busy", d.lastStart().jobId());
+        }
+
+        @Test
+        void aJobThatWouldHardlyEndInTimeIsBegunAfterOneThatSurelyDoes() {
+            oneWorkerIsBusy();
+            d.job("hardly", wide(4_000));
+            d.passes(2_200);
+            d.job("surely", wide(9_000));
+            theWorkerIsFree();
+            assertEquals("surely", d.lastStart().jobId());
+        }
+
         @Test
         void aJobThatIsLateAnywayGoesAfterOneThatIsNot() {
             oneWorkerIsBusy();
