--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -176,10 +176,15 @@
         return w.answer;
     }
 
+    /** The prefix whose watches get no answer; empty for none. */
+    String silentPrefix = "";
+
     /** Answers the watches that wait, with what was written or removed by {@link #remove} since. */
     void tellWatches() {
-        List<Watching> told = List.copyOf(watching);
-        watching.clear();
+        List<Watching> told = watching.stream()
+                .filter(w -> silentPrefix.isEmpty() || !w.prefix.equals(silentPrefix))
+                .toList();
+        watching.removeAll(told);
         told.forEach(w -> w.answer.complete(new StoreChanges(changes(w), revision)));
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
@@ -0,0 +1,225 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.fleet.Errand;
+import org.lupinpaddle.core.fleet.InstanceList;
+import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
+import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
+import org.lupinpaddle.core.job.Policy;
+import org.lupinpaddle.core.job.Repeat;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.placement.Room;
+import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.queue.QueueConfig;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.core.run.EndReport;
+import org.lupinpaddle.core.run.HoldAnswer;
+import org.lupinpaddle.core.run.HoldOrder;
+import org.lupinpaddle.core.run.OrderOutcome;
+import org.lupinpaddle.core.run.PaceOrder;
+import org.lupinpaddle.core.run.RunningReport;
+import org.lupinpaddle.core.run.StartOrder;
+import org.lupinpaddle.core.run.StopOrder;
+import org.lupinpaddle.daemon.port.HoldResult;
+import org.lupinpaddle.daemon.port.InstanceOrders;
+import org.lupinpaddle.daemon.port.WorkerOrders;
+import org.lupinpaddle.daemon.settings.JobSettings;
+
+/** One entry on a store in memory and on virtual time, with workers that do as a test says. */
+final class NodeFixture {
+
+    private static final TaskId FIRST = new TaskId(0, 0, 0);
+    static final long STEP_MILLIS = 10;
+    private static final long LEASE_MILLIS = 3_000;
+    /** What the platform gives a process between its signal to stop and its end, in seconds. */
+    static final long GRACE_SECONDS = 6;
+
+    final FakeKeyValueStore store = new FakeKeyValueStore();
+    final TimedLoop loop = new TimedLoop();
+    final Workers workers = new Workers();
+    final Instances instances = new Instances();
+    final JobNode node = node();
+
+    /** Answers each hold at once when something has ended, else after 20 ms; takes each order. */
+    final class Workers implements WorkerOrders {
+        final List<StartOrder> starts = new ArrayList<>();
+        private final Map<String, List<RunningReport>> running = new HashMap<>();
+        private final Map<String, List<EndReport>> ended = new HashMap<>();
+
+        @Override
+        public CompletableFuture<OrderOutcome> start(StartOrder order, long fence) {
+            starts.add(order);
+            running.put(
+                    order.worker().id(),
+                    List.of(new RunningReport(order.jobId(), order.task(), order.run(), "", 50, -1)));
+            return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+        }
+
+        @Override
+        public CompletableFuture<OrderOutcome> stop(StopOrder order, long fence) {
+            return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+        }
+
+        @Override
+        public CompletableFuture<OrderOutcome> pace(PaceOrder order, long fence) {
+            return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+        }
+
+        @Override
+        public CompletableFuture<HoldResult> hold(HoldOrder order, long fence) {
+            CompletableFuture<HoldResult> r = new CompletableFuture<>();
+            String w = order.worker().id();
+            loop.after(
+                    20,
+                    () -> r.complete(new HoldResult(
+                            OrderOutcome.ACCEPTED,
+                            new HoldAnswer(
+                                    100_000 + loop.clock().millis(),
+                                    running.getOrDefault(w, List.of()),
+                                    ended.getOrDefault(w, List.of())))));
+            return r;
+        }
+
+        void ends(String worker, String job) {
+            running.remove(worker);
+            ended.put(worker, List.of(new EndReport(1, job, FIRST, 1, EndKind.DONE, "")));
+        }
+    }
+
+    /** Lists what it is given; an order is answered when a test says so. */
+    static final class Instances implements InstanceOrders {
+        List<PlatformInstance> all = List.of();
+        final List<CompletableFuture<InstanceOrderOutcome>> orders = new ArrayList<>();
+
+        @Override
+        public CompletableFuture<InstanceList> list() {
+            return CompletableFuture.completedFuture(InstanceList.of(all));
+        }
+
+        @Override
+        public CompletableFuture<InstanceOrderOutcome> order(String i, Errand e, String holder, long fence) {
+            CompletableFuture<InstanceOrderOutcome> r = new CompletableFuture<>();
+            orders.add(r);
+            return r;
+        }
+    }
+
+    private JobNode node() {
+        JobSettings.Bounds bounds = new JobSettings.Bounds(6_000, 300, GRACE_SECONDS, LEASE_MILLIS, 2_000, false);
+        return new JobNode(
+                loop,
+                new JobNode.Parts(
+                        "entry",
+                        1_000,
+                        store,
+                        new FakeRecords(),
+                        workers,
+                        order -> CompletableFuture.completedFuture(Optional.empty()),
+                        instances,
+                        bounds,
+                        loop.clock(),
+                        new JobMeters()));
+    }
+
+    void passes(long millis) {
+        for (long left = millis; left > 0; left -= STEP_MILLIS) {
+            loop.passes(STEP_MILLIS);
+            store.tellWatches();
+        }
+    }
+
+    void lists(String worker, boolean draining) {
+        Room room = new Room(1_000, 8_000, 0);
+        WorkerFacts w = new WorkerFacts(
+                worker, "clips", "at-" + worker, "north", draining, draining ? 2_000 : 0, room, List.of("rack"));
+        store.set("worker/" + worker, RecordCodec.write(w));
+    }
+
+    void handsIn(String id) {
+        handsIn(id, StepSpec.builder(1, new StepSpec.Need(1_000, 1, 0)).build());
+    }
+
+    void handsIn(String id, StepSpec... steps) {
+        Policy policy = new Policy(0, 3, 1.5, 500, false);
+        JobKey key = new JobKey("q", id);
+        JobSpec spec = new JobSpec(key, "clips", "text", List.of(steps), Repeat.ONCE, policy, 0);
+        store.set(JobKeys.job("clips", key), RecordCodec.write(spec));
+    }
+
+    /** The node owns the service and the fleet, and a task runs on each of the workers. */
+    void serves(String... ids) {
+        Policy policy = new Policy(0, 3, 1.5, 500, false);
+        List<QueueConfig> queues = List.of(new QueueConfig("q", "host", "/q/", "clips", policy));
+        List<ServiceConfig> services =
+                List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true));
+        store.set(FakeRecords.CONFIGURATION, RecordCodec.write(new JobConfiguration(1, queues, services, 1 << 18)));
+        for (String w : ids) {
+            lists(w, false);
+            handsIn("job-" + w);
+        }
+        node.start();
+        passes(2_000);
+        assertEquals(ids.length, workers.starts.size(), "one task runs on each worker");
+    }
+
+    void ends(String worker) {
+        workers.ends(worker, jobOn(worker));
+    }
+
+    String jobOn(String worker) {
+        return workers.starts.stream()
+                .filter(s -> s.worker().id().equals(worker))
+                .findFirst()
+                .orElseThrow()
+                .jobId();
+    }
+
+    boolean saysOver(String job) {
+        return RecordCodec.read(store.value(JobKeys.progress("clips", new JobKey("q", job))), JobProgress.class)
+                .get()
+                .over();
+    }
+
+    boolean owns(String duty) {
+        return !store.value(JobKeys.owner(duty)).isEmpty();
+    }
+
+    /** Lets time pass until the duty is free; returns how long that took. */
+    long untilFree(String duty, long mostMillis) {
+        long begun = loop.clock().millis();
+        while (owns(duty) && loop.clock().millis() - begun < mostMillis) {
+            passes(STEP_MILLIS);
+        }
+        return loop.clock().millis() - begun;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/UnheardCancellationTest.java
@@ -0,0 +1,79 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.job.StepSpec;
+
+/**
+ * A caller cancels a job and is told so; the cancellation is in the store. The store goes away in the same moment, before the
+ * watch of the service's jobs has shown it to their owner. When the store is back the list of workers is confirmed first, and
+ * the owner started the job's next step by it, seconds after the cancellation was answered: {@code TASK_PLACED} of step 1
+ * stands 1 s after the store's return in the log, and no {@code JOB_ENDED} before it.
+ */
+class UnheardCancellationTest {
+
+    /** So long after its answer a cancellation is in force. */
+    private static final long CANCEL_MILLIS = 3_000;
+
+    private final NodeFixture f = new NodeFixture();
+
+    private void ofTwoSteps(String job) {
+        StepSpec.Need need = new StepSpec.Need(1_000, 1, 0);
+        f.handsIn(
+                job,
+                StepSpec.builder(1, need).build(),
+                StepSpec.builder(1, need).after(List.of(0)).build());
+    }
+
+    @Test
+    @Tag("known-red")
+    void ofAJobWhoseNextStepComesLaterStartsNothing() {
+        f.serves("w1");
+        f.lists("w2", false);
+        ofTwoSteps("two");
+        f.passes(500);
+        assertEquals(2, f.workers.starts.size());
+        f.store.silentPrefix = JobKeys.inputs("clips");
+        f.store.set(JobKeys.cancel("clips", new JobKey("q", "two")), "cancelled");
+        f.passes(CANCEL_MILLIS);
+        f.ends("w2");
+        f.passes(2_000);
+        assertEquals(2, f.workers.starts.size(), "its owner can not know that it goes on");
+    }
+
+    /** The wait ends with the news. */
+    @Test
+    void ofAnotherJobKeepsNothingBackOnceTheNewsIsThere() {
+        f.serves("w1");
+        f.lists("w2", false);
+        ofTwoSteps("two");
+        f.passes(500);
+        f.store.silentPrefix = JobKeys.inputs("clips");
+        f.passes(CANCEL_MILLIS);
+        f.ends("w2");
+        f.passes(500);
+        f.store.silentPrefix = "";
+        f.passes(500);
+        assertEquals(3, f.workers.starts.size(), "the second step runs");
+    }
+}
