--- a/core/src/test/java/org/lupinpaddle/core/run/RecordPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/RecordPassTest.java
@@ -23,9 +23,11 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.StepSpec;
 
 /** What one write takes, and what becomes of records that the store will never take. */
@@ -77,6 +79,35 @@
         }
     }
 
+    /**
+     * A job is cancelled while hundreds of its tasks run, and the store refuses the record that says so. It was written again
+     * as it was, each second and in vain: the ends on its workers never became durable, so that they were never called empty
+     * and no instance of theirs could be maintained. The log had {@code progress-rejected} and nothing else.
+     */
+    @Nested
+    class ARecordRefusedAfterItsJobHasEnded {
+
+        private static final long RETRY_MILLIS = 1_100;
+
+        @Test
+        @Tag("known-red")
+        void isWrittenWithoutWhatASuccessorCanFindOut() {
+            begins();
+            d.job("a", step(300));
+            d.passes(GATHERING_MILLIS);
+            d.saved();
+            d.scheduler.onCancel(new JobKey("q", "a"));
+            d.passes(GATHERING_MILLIS);
+            List<SchedulerPort.Saving> refused = d.port.saves.remove(0);
+            assertTrue(refused.get(0).progress().tasks().size() > 100);
+            d.scheduler.onSaveRejected(refused);
+            d.passes(RETRY_MILLIS);
+            SchedulerPort.Saving again = d.port.saves.remove(0).get(0);
+            assertEquals(JobState.CANCELLED, again.progress().state());
+            assertTrue(again.progress().tasks().isEmpty(), "workers tell a successor what runs, and it stops that");
+        }
+    }
+
     /** A store that takes 250 ms for its answers, while a large service changes some 700 records a second. */
     @Nested
     class ASlowStore {
--- a/core/src/test/java/org/lupinpaddle/core/run/StragglerPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/StragglerPassTest.java
@@ -22,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.StepSpec;
@@ -101,6 +102,26 @@
             assertTrue(d.port.stops.isEmpty());
         }
 
+        /**
+         * A worker that can not be reached for 2.2 to 2.7 s tells nothing of its tasks. They were stopped for that, and the
+         * stops arrived when it was back: work of seconds thrown away, four days with cuts showed it. The log had
+         * {@code stands-still} with {@code since-millis} equal to the time since the worker's last answer.
+         */
+        @Test
+        @Tag("known-red")
+        void isNotATaskWhoseWorkerIsSilent() {
+            StartOrder first = startedOnTheFirstOfTwo(5_000);
+            String other = first.worker().id().equals("w1") ? "w2" : "w1";
+            tells(first.worker().id(), 1, 10, 0, first);
+            for (int i = 0; i < 4; i++) {
+                d.passes(600);
+                d.answers(other, List.of(), List.of());
+            }
+            assertTrue(d.port.stops.isEmpty(), "nobody knows whether it moves");
+            tells(first.worker().id(), 1, 60, 0, first);
+            assertTrue(d.port.stops.isEmpty(), "it has moved");
+        }
+
         /** The moment must not depend on when the pass was here last: it looks at most workers now and then only. */
         @Test
         void isSeenOnceItsTimeIsUp() {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -148,7 +148,10 @@
         }
         revision++;
         c.puts().forEach(p -> items.put(p.key(), new StoreItem(p.key(), p.value(), revision, p.lease())));
-        c.removals().forEach(items::remove);
+        c.removals().forEach(key -> {
+            items.remove(key);
+            gone.put(key, revision);
+        });
         return new CommitResult(CommitResult.Outcome.MADE, revision, List.of());
     }
 
@@ -179,7 +182,7 @@
     /** The prefix whose watches get no answer; empty for none. */
     String silentPrefix = "";
 
-    /** Answers the watches that wait, with what was written or removed by {@link #remove} since. */
+    /** Answers the watches that wait, with what was written or removed since. */
     void tellWatches() {
         List<Watching> told = watching.stream()
                 .filter(w -> silentPrefix.isEmpty() || !w.prefix.equals(silentPrefix))
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OldAnswerTest.java
@@ -0,0 +1,82 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.fleet.PlatformInstance;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.upkeep.EvacuationRecord;
+import org.lupinpaddle.core.upkeep.UpkeepWave;
+
+/**
+ * The fleet's owner asks for a worker to be empty, the answer comes, and the errand ends before it was acted on, since the
+ * platform's list shows the instance out of order. The list shows it up again, and the owner asks for the same errand on the same
+ * worker anew. Its watch of the store is behind and still holds the answer to the first request: the instance was ordered away
+ * while tasks ran on it. The log shows {@code errand-begun} and {@code errand-ordered} within one tick, and no
+ * {@code worker-emptied} between them.
+ */
+class OldAnswerTest {
+
+    private static final long LIST_MILLIS = 600;
+
+    private final NodeFixture f = new NodeFixture();
+
+    private void lists(PlatformInstance.State state) {
+        boolean unknown = state == PlatformInstance.State.UNKNOWN;
+        PlatformInstance i = new PlatformInstance("m1", "clips", state, "north", "w1");
+        f.instances.all = List.of(unknown ? PlatformInstance.unknown("m1") : i);
+        f.passes(LIST_MILLIS);
+    }
+
+    private String requestFor(String worker) {
+        return f.store.value(JobKeys.evacuation("clips", worker));
+    }
+
+    private boolean saysEmpty(String worker) {
+        return RecordCodec.read(requestFor(worker), EvacuationRecord.class).get().empty();
+    }
+
+    @Test
+    @Tag("known-red")
+    void isNotTakenForTheAnswerToANewRequest() {
+        f.serves("w1");
+        lists(PlatformInstance.State.UP);
+        f.store.set("wave/1", RecordCodec.write(new UpkeepWave(1, List.of("m1"), 60_000, 2)));
+        f.passes(200);
+        assertFalse(requestFor("w1").isEmpty(), "the worker is asked to be empty");
+        lists(PlatformInstance.State.UNKNOWN);
+        f.ends("w1");
+        f.passes(200);
+        assertTrue(saysEmpty("w1"));
+        f.store.silentPrefix = JobKeys.fleet();
+        lists(PlatformInstance.State.DOWN);
+        assertTrue(requestFor("w1").isEmpty(), "the errand is over");
+        f.handsIn("next");
+        f.passes(LIST_MILLIS);
+        assertEquals(2, f.workers.starts.size(), "the worker has work again");
+        lists(PlatformInstance.State.UP);
+        assertFalse(saysEmpty("w1"), "asked anew, and at work");
+        f.passes(2 * LIST_MILLIS);
+        assertEquals(0, f.instances.orders.size(), "its order ends what runs there");
+    }
+}
