Ask leaving workers while ends are written, take no old answer for a new one, write refused records bare, and tell silence from standing still

A worker that leaves is asked every 100 ms now; all others as before. - An instance at work is ordered away: FleetHost took any record of a request that its watch showed, also one older than its own newest write of that key, or one that a queued write is about to replace. Such records are passed over (OwnedRecords.isCurrent). - A record that is refused after its job's end is written without the tasks that are still on workers; a successor hears of those from the workers and stops them. The comment that such a record holds next to nothing was wrong: each task that is on a worker is in it. - Silence of 2.2 to 2.7 s counts as standing still no more: two answers of the worker must have shown the same progress. Ruled out: longer times; none is changed.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -46,6 +46,12 @@
     /** Whether its record goes by itself: a write that held it was refused for good. */
     boolean savedAlone;
 
+    /**
+     * Whether its record leaves out what its workers still have, since the store refused it with that after the job's end.
+     * A successor is told by the workers, and stops what belongs to no job that it knows.
+     */
+    boolean savedBare;
+
     long endedAt = Long.MAX_VALUE;
     private final Map<TaskId, LiveTask> byId = new HashMap<>();
     private final long objectiveMillis;
@@ -150,6 +156,9 @@
     }
 
     JobProgress progress(long wallMillis) {
+        if (savedBare) {
+            return new JobProgress(state, List.of(), "", wallMillis);
+        }
         // Of a job that has ended only what workers still hold matters to a successor.
         List<TaskRecord> touched = tasks.stream()
                 .filter(t -> state.ended() ? t.phase.onWorker() : t.touched())
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -117,6 +117,8 @@
     boolean begunAfresh;
     /** When its progress was last seen to grow. */
     long movedAt = Long.MAX_VALUE;
+    /** How many answers of its worker since then have shown the same progress. */
+    int unmovedAnswers;
     /** Whether an earlier owner has started its run, and may have ordered its end. */
     boolean inherited;
     /** An older run, or another member of its gang, has done the work: it is done once it is off its worker. */
--- a/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
@@ -48,7 +48,9 @@
     // all entries together.
     private static final long WINDOW_MILLIS = 25;
     private static final int MOST_IN_WINDOW = 10;
-    // What is refused for another reason than its size is not to be asked for all the time.
+    // What is refused even without its tasks is refused for another reason than its size, and is not to be asked for
+    // all
+    // the time.
     private static final long REJECTED_RETRY_MILLIS = 1_000;
 
     private final ServiceState state;
@@ -174,7 +176,7 @@
 
     private void endUnkept(LiveJob job) {
         if (job.state.ended()) {
-            // The record of a job that is over holds next to nothing: it is not the record's size.
+            job.savedBare = true;
             state.unsaved.putIfAbsent(job.spec.key(), job);
             notBefore = state.now() + REJECTED_RETRY_MILLIS;
         } else {
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -157,6 +157,7 @@
         t.provenFrom = now;
         t.begunAt = now;
         t.movedAt = now;
+        t.unmovedAnswers = 0;
         state.begun(t.job);
     }
 
@@ -233,6 +234,9 @@
         if (r.percent() != t.percent) {
             t.percent = r.percent();
             t.movedAt = state.now();
+            t.unmovedAnswers = 0;
+        } else {
+            t.unmovedAnswers++;
         }
         if (!r.checkpoint().isEmpty()) {
             t.checkpoint = r.checkpoint();
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -49,6 +49,9 @@
     private static final long HOLD_RETRY_MILLIS = 250;
     // While ends are being made durable the next hold waits, but not longer than this: it also keeps tasks alive.
     private static final long HOLD_WITH_ENDS_MILLIS = 1_000;
+    // One that leaves is asked again meanwhile: what it has listed for 100 ms counts as known here, and it may be gone
+    // before the store has answered. Such a look is one call to the worker, a tenth of a second's worth of its notice.
+    private static final long HOLD_LEAVING_MILLIS = 100;
     // A worker that the platform's list has dropped is kept for as long while it goes on answering.
     private static final long UNLISTED_KEEP_MILLIS = 3_000;
 
@@ -248,7 +251,13 @@
         }
         runs.onHeld(w, sentAt, answer);
         w.holdAwaitsRecords = w.hasPendingEnds();
-        w.holdDueAt = w.holdAwaitsRecords ? now + HOLD_WITH_ENDS_MILLIS : now;
+        w.holdDueAt = w.holdAwaitsRecords ? now + pauseMillis(w) : now;
+    }
+
+    /** Returns how long a worker is left alone while its ends are being made durable. */
+    private static long pauseMillis(LiveWorker w) {
+        boolean mayBeGone = !w.listed || w.facts().draining();
+        return mayBeGone ? HOLD_LEAVING_MILLIS : HOLD_WITH_ENDS_MILLIS;
     }
 
     /** Takes in that a hold was refused or not answered. */
--- a/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
@@ -28,8 +28,11 @@
  */
 final class StragglerPass {
 
-    // Progress is told at least once a second: two answers without any.
+    // Progress is told at least once a second: two answers without any. Time alone does not tell it: a worker that can
+    // not
+    // be reached for 2.2 to 2.7 s is not missed yet, its tasks may well move, and stops reach it when it is back.
     private static final long STILL_MILLIS = 2_200;
+    private static final int STILL_ANSWERS = 2;
     // A long task may take this share of its time for one percent, by an estimate that is off several-fold.
     private static final int STILL_SHARE = 10;
     // A lasting task is at work within its start's time; estimates of that are off several-fold.
@@ -103,7 +106,9 @@
             return !atWork && since > WARM_UP_MILLIS && since > WARM_UP_FACTOR * state.expectedMillis(t.of);
         }
         long since = now - t.movedAt;
-        return since > STILL_MILLIS && since > state.expectedMillis(t.of) / STILL_SHARE;
+        return since > STILL_MILLIS
+                && t.unmovedAnswers >= STILL_ANSWERS
+                && since > state.expectedMillis(t.of) / STILL_SHARE;
     }
 
     private void leaveSlow(LiveWorker w) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -282,7 +282,7 @@
             if (JobKeys.isEvacuation(i.key())) {
                 owned.seen(i.key(), i.revision());
                 EvacuationRecord r = taken(Kind.EVACUATION, i, EvacuationFeed.read(i));
-                if (r != null) {
+                if (r != null && owned.isCurrent(i.key(), i.revision())) {
                     evacuations.put(r, JobKeys.evacuatedService(i.key()));
                 }
             }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnedRecords.java
@@ -45,6 +45,9 @@
     private final String ownerKey;
     private final long fence;
     private final Map<String, Long> revisions = new HashMap<>();
+    /** The newest write of this owner that was answered, also of records that it has removed. */
+    private final Map<String, Long> written = new HashMap<>();
+
     private final List<Map<String, String>> queue = new ArrayList<>();
     private boolean writing;
     /** So many of the next writes go by themselves, since the store refused them together. */
@@ -81,6 +84,14 @@
         revisions.merge(key, revision, Math::max);
     }
 
+    /**
+     * Returns whether a record that a watch shows is the newest as far as this owner knows: it has not written or removed it
+     * since, and is not about to. A watch that is behind would else show an old answer in place of a new request.
+     */
+    boolean isCurrent(String key, long revision) {
+        return revision >= written.getOrDefault(key, 0L) && queue.stream().noneMatch(w -> w.containsKey(key));
+    }
+
     /** Returns how many writes wait for their turn, or for the store. */
     int waiting() {
         return queue.size();
@@ -109,7 +120,10 @@
     private Outcome outcome(Map<String, String> values, CommitResult r) {
         return switch (r.outcome()) {
             case MADE -> {
-                values.forEach((key, value) -> revisions.put(key, value.isEmpty() ? 0 : r.revision()));
+                values.forEach((key, value) -> {
+                    revisions.put(key, value.isEmpty() ? 0 : r.revision());
+                    written.put(key, r.revision());
+                });
                 yield Outcome.SAVED;
             }
             case CONFLICT -> {
@@ -190,6 +204,7 @@
         StoreCommit.Builder b = StoreCommit.builder().when(ownerKey, fence);
         for (String key : keys) {
             revisions.remove(key);
+            written.remove(key);
             b.remove(key);
         }
         store.commit(b.build())
