Tests that fail: a task paced down by an earlier owner stays so

Found while looking for what an owner alone knows as its duty goes: the share at which a filling task works is in no record and no worker tells it. A new owner takes it for the whole and gives no order. Two cases of PacingPassTest.ATaskOfAnEarlierOwner fail.

--- a/core/src/test/java/org/lupinpaddle/core/run/PacingPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/PacingPassTest.java
@@ -18,12 +18,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.job.TaskRecord;
 
 /** Tasks that fill a worker must not hold up those that serve users there. */
 class PacingPassTest {
@@ -116,4 +121,59 @@
             assertEquals(2, d.port.paces.size());
         }
     }
+
+    /**
+     * An owner has paced a filling task down to nothing, and is followed by another before it raised it again. No worker tells at
+     * what share its tasks work, and no record does: the next owner took it to be the whole, gave no order, and the task
+     * stood still for as long as that owner lasted. Read in the code; a log shows {@code TASK_PACED} under the first fence
+     * and none under the second.
+     */
+    @Nested
+    @Tag("known-red")
+    class ATaskOfAnEarlierOwner {
+
+        private final SchedulerDriver next = new SchedulerDriver();
+
+        private void followsWith(StepSpec... steps) {
+            next.workers("w1");
+            List<TaskRecord> held = new ArrayList<>();
+            List<RunningReport> running = new ArrayList<>();
+            for (int i = 0; i < steps.length; i++) {
+                held.add(new TaskRecord(0, i, 0, 1, 0, false, "w1", ""));
+                running.add(new RunningReport("a", new TaskId(0, i, 0), 1, "", 100, 50));
+            }
+            next.job("a", new JobProgress(JobState.RUNNING, held, "", 0), steps);
+            next.passes(10);
+            next.answers("w1", running, List.of());
+        }
+
+        private StepSpec fills() {
+            return StepSpec.builder(1, SchedulerDriver.NEED)
+                    .longRunning(true, 0)
+                    .image("batch", 0, true)
+                    .build();
+        }
+
+        private StepSpec serves() {
+            return StepSpec.builder(1, SchedulerDriver.NEED)
+                    .longRunning(true, 0)
+                    .image("front", 100, false)
+                    .build();
+        }
+
+        @Test
+        void isToldToWorkAtItsWholeSpeedWhereNothingServes() {
+            followsWith(fills());
+            assertEquals(1, next.port.paces.size());
+            assertEquals(100, next.port.paces.get(0).percent());
+        }
+
+        /** Whoever serves there had it paced down, as far as anybody knows: it is let go on slowly, and raised from there. */
+        @Test
+        void beginsSlowlyBesideOneThatServes() {
+            followsWith(serves(), fills());
+            assertEquals(1, next.port.paces.size());
+            assertEquals(40, next.port.paces.get(0).percent());
+        }
+    }
 }
