Do not keep a job waiting for its last attempt that has failed on a proven worker

Cause: the wait of the last attempt, meant for owners to whom all workers are new, would also hold back the answer of a job that can not be done, by up to 2.5 s where workers with room have nothing that ended well last. Change: a failure on a worker whose run before had ended well counts as the task's own; then the last attempt goes out at once.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -63,7 +63,8 @@
     private static final long ELSEWHERE_MILLIS = 4_000;
     // So long the last attempt waits for a worker on which something has ended well: two that fail everything, with a
     // chance failure before, use up three attempts within 0.4 s, before anything can speak against them. The platform
-    // lets a job have nothing at work for 3 s.
+    // lets a job have nothing at work for 3 s. A job that has failed where others end well is not kept waiting for its
+    // answer.
     private static final long PROVEN_MILLIS = 2_500;
 
     final LiveJob job;
@@ -129,6 +130,8 @@
 
     private long elsewhereUntil = Long.MIN_VALUE;
     private long provenUntil = Long.MIN_VALUE;
+    /** Whether it has failed on a worker on which the run before had ended well: then it may fail by itself. */
+    boolean failedWhereOthersEndWell;
     /** Workers that are avoided, by their names, with the life and the moment of the newest reason. */
     private final Map<String, Avoided> avoided = new HashMap<>();
 
@@ -192,6 +195,7 @@
     private boolean isAtLastAttempt() {
         return !step.longRunning()
                 && !step.gang()
+                && !failedWhereOthersEndWell
                 && failures == job.spec.policy().maxAttempts() - 1;
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/run/LastAttemptTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LastAttemptTest.java
@@ -119,4 +119,26 @@
         }
         assertTrue(startOf(task(0)).run() == 3, "the third attempt has been made");
     }
+
+    /** Its caller had better hear soon that it can not be done: it fails where others end well. */
+    @Test
+    void isMadeAtOnceForWhatHasFailedOnAProvenWorker() {
+        d.workers("w1", "w2", "w3");
+        for (String w : List.of("w1", "w2", "w3")) {
+            d.answers(w, List.of(), List.of());
+        }
+        d.job("b", StepSpec.builder(1, SchedulerDriver.NEED).build());
+        accept();
+        String proven = d.lastStart().worker().id();
+        d.passes(50);
+        d.answers(proven, List.of(), List.of(new EndReport(1, "b", task(0), 1, EndKind.DONE, "")));
+        d.job("a", StepSpec.builder(1, SchedulerDriver.NEED).build());
+        accept();
+        assertEquals(proven, d.lastStart().worker().id());
+        fails(task(0), 2);
+        fails(task(0), 1);
+        d.passes(50);
+        accept();
+        assertEquals(3, d.lastStart().run());
+    }
 }
