--- a/core/src/test/java/org/lupinpaddle/core/run/LastAttemptTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LastAttemptTest.java
@@ -58,6 +58,7 @@
         EndReport e = new EndReport(number, "a", t, s.run(), EndKind.FAILED, "");
         d.passes(50);
         d.answers(s.worker().id(), List.of(others), List.of(e));
+        d.passes(50);
         accept();
         return s.worker().id();
     }
@@ -133,12 +134,12 @@
         d.passes(50);
         d.answers(proven, List.of(), List.of(new EndReport(1, "b", task(0), 1, EndKind.DONE, "")));
         d.job("a", StepSpec.builder(1, SchedulerDriver.NEED).build());
+        d.passes(50);
         accept();
+        assertEquals("a", d.lastStart().jobId());
         assertEquals(proven, d.lastStart().worker().id());
         fails(task(0), 2);
         fails(task(0), 1);
-        d.passes(50);
-        accept();
         assertEquals(3, d.lastStart().run());
     }
 }
