Give the wait of a hand-over a class of its own, and put comments right

Comments that the formatter had broken are shorter, one said more than the code does (Candidate.isProven), and one flag is named for what it says. Behaviour is as before: HandOverTest, OwnershipKeeperTest, LeaseRenewalTest, EmptiedWorkerTest, FleetHandOverTest and UnheardCancellationTest pass.

--- a/core/src/main/java/org/lupinpaddle/core/placement/Candidate.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Candidate.java
@@ -30,6 +30,6 @@
     /** Returns how many tasks of one time of a step the worker carries. */
     int carried(StepTime step);
 
-    /** Returns whether the run that ended last on the worker, or has lasted there, went well. */
+    /** Returns whether the run that ended last on the worker ended well; runs that an order has ended do not count. */
     boolean isProven();
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RecordPass.java
@@ -48,9 +48,7 @@
     // all entries together.
     private static final long WINDOW_MILLIS = 25;
     private static final int MOST_IN_WINDOW = 10;
-    // What is refused even without its tasks is refused for another reason than its size, and is not to be asked for
-    // all
-    // the time.
+    // What is refused without its tasks is refused for another reason than its size: it is not asked for all the time.
     private static final long REJECTED_RETRY_MILLIS = 1_000;
 
     private final ServiceState state;
--- a/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
@@ -28,9 +28,8 @@
  */
 final class StragglerPass {
 
-    // Progress is told at least once a second: two answers without any. Time alone does not tell it: a worker that can
-    // not
-    // be reached for 2.2 to 2.7 s is not missed yet, its tasks may well move, and stops reach it when it is back.
+    // Progress is told at least once a second: two answers without any. Time alone does not tell it: a worker out of
+    // reach for 2.2 to 2.7 s is not missed yet, its tasks may well move, and stops reach it when it is back.
     private static final long STILL_MILLIS = 2_200;
     private static final int STILL_ANSWERS = 2;
     // A long task may take this share of its time for one percent, by an estimate that is off several-fold.
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -103,8 +103,8 @@
     private boolean successorTold;
 
     private long tellSuccessorAt = Long.MIN_VALUE;
-    /** Whether the hand-over is that of an entry that ends. */
-    private boolean ends;
+    /** Whether the entry ends with the hand-over. */
+    private boolean entryEnds;
 
     private boolean closed;
 
@@ -411,13 +411,14 @@
     /**
      * Gives no more orders and tells the successor so. Where this process ends, only instances whose order has no answer yet
      * must be left alone, those that an owner before this one ordered lately, whose process may go on, and those counted
-     * that are down for upkeep; where it lives on, all that were ordered lately. The future ends when that is durable and all records are that were asked to
-     * be written before; its caller waits for it only for so long, and the successor then goes by the records as they are.
+     * that are down for upkeep; where it lives on, all that were ordered lately. The future ends when that is durable, and
+     * with it all records that were to be written before. Its caller waits only for so long; the successor then goes by the
+     * records as they are.
      */
     CompletableFuture<Void> handOver(HandOver why) {
         if (handedOver == null) {
             handedOver = new CompletableFuture<>();
-            ends = why.endsTheEntry();
+            entryEnds = why.endsTheEntry();
             finishHandOver(handedOver);
         }
         return handedOver;
@@ -440,7 +441,7 @@
     }
 
     private void tellSuccessor() {
-        if (ends) {
+        if (entryEnds) {
             Set<String> down = planner.inUpkeep();
             // What others have ordered is as recent as before: they may live, and be in touch.
             String own = entry.ownership.life();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipKeeper.java
@@ -73,11 +73,6 @@
     // either.
     private static final long LEAVE_TO_OTHERS_MILLIS = 10_000;
     private static final long LEAST_CAPACITY = 1;
-    // A write without an answer is given up after 1 s, written again 150 ms later and answered within 250 ms by a slow
-    // store. An entry that stops serves on for 3 s, so this takes nothing of a planned stop's time; meanwhile nobody
-    // starts the service's jobs.
-    /** How long a duty's hand-over waits for what its owner alone knows to become durable, in milliseconds. */
-    static final long HAND_OVER_MILLIS = 1_500;
 
     private final KeyValueStore store;
     private final EventLoop loop;
@@ -87,6 +82,7 @@
     private final Listener listener;
     private final PrefixWatch watch;
     private final Members members;
+    private final HandOvers handOvers;
     private final TreeMap<String, Long> owned = new TreeMap<>();
     private final Set<String> duties = new TreeSet<>();
     private final Set<String> attempts = new HashSet<>();
@@ -99,8 +95,6 @@
 
     /** Since when a duty is known to be free. */
     private final Map<String, Long> freeSince = new HashMap<>();
-    /** Fences of duties whose hand-over is under way. */
-    private final Set<Long> handingOver = new HashSet<>();
     /** When a duty was won that this entry owns. */
     private final Map<String, Long> wonAt = new HashMap<>();
 
@@ -140,6 +134,7 @@
         this.listener = listener;
         watch = new PrefixWatch(store, loop, JobKeys.MEMBERS, this);
         members = new Members(watch, loop.clock(), entry, capacity);
+        handOvers = new HandOvers(loop, listener);
     }
 
     void start() {
@@ -464,38 +459,14 @@
     /** Hands a duty over: its owner writes what it alone knows, then the key goes. */
     private void release(String duty, String why) {
         Long fence = owned.get(duty);
-        if (fence == null || handingOver.contains(fence)) {
+        if (fence == null || handOvers.isUnderWay(fence)) {
             return;
         }
-        handedOver(duty, fence, HandOver.TO_ANOTHER_ENTRY)
+        handOvers
+                .begin(duty, fence, HandOver.TO_ANOTHER_ENTRY)
                 .thenRunAsync(() -> removeKey(duty, fence, why), loop::execute);
     }
 
-    /** Asks the owner of a duty to get ready; the future ends when it is, and after {@link #HAND_OVER_MILLIS} at the latest. */
-    private CompletableFuture<Void> handedOver(String duty, long fence, HandOver why) {
-        long begun = loop.clock().millis();
-        handingOver.add(fence);
-        CompletableFuture<Void> ready = new CompletableFuture<>();
-        listener.handOver(duty, why).thenRunAsync(() -> ready.complete(null), loop::execute);
-        EventLoop.Timer bound = loop.after(HAND_OVER_MILLIS, () -> {
-            if (ready.complete(null)) {
-                Log.warn("hand-over-unfinished", "duty", duty, "fence", fence, "millis", HAND_OVER_MILLIS);
-            }
-        });
-        return ready.thenRun(() -> {
-            bound.cancel();
-            handingOver.remove(fence);
-            Log.info(
-                    "hand-over",
-                    "duty",
-                    duty,
-                    "fence",
-                    fence,
-                    "millis",
-                    loop.clock().millis() - begun);
-        });
-    }
-
     private void removeKey(String duty, long fence, String why) {
         if (!owned.remove(duty, fence)) {
             return;
@@ -558,7 +529,7 @@
         }
         stopping = true;
         List<CompletableFuture<Void>> all = new ArrayList<>();
-        owned.forEach((duty, fence) -> all.add(handedOver(duty, fence, HandOver.OF_AN_ENTRY_THAT_ENDS)));
+        owned.forEach((duty, fence) -> all.add(handOvers.begin(duty, fence, HandOver.OF_AN_ENTRY_THAT_ENDS)));
         CompletableFuture.allOf(all.toArray(CompletableFuture[]::new)).thenRunAsync(this::endLease, loop::execute);
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -72,9 +72,9 @@
     private static final long REPORT_CHECK_MILLIS = 120;
     private static final long LOOK_FOR_MISSED_MILLIS = 700;
     private static final long FORGET_EVERY_MILLIS = 5_000;
-    // What was heard is still worth writing when the store comes back: its outages last 3 to 9 s. The key, if it is
-    // there
-    // by then, allows it, and nobody else owns the service.
+    // What was heard is still worth writing when the store comes back: its outages last 3 to 9 s. If the key is there
+    // by
+    // then nobody else owns the service, and it allows the write.
     private static final long REST_MILLIS = 10_000;
     // One line a second and service: what an engineer on call asks first.
     private static final long TELL_LOAD_MILLIS = 1_000;
