Decode the birth that workers state, and log a restart under an id

Change: the field born is decoded once, in the adapter, from a worker's entry and from its answers, into the type WorkerIncarnation; a later or other birth is logged as WORKER_RESTARTED with the source, the tasks there, the cursors and the first number listed, an unreadable one as BIRTH_UNREADABLE, once a worker; both are counted. Nothing is decided by it yet.

--- a/core/src/main/java/org/lupinpaddle/core/placement/WorkerFacts.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/WorkerFacts.java
@@ -20,7 +20,8 @@
 /**
  * What a worker says of itself in the platform's store.
  *
- * @param id names one life of a worker; a restart has another
+ * @param id names the worker; a restart may keep it
+ * @param bornMillis when this life started, see {@link WorkerIncarnation}
  * @param service the service whose pool it belongs to
  * @param address IP and port
  * @param hall the data hall it stands in
@@ -31,6 +32,7 @@
  */
 public record WorkerFacts(
         String id,
+        long bornMillis,
         String service,
         String address,
         String hall,
@@ -39,6 +41,24 @@
         Room room,
         List<String> labels) {
 
+    /** Makes the facts of a worker that does not state its birth. */
+    public WorkerFacts(
+            String id,
+            String service,
+            String address,
+            String hall,
+            boolean draining,
+            long remainingMillis,
+            Room room,
+            List<String> labels) {
+        this(id, WorkerIncarnation.UNKNOWN_BIRTH, service, address, hall, draining, remainingMillis, room, labels);
+    }
+
+    /** Returns which life of the worker these facts are of. */
+    public WorkerIncarnation incarnation() {
+        return new WorkerIncarnation(id, bornMillis);
+    }
+
     /** Returns whether the worker has the label; every worker has the empty one. */
     public boolean hasLabel(String label) {
         return label.isEmpty() || labels.contains(label);
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -25,6 +25,7 @@
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.StepTime;
 import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.placement.WorkerIncarnation;
 
 /**
  * One life of a worker, as the owner of its service sees it: its clock, how long it may keep what it runs,
@@ -47,6 +48,7 @@
     private static final int SILENCES_OUT_OF_REACH = 2;
 
     private WorkerFacts facts;
+    private WorkerIncarnation incarnation;
     private long endsAt = Long.MAX_VALUE;
     final Set<LiveTask> tasks = new LinkedHashSet<>();
     private Room used = Room.NONE;
@@ -109,6 +111,8 @@
     private long keptFrom = NONE_KEPT;
     /** Whether its newest answer shows a run of such a job. */
     boolean runsLeftAlone;
+    /** Whether it has stated a birth that can not be read; logged once. */
+    boolean birthUnreadable;
 
     private final TreeMap<Long, PendingEnd> pending = new TreeMap<>();
 
@@ -119,6 +123,7 @@
 
     LiveWorker(WorkerFacts facts, long inheritedUntil) {
         this.facts = facts;
+        this.incarnation = facts.incarnation();
         this.inheritedUntil = inheritedUntil;
     }
 
@@ -127,6 +132,18 @@
         return facts;
     }
 
+    /** Returns which life of the worker this is, as far as its entry and its answers tell. */
+    WorkerIncarnation incarnation() {
+        return incarnation;
+    }
+
+    /** Takes in a birth that the worker states. */
+    void states(WorkerIncarnation life) {
+        if (life.hasBirth()) {
+            incarnation = life;
+        }
+    }
+
     void update(WorkerFacts f, long now) {
         if (f.draining() && !facts.draining()) {
             endsAt = now + f.remainingMillis();
@@ -394,7 +411,7 @@
 
     /** Returns which of its ends are taken in and which it may forget, for the log. */
     String tellEnds() {
-        return "ends-taken-in=" + takenIn + " may-forget=" + lastDurable();
+        return "ends-taken-in=" + takenIn + " may-forget=" + lastDurable() + " born=" + incarnation.bornMillis();
     }
 
     boolean hasPendingEnds() {
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -61,6 +61,10 @@
         STOP_ORDERED,
         /** A task that fills is to work at another share of its speed. */
         TASK_PACED,
+        /** A worker has started again under its id. */
+        WORKER_RESTARTED,
+        /** A worker states a birth that can not be read. */
+        BIRTH_UNREADABLE,
         /** A worker is taken to hold nothing any more. */
         WORKER_GONE,
         /** A worker has crashed under a task. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -57,6 +57,7 @@
 
     private final ServiceState state;
     private final RunTracker runs;
+    private final RestartTracker restarts;
     private final PlacementPass placement;
     private final Evacuator evacuator;
     private final StragglerPass stragglers;
@@ -77,6 +78,7 @@
         rooms = new RoomPass(state);
         records = new RecordPass(state);
         runs = new RunTracker(state, judge, advisor);
+        restarts = new RestartTracker(state);
         stragglers = new StragglerPass(state, judge);
         placement = new PlacementPass(state, advisor);
         evacuator = new Evacuator(state);
@@ -165,9 +167,12 @@
         Map<String, WorkerFacts> byId = new HashMap<>();
         // An entry that does not say where its worker is leaves what is known of it: it is asked as before.
         listed.stream().filter(f -> !f.address().isEmpty()).forEach(f -> byId.put(f.id(), f));
-        byId.forEach((id, f) -> state.workers
-                .computeIfAbsent(id, i -> new LiveWorker(f, startedAt + state.timing.inheritedMillis()))
-                .update(f, now));
+        byId.forEach((id, f) -> {
+            LiveWorker w = state.workers.computeIfAbsent(
+                    id, i -> new LiveWorker(f, startedAt + state.timing.inheritedMillis()));
+            restarts.onListed(w, f.incarnation());
+            w.update(f, now);
+        });
         state.workers.values().stream()
                 .filter(w -> !byId.containsKey(w.facts().id()))
                 .forEach(w -> w.unlist(now));
@@ -246,6 +251,7 @@
             return;
         }
         long now = state.now();
+        restarts.onAnswer(w, answer);
         w.holdInFlight = false;
         w.answered(answer.clockMillis(), now);
         if (handingOver && !leaves(w)) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
@@ -56,6 +56,8 @@
                     TASK_PACED,
                     STOP_ORDERED,
                     OTHER_ENDS_TOLD,
+                    WORKER_RESTARTED,
+                    BIRTH_UNREADABLE,
                     WORKER_GONE,
                     CRASH_COUNTED,
                     TASK_GIVEN_UP,
