Tests that fail: results of a worker that restarted under its id are passed over and acknowledged

What callers saw: a task that had ended as done ran again on another worker (TWICE). Seen here: of four jobs the one that the worker ended after its restart is not completed ([a, b, c] instead of [a, b, c, x]), and the first poll after the restart acknowledges three results instead of none. Change: tests only; the driver of the scheduler's tests lets a life of a worker answer by its birth and clock, and keeps the logged events.

--- a/core/src/test/java/org/lupinpaddle/core/run/FakePort.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/FakePort.java
@@ -29,6 +29,7 @@
     final List<List<Saving>> saves = new ArrayList<>();
     final List<String> emptied = new ArrayList<>();
     final List<String> lost = new ArrayList<>();
+    final List<SchedulerEvent> events = new ArrayList<>();
 
     @Override
     public void start(StartOrder order) {
@@ -71,5 +72,7 @@
     }
 
     @Override
-    public void note(SchedulerEvent event) {}
+    public void note(SchedulerEvent event) {
+        events.add(event);
+    }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -52,6 +52,11 @@
         return new WorkerFacts(id, "clips", "at-" + id, "north", false, 0, ROOM, List.of("rack-" + id));
     }
 
+    /** Returns what the entry of a worker that states its birth says. */
+    static WorkerFacts born(String id, long bornMillis) {
+        return new WorkerFacts(id, bornMillis, "clips", "at-" + id, "north", false, 0, ROOM, List.of("rack-" + id));
+    }
+
     void workers(String... ids) {
         scheduler.onWorkers(Arrays.stream(ids).map(SchedulerDriver::worker).toList());
         tick();
@@ -102,12 +107,24 @@
 
     /** Lets the worker answer its newest hold. */
     void answers(String worker, List<RunningReport> running, List<EndReport> ended) {
-        HoldOrder last = port.holds.stream()
+        scheduler.onHeld(lastHold(worker), now, new HoldAnswer(100_000 + now, running, ended));
+        tick();
+    }
+
+    /** Lets the life of a worker that was born then answer its newest hold, by its own clock. */
+    void answersAs(
+            String worker, long bornMillis, long clockMillis, List<RunningReport> running, List<EndReport> ended) {
+        HoldOrder last = lastHold(worker);
+        scheduler.onHeld(last, now, new HoldAnswer(bornMillis, clockMillis, running, ended));
+        tick();
+    }
+
+    /** Returns the newest hold that was sent to a worker. */
+    HoldOrder lastHold(String worker) {
+        return port.holds.stream()
                 .filter(h -> h.worker().id().equals(worker))
                 .reduce((a, b) -> b)
                 .orElseThrow();
-        scheduler.onHeld(last, now, new HoldAnswer(100_000 + now, running, ended));
-        tick();
     }
 
     /** Lets the worker keep silent to its newest hold. */
