Model: workers that crash and start again under their ids; a test that fails

What is played: one worker, a rack or a whole service restarts, at once or after a while, once or twice in a row, behind a cut, and while orders are carried out late by whoever lives at the address by then; also workers that crash for another reason come back under their ids, three times in four.

--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -46,6 +46,9 @@
     @Option(name = "--crashing", description = "Some tasks crash each worker that starts them")
     private boolean crashing;
 
+    @Option(name = "--restarts", description = "Some workers crash and start again under their ids")
+    private boolean restarts;
+
     /** Runs the histories that the arguments name. */
     public static void main(String[] args) {
         System.exit(run(args));
@@ -78,6 +81,9 @@
         if (crashing) {
             w.withCrashingTasks(s);
         }
+        if (restarts) {
+            w.withRestarts(s);
+        }
         try {
             w.run();
             return true;
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -193,7 +193,7 @@
 
     /** A worker begins a run; bounds of time do not hold for an order that it carries out late. */
     void started(SimWorker w, StartOrder o, boolean late) {
-        String what = o.jobId() + "." + o.task() + " run " + o.run() + " on " + w.id();
+        String what = o.jobId() + "." + o.task() + " run " + o.run() + " on " + w.life();
         JobTruth job = jobs.get(o.jobId());
         if (job == null) {
             broken(Rule.UNASKED, what + ": no such job");
@@ -287,7 +287,7 @@
         }
         if (kind == EndKind.DONE) {
             t.done = true;
-            t.doneEnds.add(w.id() + "/" + run);
+            t.doneEnds.add(w.life() + "/" + run);
         } else if (kind == EndKind.FAILED) {
             t.failed++;
         }
@@ -310,7 +310,7 @@
         TaskTruth t = job.task(end.task());
         if (end.kind() == EndKind.DONE) {
             t.doneNoted = true;
-            boolean again = t.startedAfter.contains(w.id() + "/" + end.run());
+            boolean again = t.startedAfter.contains(w.life() + "/" + end.run());
             require(
                     Rule.TWICE,
                     !again || lapsedSince,
--- a/model/src/main/java/org/lupinpaddle/model/SimFleet.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimFleet.java
@@ -26,6 +26,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.RecordCodec;
@@ -43,6 +45,8 @@
 
     private static final long LIST_LAG_MILLIS = 800;
     private static final long LAPSE_MILLIS = 4_500;
+    /** A worker's clock counts from anywhere: it may have been up for as long. */
+    private static final int MOST_AGE_MILLIS = 100_000;
 
     private final VirtualTime time;
     private final SimStore store;
@@ -50,6 +54,7 @@
     private final Random random;
     private final Room room;
     private final Supplier<Optional<CrashingTasks>> crashing;
+    private final BooleanSupplier keepsId;
     private final Map<String, Machine> machines = new TreeMap<>();
     private final Map<String, Machine> byAddress = new HashMap<>();
     private final Set<String> maintained = new HashSet<>();
@@ -89,13 +94,15 @@
             Rules rules,
             Random random,
             Room room,
-            Supplier<Optional<CrashingTasks>> crashing) {
+            Supplier<Optional<CrashingTasks>> crashing,
+            BooleanSupplier keepsId) {
         this.time = time;
         this.store = store;
         this.rules = rules;
         this.random = random;
         this.room = room;
         this.crashing = crashing;
+        this.keepsId = keepsId;
     }
 
     void add(String hall, String rack, String pool) {
@@ -126,18 +133,26 @@
             m.worker = null;
             return;
         }
-        WorkerFacts f =
-                new WorkerFacts("w-" + lives++, m.pool, m.address, m.hall, false, 0, room, List.of("kind", m.rack));
-        m.worker = new SimWorker(time, rules, random, f, crashing);
+        long age = random.nextInt(MOST_AGE_MILLIS);
+        m.worker = new SimWorker(time, rules, random, facts(m, "w-" + lives++), age, crashing);
         list(m.worker);
     }
 
+    private WorkerFacts facts(Machine m, String id) {
+        long born = World.EPOCH + time.now();
+        return new WorkerFacts(id, born, m.pool, m.address, m.hall, false, 0, room, List.of("kind", m.rack));
+    }
+
     private void list(SimWorker w) {
         store.set(World.WORKERS + w.id(), RecordCodec.write(w.facts()));
     }
 
     private void unlistLater(SimWorker w) {
-        time.after(LAPSE_MILLIS, () -> store.clear(World.WORKERS + w.id()));
+        time.after(LAPSE_MILLIS, () -> {
+            if (workers().stream().noneMatch(o -> o.id().equals(w.id()))) {
+                store.clear(World.WORKERS + w.id());
+            }
+        });
     }
 
     @Nullable
@@ -153,8 +168,25 @@
                 .toList();
     }
 
-    /** A worker crashes; its instance comes back with another life, or never. */
+    /** A worker crashes; its instance comes back with another life, under a new id as a rule. */
     void crash(SimWorker w, long downMillis) {
+        if (keepsId.getAsBoolean()) {
+            restart(w, downMillis);
+        } else {
+            crash(w, downMillis, this::bringUp);
+        }
+    }
+
+    /** A worker crashes and comes back under its id, knowing nothing of before. */
+    void restart(SimWorker w, long downMillis) {
+        crash(w, downMillis, m -> {
+            m.state = State.UP;
+            m.worker = new SimWorker(time, rules, random, facts(m, w.id()), 0, crashing);
+            list(m.worker);
+        });
+    }
+
+    private void crash(SimWorker w, long downMillis, Consumer<Machine> comesBack) {
         Machine m = machineOf(w);
         if (m == null || !w.isUp()) {
             return;
@@ -164,7 +196,7 @@
         m.state = State.DOWN;
         time.after(downMillis, () -> {
             if (m.state == State.DOWN && m.worker == w) {
-                bringUp(m);
+                comesBack.accept(m);
             }
         });
     }
@@ -210,7 +242,7 @@
         time.after(millis, () -> {
             if (w.isUp()) {
                 list(w);
-            } else {
+            } else if (workers().stream().noneMatch(o -> o.id().equals(w.id()))) {
                 store.clear(World.WORKERS + w.id());
             }
         });
--- a/model/src/main/java/org/lupinpaddle/model/SimWorker.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorker.java
@@ -90,13 +90,14 @@
             Rules rules,
             Random random,
             WorkerFacts facts,
+            long ageMillis,
             Supplier<Optional<CrashingTasks>> crashing) {
         this.time = time;
         this.rules = rules;
         this.random = random;
         this.facts = facts;
         this.crashing = crashing;
-        this.bornAt = time.now() - random.nextInt(100_000);
+        this.bornAt = time.now() - ageMillis;
         this.rate = SLOWEST + random.nextDouble() * (1 - SLOWEST);
     }
 
@@ -104,6 +105,11 @@
         return facts.id();
     }
 
+    /** Returns which life this is: the id alone may be that of several. */
+    String life() {
+        return facts.id() + "@" + facts.bornMillis();
+    }
+
     String hall() {
         return facts.hall();
     }
@@ -136,6 +142,7 @@
         drainsSince = time.now();
         facts = new WorkerFacts(
                 facts.id(),
+                facts.bornMillis(),
                 facts.service(),
                 facts.address(),
                 facts.hall(),
@@ -335,7 +342,10 @@
     private HoldAnswer answer() {
         ends.forEach(e -> e.truth.listed(time.now()));
         return new HoldAnswer(
-                clock(), running(), ends.stream().map(Ended::report).toList());
+                facts.bornMillis(),
+                clock(),
+                running(),
+                ends.stream().map(Ended::report).toList());
     }
 
     /** Returns the runs as an answer to a hold shows them. */
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -104,7 +104,13 @@
                 }
             });
         } else if (t == Trouble.LATE) {
-            world.net.deliver(world.net.lateness(), () -> carryOut(w, to, action, new Carried(fence, true)));
+            world.net.deliver(world.net.lateness(), () -> {
+                // Whoever lives at the address by then: a worker that has restarted under its id takes it for its own.
+                SimWorker then = world.fleet.atAddress(to.address());
+                if (then != null) {
+                    carryOut(then, to, action, new Carried(fence, true));
+                }
+            });
         }
     }
 
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -71,6 +71,7 @@
     final History history = new History(time);
     private long version;
     private @Nullable CrashingTasks crashing;
+    private @Nullable Restarts restarts;
 
     /** Makes the world of a seed, with at most so many faults. */
     public World(long seed, int mostFaults) {
@@ -94,7 +95,7 @@
         net = new Net(time, random);
         store = new SimStore(time);
         rules = new Rules(time);
-        fleet = new SimFleet(time, store, rules, random, site.room(), this::crashing);
+        fleet = new SimFleet(time, store, rules, random, site.room(), this::crashing, this::keepsId);
         faults = new FaultPlan(this, history, mostFaults);
     }
 
@@ -112,6 +113,18 @@
         return this;
     }
 
+    /** Lets workers crash and start again under their ids, beside the other faults. */
+    World withRestarts(long seed) {
+        Restarts r = new Restarts(this, seed);
+        restarts = r;
+        r.plan(TRAFFIC_FROM, TRAFFIC_MILLIS);
+        return this;
+    }
+
+    private boolean keepsId() {
+        return restarts != null && restarts.keepsId();
+    }
+
     /** Returns the tasks that crash their workers, if there are any in this history. */
     Optional<CrashingTasks> crashing() {
         return Optional.ofNullable(crashing);
