Give each life of a worker its own state: results, clock, health and runs start anew with its birth

What callers saw: a task that had ended as done ran again on another worker (TWICE). Cause: everything that an owner knows of a worker was kept under its id, and the platform's pages used to give a restarted worker a new one. A worker that restarts under its id numbers its results from 1; the owner passed over them as known, acknowledged them by the old life's number, called the run vanished and started it elsewhere. Class: an identifier that outlives what it identifies. Change: RestartTracker compares the birth that an answer states with the known one; another birth gets a new LiveWorker. Its lists of runs settle what the earlier life had: shown, it goes on; ended, it counts; neither, it was lost with that life, at once and without a stop, and counts as a crash. A start that is still open is stopped there first. An answer of an earlier life proves what it ended, nothing else. An entry of another birth keeps new tasks away until entry and answers agree. Why it works: no number, deadline or health of one life is ever compared with another's. Conclusion: the cause of the incident is fixed; starts that are under way, acknowledgements and records come next.

--- a/core/src/main/java/org/lupinpaddle/core/run/CrashJudge.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CrashJudge.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.core.run;
 
+import java.util.Collection;
 import java.util.List;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.run.LiveTask.Phase;
@@ -45,10 +46,10 @@
     /** A task that may have crashed its worker, and whether it is known to have run there. */
     record Suspect(LiveTask task, boolean ran) {
 
-        /** Returns those of a worker that is lost, before its tasks are taken off it. */
-        static List<Suspect> on(LiveWorker w) {
+        /** Returns those among the tasks of a worker that is lost, before they are taken off it. */
+        static List<Suspect> among(Collection<LiveTask> tasks) {
             // What was never sent there, or was done before, has not crashed it.
-            return w.tasks.stream()
+            return tasks.stream()
                     .filter(t -> t.phase != Phase.PLACED && !t.finished)
                     .map(t -> new Suspect(t, t.isKnownToRun()))
                     .toList();
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -26,6 +26,7 @@
 import org.lupinpaddle.core.job.TaskRecord;
 import org.lupinpaddle.core.placement.StepTime;
 import org.lupinpaddle.core.placement.Wish;
+import org.lupinpaddle.core.placement.WorkerIncarnation;
 
 /** One task at the owner of its service: where it runs and what has become of its runs. */
 final class LiveTask {
@@ -54,6 +55,7 @@
     }
 
     private static final int ALL_PERCENT = 100;
+    private static final WorkerIncarnation NO_LIFE = new WorkerIncarnation("", WorkerIncarnation.UNKNOWN_BIRTH);
 
     // From the third attempt on, another rack is tried: two failures on one may be the rack's.
     private static final int ATTEMPTS_BEFORE_OTHER_RACK = 2;
@@ -100,6 +102,8 @@
 
     @Nullable
     LiveWorker worker;
+    /** The life of its worker that its newest run was given to. */
+    WorkerIncarnation incarnation = NO_LIFE;
 
     /** The job's version that must be durable before the start goes out. */
     long placedVersion;
@@ -271,6 +275,11 @@
                 onlyProven);
     }
 
+    /** Returns whether its run was given to an earlier life of its worker than the one that answers now. */
+    boolean isOfEarlierLife() {
+        return worker != null && worker.incarnation().differsFrom(incarnation);
+    }
+
     /** Returns the workers on which it has failed and nothing has ended well since. */
     private Set<String> stillDoubted() {
         return avoided.entrySet().stream()
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -48,7 +48,10 @@
     private static final int SILENCES_OUT_OF_REACH = 2;
 
     private WorkerFacts facts;
+    /** As its answers state it: an entry may be older or newer than the life that answers. */
     private WorkerIncarnation incarnation;
+
+    private long incarnationKnownAt = Long.MAX_VALUE;
     private long endsAt = Long.MAX_VALUE;
     final Set<LiveTask> tasks = new LinkedHashSet<>();
     private Room used = Room.NONE;
@@ -123,27 +126,48 @@
 
     LiveWorker(WorkerFacts facts, long inheritedUntil) {
         this.facts = facts;
-        this.incarnation = facts.incarnation();
+        this.incarnation = new WorkerIncarnation(facts.id(), WorkerIncarnation.UNKNOWN_BIRTH);
         this.inheritedUntil = inheritedUntil;
     }
 
+    /** Returns the next life of a restarted worker: nothing of this one's clock, results and health holds for it. */
+    LiveWorker restarted(WorkerIncarnation next, long now) {
+        LiveWorker w = new LiveWorker(facts, now);
+        w.incarnation = next;
+        w.incarnationKnownAt = now;
+        w.listed = listed;
+        w.unlistedSince = unlistedSince;
+        return w;
+    }
+
     @Override
     public WorkerFacts facts() {
         return facts;
     }
 
-    /** Returns which life of the worker this is, as far as its entry and its answers tell. */
+    /** Returns which life of the worker this is, as far as its answers tell. */
     WorkerIncarnation incarnation() {
         return incarnation;
     }
 
-    /** Takes in a birth that the worker states. */
-    void states(WorkerIncarnation life) {
-        if (life.hasBirth()) {
+    /** Takes in the birth that an answer states, where none is known. */
+    void states(WorkerIncarnation life, long now) {
+        if (life.hasBirth() && !incarnation.hasBirth()) {
             incarnation = life;
+            incarnationKnownAt = now;
         }
     }
 
+    /** Returns whether an answer to a poll that was sent then comes from a life that had not ended before this one began. */
+    boolean isKnownBefore(long sentAt) {
+        return incarnationKnownAt < sentAt;
+    }
+
+    /** Returns whether its entry may be that of another life, which may have had other room and labels. */
+    boolean hasEntryOfOtherLife() {
+        return facts.incarnation().differsFrom(incarnation);
+    }
+
     void update(WorkerFacts f, long now) {
         if (f.draining() && !facts.draining()) {
             endsAt = now + f.remainingMillis();
@@ -362,6 +386,8 @@
 
     /** Goes on with the ends of the same life: what is not durable yet must not be forgotten there. */
     void takeOverEnds(LiveWorker before) {
+        incarnation = before.incarnation;
+        incarnationKnownAt = before.incarnationKnownAt;
         takenIn = before.takenIn;
         durableUpTo = before.durableUpTo;
         pending.putAll(before.pending);
--- a/core/src/main/java/org/lupinpaddle/core/run/LossEvidence.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LossEvidence.java
@@ -19,6 +19,8 @@
 enum LossEvidence {
     /** Its address is another life's now. */
     OTHER_LIFE("another life answers at its address", true),
+    /** It answers under the same id, and was born later. */
+    RESTARTED("its worker has restarted under its id", true),
     /** It was silent, and the platform knows of no such life. */
     NOT_LIVING("silent, and the platform lists it on no instance that is up", true),
     /** It can not be reached; it may live on, with nothing that runs. */
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -156,6 +156,7 @@
     private void reserve(LiveTask t, LiveWorker w, int run) {
         t.run = run;
         t.worker = w;
+        t.incarnation = w.incarnation();
         t.ticket = advisor.ticket(t.of, w);
         t.enter(Phase.PLACED, state.now());
         w.add(t);
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -15,46 +15,89 @@
  */
 package org.lupinpaddle.core.run;
 
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.placement.WorkerIncarnation;
+import org.lupinpaddle.core.run.LiveTask.Phase;
 
-/** Notices workers that have started again under their ids, from the births that their entries and answers state. */
+/**
+ * Notices workers that have restarted under their ids. Only an answer of a worker ends its earlier life here; an entry of the
+ * store with another birth may be older or newer than that answer, and keeps new tasks away until both agree.
+ */
 final class RestartTracker {
 
     private final ServiceState state;
+    private final RunTracker runs;
 
-    RestartTracker(ServiceState state) {
+    RestartTracker(ServiceState state, RunTracker runs) {
         this.state = state;
+        this.runs = runs;
     }
 
-    /** Takes in the birth that a worker's entry in the store states. */
-    void onListed(LiveWorker w, WorkerIncarnation life) {
-        onBirth(w, life, "entry");
+    /** Takes in the entry of a worker. */
+    void onListed(LiveWorker w, WorkerFacts f) {
+        logUnreadable(w, f.bornMillis(), "entry");
+        w.update(f, state.now());
     }
 
-    /** Takes in the birth that a worker's answer to a hold states. */
-    void onAnswer(LiveWorker w, HoldAnswer answer) {
+    /**
+     * Returns the life of a worker that has answered a poll which was sent at {@code sentAt}; null for an earlier life
+     * than the known one, whose answer comes late.
+     */
+    @Nullable
+    LiveWorker onAnswer(LiveWorker w, long sentAt, HoldAnswer answer) {
         WorkerIncarnation life = new WorkerIncarnation(w.facts().id(), answer.bornMillis());
-        String ends = answer.ended().isEmpty()
+        logUnreadable(w, answer.bornMillis(), "answer");
+        if (!life.differsFrom(w.incarnation())) {
+            w.states(life, state.now());
+            return w;
+        }
+        // Clocks of hosts may step back between two births: whoever answers what was sent to the known life is no
+        // earlier one.
+        boolean later = life.isLaterThan(w.incarnation()) || w.isKnownBefore(sentAt);
+        return later ? restarted(w, life, answer) : null;
+    }
+
+    private LiveWorker restarted(LiveWorker before, WorkerIncarnation life, HoldAnswer answer) {
+        String first = answer.ended().isEmpty()
                 ? ""
                 : " first-listed-end=" + answer.ended().get(0).number();
-        onBirth(w, life, "answer clock=" + answer.clockMillis() + ends);
+        String detail = "born=" + life.bornMillis() + " clock=" + answer.clockMillis() + first + " tasks="
+                + before.tasks.size() + " before: " + before.tellEnds();
+        state.note(SchedulerEvent.Kind.WORKER_RESTARTED, before, detail);
+        LiveWorker w = before.restarted(life, state.now());
+        state.workers.put(life.id(), w);
+        List.copyOf(before.tasks).forEach(t -> move(t, before, w));
+        return w;
     }
 
-    private void onBirth(LiveWorker w, WorkerIncarnation life, String source) {
-        if (life.bornMillis() == WorkerIncarnation.UNREADABLE_BIRTH) {
-            unreadable(w, source);
-        } else if (life.differsFrom(w.incarnation())) {
-            String detail = "source=" + source + " born=" + life.bornMillis() + " tasks=" + w.tasks.size() + " before: "
-                    + w.tellEnds();
-            state.note(SchedulerEvent.Kind.WORKER_RESTARTED, w, detail);
+    /**
+     * Lets the new life's lists of runs tell what has become of a task. Its start may have reached that life, or may do so
+     * yet, unless its choice has not gone out.
+     */
+    private void move(LiveTask t, LiveWorker before, LiveWorker w) {
+        if (t.phase == Phase.PLACED) {
+            runs.takeBack(t, "worker-restarted");
+            return;
+        }
+        before.remove(t);
+        t.worker = w;
+        w.add(t);
+        if (t.phase == Phase.STARTING) {
+            if (t.unanswered == 0) {
+                // Not known to have reached the earlier life, which has not crashed under it then.
+                t.incarnation = w.incarnation();
+            }
+            state.stop(t, "worker-restarted");
+            runs.stopOthersOfGang(t);
         }
-        w.states(life);
     }
 
-    private void unreadable(LiveWorker w, String source) {
-        if (!w.birthUnreadable) {
+    private void logUnreadable(LiveWorker w, long bornMillis, String source) {
+        if (bornMillis == WorkerIncarnation.UNREADABLE_BIRTH && !w.birthUnreadable) {
             state.note(SchedulerEvent.Kind.BIRTH_UNREADABLE, w, "source=" + source);
+            w.birthUnreadable = true;
         }
-        w.birthUnreadable = true;
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -156,12 +156,19 @@
     }
 
     /** Without one member the others would hold their room and do nothing. */
-    private void stopOthersOfGang(LiveTask t) {
+    void stopOthersOfGang(LiveTask t) {
         if (t.step.gang()) {
             endGang(t, false);
         }
     }
 
+    /** Takes a choice back that has not gone out; a gang starts as a whole or not at all. */
+    void takeBack(LiveTask t, String why) {
+        state.stop(t, why);
+        state.changed(t.job);
+        stopOthersOfGang(t);
+    }
+
     private void begun(LiveTask t, long now) {
         t.paceInherited = t.phase == Phase.RECOVERING;
         t.begunAfresh = t.phase == Phase.STARTING && t.checkpoint.isEmpty();
@@ -210,7 +217,7 @@
         for (LiveTask t : new ArrayList<>(w.tasks)) {
             // Not within one millisecond: the hold may have reached the worker before the order did.
             if (!shown.contains(t) && t.provenFrom < sentAt) {
-                notShown(t);
+                notShown(w, t);
             }
         }
     }
@@ -242,6 +249,7 @@
             return;
         }
         shown.add(t);
+        t.incarnation = w.incarnation();
         t.load = r.load();
         if (r.percent() != t.percent) {
             t.percent = r.percent();
@@ -258,8 +266,12 @@
         }
     }
 
-    private void notShown(LiveTask t) {
-        if (t.phase == Phase.RUNNING) {
+    private void notShown(LiveWorker w, LiveTask t) {
+        if (t.isOfEarlierLife()) {
+            List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.among(List.of(t));
+            lost(t, LossEvidence.RESTARTED);
+            crashes.onLost(w, LossEvidence.RESTARTED, suspects);
+        } else if (t.phase == Phase.RUNNING) {
             // Not known to happen; a stop makes sure before the task runs elsewhere.
             state.stop(t, "run-vanished");
         } else if (t.phase == Phase.STOPPING || t.phase == Phase.RECOVERING) {
@@ -409,13 +421,17 @@
         String detail = "tasks=" + w.tasks.size() + " evidence=" + evidence + " " + w.tellEnds();
         state.note(SchedulerEvent.Kind.WORKER_GONE, w, detail);
         state.workers.remove(w.facts().id());
-        List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.on(w);
+        List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.among(w.tasks);
         for (LiveTask t : new ArrayList<>(w.tasks)) {
-            state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.WORKER_LOST.name(), "evidence=" + evidence);
-            free(t, t.finished ? Phase.DONE : Phase.WAITING);
-            stopOthersOfGang(t);
-            completeIfDone(t.job);
+            lost(t, evidence);
         }
         crashes.onLost(w, evidence, suspects);
     }
+
+    private void lost(LiveTask t, LossEvidence evidence) {
+        state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.WORKER_LOST.name(), "evidence=" + evidence);
+        free(t, t.finished ? Phase.DONE : Phase.WAITING);
+        stopOthersOfGang(t);
+        completeIfDone(t.job);
+    }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -78,7 +78,7 @@
         rooms = new RoomPass(state);
         records = new RecordPass(state);
         runs = new RunTracker(state, judge, advisor);
-        restarts = new RestartTracker(state);
+        restarts = new RestartTracker(state, runs);
         stragglers = new StragglerPass(state, judge);
         placement = new PlacementPass(state, advisor);
         evacuator = new Evacuator(state);
@@ -170,8 +170,7 @@
         byId.forEach((id, f) -> {
             LiveWorker w = state.workers.computeIfAbsent(
                     id, i -> new LiveWorker(f, startedAt + state.timing.inheritedMillis()));
-            restarts.onListed(w, f.incarnation());
-            w.update(f, now);
+            restarts.onListed(w, f);
         });
         state.workers.values().stream()
                 .filter(w -> !byId.containsKey(w.facts().id()))
@@ -245,13 +244,13 @@
 
     /** Takes in a worker's answer to a hold that was sent at {@code sentAt}. */
     public void onHeld(HoldOrder order, long sentAt, HoldAnswer answer) {
-        LiveWorker w = state.workers.get(order.worker().id());
+        LiveWorker known = state.workers.get(order.worker().id());
+        LiveWorker w = known == null ? null : restarts.onAnswer(known, sentAt, answer);
         if (w == null) {
             runs.onHeldByGone(answer);
             return;
         }
         long now = state.now();
-        restarts.onAnswer(w, answer);
         w.holdInFlight = false;
         w.answered(answer.clockMillis(), now);
         if (handingOver && !leaves(w)) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -130,6 +130,7 @@
         long now = now();
         return w.listed
                 && w.fenced
+                && !w.hasEntryOfOtherLife()
                 && !w.facts().draining()
                 && !evacuating.contains(w.facts().id())
                 && w.facts().service().equals(service)
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -20,7 +20,6 @@
 import java.util.List;
 import java.util.Objects;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.JobState;
@@ -98,7 +97,6 @@
 
         /** Guards against passing over results as known because an earlier life of the worker used their numbers. */
         @Test
-        @Tag("known-red")
         void areProcessedThoughAnEarlierLifeUsedTheirNumbers() {
             listed("w1");
             firstLifeEnds("w1", "a", "b", "c");
@@ -111,7 +109,6 @@
 
         /** Guards against acknowledging results of a later life that nobody has processed. */
         @Test
-        @Tag("known-red")
         void areNotAcknowledgedByTheNumbersOfAnEarlierLife() {
             listed("w1");
             firstLifeEnds("w1", "a", "b", "c");
