Acknowledge results only to a worker that has just answered

Cause: a poll that follows a silence carries the number of results that the earlier life may forget; a worker that has restarted meanwhile drops results of its own up to that number before anybody has seen them. Change: a poll acknowledges only within 100 ms of the worker's last answer; after a longer gap a poll that does not wait comes first. Why it works: no worker crashes, starts, is given a task and ends it within that time. Cost: one poll more for each record that takes longer to become durable. Test: WorkerRestartTest, failed before (3 acknowledged instead of 0).

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -41,6 +41,9 @@
     // The longest regular pause between two answers, and the call.
     private static final long EXTEND_WITHIN_MILLIS = 2_600;
 
+    // No worker crashes, starts, is given a task and ends it within this time.
+    private static final long FASTEST_RESTART_MILLIS = 100;
+
     // A lasting task never ends well; after this it has shown what an end would. A third of the 6 s that one may
     // be without a run, so that those that wait get there in time; what fails does so at once as a rule.
     private static final long LASTING_PROOF_MILLIS = 2_000;
@@ -416,6 +419,19 @@
         pending.put(endNumber, new PendingEnd(job, version));
     }
 
+    /**
+     * Returns the number up to which a poll that is sent now may acknowledge results. A worker that has been silent may have
+     * restarted and used the same numbers for results that nobody has seen: it has to answer first.
+     */
+    long acknowledgeable(long now) {
+        return mayAcknowledge(now) ? lastDurable() : 0;
+    }
+
+    /** Returns whether its last answer is so new that no other life can be at work there. */
+    boolean mayAcknowledge(long now) {
+        return now - lastAnswerAt <= FASTEST_RESTART_MILLIS;
+    }
+
     /** Returns the number up to which all ends are durable: what the worker may forget. */
     long lastDurable() {
         long durable = passDurable();
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -393,13 +393,14 @@
             w.holdInFlight = true;
             long wait = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
             boolean look = !w.fenced
+                    || (w.lastDurable() > 0 && !w.mayAcknowledge(now))
                     || w.isDoubted()
                     || w.hasPendingEnds()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             long waits = look ? 0 : wait;
             w.holdAnswerDueAt = now + waits;
-            state.port.hold(
-                    new HoldOrder(w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.lastDurable(), waits));
+            state.port.hold(new HoldOrder(
+                    w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.acknowledgeable(now), waits));
         }
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -116,5 +116,20 @@
             d.passes(10);
             assertEquals(0, d.lastHold("w1").forgetUpTo());
         }
+
+        /** Guards against acknowledging results of a life that has begun since the worker answered last. */
+        @Test
+        void areNotAcknowledgedAfterASilence() {
+            listed("w1");
+            firstLifeEnds("w1", "a", "b", "c");
+            assertEquals(3, d.lastHold("w1").forgetUpTo());
+            d.passes(600);
+            d.silent("w1");
+            d.passes(300);
+            assertEquals(0, d.lastHold("w1").forgetUpTo());
+            d.answersAs("w1", FIRST_BIRTH, OLD_CLOCK + 1_000, List.of(), List.of());
+            d.passes(10);
+            assertEquals(3, d.lastHold("w1").forgetUpTo());
+        }
     }
 }
