Let each new life of a worker refuse the starts of earlier ones that are still under way

What callers saw: a task that is done, or runs elsewhere, runs again. Cause: a start without an answer may be carried out seconds later; the worker's id used to tell its lives apart, so a later one refused it. Under the same id it carries it out. Change: OpenStarts keeps, for each worker, the runs whose start got no answer in the last 15 s; each life that answers for the first time is told to stop them, which bars them there, again and again until it answers; what it lists as running is left out. An entry with a later birth now makes the owner ask at once instead of waiting for a poll that hangs at the earlier life. Why it works: a run that was stopped before it began is refused.

--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/OpenStarts.java
@@ -0,0 +1,99 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.placement.WorkerFacts;
+
+/**
+ * Starts that got no answer. Each may be carried out late, and a worker that has restarted under its id meanwhile takes it for
+ * its own: what the earlier life was told to stop, or has done, would run again. So each life that answers is told to
+ * refuse them.
+ */
+final class OpenStarts {
+
+    /** An order that gets no answer is carried out within this time, if at all. */
+    private static final long LATE_ORDER_MILLIS = 15_000;
+
+    private static final long RESEND_MILLIS = 200;
+    private static final long NOT_DUE = Long.MAX_VALUE;
+
+    private final Map<String, Map<Run, Start>> byWorker = new HashMap<>();
+
+    private record Run(String jobId, TaskId task, int run) {
+
+        static Run of(StopOrder o) {
+            return new Run(o.jobId(), o.task(), o.run());
+        }
+    }
+
+    /** When a start was found to have no answer, and when its worker is told next to refuse it. */
+    private record Start(long since, long refuseAt) {
+
+        boolean mayComeAt(long now) {
+            return now - since <= LATE_ORDER_MILLIS;
+        }
+    }
+
+    /** Takes in that a start got no answer. */
+    void unanswered(StartOrder o, long now) {
+        of(o.worker().id()).put(new Run(o.jobId(), o.task(), o.run()), new Start(now, NOT_DUE));
+    }
+
+    /** Takes in that a life of a worker has answered for the first time: it is to refuse all but what it runs. */
+    void onNewLife(String worker, List<RunningReport> running, long now) {
+        Set<Run> there = new HashSet<>();
+        running.forEach(r -> there.add(new Run(r.jobId(), r.task(), r.run())));
+        of(worker).replaceAll((run, s) -> there.contains(run) ? s : new Start(s.since, now));
+    }
+
+    /** Returns the stops that are due: a worker refuses a run that it was told to stop before it began. */
+    List<StopOrder> due(WorkerFacts worker, long now) {
+        Map<Run, Start> starts = byWorker.get(worker.id());
+        if (starts == null || starts.isEmpty()) {
+            return List.of();
+        }
+        starts.values().removeIf(s -> !s.mayComeAt(now));
+        List<Run> due = starts.entrySet().stream()
+                .filter(e -> e.getValue().refuseAt <= now)
+                .map(Map.Entry::getKey)
+                .toList();
+        due.forEach(r -> starts.computeIfPresent(r, (run, s) -> new Start(s.since, now + RESEND_MILLIS)));
+        return due.stream()
+                .map(r -> new StopOrder(worker, r.jobId, r.task, r.run))
+                .toList();
+    }
+
+    /** Takes in that the worker has answered a stop. Its next life has to be told again. */
+    void refused(StopOrder o) {
+        of(o.worker().id()).computeIfPresent(Run.of(o), (run, s) -> new Start(s.since, NOT_DUE));
+    }
+
+    private Map<Run, Start> of(String worker) {
+        return byWorker.computeIfAbsent(worker, w -> new HashMap<>());
+    }
+
+    /** Forgets the starts that can not come any more. */
+    void forgetOld(long now) {
+        byWorker.values().forEach(m -> m.values().removeIf(s -> !s.mayComeAt(now)));
+        byWorker.values().removeIf(Map::isEmpty);
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -38,7 +38,15 @@
     /** Takes in the entry of a worker. */
     void onListed(LiveWorker w, WorkerFacts f) {
         logUnreadable(w, f.bornMillis(), "entry");
+        boolean restarted = f.incarnation().isLaterThan(w.incarnation())
+                && f.incarnation().differsFrom(w.facts().incarnation());
         w.update(f, state.now());
+        if (restarted) {
+            // A poll that waits at the earlier life may stay without an answer until it times out.
+            w.holdInFlight = false;
+            w.holdDueAt = state.now();
+            w.mustAnswerAgain();
+        }
     }
 
     /**
@@ -47,8 +55,16 @@
      */
     @Nullable
     LiveWorker onAnswer(LiveWorker w, long sentAt, HoldAnswer answer) {
-        WorkerIncarnation life = new WorkerIncarnation(w.facts().id(), answer.bornMillis());
         logUnreadable(w, answer.bornMillis(), "answer");
+        LiveWorker answering = lifeOf(w, sentAt, answer);
+        if (answering != null && !answering.fenced) {
+            state.openStarts.onNewLife(w.facts().id(), answer.running(), state.now());
+        }
+        return answering;
+    }
+
+    private @Nullable LiveWorker lifeOf(LiveWorker w, long sentAt, HoldAnswer answer) {
+        WorkerIncarnation life = new WorkerIncarnation(w.facts().id(), answer.bornMillis());
         if (!life.differsFrom(w.incarnation())) {
             w.states(life, state.now());
             return w;
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -56,6 +56,7 @@
         long now = state.now();
         // Orders end later, so nothing here changes which tasks a worker has.
         for (LiveWorker w : state.workers.values()) {
+            state.openStarts.due(w.facts(), now).forEach(o -> refuse(w, o));
             for (LiveTask t : w.tasks) {
                 if (t.phase != Phase.RUNNING) {
                     sendDue(w, t, now);
@@ -64,6 +65,12 @@
         }
     }
 
+    private void refuse(LiveWorker w, StopOrder o) {
+        String run = o.jobId() + "." + o.task() + "/" + o.run();
+        state.note(SchedulerEvent.Kind.STOP_ORDERED, w, "start-open-at-restart=" + run);
+        state.port.stop(o);
+    }
+
     private void sendDue(LiveWorker w, LiveTask t, long now) {
         if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion && state.knowsWorkers()) {
             t.enter(Phase.STARTING, now);
@@ -90,6 +97,9 @@
     }
 
     void onStarted(StartOrder order, OrderOutcome outcome) {
+        if (outcome == OrderOutcome.UNKNOWN) {
+            state.openStarts.unanswered(order, state.now());
+        }
         LiveTask t = state.task(order.jobId(), order.task());
         if (t == null || t.worker == null || t.run != order.run()) {
             return;
@@ -181,6 +191,9 @@
     }
 
     void onStopped(StopOrder order, OrderOutcome outcome) {
+        if (!outcome.isSilence()) {
+            state.openStarts.refused(order);
+        }
         LiveTask t = state.task(order.jobId(), order.task());
         if (t == null || t.worker == null || t.run != order.run() || t.phase != Phase.STOPPING) {
             return;
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -424,6 +424,7 @@
                 .toList();
         old.forEach(state::remove);
         advisor.forgetEnded();
+        state.openStarts.forgetOld(state.now());
         return old.stream().map(j -> j.spec.key()).toList();
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -50,6 +50,7 @@
     final Map<JobKey, LiveJob> unsaved = new LinkedHashMap<>();
 
     final Map<String, LiveWorker> workers = new HashMap<>();
+    final OpenStarts openStarts = new OpenStarts();
     final RunTimes times = new RunTimes();
     final DemandTrend trend = new DemandTrend();
     final ArrivalRate arrivals = new ArrivalRate();
--- a/model/src/main/java/org/lupinpaddle/model/SimWorker.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorker.java
@@ -61,6 +61,7 @@
     private long deadline;
     private int lapses;
     private long nextEnd = 1;
+    private long firstAnswerAt = World.NEVER;
     private final Map<Name, Running> running = new LinkedHashMap<>();
     private final Map<Name, Integer> closedRuns = new HashMap<>();
     private final List<Ended> ends = new ArrayList<>();
@@ -339,7 +340,13 @@
         return held && takenAwayAt != World.NEVER && !lapsedAsTakenAway && e.wasListedBy(takenAwayAt);
     }
 
+    /** Returns whether it has answered an owner's poll for so long. */
+    boolean hasBeenReachedFor(long millis) {
+        return time.now() - firstAnswerAt >= millis;
+    }
+
     private HoldAnswer answer() {
+        firstAnswerAt = Math.min(firstAnswerAt, time.now());
         ends.forEach(e -> e.truth.listed(time.now()));
         return new HoldAnswer(
                 facts.bornMillis(),
