Send a start again only to a worker that has answered since, and take any answer for a sign of life

What callers saw: a task runs twice at one time. Cause: an owner that took a silent worker for lost, by the platform's list of instances, looked at answers to polls only; the list lags, and the worker had restarted under its id and accepted a start 70 ms before. And a start that got no answer was sent again to a worker of which nothing was heard, so that it reached whichever life came next. Change: any answer counts as a sign of life when the list says that a worker is gone; a start is repeated once the worker has answered something, which the poll sent at once after the silence brings about. Why it works: what a worker has accepted after the list was made is never called lost by that list.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -347,6 +347,11 @@
         silences = 0;
     }
 
+    /** Returns when anything came back from it last. */
+    long lastResponseAt() {
+        return Math.max(heardAt, lastAnswerAt);
+    }
+
     /**
      * Takes in that an order or a hold that the worker was to answer at {@code dueAt} got no answer: whether it can be
      * reached is open until it answers. One that has answered something else meanwhile can be reached, and only the one
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -79,6 +79,10 @@
             return;
         }
         if (t.phase == Phase.STARTING) {
+            if (t.unanswered > 0 && w.isDoubted()) {
+                // It may have restarted; the next answer to a poll tells by which life the start is carried out.
+                return;
+            }
             t.orderInFlight = true;
             t.orderSentAt = now;
             state.port.start(new StartOrder(
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -147,7 +147,7 @@
 
     /** Returns whether the worker had been missed by then, and has not answered since. */
     boolean wasMissed(LiveWorker w, long then) {
-        return then - Math.max(w.lastAnswerAt, startedAt) > timing.silentMillis();
+        return then - Math.max(w.lastResponseAt(), startedAt) > timing.silentMillis();
     }
 
     /** Returns whether another worker could take the task now. */
