Name the life of a worker in the records of tasks, so that a new owner knows a crash when it sees one

What callers saw: workers that are lost to one task without end (BUDGET). Cause: a record named a worker by its id alone, so a successor took a run that had been lost with an earlier life for one that never began, and counted no crash. Change: the array of a task's record ends with the birth of its worker's life (null where unknown). Why it works: what a successor finds missing on a later life was lost with the one before, which is the evidence that its predecessor would have had.

--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/job/BirthOrUnreadable.java
@@ -0,0 +1,47 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.job;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import java.io.IOException;
+
+/** Reads the birth of a worker, without which the rest of its record is worth keeping. */
+final class BirthOrUnreadable extends StdDeserializer<Long> {
+
+    /** Stands for a value that is no birth. */
+    static final long UNREADABLE = -1;
+
+    private static final long serialVersionUID = 1;
+
+    BirthOrUnreadable() {
+        super(Long.class);
+    }
+
+    @Override
+    public Long deserialize(JsonParser p, DeserializationContext context) throws IOException {
+        boolean whole = p.currentToken() == JsonToken.VALUE_NUMBER_INT
+                && p.getNumberType() != JsonParser.NumberType.BIG_INTEGER
+                && p.getLongValue() > 0;
+        if (whole) {
+            return p.getLongValue();
+        }
+        p.skipChildren();
+        return UNREADABLE;
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
@@ -43,10 +43,16 @@
                 : Optional.of(Unreadable.Reason.OUT_OF_RANGE.in("tasks"));
     }
 
-    /** Returns what is wrong with a part that the rest can do without: its tasks' counts of crashes begin anew. */
+    /**
+     * Returns what is wrong with a part that the rest can do without: counts of crashes begin anew, and of the lives of
+     * workers nothing is known.
+     */
     public Optional<Unreadable> unreadablePart() {
-        return tasks.stream().anyMatch(TaskRecord::hasUnreadableCrashes)
-                ? Optional.of(Unreadable.Reason.OUT_OF_RANGE.in("tasks.crashes"))
+        if (tasks.stream().anyMatch(TaskRecord::hasUnreadableCrashes)) {
+            return Optional.of(Unreadable.Reason.OUT_OF_RANGE.in("tasks.crashes"));
+        }
+        return tasks.stream().anyMatch(TaskRecord::hasUnreadableBirth)
+                ? Optional.of(Unreadable.Reason.OUT_OF_RANGE.in("tasks.workerBornMillis"))
                 : Optional.empty();
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
@@ -35,6 +35,8 @@
  * @param checkpoint what the newest run had saved; empty for nothing, and once done outside a gang
  * @param crashes how many workers have crashed while they ran it; null from a version that does not count them
  * @param doubtfulCrashes how many more have crashed that may not have begun it; null as above
+ * @param workerBornMillis which life of the worker was given the newest run, by the time of its start in milliseconds since
+ *     1970; null where that is not known, or no worker holds it
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -47,7 +49,8 @@
     "worker",
     "checkpoint",
     "crashes",
-    "doubtfulCrashes"
+    "doubtfulCrashes",
+    "workerBornMillis"
 })
 public record TaskRecord(
         int time,
@@ -63,12 +66,35 @@
         Integer crashes,
 
         @JsonDeserialize(using = CountOrUnreadable.class) @Nullable
-        Integer doubtfulCrashes) {
+        Integer doubtfulCrashes,
+
+        @JsonDeserialize(using = BirthOrUnreadable.class) @Nullable
+        Long workerBornMillis) {
 
     /** Makes the record of a task under which no worker has crashed. */
     public TaskRecord(
             int time, int step, int index, int run, int failures, boolean done, String worker, String checkpoint) {
-        this(time, step, index, run, failures, done, worker, checkpoint, 0, 0);
+        this(time, step, index, run, failures, done, worker, checkpoint, 0, 0, null);
+    }
+
+    /** Returns when the life of the worker began that was given the newest run; 0 where nobody can tell. */
+    public long knownWorkerBornMillis() {
+        return workerBornMillis == null ? 0 : Math.max(0, workerBornMillis);
+    }
+
+    /** Makes the record of a task that may have crashed workers, and whose worker's life is not known. */
+    public TaskRecord(
+            int time,
+            int step,
+            int index,
+            int run,
+            int failures,
+            boolean done,
+            String worker,
+            String checkpoint,
+            int crashes,
+            int doubtfulCrashes) {
+        this(time, step, index, run, failures, done, worker, checkpoint, crashes, doubtfulCrashes, null);
     }
 
     /** Returns how many workers are known to have crashed while they ran it; none where nobody can tell. */
@@ -91,6 +117,12 @@
         return (crashes != null && crashes < 0) || (doubtfulCrashes != null && doubtfulCrashes < 0);
     }
 
+    /** Returns whether something else stands where the birth of a worker is to stand. */
+    @JsonIgnore
+    public boolean hasUnreadableBirth() {
+        return workerBornMillis != null && workerBornMillis < 0;
+    }
+
     /** Returns whether all numbers have a meaning. */
     boolean isSound() {
         return time >= 0 && step >= 0 && index >= 0 && run >= 0 && failures >= 0;
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -213,6 +213,7 @@
         failures = r.failures();
         crashed(r.knownCrashes(), r.knownDoubtfulCrashes(), now);
         checkpoint = r.checkpoint();
+        incarnation = new WorkerIncarnation(r.worker(), r.knownWorkerBornMillis());
         finished = r.done() && !r.worker().isEmpty();
         provenUntil = provenBy(now);
     }
@@ -318,6 +319,8 @@
         boolean done = phase == Phase.DONE || finished;
         // What is done goes on nowhere; only members of a gang go on from each other's.
         String from = done && !step.gang() ? "" : checkpoint;
-        return new TaskRecord(id.time(), id.step(), id.index(), run, failures, done, w, from, crashes, doubtfulCrashes);
+        Long born = worker != null && incarnation.hasBirth() ? (Long) incarnation.bornMillis() : null;
+        return new TaskRecord(
+                id.time(), id.step(), id.index(), run, failures, done, w, from, crashes, doubtfulCrashes, born);
     }
 }
--- a/core/src/test/java/org/lupinpaddle/core/common/RecordCodecProperties.java
+++ b/core/src/test/java/org/lupinpaddle/core/common/RecordCodecProperties.java
@@ -37,10 +37,12 @@
 import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Assume;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.LongRange;
 import org.lupinpaddle.core.fleet.RecentOrders;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
@@ -61,7 +63,7 @@
             new JobProgress(JobState.RUNNING, List.of(new TaskRecord(0, 0, 1, 2, 1, false, "w1", "cp")), "why", 9);
 
     /** The members without which the rest of a record is worth keeping. */
-    private static final Set<String> CRASHES = Set.of("/tasks/0/8", "/tasks/0/9");
+    private static final Set<String> CRASHES = Set.of("/tasks/0/8", "/tasks/0/9", "/tasks/0/10");
 
     private static final List<Object> RECORDS = List.of(
             new JobSpec(
@@ -220,6 +222,40 @@
                 p, RecordCodec.read(RecordCodec.write(p), JobProgress.class).get());
     }
 
+    /** As a version writes it that does not know that workers restart under their ids. */
+    @Example
+    void ofTasksWithoutTheBirthOfTheirWorkerAreRead() {
+        JsonNode tree = tree(PROGRESS);
+        ((ArrayNode) tree.at("/tasks/0")).remove(10);
+        TaskRecord read = RecordCodec.read(tree.toString(), JobProgress.class)
+                .get()
+                .tasks()
+                .get(0);
+        assertEquals(0, read.knownWorkerBornMillis());
+        assertFalse(read.hasUnreadableBirth());
+    }
+
+    @Property(tries = 100)
+    void ofTasksWithSomethingElseThanABirthAreReadAsOfAnUnknownLife(@ForAll("noCounts") JsonNode value) {
+        Assume.that(!value.canConvertToLong() || value.longValue() <= 0);
+        JsonNode tree = tree(PROGRESS);
+        set(tree.at("/tasks/0"), "10", value);
+        TaskRecord read = RecordCodec.read(tree.toString(), JobProgress.class)
+                .get()
+                .tasks()
+                .get(0);
+        assertEquals(0, read.knownWorkerBornMillis(), tree.toString());
+        assertEquals("w1", read.worker());
+    }
+
+    @Property(tries = 50)
+    void ofTasksComeBackWithTheBirthOfTheirWorker(@ForAll @LongRange(min = 1) long born) {
+        TaskRecord t = new TaskRecord(0, 0, 1, 2, 1, false, "w1", "cp", 0, 0, born);
+        JobProgress p = new JobProgress(JobState.RUNNING, List.of(t), "", 9);
+        assertEquals(
+                p, RecordCodec.read(RecordCodec.write(p), JobProgress.class).get());
+    }
+
     /** As a version writes it that does not count. */
     @Example
     void ofTasksWithoutACountOfCrashesAreRead() {
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -16,15 +16,20 @@
 package org.lupinpaddle.core.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
+import org.lupinpaddle.core.job.TaskRecord;
+import org.lupinpaddle.core.placement.WorkerIncarnation;
 
 /** A worker that restarts under its id: its results, its clock and its runs start anew. */
 class WorkerRestartTest {
@@ -132,4 +137,140 @@
             assertEquals(3, d.lastHold("w1").forgetUpTo());
         }
     }
+
+    /** Returns the newest record of a job's task. */
+    private TaskRecord written() {
+        d.passes(50);
+        List<List<SchedulerPort.Saving>> saves = d.port.saves;
+        return saves.get(saves.size() - 1).get(0).progress().tasks().get(0);
+    }
+
+    @Nested
+    class ARun {
+
+        /** Guards against waiting for a stop, or a deadline, of what was lost with an earlier life. */
+        @Test
+        void thatWasLostIsStartedAgainAtOnceAndCountsAsACrash() {
+            listed("w1", "w2");
+            StartOrder s = started("a");
+            String lost = s.worker().id();
+            d.answersAs(lost, FIRST_BIRTH, OLD_CLOCK + 100, List.of(running("a", 1)), List.of());
+            d.answersAs(lost, SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
+            assertEquals(1, written().knownCrashes());
+            d.saved();
+            assertEquals(2, d.lastStart().run());
+            assertEquals(List.of(), d.port.stops);
+        }
+
+        /** Guards against a second run of what the new life has accepted already. */
+        @Test
+        void thatTheNewLifeRunsGoesOn() {
+            listed("w1", "w2");
+            StartOrder s = started("a");
+            d.answersAs(s.worker().id(), SECOND_BIRTH, NEW_CLOCK, List.of(running("a", 1)), List.of());
+            d.answersAs(s.worker().id(), SECOND_BIRTH, NEW_CLOCK + 100, List.of(), List.of(done(1, "a", 1)));
+            assertEquals(List.of("a"), ended(JobState.COMPLETED));
+            assertEquals(1, d.port.starts.size());
+        }
+
+        /** Guards against a second run of what an earlier life has done and says so late. */
+        @Test
+        void thatAnEarlierLifeHasDoneStaysDone() {
+            listed("w1");
+            StartOrder s = started("a");
+            HoldOrder early = d.lastHold("w1");
+            long sentAt = d.now;
+            d.silent("w1");
+            d.passes(300);
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(running("a", 1)), List.of());
+            d.scheduler.onHeld(
+                    early, sentAt, new HoldAnswer(FIRST_BIRTH, OLD_CLOCK, List.of(), List.of(done(7, "a", s.run()))));
+            d.passes(10);
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK + 100, List.of(), List.of(done(1, "a", 1)));
+            assertEquals(List.of("a"), ended(JobState.COMPLETED));
+            assertEquals(1, d.port.starts.size());
+        }
+    }
+
+    @Nested
+    class AnOrder {
+
+        /** Guards against deadlines by the clock of an earlier life: the new one would cut them short or stretch them. */
+        @Test
+        void carriesADeadlineOfTheNewLifesClock() {
+            listed("w1");
+            d.passes(10);
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            StartOrder s = started("a");
+            assertTrue(s.deadlineMillis() < NEW_CLOCK + 2 * SchedulerDriver.HOLD_MILLIS, () -> "" + s.deadlineMillis());
+        }
+
+        /** Guards against placing by the room and labels that an earlier life had. */
+        @Test
+        void waitsForTheEntryOfTheNewLife() {
+            listed("w1");
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
+            d.job("a", ONE);
+            d.passes(50);
+            d.saved();
+            assertEquals(0, d.port.starts.size());
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            d.passes(50);
+            d.saved();
+            assertEquals(1, d.port.starts.size());
+        }
+    }
+
+    @Nested
+    class UnderANewOwner {
+
+        private void recovers(@Nullable Long recordedBirth) {
+            TaskRecord r = new TaskRecord(0, 0, 0, 1, 0, false, "w1", "", 0, 0, recordedBirth);
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            d.job("a", new JobProgress(JobState.RUNNING, List.of(r), "", 0), ONE);
+            d.passes(10);
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
+        }
+
+        /** Guards against starting a task without end since each owner takes its lost run for one that never began. */
+        @Test
+        void aRunOfAnEarlierLifeMayHaveCrashedIt() {
+            recovers(FIRST_BIRTH);
+            assertEquals(1, written().knownDoubtfulCrashes());
+        }
+
+        /** Guards against blaming a task whose record, by an earlier version, does not name a life. */
+        @Test
+        void aRunOfAnUnknownLifeCountsForNothing() {
+            recovers(null);
+            assertEquals(0, written().knownDoubtfulCrashes());
+        }
+
+        @Test
+        void theRecordNamesTheLife() {
+            listed("w1");
+            started("a");
+            d.job("b", ONE);
+            assertEquals(FIRST_BIRTH, written().knownWorkerBornMillis());
+        }
+    }
+
+    @Nested
+    class AnUnreadableBirth {
+
+        /** Guards against losing a worker, or a pass, to a birth that nobody can read. */
+        @Test
+        void isLoggedOnceAndTheWorkerIsUsed() {
+            long unreadable = WorkerIncarnation.UNREADABLE_BIRTH;
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", unreadable)));
+            d.passes(1);
+            d.answersAs("w1", unreadable, OLD_CLOCK, List.of(), List.of());
+            started("a");
+            long logged = d.port.events.stream()
+                    .filter(e -> e.kind() == SchedulerEvent.Kind.BIRTH_UNREADABLE)
+                    .count();
+            assertEquals(1, logged);
+        }
+    }
 }
