Reckon a restarted worker's runs alive for as long as any worker keeps them, where orders for its earlier life reach it

What callers saw: a task runs twice at one time. Cause: a worker's deadline is on its own clock, which starts anew with its life. An order with a deadline by the earlier clock reaches the new life as one far ahead, which it cuts to the longest it keeps; the owner reckoned with its own 5 s and started the task elsewhere while the worker, cut off again, still ran it. Evidence: model (up to 6 faults): restarted at 19,269 ms, cut off at 21,899, given up at 29,300, started elsewhere at 29,576 while it still ran. Change: for a life to which such orders may come, the moment from which nothing runs there lies no earlier than the longest time that a worker keeps anything, counted from the last such order. Cost: what runs on a worker that restarts and falls silent within 10 s waits up to 5 s longer, 20 s where starts are under way. Why it works: the worker never keeps anything longer than that. Test: WorkerRestartTest.ALifeThatFallsSilent, failed without the change.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -107,6 +107,8 @@
     private long furthestDeadline;
     /** Until when an earlier owner's orders may keep something alive here. */
     private long inheritedUntil;
+    /** Until when a deadline by the clock of an earlier life may keep something alive here: orders for that life reach this one. */
+    private long otherClocksUntil = Long.MIN_VALUE;
 
     /** Ends up to this number have been taken in. */
     long takenIn;
@@ -377,11 +379,21 @@
         return silences >= SILENCES_OUT_OF_REACH;
     }
 
+    /** Takes in that orders for an earlier life, with deadlines by its clock, may keep something alive here until then. */
+    void orderedByOtherClocksUntil(long until) {
+        otherClocksUntil = until;
+    }
+
+    /** Returns how long a time on a worker's clock takes at most. */
+    static long longestByOwnClock(long millis) {
+        return (long) (millis * SLOWEST_CLOCK) + CLOCK_SLACK_MILLIS;
+    }
+
     /** Returns from when on nothing runs here any more, if no order reaches the worker from now on. */
     long emptyAt() {
         long own = Math.max(0, furthestDeadline - clockMillis);
-        long byOwn = clockReadAt + (long) (own * SLOWEST_CLOCK) + CLOCK_SLACK_MILLIS;
-        return fenced ? byOwn : inheritedUntil;
+        long byOwn = clockReadAt + longestByOwnClock(own);
+        return Math.max(fenced ? byOwn : inheritedUntil, otherClocksUntil);
     }
 
     /** Returns the ends that have not been taken in, in the order of their numbers. */
@@ -396,6 +408,7 @@
     void takeOverEnds(LiveWorker before) {
         incarnation = before.incarnation;
         incarnationKnownAt = before.incarnationKnownAt;
+        otherClocksUntil = before.otherClocksUntil;
         takenIn = before.takenIn;
         durableUpTo = before.durableUpTo;
         pending.putAll(before.pending);
--- a/core/src/main/java/org/lupinpaddle/core/run/OpenStarts.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/OpenStarts.java
@@ -88,6 +88,13 @@
         of(o.worker().id()).computeIfPresent(Run.of(o), (run, s) -> new Start(s.since, NOT_DUE));
     }
 
+    /** Returns until when a start to this worker may be carried out late; {@code now} where there is none. */
+    long lastCarriedOutBy(String worker, long now) {
+        return of(worker).values().stream()
+                .mapToLong(s -> s.since + LATE_ORDER_MILLIS)
+                .reduce(now, Math::max);
+    }
+
     private Map<Run, Start> of(String worker) {
         return byWorker.computeIfAbsent(worker, w -> new HashMap<>());
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -58,11 +58,23 @@
         logUnreadable(w, answer.bornMillis(), "answer");
         LiveWorker answering = lifeOf(w, sentAt, answer);
         if (answering != null && !answering.fenced) {
-            state.openStarts.onNewLife(w.facts().id(), answer.running(), state.now());
+            onFirstAnswer(answering, answering != w, answer);
         }
         return answering;
     }
 
+    private void onFirstAnswer(LiveWorker w, boolean restarted, HoldAnswer answer) {
+        long now = state.now();
+        String id = w.facts().id();
+        long lateUntil = state.openStarts.lastCarriedOutBy(id, now);
+        if (restarted || lateUntil > now) {
+            // A deadline by an earlier life's clock means nothing to this one, which then holds on for as long as it
+            // ever does.
+            w.orderedByOtherClocksUntil(lateUntil + LiveWorker.longestByOwnClock(state.timing.longestHoldMillis()));
+        }
+        state.openStarts.onNewLife(id, answer.running(), now);
+    }
+
     private @Nullable LiveWorker lifeOf(LiveWorker w, long sentAt, HoldAnswer answer) {
         WorkerIncarnation life = new WorkerIncarnation(w.facts().id(), answer.bornMillis());
         if (!life.differsFrom(w.incarnation())) {
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerTiming.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerTiming.java
@@ -24,6 +24,7 @@
  * @param silentMillis a worker whose last answer is older gets no new tasks
  * @param inheritedMillis how long an earlier owner may have kept a worker's tasks alive after it lost the service
  * @param stopMillis how long a stop takes at most
+ * @param longestHoldMillis the furthest from now that a worker takes a deadline for
  */
 public record SchedulerTiming(
         long holdMillis,
@@ -31,7 +32,8 @@
         long idleWaitMillis,
         long silentMillis,
         long inheritedMillis,
-        long stopMillis) {
+        long stopMillis,
+        long longestHoldMillis) {
 
     // A lease of 2 s, the time to take over and to raise the fence fit into it twice; a worker that is gone
     // keeps its tasks from running elsewhere for no longer.
@@ -48,6 +50,12 @@
     public static SchedulerTiming usual(long longestHoldMillis, long stopMillis, long blindMillis) {
         long hold = Math.min(HOLD_MILLIS, longestHoldMillis);
         return new SchedulerTiming(
-                hold, BUSY_WAIT_MILLIS, IDLE_WAIT_MILLIS, SILENT_MILLIS, blindMillis + hold + hold / 20, stopMillis);
+                hold,
+                BUSY_WAIT_MILLIS,
+                IDLE_WAIT_MILLIS,
+                SILENT_MILLIS,
+                blindMillis + hold + hold / 20,
+                stopMillis,
+                longestHoldMillis);
     }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -44,7 +44,8 @@
     boolean advised;
 
     SchedulerDriver() {
-        SchedulerTiming timing = new SchedulerTiming(HOLD_MILLIS, 1_000, 2_000, 2_700, INHERITED_MILLIS, STOP_MILLIS);
+        SchedulerTiming timing =
+                new SchedulerTiming(HOLD_MILLIS, 1_000, 2_000, 2_700, INHERITED_MILLIS, STOP_MILLIS, 10_000);
         scheduler = new ServiceScheduler("clips", timing, port, () -> now, () -> now);
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.core.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -222,6 +223,30 @@
         }
     }
 
+    @Nested
+    class ALifeThatFallsSilent {
+
+        private static final long LONGEST_HOLD_MILLIS = 10_000;
+
+        private boolean isLost() {
+            return d.port.events.stream().anyMatch(e -> e.kind() == SchedulerEvent.Kind.WORKER_GONE);
+        }
+
+        /** Guards against a second run while a deadline by the earlier life's clock still keeps the first one alive. */
+        @Test
+        void mayKeepItsRunsForAsLongAsAnyWorkerDoes() {
+            listed("w1");
+            d.passes(10);
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            started("a");
+            d.passes(LONGEST_HOLD_MILLIS - 500);
+            assertFalse(isLost());
+            d.passes(2_000);
+            assertTrue(isLost());
+        }
+    }
+
     @Nested
     class UnderANewOwner {
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -166,7 +166,7 @@
 
     private SchedulerHost owner(String slowPrefix, long slowMillis) {
         long fence = store.set(JobKeys.owner("clips"), "entry");
-        SchedulerTiming timing = new SchedulerTiming(5_000, 1_000, 2_000, 2_700, 7_000, 2_000);
+        SchedulerTiming timing = new SchedulerTiming(5_000, 1_000, 2_000, 2_700, 7_000, 2_000, 10_000);
         SchedulerHost.Entry entry = new SchedulerHost.Entry(
                 new SlowFor(slowPrefix, slowMillis),
                 orders,
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -66,7 +66,7 @@
 
     private SchedulerHost owner() {
         long fence = store.set(JobKeys.owner("clips"), "entry");
-        SchedulerTiming timing = new SchedulerTiming(5_000, 1_000, 2_000, 2_700, INHERITED_MILLIS, 2_000);
+        SchedulerTiming timing = new SchedulerTiming(5_000, 1_000, 2_000, 2_700, INHERITED_MILLIS, 2_000, 10_000);
         SchedulerHost.Entry entry = new SchedulerHost.Entry(
                 store,
                 new NoWorkers(),
