Let a run that was given up for lost go on where a worker shows it alive

What callers saw: a task runs twice at one time. Cause: a worker that the platform's list, 0.8 s old, shows on no instance is given up with what it ran; it has restarted under its id meanwhile and carried out a start whose answer was on its way. The run that it then shows was stopped as unknown, which takes up to 0.3 s, and the task was started elsewhere before that. Change: a run that a worker shows, of a task that waits for a new run after this very one, is taken up again; the event RUN_FOUND tells. Not for gangs, nor for jobs that have ended. Why it works: no stop is under way, and no second run is begun. Test: WorkerRestartTest.ARun, failed before (a stop was ordered).

--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -256,6 +256,9 @@
             w.runsLeftAlone = true;
             return;
         }
+        if (t != null && isWaitingRun(t, r)) {
+            adopt(w, t);
+        }
         if (t == null || t.worker != w || t.run != r.run()) {
             state.note(
                     SchedulerEvent.Kind.STOP_ORDERED, w, "unknown-run=" + r.jobId() + "." + r.task() + "/" + r.run());
@@ -280,6 +283,19 @@
         }
     }
 
+    /** Returns whether a task waits for a new run while its last one, which was given up for lost, is alive after all. */
+    private static boolean isWaitingRun(LiveTask t, RunningReport r) {
+        return t.phase == Phase.WAITING && t.run == r.run() && !t.step.gang() && !t.job.state.ended();
+    }
+
+    private void adopt(LiveWorker w, LiveTask t) {
+        state.note(SchedulerEvent.Kind.RUN_FOUND, t, "", "worker=" + w.facts().id());
+        t.worker = w;
+        w.add(t);
+        begun(t, state.now());
+        state.changed(t.job);
+    }
+
     private void notShown(LiveWorker w, LiveTask t) {
         if (t.isOfEarlierLife()) {
             List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.among(List.of(t));
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -55,6 +55,8 @@
         START_ANSWERED,
         /** A run ended. */
         RUN_ENDED,
+        /** A run that was given up for lost is alive, and goes on. */
+        RUN_FOUND,
         /** A worker told ends of runs that are not their task's newest, or of tasks that nobody knows. */
         OTHER_ENDS_TOLD,
         /** A stop was ordered. */
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -21,6 +21,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -174,6 +175,24 @@
             assertEquals(1, d.port.starts.size());
         }
 
+        /** Guards against a second run beside one that was given up for lost and is alive. */
+        @Test
+        void thatWasGivenUpAndIsFoundAliveGoesOn() {
+            listed("w1");
+            StartOrder s = started("a");
+            d.passes(3_000);
+            d.scheduler.onLiving(Set.of(), d.now);
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            d.passes(1);
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(running("a", s.run())), List.of());
+            d.passes(50);
+            d.saved();
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK + 100, List.of(), List.of(done(1, "a", s.run())));
+            assertEquals(1, d.port.starts.size());
+            assertEquals(List.of(), d.port.stops);
+            assertEquals(List.of("a"), ended(JobState.COMPLETED));
+        }
+
         /** Guards against a second run of what an earlier life has done and says so late. */
         @Test
         void thatAnEarlierLifeHasDoneStaysDone() {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
@@ -55,6 +55,7 @@
                     TASK_PLACED,
                     TASK_PACED,
                     STOP_ORDERED,
+                    RUN_FOUND,
                     OTHER_ENDS_TOLD,
                     WORKER_RESTARTED,
                     BIRTH_UNREADABLE,
