Hold nothing against the next life of a worker, and know one that states no birth by its clock

Cause: a task that had failed on a worker avoided its id, and advice on a step, with its tickets, was kept by the id; both are of one life. And a worker that states no birth, or none that can be read, could still restart unseen. Change: what is held against a life ends with it; advice and tickets are asked for anew; a clock that goes back between two answers tells a restart where births do not. What was ruled out: an entry's birth as proof of a restart, since another writer, or an old read, could end a life that goes on.

--- a/core/src/main/java/org/lupinpaddle/core/run/Advisor.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Advisor.java
@@ -114,6 +114,14 @@
         }
     }
 
+    /** Forgets what is known of a worker: advice and tickets hold for one life of it. */
+    void forget(String worker) {
+        for (Known k : known.values()) {
+            k.tickets.remove(worker);
+            k.refused.remove(worker);
+        }
+    }
+
     /** Forgets the steps of jobs that have ended. */
     void forgetEnded() {
         known.keySet().removeIf(s -> s.job.state.ended() || s.isDone());
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -262,6 +262,7 @@
     }
 
     Wish wish(long now) {
+        avoided.values().removeIf(a -> a.worker.over);
         Set<String> domains = failures >= ATTEMPTS_BEFORE_OTHER_RACK ? failedDomains : Set.of();
         boolean onlyProven = now < provenUntil;
         Set<String> workers = onlyProven ? stillDoubted() : avoided.keySet();
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -55,6 +55,9 @@
     private WorkerIncarnation incarnation;
 
     private long incarnationKnownAt = Long.MAX_VALUE;
+    /** Whether this life is known to have ended: nothing that is held against it holds for the next one under its id. */
+    boolean over;
+
     private long endsAt = Long.MAX_VALUE;
     final Set<LiveTask> tasks = new LinkedHashSet<>();
     private Room used = Room.NONE;
@@ -137,6 +140,7 @@
 
     /** Returns the next life of a restarted worker: nothing of this one's clock, results and health holds for it. */
     LiveWorker restarted(WorkerIncarnation next, long now) {
+        over = true;
         LiveWorker w = new LiveWorker(facts, now);
         w.incarnation = next;
         w.incarnationKnownAt = now;
@@ -155,6 +159,11 @@
         return incarnation;
     }
 
+    /** Returns whether an answer by this clock comes from a later life: clocks of workers do not go back. */
+    boolean isOutrunBy(long clock) {
+        return fenced && clock < clockMillis;
+    }
+
     /** Takes in the birth that an answer states, where none is known. */
     void states(WorkerIncarnation life, long now) {
         if (life.hasBirth() && !incarnation.hasBirth()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -29,10 +29,12 @@
 
     private final ServiceState state;
     private final RunTracker runs;
+    private final Advisor advisor;
 
-    RestartTracker(ServiceState state, RunTracker runs) {
+    RestartTracker(ServiceState state, RunTracker runs, Advisor advisor) {
         this.state = state;
         this.runs = runs;
+        this.advisor = advisor;
     }
 
     /** Takes in the entry of a worker. */
@@ -78,8 +80,9 @@
     private @Nullable LiveWorker lifeOf(LiveWorker w, long sentAt, HoldAnswer answer) {
         WorkerIncarnation life = new WorkerIncarnation(w.facts().id(), answer.bornMillis());
         if (!life.differsFrom(w.incarnation())) {
+            boolean statesNone = !life.hasBirth() && w.isOutrunBy(answer.clockMillis());
             w.states(life, state.now());
-            return w;
+            return statesNone ? restarted(w, life, answer) : w;
         }
         // Clocks of hosts may step back between two births: whoever answers what was sent to the known life is no
         // earlier one.
@@ -96,6 +99,7 @@
         state.note(SchedulerEvent.Kind.WORKER_RESTARTED, before, detail);
         LiveWorker w = before.restarted(life, state.now());
         state.workers.put(life.id(), w);
+        advisor.forget(life.id());
         List.copyOf(before.tasks).forEach(t -> move(t, before, w));
         return w;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -451,6 +451,7 @@
         String detail = "tasks=" + w.tasks.size() + " evidence=" + evidence + " " + w.tellEnds();
         state.note(SchedulerEvent.Kind.WORKER_GONE, w, detail);
         state.workers.remove(w.facts().id());
+        w.over = evidence.provesEnd();
         List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.among(w.tasks);
         for (LiveTask t : new ArrayList<>(w.tasks)) {
             lost(t, evidence);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -78,7 +78,7 @@
         rooms = new RoomPass(state);
         records = new RecordPass(state);
         runs = new RunTracker(state, judge, advisor);
-        restarts = new RestartTracker(state, runs);
+        restarts = new RestartTracker(state, runs, advisor);
         stragglers = new StragglerPass(state, judge);
         placement = new PlacementPass(state, advisor);
         evacuator = new Evacuator(state);
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -242,6 +242,46 @@
         }
     }
 
+    @Nested
+    class WhatIsHeldAgainstALife {
+
+        /** Guards against a task that waits for other workers since an earlier life of this one failed it. */
+        @Test
+        void doesNotHoldForTheNext() {
+            listed("w1");
+            StartOrder s = started("a");
+            EndReport failed = new EndReport(1, "a", TASK, s.run(), EndKind.FAILED, "");
+            d.answersAs("w1", FIRST_BIRTH, OLD_CLOCK + 100, List.of(), List.of(failed));
+            d.passes(50);
+            d.saved();
+            assertEquals(1, d.port.starts.size());
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            d.passes(50);
+            d.saved();
+            assertEquals(2, d.port.starts.size());
+        }
+    }
+
+    @Nested
+    class AWorkerThatStatesNoBirth {
+
+        /** Guards against passing over the results of a life that only its clock tells from the one before. */
+        @Test
+        void isKnownToHaveRestartedByItsClock() {
+            d.workers("w1");
+            d.answersAs("w1", 0, OLD_CLOCK, List.of(), List.of());
+            StartOrder a = started("a");
+            d.answersAs("w1", 0, OLD_CLOCK + 100, List.of(), List.of(done(1, "a", a.run())));
+            d.passes(50);
+            d.saved();
+            d.answersAs("w1", 0, NEW_CLOCK, List.of(), List.of());
+            StartOrder b = started("b");
+            d.answersAs("w1", 0, NEW_CLOCK + 100, List.of(), List.of(done(1, "b", b.run())));
+            assertEquals(List.of("a", "b"), ended(JobState.COMPLETED));
+        }
+    }
+
     @Nested
     class ALifeThatFallsSilent {
 
