Stand-ins: workers state their births and restart under their ids; the whole path over sockets

What is new: the stand-in of the platform gives each life a birth, in the worker's entry and to its process, which states it in its answers; POST /standin/restart lets a worker crash and start again under its id.

--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobMachines.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobMachines.java
@@ -50,6 +50,7 @@
         String pool;
         String state = "up";
         String life = "";
+        long bornMillis;
         long heardAt;
         long backAt = Long.MAX_VALUE;
 
@@ -76,21 +77,36 @@
         if (m.state.equals("up") && (m.life.isEmpty() || restarted)) {
             bringUp(m);
         }
-        return JsonHttp.object().put("life", m.life);
+        return life(m);
     }
 
     private void bringUp(Machine m) {
         removeRecord(m);
         m.state = "up";
         m.life = m.pool.equals(HEADROOM) ? "" : "life-" + lives++;
-        if (m.life.isEmpty()) {
-            return;
+        if (!m.life.isEmpty()) {
+            begin(m);
+        }
+    }
+
+    /** Lets a worker crash and start again under its id. */
+    void restart(String machine) {
+        Machine m = machines.get(machine);
+        if (m != null && !m.life.isEmpty()) {
+            begin(m);
+            tell(m);
         }
+    }
+
+    private void begin(Machine m) {
+        // Two lives of a worker do not begin in one millisecond.
+        m.bornMillis = Math.max(m.bornMillis + 1, System.currentTimeMillis());
         ObjectNode record = JsonHttp.object()
                 .put("service", m.pool)
                 .put("address", m.described.path("address").asText())
                 .put("zone", m.described.path("zone").asText())
-                .put("state", "ready");
+                .put("state", "ready")
+                .put("born", m.bornMillis);
         record.set("room", m.described.path("room"));
         record.set("labels", m.described.path("labels"));
         records.accept("servers/" + m.life, record.toString());
@@ -161,9 +177,11 @@
     private void tell(Machine m) {
         String url = "http://" + m.described.path("address").asText() + "/standin/life";
         client.POST(url)
-                .body(new StringRequestContent(
-                        "application/json",
-                        JsonHttp.object().put("life", m.life).toString()))
+                .body(new StringRequestContent("application/json", life(m).toString()))
                 .send(r -> {});
     }
+
+    private static ObjectNode life(Machine m) {
+        return JsonHttp.object().put("life", m.life).put("born", m.bornMillis);
+    }
 }
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
@@ -36,7 +36,8 @@
 
 /**
  * The operators' platform in one small process: store, list of instances with moves and upkeep, and advice that
- * allows every worker. Operators write below {@code op/} by {@code POST /standin/put}.
+ * allows every worker. Operators write below {@code op/} by {@code POST /standin/put}; {@code POST /standin/restart} with a
+ * {@code machine} lets its worker crash and start again under its id.
  */
 public final class JobPlatformStandIn implements AutoCloseable {
 
@@ -125,6 +126,7 @@
                 case "/api/machine-move", "/api/machine-upkeep" -> order(x, path.endsWith("upkeep"));
                 case "/api/advise" -> advise(x);
                 case "/standin/put" -> operatorPuts(x);
+                case "/standin/restart" -> restart(x);
                 case "/standin/machine" -> x.answer(OK, machines.register(x.body));
                 default -> x.answer(NOT_FOUND, JsonHttp.object());
             }
@@ -132,6 +134,11 @@
         tellWatchers();
     }
 
+    private void restart(Exchange x) {
+        machines.restart(x.body.path("machine").asText());
+        x.answer(OK, JsonHttp.object());
+    }
+
     private void read(Exchange x) {
         ObjectNode item = store.read(x.query("privateKey"));
         x.answer(item == null ? NOT_FOUND : OK, item == null ? JsonHttp.object().put("at", store.revision()) : item);
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerLife.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerLife.java
@@ -40,6 +40,7 @@
     private static final long WARM_UP_MILLIS = 500;
     private static final int ALL_PERCENT = 100;
 
+    private final long bornMillis;
     private final LongSupplier clock;
     private final Map<String, Run> running = new TreeMap<>();
     private final Map<String, Integer> closed = new HashMap<>();
@@ -66,10 +67,15 @@
 
     private record End(long number, String task, int run, String how) {}
 
-    JobWorkerLife(LongSupplier clock) {
+    JobWorkerLife(long bornMillis, LongSupplier clock) {
+        this.bornMillis = bornMillis;
         this.clock = clock;
     }
 
+    long bornMillis() {
+        return bornMillis;
+    }
+
     /** Returns why a start is refused, or nothing. */
     String start(JsonNode order) {
         if (fenced(order)) {
@@ -155,7 +161,7 @@
 
     ObjectNode shown() {
         long now = clock.getAsLong();
-        ObjectNode answer = JsonHttp.object().put("clockMs", now);
+        ObjectNode answer = JsonHttp.object().put("born", bornMillis).put("clockMs", now);
         ArrayNode all = answer.putArray("running");
         running.forEach((task, r) -> all.addArray()
                 .add(task)
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerStandIn.java
@@ -108,21 +108,22 @@
             var answer = client.POST("http://" + platform + "/standin/machine")
                     .body(new StringRequestContent("application/json", body.toString()))
                     .send();
-            lead(JsonHttp.MAPPER
-                    .readTree(answer.getContentAsString())
-                    .path("life")
-                    .asText());
+            lead(JsonHttp.MAPPER.readTree(answer.getContentAsString()));
         } catch (Exception e) {
             // The platform is away; the worker goes on, and reports again in a moment.
             System.out.println("event=report-failed why=\"" + e + "\"");
         }
     }
 
-    private synchronized void lead(String id) {
-        if (!id.equals(lifeId)) {
+    /** Leads the life that the platform names; another birth under the same id is another life. */
+    private synchronized void lead(JsonNode told) {
+        String id = told.path("life").asText();
+        long born = told.path("born").asLong();
+        boolean same = id.equals(lifeId) && (life == null || life.bornMillis() == born);
+        if (!same) {
             lifeId = id;
-            life = id.isEmpty() ? null : new JobWorkerLife(JobWorkerStandIn::now);
-            System.out.println("event=life id=" + id);
+            life = id.isEmpty() ? null : new JobWorkerLife(born, JobWorkerStandIn::now);
+            System.out.println("event=life id=" + id + " born=" + born);
         }
     }
 
@@ -147,7 +148,7 @@
     private synchronized void route(Request request, JsonNode body, Response response, Callback callback) {
         String path = request.getHttpURI().getPath();
         if (path.equals("/standin/life")) {
-            lead(body.path("life").asText());
+            lead(body);
             JsonHttp.answer(response, callback, OK, JsonHttp.object());
             return;
         }
