Split the cursor of results off LiveWorker, and name what stands there in the field's terms

Names: acknowledgedUpTo for forgetUpTo, workerLost for gone, respondedAt, missedResponses, stalledSince, unreadableJobs, onLateAnswer. Log lines stay as they are.

--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -68,7 +68,10 @@
      * end that only this owner has heard is lost if it is followed before its write: what ended done would run again.
      */
     private static boolean mayGo(LiveWorker w) {
-        return w.tasks.isEmpty() && !w.runsLeftAlone && !w.hasPendingEnds() && !w.keepsEnds();
+        return w.tasks.isEmpty()
+                && !w.runsUnreadableJobs
+                && !w.results().hasPending()
+                && !w.results().hasRetained();
     }
 
     private boolean isLate(LiveTask t) {
--- a/core/src/main/java/org/lupinpaddle/core/run/HoldOrder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/HoldOrder.java
@@ -22,7 +22,7 @@
  *
  * @param worker the life of a worker that is meant
  * @param deadlineMillis until when the worker may keep what it runs, on its own clock; 0 to leave that as it is
- * @param forgetUpTo the number of the newest end that the worker may forget
+ * @param acknowledgedUpTo the number of the newest end that the worker may forget
  * @param waitMillis how long the answer may wait for an end
  */
-public record HoldOrder(WorkerFacts worker, long deadlineMillis, long forgetUpTo, long waitMillis) {}
+public record HoldOrder(WorkerFacts worker, long deadlineMillis, long acknowledgedUpTo, long waitMillis) {}
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -15,12 +15,9 @@
  */
 package org.lupinpaddle.core.run;
 
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
-import java.util.TreeMap;
 import org.lupinpaddle.core.placement.Candidate;
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.StepTime;
@@ -48,7 +45,7 @@
     // be without a run, so that those that wait get there in time; what fails does so at once as a rule.
     private static final long LASTING_PROOF_MILLIS = 2_000;
     // The call that got no answer, and the look that follows it at once and takes 0.5 s at most.
-    private static final int SILENCES_OUT_OF_REACH = 2;
+    private static final int MISSED_OUT_OF_REACH = 2;
 
     private WorkerFacts facts;
     /** As its answers state it: an entry may be older or newer than the life that answers. */
@@ -74,13 +71,13 @@
     boolean fenced;
 
     /** When anything came back from it last: an answer to an order or to a hold. */
-    private long heardAt = Long.MIN_VALUE / 2;
+    private long respondedAt = Long.MIN_VALUE / 2;
     /** When the newest of its calls was to be answered that got no answer. */
     private long unansweredDueAt = Long.MIN_VALUE;
     /** Whether only an answer to a hold can tell that it still is there. */
     private boolean mustAnswer;
     /** How many calls got no answer since it was last heard. */
-    private int silences;
+    private int missedResponses;
 
     private long fencedAt = Long.MAX_VALUE;
 
@@ -95,7 +92,7 @@
     long lastAnswerAt = Long.MIN_VALUE / 2;
     long avoidUntil = Long.MIN_VALUE;
     /** Before this moment, and before its next answer, none of its tasks can have stood still for too long. */
-    long standingFrom = Long.MIN_VALUE;
+    long stalledSince = Long.MIN_VALUE;
     /** It has been avoided: until one run has ended well on it, it gets one task at a time; lasting ones add up. */
     boolean onProbation;
 
@@ -113,25 +110,14 @@
     /** Until when a deadline by the clock of an earlier life may keep something alive here: orders for that life reach this one. */
     private long otherClocksUntil = Long.MIN_VALUE;
 
-    /** Ends up to this number have been taken in. */
-    long takenIn;
+    /** How far this owner is with its results; a poll after a gap goes on with the same one. */
+    private ResultCursor results = new ResultCursor();
 
-    private long durableUpTo;
-    private static final long NONE_KEPT = Long.MAX_VALUE;
-    /** The first end that is kept there, since it is of a job whose records can not be read. */
-    private long keptFrom = NONE_KEPT;
-    /** Whether its newest answer shows a run of such a job. */
-    boolean runsLeftAlone;
+    /** Whether its newest answer shows a run of a job whose records can not be read. */
+    boolean runsUnreadableJobs;
     /** Whether it has stated a birth that can not be read; logged once. */
     boolean birthUnreadable;
 
-    private final TreeMap<Long, PendingEnd> pending = new TreeMap<>();
-
-    // A worker lists 500 ends at once: beyond this, kept ones would hide those of its other tasks.
-    private static final int MOST_KEPT = 400;
-
-    private record PendingEnd(LiveJob job, long version) {}
-
     LiveWorker(WorkerFacts facts, long inheritedUntil) {
         this.facts = facts;
         this.incarnation = new WorkerIncarnation(facts.id(), WorkerIncarnation.UNKNOWN_BIRTH);
@@ -315,8 +301,8 @@
         clockMillis = workerClock;
         clockReadAt = now;
         lastAnswerAt = now;
-        standingFrom = Long.MIN_VALUE;
-        heard(now);
+        stalledSince = Long.MIN_VALUE;
+        responded(now);
         mustAnswer = false;
         if (!fenced) {
             fenced = true;
@@ -353,14 +339,14 @@
     }
 
     /** Takes in that the worker has answered, whatever it has answered. */
-    void heard(long now) {
-        heardAt = now;
-        silences = 0;
+    void responded(long now) {
+        respondedAt = now;
+        missedResponses = 0;
     }
 
     /** Returns when anything came back from it last. */
     long lastResponseAt() {
-        return Math.max(heardAt, lastAnswerAt);
+        return Math.max(respondedAt, lastAnswerAt);
     }
 
     /**
@@ -369,9 +355,9 @@
      * answer was lost: where three answers in ten are lost, all workers of a service would be given up at one time.
      */
     void unanswered(long dueAt) {
-        if (dueAt >= heardAt) {
+        if (dueAt >= respondedAt) {
             unansweredDueAt = dueAt;
-            silences++;
+            missedResponses++;
         }
     }
 
@@ -380,12 +366,12 @@
      * it was last heard, or it may be gone.
      */
     boolean isDoubted() {
-        return mustAnswer || unansweredDueAt >= heardAt;
+        return mustAnswer || unansweredDueAt >= respondedAt;
     }
 
     /** Returns whether nothing came back to several calls: an instance in its place is worth its move then. */
     boolean isOutOfReach() {
-        return silences >= SILENCES_OUT_OF_REACH;
+        return missedResponses >= MISSED_OUT_OF_REACH;
     }
 
     /** Takes in that orders for an earlier life, with deadlines by its clock, may keep something alive here until then. */
@@ -405,45 +391,16 @@
         return Math.max(fenced ? byOwn : inheritedUntil, otherClocksUntil);
     }
 
-    /** Returns the ends that have not been taken in, in the order of their numbers. */
-    List<EndReport> newEnds(HoldAnswer answer) {
-        return answer.ended().stream()
-                .filter(e -> e.number() > takenIn)
-                .sorted(Comparator.comparingLong(EndReport::number))
-                .toList();
+    ResultCursor results() {
+        return results;
     }
 
-    /** Goes on with the ends of the same life: what is not durable yet must not be forgotten there. */
-    void takeOverEnds(LiveWorker before) {
+    /** Goes on with the results of the same life: what is not durable yet must not be discarded there. */
+    void continueLife(LiveWorker before) {
         incarnation = before.incarnation;
         incarnationKnownAt = before.incarnationKnownAt;
         otherClocksUntil = before.otherClocksUntil;
-        takenIn = before.takenIn;
-        durableUpTo = before.durableUpTo;
-        pending.putAll(before.pending);
-        keptFrom = before.keptFrom;
-    }
-
-    /** Lets the worker keep an end, and those after it, for who can tell what it means. */
-    void keep(long endNumber) {
-        keptFrom = Math.min(keptFrom, endNumber);
-    }
-
-    /** Returns whether it keeps an end that nobody here has taken in. */
-    boolean keepsEnds() {
-        return takenIn - keptFrom < MOST_KEPT && keptFrom != NONE_KEPT;
-    }
-
-    /** Takes in the ends anew that were kept: what they mean may be known now. */
-    void takeKeptAnew() {
-        if (keepsEnds()) {
-            takenIn = keptFrom - 1;
-        }
-        keptFrom = NONE_KEPT;
-    }
-
-    void awaitDurable(long endNumber, LiveJob job, long version) {
-        pending.put(endNumber, new PendingEnd(job, version));
+        results = before.results;
     }
 
     /**
@@ -451,7 +408,7 @@
      * restarted and used the same numbers for results that nobody has seen: it has to answer first.
      */
     long acknowledgeable(long now) {
-        return mayAcknowledge(now) ? lastDurable() : 0;
+        return mayAcknowledge(now) ? results.lastDurable() : 0;
     }
 
     /** Returns whether its last answer is so new that no other life can be at work there. */
@@ -459,32 +416,8 @@
         return now - lastAnswerAt <= FASTEST_RESTART_MILLIS;
     }
 
-    /** Returns the number up to which all ends are durable: what the worker may forget. */
-    long lastDurable() {
-        long durable = passDurable();
-        return keepsEnds() ? Math.min(durable, keptFrom - 1) : durable;
-    }
-
-    private long passDurable() {
-        while (!pending.isEmpty()) {
-            var first = pending.firstEntry();
-            if (first.getValue().job().savedVersion < first.getValue().version()) {
-                return durableUpTo;
-            }
-            durableUpTo = first.getKey();
-            pending.pollFirstEntry();
-        }
-        durableUpTo = Math.max(durableUpTo, takenIn);
-        return durableUpTo;
-    }
-
-    /** Returns which of its ends are taken in and which it may forget, for the log. */
-    String tellEnds() {
-        return "ends-taken-in=" + takenIn + " may-forget=" + lastDurable() + " born=" + incarnation.bornMillis();
-    }
-
-    boolean hasPendingEnds() {
-        lastDurable();
-        return !pending.isEmpty();
+    /** Returns its cursor of results and its birth, for the log. */
+    String describe() {
+        return results + " born=" + incarnation.bornMillis();
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -95,7 +95,7 @@
                 ? ""
                 : " first-listed-end=" + answer.ended().get(0).number();
         String detail = "born=" + life.bornMillis() + " clock=" + answer.clockMillis() + first + " tasks="
-                + before.tasks.size() + " before: " + before.tellEnds();
+                + before.tasks.size() + " before: " + before.describe();
         state.note(SchedulerEvent.Kind.WORKER_RESTARTED, before, detail);
         LiveWorker w = before.restarted(life, state.now());
         state.workers.put(life.id(), w);
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -38,7 +38,7 @@
     private static final long NO_ROOM_AVOID_MILLIS = 300;
     private static final long UNHEALTHY_AVOID_MILLIS = 1_000;
     // A line of the log stays readable, and one that is searched for is found as a rule.
-    private static final int MOST_ENDS_TOLD = 8;
+    private static final int MOST_RESULTS_LOGGED = 8;
 
     private final ServiceState state;
     private final WorkerJudge judge;
@@ -109,7 +109,7 @@
         if (outcome.isSilence()) {
             t.worker.unanswered(t.orderSentAt);
         } else {
-            t.worker.heard(state.now());
+            t.worker.responded(state.now());
         }
         if (outcome == OrderOutcome.FENCED) {
             state.port.ownershipLost(
@@ -127,7 +127,7 @@
             free(t, Phase.WAITING);
             stopOthersOfGang(t);
         }
-        gone(w, LossEvidence.OTHER_LIFE);
+        workerLost(w, LossEvidence.OTHER_LIFE);
     }
 
     private void startAnswered(LiveTask t, LiveWorker w, OrderOutcome outcome) {
@@ -204,7 +204,7 @@
             case FENCED ->
                 state.port.ownershipLost(
                         "a stop was refused by the fence of " + order.worker().id());
-            case OTHER_LIFE -> gone(t.worker, LossEvidence.OTHER_LIFE);
+            case OTHER_LIFE -> workerLost(t.worker, LossEvidence.OTHER_LIFE);
             case ACCEPTED, OLD_RUN -> {
                 t.provenFrom = state.now();
                 t.worker.holdDueAt = Math.min(t.worker.holdDueAt, state.now());
@@ -216,15 +216,14 @@
 
     void onHeld(LiveWorker w, long sentAt, HoldAnswer answer) {
         Set<LiveTask> shown = new HashSet<>();
-        w.runsLeftAlone = false;
+        w.runsUnreadableJobs = false;
         answer.running().forEach(r -> running(w, r, shown));
         List<EndReport> others = new ArrayList<>();
-        for (EndReport e : w.newEnds(answer)) {
+        for (EndReport e : w.results().newResults(answer)) {
             ended(w, e, others);
-            // Not before: what is counted as taken in the worker may soon forget.
-            w.takenIn = e.number();
+            w.results().processed(e.number());
         }
-        tellOthers(w, others);
+        logOtherResults(w, others);
         if (answer.mayHaveMoreEnds()) {
             return;
         }
@@ -237,7 +236,7 @@
     }
 
     /** Takes in what was done on a worker that was taken to be over before its last answer arrived. */
-    void onHeldByGone(HoldAnswer answer) {
+    void onLateAnswer(HoldAnswer answer) {
         for (EndReport e : answer.ended()) {
             LiveTask t = state.task(e.jobId(), e.task());
             if (t != null && finishesUndone(t, e)) {
@@ -252,8 +251,8 @@
 
     private void running(LiveWorker w, RunningReport r, Set<LiveTask> shown) {
         LiveTask t = state.task(r.jobId(), r.task());
-        if (t == null && state.leftAlone.contains(r.jobId())) {
-            w.runsLeftAlone = true;
+        if (t == null && state.unreadableJobs.contains(r.jobId())) {
+            w.runsUnreadableJobs = true;
             return;
         }
         if (t != null && isWaitingRun(t, r)) {
@@ -299,7 +298,7 @@
     private void notShown(LiveWorker w, LiveTask t) {
         if (t.isOfEarlierLife()) {
             List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.among(List.of(t));
-            lost(t, LossEvidence.RESTARTED);
+            loseRun(t, LossEvidence.RESTARTED);
             crashes.onLost(w, LossEvidence.RESTARTED, suspects);
         } else if (t.phase == Phase.RUNNING) {
             // Not known to happen; a stop makes sure before the task runs elsewhere.
@@ -316,12 +315,12 @@
     }
 
     /** One line an answer, however many there are: a new owner is told hundreds that others have taken in. */
-    private void tellOthers(LiveWorker w, List<EndReport> others) {
+    private void logOtherResults(LiveWorker w, List<EndReport> others) {
         if (others.isEmpty()) {
             return;
         }
         String some = others.stream()
-                .limit(MOST_ENDS_TOLD)
+                .limit(MOST_RESULTS_LOGGED)
                 .map(e -> e.number() + ":" + e.jobId() + "." + e.task() + "/" + e.run() + ":" + e.kind())
                 .collect(Collectors.joining(","));
         state.note(SchedulerEvent.Kind.OTHER_ENDS_TOLD, w, "count=" + others.size() + " ends=" + some);
@@ -332,8 +331,8 @@
         LiveTask t = state.task(e.jobId(), e.task());
         if (t == null) {
             others.add(e);
-            if (state.leftAlone.contains(e.jobId())) {
-                w.keep(e.number());
+            if (state.unreadableJobs.contains(e.jobId())) {
+                w.results().retain(e.number());
             }
             return;
         }
@@ -347,7 +346,7 @@
             }
         }
         // Also where nothing is left to do: it may have been taken in before, and its record be under way.
-        w.awaitDurable(e.number(), t.job, t.job.version);
+        w.results().awaitDurable(e.number(), t.job, t.job.version);
     }
 
     private void doneByOlderRun(LiveTask t) {
@@ -447,19 +446,19 @@
     }
 
     /** Frees all tasks of a worker on which nothing can be alive any more. */
-    void gone(LiveWorker w, LossEvidence evidence) {
-        String detail = "tasks=" + w.tasks.size() + " evidence=" + evidence + " " + w.tellEnds();
+    void workerLost(LiveWorker w, LossEvidence evidence) {
+        String detail = "tasks=" + w.tasks.size() + " evidence=" + evidence + " " + w.describe();
         state.note(SchedulerEvent.Kind.WORKER_GONE, w, detail);
         state.workers.remove(w.facts().id());
         w.over = evidence.provesEnd();
         List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.among(w.tasks);
         for (LiveTask t : new ArrayList<>(w.tasks)) {
-            lost(t, evidence);
+            loseRun(t, evidence);
         }
         crashes.onLost(w, evidence, suspects);
     }
 
-    private void lost(LiveTask t, LossEvidence evidence) {
+    private void loseRun(LiveTask t, LossEvidence evidence) {
         state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.WORKER_LOST.name(), "evidence=" + evidence);
         free(t, t.finished ? Phase.DONE : Phase.WAITING);
         stopOthersOfGang(t);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -90,8 +90,8 @@
         if (state.jobs.containsKey(spec.key())) {
             return;
         }
-        if (state.leftAlone.remove(spec.key().id())) {
-            state.workers.values().forEach(LiveWorker::takeKeptAnew);
+        if (state.unreadableJobs.remove(spec.key().id())) {
+            state.workers.values().forEach(w -> w.results().processRetainedAgain());
         }
         LiveJob job = new LiveJob(spec, state.times);
         state.add(job);
@@ -115,7 +115,7 @@
      */
     public void onUnreadableJob(JobKey key) {
         if (!state.jobs.containsKey(key)) {
-            state.leftAlone.add(key.id());
+            state.unreadableJobs.add(key.id());
         }
     }
 
@@ -152,8 +152,8 @@
     /** Takes in that a caller has cancelled a job. */
     public void onCancel(JobKey key) {
         // Whatever its records say, nothing of a cancelled job is to run on.
-        if (state.leftAlone.remove(key.id())) {
-            state.workers.values().forEach(LiveWorker::takeKeptAnew);
+        if (state.unreadableJobs.remove(key.id())) {
+            state.workers.values().forEach(w -> w.results().processRetainedAgain());
         }
         LiveJob job = state.jobs.get(key);
         if (job != null && !job.state.ended()) {
@@ -201,7 +201,7 @@
             if (!w.tasks.isEmpty()
                     && state.wasMissed(w, askedAt)
                     && !workers.contains(w.facts().id())) {
-                runs.gone(w, LossEvidence.NOT_LIVING);
+                runs.workerLost(w, LossEvidence.NOT_LIVING);
             }
         }
     }
@@ -247,7 +247,7 @@
         LiveWorker known = state.workers.get(order.worker().id());
         LiveWorker w = known == null ? null : restarts.onAnswer(known, sentAt, answer);
         if (w == null) {
-            runs.onHeldByGone(answer);
+            runs.onLateAnswer(answer);
             return;
         }
         long now = state.now();
@@ -257,7 +257,7 @@
             return;
         }
         runs.onHeld(w, sentAt, answer);
-        w.holdAwaitsRecords = w.hasPendingEnds();
+        w.holdAwaitsRecords = w.results().hasPending();
         w.holdDueAt = w.holdAwaitsRecords ? now + pauseMillis(w) : now;
     }
 
@@ -282,7 +282,7 @@
         boolean looks = w.isDoubted() && !w.isOutOfReach();
         w.holdDueAt = state.now() + (looks ? 0 : HOLD_RETRY_MILLIS);
         if (outcome == OrderOutcome.OTHER_LIFE) {
-            runs.gone(w, LossEvidence.OTHER_LIFE);
+            runs.workerLost(w, LossEvidence.OTHER_LIFE);
         } else if (outcome == OrderOutcome.FENCED) {
             state.port.ownershipLost(
                     "a hold was refused by the fence of " + order.worker().id());
@@ -293,7 +293,7 @@
     public void onSaved(List<SchedulerPort.Saving> batch) {
         records.saved(batch);
         for (LiveWorker w : state.workers.values()) {
-            if (w.holdAwaitsRecords && !w.hasPendingEnds()) {
+            if (w.holdAwaitsRecords && !w.results().hasPending()) {
                 w.holdAwaitsRecords = false;
                 w.holdDueAt = Math.min(w.holdDueAt, Math.max(state.now(), w.lastAnswerAt));
             }
@@ -362,7 +362,7 @@
             if (silent && now > w.emptyAt() && (!w.tasks.isEmpty() || !w.listed)) {
                 freeOrForget(w);
             } else if (!w.listed && w.tasks.isEmpty() && now - w.unlistedSince > UNLISTED_KEEP_MILLIS) {
-                state.note(SchedulerEvent.Kind.WORKER_GONE, w, "tasks=0 evidence=unlisted " + w.tellEnds());
+                state.note(SchedulerEvent.Kind.WORKER_GONE, w, "tasks=0 evidence=unlisted " + w.describe());
                 state.workers.remove(w.facts().id());
             }
         }
@@ -370,10 +370,10 @@
 
     private void freeOrForget(LiveWorker w) {
         boolean keep = w.listed;
-        runs.gone(w, LossEvidence.PAST_DEADLINES);
+        runs.workerLost(w, LossEvidence.PAST_DEADLINES);
         if (keep) {
             LiveWorker again = new LiveWorker(w.facts(), state.now());
-            again.takeOverEnds(w);
+            again.continueLife(w);
             again.holdInFlight = w.holdInFlight;
             again.holdAnswerDueAt = w.holdAnswerDueAt;
             state.workers.put(w.facts().id(), again);
@@ -393,9 +393,9 @@
             w.holdInFlight = true;
             long wait = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
             boolean look = !w.fenced
-                    || (w.lastDurable() > 0 && !w.mayAcknowledge(now))
+                    || (w.results().lastDurable() > 0 && !w.mayAcknowledge(now))
                     || w.isDoubted()
-                    || w.hasPendingEnds()
+                    || w.results().hasPending()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             long waits = look ? 0 : wait;
             w.holdAnswerDueAt = now + waits;
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -58,7 +58,7 @@
     /** Those that other work waits for. */
     final Set<String> urgentlyEvacuating = new HashSet<>();
     /** Callers' ids of jobs whose records can not be read: what they run is left as it is. */
-    final Set<String> leftAlone = new HashSet<>();
+    final Set<String> unreadableJobs = new HashSet<>();
     /** Since when the list of workers may be out of date. */
     long workersKnownAt = Long.MIN_VALUE / 2;
 
--- a/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
@@ -64,7 +64,7 @@
         long now = state.now();
         for (LiveWorker w : state.workers.values()) {
             if (now - w.lastAnswerAt <= state.timing.silentMillis() && !w.tasks.isEmpty()) {
-                if (now >= w.standingFrom) {
+                if (now >= w.stalledSince) {
                     stopStanding(w, now);
                 }
                 leaveSlow(w);
@@ -79,18 +79,18 @@
             if (t.phase != Phase.RUNNING || t.step.gang()) {
                 continue;
             }
-            from = Math.min(from, standingFrom(t));
+            from = Math.min(from, stalledSince(t));
             if (standsStill(t, now) && state.hasPlaceElsewhere(t)) {
                 t.avoid(w, now);
                 judge.onStandingStill(w, t);
                 state.stop(t, "stands-still percent=" + t.percent + " since-millis=" + (now - t.movedAt));
             }
         }
-        w.standingFrom = from;
+        w.stalledSince = from;
     }
 
     /** Returns before when the task can not count as standing still, whatever is expected, if no answer tells more. */
-    private static long standingFrom(LiveTask t) {
+    private static long stalledSince(LiveTask t) {
         if (t.step.longRunning()) {
             return t.percent >= ALL_PERCENT ? Long.MAX_VALUE : t.begunAt + WARM_UP_MILLIS;
         }
--- a/core/src/test/java/org/lupinpaddle/core/run/LeftAloneTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LeftAloneTest.java
@@ -55,7 +55,7 @@
         aJobThatCanNotBeReadRuns();
         d.answers("w1", List.of(), List.of(DONE));
         d.passes(2_000);
-        long mayForget = d.port.holds.get(d.port.holds.size() - 1).forgetUpTo();
+        long mayForget = d.port.holds.get(d.port.holds.size() - 1).acknowledgedUpTo();
         SchedulerDriver next = new SchedulerDriver();
         next.workers("w1");
         TaskRecord third = new TaskRecord(0, 0, 0, 3, 0, false, "w1", "");
--- a/core/src/test/java/org/lupinpaddle/core/run/OwnerExperiment.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/OwnerExperiment.java
@@ -119,7 +119,7 @@
         }
 
         void hold(HoldOrder o, long sentAt) {
-            ends.removeIf(e -> e.number() <= o.forgetUpTo());
+            ends.removeIf(e -> e.number() <= o.acknowledgedUpTo());
             boolean[] answered = new boolean[1];
             waiting = () -> {
                 if (!answered[0]) {
--- a/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ServiceSchedulerTest.java
@@ -255,11 +255,11 @@
             d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
             d.passes(100);
             d.answers("w1", List.of(), List.of(ends(1, 1, EndKind.DONE)));
-            assertTrue(d.port.holds.stream().allMatch(h -> h.forgetUpTo() == 0));
+            assertTrue(d.port.holds.stream().allMatch(h -> h.acknowledgedUpTo() == 0));
             d.passes(100);
             d.saved();
             HoldOrder last = d.port.holds.get(d.port.holds.size() - 1);
-            assertEquals(1, last.forgetUpTo());
+            assertEquals(1, last.acknowledgedUpTo());
         }
 
         @Test
@@ -638,7 +638,7 @@
         }
 
         private long mayForget() {
-            return d.port.holds.get(d.port.holds.size() - 1).forgetUpTo();
+            return d.port.holds.get(d.port.holds.size() - 1).acknowledgedUpTo();
         }
 
         @Test
--- a/core/src/test/java/org/lupinpaddle/core/run/UnreadableTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/UnreadableTest.java
@@ -76,7 +76,7 @@
             EndReport done = new EndReport(1, "a", FIRST, 3, EndKind.DONE, "");
             d.answers("w1", List.of(), List.of(done));
             d.passes(1_000);
-            assertEquals(0, d.port.holds.get(d.port.holds.size() - 1).forgetUpTo());
+            assertEquals(0, d.port.holds.get(d.port.holds.size() - 1).acknowledgedUpTo());
             d.scheduler.onEvacuations(Set.of("w1"), Set.of());
             d.passes(100);
             assertEquals(List.of(), d.port.emptied);
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -121,7 +121,7 @@
             firstLifeEnds("w1", "a", "b", "c");
             d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
             d.passes(10);
-            assertEquals(0, d.lastHold("w1").forgetUpTo());
+            assertEquals(0, d.lastHold("w1").acknowledgedUpTo());
         }
 
         /** Guards against acknowledging results of a life that has begun since the worker answered last. */
@@ -129,14 +129,14 @@
         void areNotAcknowledgedAfterASilence() {
             listed("w1");
             firstLifeEnds("w1", "a", "b", "c");
-            assertEquals(3, d.lastHold("w1").forgetUpTo());
+            assertEquals(3, d.lastHold("w1").acknowledgedUpTo());
             d.passes(600);
             d.silent("w1");
             d.passes(300);
-            assertEquals(0, d.lastHold("w1").forgetUpTo());
+            assertEquals(0, d.lastHold("w1").acknowledgedUpTo());
             d.answersAs("w1", FIRST_BIRTH, OLD_CLOCK + 1_000, List.of(), List.of());
             d.passes(10);
-            assertEquals(3, d.lastHold("w1").forgetUpTo());
+            assertEquals(3, d.lastHold("w1").acknowledgedUpTo());
         }
     }
 
--- a/model/src/main/java/org/lupinpaddle/model/SimWorker.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorker.java
@@ -308,7 +308,7 @@
         if (o.deadlineMillis() > 0) {
             extend(o.deadlineMillis());
         }
-        forget(o.forgetUpTo());
+        forget(o.acknowledgedUpTo());
         boolean[] answered = new boolean[1];
         Runnable once = () -> {
             if (!answered[0] && up) {
