Tell a restart by a clock that goes back only where no answer can have overtaken another

Found in reading the change: a worker that states no birth is known by its clock, but two polls are under way together after a worker was dropped and listed again, and an older answer that arrives late has an older clock; it would have ended a life that goes on. Change: only an answer to a poll that was sent after the clock was read counts. Test: WorkerRestartTest.AnAnswerThatWasOvertaken, failed without the change (one restart logged instead of none).

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -145,9 +145,12 @@
         return incarnation;
     }
 
-    /** Returns whether an answer by this clock comes from a later life: clocks of workers do not go back. */
-    boolean isOutrunBy(long clock) {
-        return fenced && clock < clockMillis;
+    /**
+     * Returns whether an answer by this clock, to a poll that was sent then, comes from a later life: clocks of workers do not
+     * go back, but answers to polls that are under way together may overtake each other.
+     */
+    boolean clockWentBack(long clock, long sentAt) {
+        return fenced && sentAt >= clockReadAt && clock < clockMillis;
     }
 
     /** Takes in the birth that an answer states, where none is known. */
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -80,9 +80,9 @@
     private @Nullable LiveWorker lifeOf(LiveWorker w, long sentAt, HoldAnswer answer) {
         WorkerIncarnation life = new WorkerIncarnation(w.facts().id(), answer.bornMillis());
         if (!life.differsFrom(w.incarnation())) {
-            boolean statesNone = !life.hasBirth() && w.isOutrunBy(answer.clockMillis());
+            boolean restarted = !life.hasBirth() && w.clockWentBack(answer.clockMillis(), sentAt);
             w.states(life, state.now());
-            return statesNone ? restarted(w, life, answer) : w;
+            return restarted ? restarted(w, life, answer) : w;
         }
         // Clocks of hosts may step back between two births: whoever answers what was sent to the known life is no
         // earlier one.
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -282,6 +282,26 @@
         }
     }
 
+    @Nested
+    class AnAnswerThatWasOvertaken {
+
+        /** Guards against taking answers that overtake each other for a restart. */
+        @Test
+        void endsNoLife() {
+            d.workers("w1");
+            long sentAt = d.now;
+            HoldOrder early = d.lastHold("w1");
+            d.passes(100);
+            d.answersAs("w1", 0, OLD_CLOCK + 100, List.of(), List.of());
+            d.scheduler.onHeld(early, sentAt, new HoldAnswer(0, OLD_CLOCK, List.of(), List.of()));
+            assertEquals(
+                    0,
+                    d.port.events.stream()
+                            .filter(e -> e.kind() == SchedulerEvent.Kind.WORKER_RESTARTED)
+                            .count());
+        }
+    }
+
     @Nested
     class ALifeThatFallsSilent {
 
