Require a workspace key on non-public routes and isolate invalid workspace entries

Cause: configurations define workspaces with API keys and mark each route as public or not, but nothing evaluated these settings. Requests without a key, or with a revoked one, were served on every route.

A submission is committed only at the revision of the configuration that admitted it, so a revoked key is refused even if the watch has not yet reported the revocation. The newest configuration is read before a request is refused, and before a key is accepted by a configuration that was last confirmed more than 2 s ago; waiting requests share one read. If the store does not answer, a key that the known configuration accepts stays accepted for requests other than submissions.

Job records and job progress contain the name of the workspace, never the key. Records without a workspace remain visible as before, and jobs of public routes are written byte for byte as before.

An invalid workspace entry, a key held by two workspaces or a duplicate name is logged and counted once. The affected workspace keeps its last valid form, and the rest of the configuration version takes effect.

--- a/core/src/main/java/org/lupinpaddle/core/common/Unreadable.java
+++ b/core/src/main/java/org/lupinpaddle/core/common/Unreadable.java
@@ -49,7 +49,9 @@
         /** A text has not the form that it must have. */
         MALFORMED,
         /** The record names something else than the key under which it lies. */
-        NOT_OF_ITS_KEY;
+        NOT_OF_ITS_KEY,
+        /** Another entry has the same value, which must be unique. */
+        NOT_UNIQUE;
 
         /** Returns the reason about a record as a whole. */
         public Unreadable whole() {
--- a/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
@@ -15,8 +15,10 @@
  */
 package org.lupinpaddle.core.job;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.CheckedRecord;
 import org.lupinpaddle.core.common.Unreadable;
 
@@ -27,10 +29,22 @@
  * @param tasks the tasks that have been placed at least once; of a job that has ended, those still on workers
  * @param reason why the job failed; empty otherwise
  * @param changedMillis when the state last changed, in milliseconds since 1970
+ * @param workspace the workspace that the job belongs to, copied from {@link JobSpec}, whose record does not outlast
+ *     the job; null for none
  */
-public record JobProgress(JobState state, List<TaskRecord> tasks, String reason, long changedMillis)
+public record JobProgress(
+        JobState state,
+        List<TaskRecord> tasks,
+        String reason,
+        long changedMillis,
+        @JsonInclude(JsonInclude.Include.NON_NULL) @Nullable String workspace)
         implements CheckedRecord {
 
+    /** Creates the progress of a job that belongs to no workspace. */
+    public JobProgress(JobState state, List<TaskRecord> tasks, String reason, long changedMillis) {
+        this(state, tasks, reason, changedMillis, null);
+    }
+
     /** Returns what is true of a job that no owner has written of yet. */
     public static JobProgress none(long acceptedMillis) {
         return new JobProgress(JobState.QUEUED, List.of(), "", acceptedMillis);
--- a/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
@@ -15,8 +15,10 @@
  */
 package org.lupinpaddle.core.job;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.CheckedRecord;
 import org.lupinpaddle.core.common.Unreadable;
 
@@ -30,6 +32,8 @@
  * @param repeat when the steps are run
  * @param policy what the configuration said of its queue
  * @param acceptedMillis when it was accepted, in milliseconds since 1970 by the accepting entry's clock
+ * @param workspace the name of the workspace that the job belongs to; null for a job of a public queue and in records
+ *     written by versions without workspaces
  */
 public record JobSpec(
         JobKey key,
@@ -38,13 +42,26 @@
         List<StepSpec> steps,
         Repeat repeat,
         Policy policy,
-        long acceptedMillis)
+        long acceptedMillis,
+        @JsonInclude(JsonInclude.Include.NON_NULL) @Nullable String workspace)
         implements CheckedRecord {
 
     // No JSON: nothing reads it as a job by mistake.
     /** What lies in the place of a job's record once the job is over; that the key is there still says "accepted". */
     public static final String OVER = "over";
 
+    /** Creates a job that belongs to no workspace. */
+    public JobSpec(
+            JobKey key,
+            String service,
+            String text,
+            List<StepSpec> steps,
+            Repeat repeat,
+            Policy policy,
+            long acceptedMillis) {
+        this(key, service, text, steps, repeat, policy, acceptedMillis, null);
+    }
+
     @Override
     public Optional<Unreadable> wrong() {
         if (SubmissionCheck.wrong(new Submission(text, steps, repeat)).isPresent()) {
--- a/core/src/main/java/org/lupinpaddle/core/queue/JobConfiguration.java
+++ b/core/src/main/java/org/lupinpaddle/core/queue/JobConfiguration.java
@@ -18,6 +18,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.lupinpaddle.core.workspace.Workspaces;
 
 /**
  * The operators' configuration of queues and services, whole.
@@ -26,8 +27,35 @@
  * @param queues all queues
  * @param services all services
  * @param bodyBytes the largest body that is taken from a caller
+ * @param workspaces the workspaces that share the fleet
  */
-public record JobConfiguration(long version, List<QueueConfig> queues, List<ServiceConfig> services, int bodyBytes) {
+public record JobConfiguration(
+        long version, List<QueueConfig> queues, List<ServiceConfig> services, int bodyBytes, Workspaces workspaces) {
+
+    /** Creates a configuration without workspaces. */
+    public JobConfiguration(long version, List<QueueConfig> queues, List<ServiceConfig> services, int bodyBytes) {
+        this(version, queues, services, bodyBytes, Workspaces.NONE);
+    }
+
+    /** Returns this configuration with rejected workspaces replaced by their {@code previous} versions. */
+    public JobConfiguration withFallback(Workspaces previous) {
+        return new JobConfiguration(version, queues, services, bodyBytes, workspaces.withFallback(previous));
+    }
+
+    /** Decides whether a request is admitted. */
+    public Admission admit(CallerRequest r) {
+        QueueConfig q = queueFor(r.host(), r.path()).orElse(null);
+        if (q == null) {
+            return Admission.NO_QUEUE;
+        }
+        if (!q.requiresKey()) {
+            return new Admission(Admission.Outcome.ADMITTED, q, null);
+        }
+        return workspaces
+                .findByKey(r.key())
+                .map(w -> new Admission(Admission.Outcome.ADMITTED, q, w.name()))
+                .orElse(Admission.UNKNOWN_KEY);
+    }
 
     /** Returns the queue with this host and the longest path prefix with which the path begins. */
     public Optional<QueueConfig> queueFor(String host, String path) {
--- a/core/src/main/java/org/lupinpaddle/core/queue/QueueConfig.java
+++ b/core/src/main/java/org/lupinpaddle/core/queue/QueueConfig.java
@@ -25,5 +25,13 @@
  * @param pathPrefix the beginning of the path that callers name; a job's id follows it
  * @param service whose workers run the jobs
  * @param policy what the jobs are due
+ * @param requiresKey whether requests must carry the API key of a workspace
  */
-public record QueueConfig(String name, String host, String pathPrefix, String service, Policy policy) {}
+public record QueueConfig(
+        String name, String host, String pathPrefix, String service, Policy policy, boolean requiresKey) {
+
+    /** Creates a queue that requires no key. */
+    public QueueConfig(String name, String host, String pathPrefix, String service, Policy policy) {
+        this(name, host, pathPrefix, service, policy, false);
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -154,13 +154,13 @@
 
     JobProgress progress(long wallMillis) {
         if (savedBare) {
-            return new JobProgress(state, List.of(), "", wallMillis);
+            return new JobProgress(state, List.of(), "", wallMillis, spec.workspace());
         }
         // Of a job that has ended only what workers still hold matters to a successor.
         List<TaskRecord> touched = tasks.stream()
                 .filter(t -> state.ended() ? t.phase.onWorker() : t.touched())
                 .map(LiveTask::record)
                 .toList();
-        return new JobProgress(state, touched, reason, wallMillis);
+        return new JobProgress(state, touched, reason, wallMillis, spec.workspace());
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -18,8 +18,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.workspace.Workspaces;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
 import org.lupinpaddle.daemon.jobs.UnreadableEntries.Kind;
@@ -34,6 +36,9 @@
  */
 final class ConfigurationFeed implements PrefixWatch.Listener, AutoCloseable {
 
+    // Identifies workspaces in reports of unreadable entries; they have no store keys of their own.
+    private static final String WORKSPACE_PREFIX = "configuration/workspace/";
+
     private final KeyValueStore store;
     private final EventLoop loop;
     private final PlatformRecords records;
@@ -42,6 +47,8 @@
     private final Runnable onChange;
     private @Nullable JobConfiguration configuration;
     private long revision;
+    /** The latest read; concurrent callers share it until it completes. */
+    private @Nullable CompletableFuture<Optional<JobConfiguration>> latestRead;
 
     ConfigurationFeed(
             KeyValueStore store,
@@ -78,13 +85,19 @@
 
     /** Reads the configuration; when the future ends well, the newest one is in force here. */
     CompletableFuture<Optional<JobConfiguration>> refresh() {
-        return store.read(records.configurationKey())
+        CompletableFuture<Optional<JobConfiguration>> pending = latestRead;
+        if (pending != null && !pending.isDone()) {
+            return pending;
+        }
+        CompletableFuture<Optional<JobConfiguration>> next = store.read(records.configurationKey())
                 .thenApplyAsync(
                         item -> {
                             item.ifPresent(this::take);
                             return current();
                         },
                         loop::execute);
+        latestRead = next;
+        return next;
     }
 
     @Override
@@ -109,7 +122,9 @@
             return;
         }
         revision = item.revision();
-        configuration = read;
+        Workspaces previous = configuration == null ? Workspaces.NONE : configuration.workspaces();
+        configuration = read.withFallback(previous);
+        reportRejected(read.workspaces().rejected());
         Log.info(
                 "configuration-in-force",
                 "version",
@@ -117,10 +132,22 @@
                 "revision",
                 revision,
                 "queues",
-                read.queues().size());
+                read.queues().size(),
+                "workspaces",
+                configuration.workspaces().all().size());
         onChange.run();
     }
 
+    private void reportRejected(List<Workspaces.Rejected> rejected) {
+        unreadable.onlyThese(
+                WORKSPACE_PREFIX,
+                rejected.stream().map(w -> WORKSPACE_PREFIX + w.name()).collect(Collectors.toSet()));
+        for (Workspaces.Rejected w : rejected) {
+            unreadable.unreadable(
+                    new UnreadableEntries.Entry(Kind.WORKSPACE, WORKSPACE_PREFIX + w.name(), revision, w.why()));
+        }
+    }
+
     @Override
     public void close() {
         watch.close();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -20,6 +20,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -34,6 +35,8 @@
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.Submission;
+import org.lupinpaddle.core.queue.Admission;
+import org.lupinpaddle.core.queue.CallerRequest;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.queue.QueueConfig;
 import org.lupinpaddle.core.queue.ServiceConfig;
@@ -55,8 +58,11 @@
     private static final int MOST_TRIES = 4;
     // Nor is it tried again after this: callers wait 3 s, and whoever is told sooner comes back sooner.
     private static final long MOST_MILLIS = 1_200;
-    // A 404 is said only when the configuration was read not longer ago than this.
+    // The greatest age of the configuration at which a request is refused without reading the store.
     private static final long FRESH_MILLIS = 200;
+    // The greatest age of the configuration at which a key is accepted without reading the store; a healthy watch is
+    // confirmed more often.
+    private static final long KEY_FRESH_MILLIS = 2_000;
     // A count may be 2 s old when it is told; a read of a large queue takes some of them.
     private static final long COUNT_MILLIS = 800;
 
@@ -104,44 +110,59 @@
     }
 
     /**
-     * Returns the queue for a host and path. A queue that is not known is looked for in the newest
-     * configuration before it is said not to exist; the future fails when the store can not be asked.
+     * Decides whether a request is admitted. If the known configuration may be out of date, reads the newest one before
+     * refusing a request or accepting a key. If that read fails, a key that the known configuration accepts stays accepted,
+     * and for any other request the future fails.
      */
-    public CompletableFuture<Optional<QueueConfig>> queue(String host, String path) {
-        Optional<QueueConfig> known = configuration.current().flatMap(c -> c.queueFor(host, path));
+    public CompletableFuture<Admission> admit(CallerRequest r) {
+        Optional<Admission> known = configuration.current().map(c -> c.admit(r));
         long age = loop.clock().millis() - configuration.confirmedAt();
-        if (known.isPresent() || (isConfigured() && age <= FRESH_MILLIS)) {
-            return CompletableFuture.completedFuture(known);
+        if (known.isPresent() && known.get().isAdmitted()) {
+            return !known.get().usesKey() || age <= KEY_FRESH_MILLIS || !storeReached.getAsBoolean()
+                    ? CompletableFuture.completedFuture(known.get())
+                    : refreshAndAdmit(r).exceptionally(why -> known.get());
         }
-        return configuration.refresh().thenApply(c -> c.flatMap(f -> f.queueFor(host, path)));
+        return known.isPresent() && age <= FRESH_MILLIS
+                ? CompletableFuture.completedFuture(known.get())
+                : refreshAndAdmit(r);
+    }
+
+    private CompletableFuture<Admission> refreshAndAdmit(CallerRequest r) {
+        return configuration
+                .refresh()
+                .thenApply(c -> c.orElseThrow(() -> new IllegalStateException("no configuration yet"))
+                        .admit(r));
     }
 
     /** Takes a job. The answer is true at the moment the store decided. */
-    public CompletableFuture<SubmitOutcome> submit(String host, String path, String id, Submission s) {
+    public CompletableFuture<SubmitOutcome> submit(CallerRequest request, String id, Submission s) {
         if (!storeReached.getAsBoolean()) {
             // Nothing was written, and another entry may reach the store: the caller had better not wait here.
             Log.info("accept-refused", "job", id, "why", "the store does not answer this entry");
             return CompletableFuture.completedFuture(SubmitOutcome.NOT_TAKEN);
         }
-        Handing h = new Handing(host, path, id, s, loop.clock().millis() + MOST_MILLIS);
-        return queue(host, path)
-                .thenCompose(q -> q.isEmpty()
-                        ? CompletableFuture.completedFuture(SubmitOutcome.NO_QUEUE)
-                        : accept(h, q.get(), 1, false))
-                .exceptionally(why -> {
-                    Log.info("accept-refused", "job", id, "why", StoreFailure.text(why));
-                    return SubmitOutcome.NOT_TAKEN;
-                });
+        Handing h = new Handing(request, id, s, loop.clock().millis() + MOST_MILLIS);
+        return admit(request).thenCompose(a -> accept(h, a, 1, false)).exceptionally(why -> {
+            Log.info("accept-refused", "job", id, "why", StoreFailure.text(why));
+            return SubmitOutcome.NOT_TAKEN;
+        });
     }
 
     /** A job as a caller hands it in, and where. */
-    private record Handing(String host, String path, String id, Submission job, long until) {}
+    private record Handing(CallerRequest request, String id, Submission job, long until) {}
 
-    private CompletableFuture<SubmitOutcome> accept(Handing h, QueueConfig q, int attempt, boolean mayBeWritten) {
+    private CompletableFuture<SubmitOutcome> accept(Handing h, Admission a, int attempt, boolean mayBeWritten) {
+        QueueConfig q = a.queue();
+        if (q == null) {
+            SubmitOutcome refused =
+                    a.outcome() == Admission.Outcome.UNKNOWN_KEY ? SubmitOutcome.UNKNOWN_KEY : SubmitOutcome.NO_QUEUE;
+            return CompletableFuture.completedFuture(mayBeWritten ? SubmitOutcome.UNKNOWN : refused);
+        }
         JobKey key = new JobKey(q.name(), h.id);
         String at = JobKeys.job(q.service(), key);
         Submission s = h.job;
-        JobSpec spec = new JobSpec(key, q.service(), s.text(), s.steps(), s.repeat(), q.policy(), wall.millis());
+        JobSpec spec = new JobSpec(
+                key, q.service(), s.text(), s.steps(), s.repeat(), q.policy(), wall.millis(), a.workspace());
         // The write holds only under the configuration that was looked at: no entry takes a job by an old one.
         StoreCommit commit = StoreCommit.builder()
                 .when(records.configurationKey(), configuration.revision())
@@ -166,24 +187,21 @@
         CompletableFuture<Optional<JobConfiguration>> newest = r.outcome() == CommitResult.Outcome.CONFLICT
                 ? configuration.refresh()
                 : CompletableFuture.completedFuture(configuration.current());
-        return newest.thenComposeAsync(c -> acceptAgain(h, c, attempt + 1, unknown), loop::execute)
+        return newest.thenComposeAsync(
+                        c -> c.map(f -> accept(h, f.admit(h.request), attempt + 1, unknown))
+                                .orElseGet(() -> CompletableFuture.completedFuture(
+                                        unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NO_QUEUE)),
+                        loop::execute)
                 .exceptionally(why -> {
                     Log.info("accept-undecided", "job", h.id, "why", StoreFailure.text(why), "attempt", attempt);
                     return unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN;
                 });
     }
 
-    private CompletableFuture<SubmitOutcome> acceptAgain(
-            Handing h, Optional<JobConfiguration> c, int attempt, boolean unknown) {
-        return c.flatMap(f -> f.queueFor(h.host, h.path))
-                .map(q -> accept(h, q, attempt, unknown))
-                .orElseGet(() ->
-                        CompletableFuture.completedFuture(unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NO_QUEUE));
-    }
-
-    /** Tells the state of a job. */
-    public CompletableFuture<JobAnswer> state(QueueConfig q, String id) {
-        return stateIn(services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
+    /** Returns the state of a job; a job of another workspace is reported as nonexistent. */
+    public CompletableFuture<JobAnswer> state(Admission a, String id) {
+        QueueConfig q = Objects.requireNonNull(a.queue(), "the request was not admitted");
+        return stateIn(a, services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
             Log.info("state-unknown", "job", id, "why", StoreFailure.text(why));
             return JobAnswer.UNKNOWN;
         });
@@ -199,7 +217,7 @@
         return new ArrayList<>(all);
     }
 
-    private CompletableFuture<JobAnswer> stateIn(List<String> services, int index, JobKey key) {
+    private CompletableFuture<JobAnswer> stateIn(Admission a, List<String> services, int index, JobKey key) {
         if (index == services.size()) {
             return CompletableFuture.completedFuture(JobAnswer.NO_JOB);
         }
@@ -207,53 +225,64 @@
         return store.read(JobKeys.progress(service, key))
                 .thenComposeAsync(
                         p -> p.isPresent()
-                                ? CompletableFuture.completedFuture(stateOf(p.get()))
-                                : queuedIn(services, index, key),
+                                ? CompletableFuture.completedFuture(stateOf(a, p.get()))
+                                : queuedIn(a, services, index, key),
                         loop::execute);
     }
 
-    private CompletableFuture<JobAnswer> queuedIn(List<String> services, int index, JobKey key) {
+    private CompletableFuture<JobAnswer> queuedIn(Admission a, List<String> services, int index, JobKey key) {
         return store.read(JobKeys.job(services.get(index), key))
                 .thenComposeAsync(
                         j -> j.isPresent()
-                                ? CompletableFuture.completedFuture(unbegun(j.get()))
-                                : stateIn(services, index + 1, key),
+                                ? CompletableFuture.completedFuture(unbegun(a, j.get()))
+                                : stateIn(a, services, index + 1, key),
                         loop::execute);
     }
 
-    private static JobAnswer unbegun(StoreItem job) {
-        boolean known =
-                job.value().equals(JobSpec.OVER) || job.read(JobSpec.class).isRight();
-        return known ? JobAnswer.of(JobState.QUEUED) : JobAnswer.UNKNOWN;
+    private static JobAnswer unbegun(Admission a, StoreItem job) {
+        if (job.value().equals(JobSpec.OVER)) {
+            return JobAnswer.of(JobState.QUEUED);
+        }
+        return job.read(JobSpec.class)
+                .map(s -> a.canAccess(s.workspace()) ? JobAnswer.of(JobState.QUEUED) : JobAnswer.NO_JOB)
+                .getOrElse(JobAnswer.UNKNOWN);
     }
 
     /** Of a job whose progress can not be read nothing is known: any state might be untrue. */
-    private static JobAnswer stateOf(StoreItem progress) {
+    private static JobAnswer stateOf(Admission a, StoreItem progress) {
         return progress.read(JobProgress.class)
-                .map(p -> JobAnswer.of(p.state()))
+                .map(p -> a.canAccess(p.workspace()) ? JobAnswer.of(p.state()) : JobAnswer.NO_JOB)
                 .peekLeft(why -> Log.info("state-unreadable", "key", progress.key(), "why", why))
                 .getOrElse(JobAnswer.UNKNOWN);
     }
 
     /** Cancels a job; the future tells whether there is such a job, and is known only when that is durable. */
-    public CompletableFuture<JobAnswer> cancel(QueueConfig q, String id) {
-        return cancelIn(services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
+    public CompletableFuture<JobAnswer> cancel(Admission a, String id) {
+        QueueConfig q = Objects.requireNonNull(a.queue(), "the request was not admitted");
+        return cancelIn(a, services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
             Log.info("cancel-unknown", "job", id, "why", StoreFailure.text(why));
             return JobAnswer.UNKNOWN;
         });
     }
 
-    private CompletableFuture<JobAnswer> cancelIn(List<String> services, int index, JobKey key) {
+    private CompletableFuture<JobAnswer> cancelIn(Admission a, List<String> services, int index, JobKey key) {
         if (index == services.size()) {
             return CompletableFuture.completedFuture(JobAnswer.NO_JOB);
         }
         String service = services.get(index);
         return store.read(JobKeys.job(service, key))
                 .thenComposeAsync(
-                        j -> j.isPresent() ? writeCancel(service, key, 1) : cancelIn(services, index + 1, key),
+                        j -> j.isPresent()
+                                ? cancelIfAccessible(a, service, key, j.get())
+                                : cancelIn(a, services, index + 1, key),
                         loop::execute);
     }
 
+    private CompletableFuture<JobAnswer> cancelIfAccessible(Admission a, String service, JobKey key, StoreItem job) {
+        boolean inaccessible = job.read(JobSpec.class).exists(s -> !a.canAccess(s.workspace()));
+        return inaccessible ? CompletableFuture.completedFuture(JobAnswer.NO_JOB) : writeCancel(service, key, 1);
+    }
+
     private CompletableFuture<JobAnswer> writeCancel(String service, JobKey key, int attempt) {
         StoreCommit commit = StoreCommit.builder()
                 .put(JobKeys.cancel(service, key), key.toString())
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
@@ -41,6 +41,11 @@
         count("accepts", outcome);
     }
 
+    /** Counts a request that was refused for lack of a valid key. */
+    public void keyRefused() {
+        registry.counter("requests.unknown.key").inc();
+    }
+
     /** Counts a decision of a scheduler, and how long its job took to get there. */
     void decided(SchedulerEvent e) {
         switch (e.kind()) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
@@ -21,6 +21,8 @@
     ACCEPTED,
     /** There is no such queue. */
     NO_QUEUE,
+    /** The queue requires a key, and the request has no valid one. */
+    UNKNOWN_KEY,
     /** Not taken, and it never will be by this call; come back later. */
     NOT_TAKEN,
     /** Not known: the store did not say whether it is kept. Sending the same id again is safe. */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
@@ -49,6 +49,8 @@
         WORKER,
         /** The operators' configuration. */
         CONFIGURATION,
+        /** A workspace entry of the operators' configuration. */
+        WORKSPACE,
         /** A wave of upkeep that the operators ask for. */
         WAVE,
         /** A job as it was accepted. */
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/DirectLoop.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/DirectLoop.java
@@ -20,9 +20,17 @@
 
 /** Runs each step at once. */
 final class DirectLoop implements EventLoop {
+
+    private long now;
+
+    /** Advances the clock without running scheduled steps. */
+    void passes(long millis) {
+        now += millis;
+    }
+
     @Override
     public Clock clock() {
-        return () -> 0;
+        return () -> now;
     }
 
     @Override
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -57,6 +57,12 @@
     /** How many commits have been asked for. */
     int commits;
 
+    /** How many reads of a single key have been requested. */
+    int reads;
+
+    /** Whether reads of a single key stay unanswered. */
+    boolean holdsReads;
+
     /** How many renewals of leases have been asked for. */
     int renewals;
 
@@ -162,7 +168,10 @@
 
     @Override
     public CompletableFuture<Optional<StoreItem>> read(String key) {
-        return CompletableFuture.completedFuture(Optional.ofNullable(items.get(key)));
+        reads++;
+        return holdsReads
+                ? new CompletableFuture<>()
+                : CompletableFuture.completedFuture(Optional.ofNullable(items.get(key)));
     }
 
     @Override
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.daemon.jobs;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,14 +26,21 @@
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.Policy;
 import org.lupinpaddle.core.job.Repeat;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.Submission;
+import org.lupinpaddle.core.placement.Room;
+import org.lupinpaddle.core.queue.Admission;
+import org.lupinpaddle.core.queue.CallerRequest;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.queue.QueueConfig;
 import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.core.workspace.KeyDigest;
+import org.lupinpaddle.core.workspace.Workspace;
+import org.lupinpaddle.core.workspace.Workspaces;
 
 /** What a caller is told when a job is handed in. */
 class JobIntakeTest {
@@ -59,7 +67,10 @@
 
     private SubmitOutcome submit() {
         StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
-        return intake.submit("host", "/clips/a", "a", new Submission("text", List.of(one), Repeat.ONCE))
+        return intake.submit(
+                        new CallerRequest("host", "/clips/a", null),
+                        "a",
+                        new Submission("text", List.of(one), Repeat.ONCE))
                 .join();
     }
 
@@ -101,12 +112,14 @@
             Submission s = new Submission("text", List.of(one), Repeat.ONCE);
             assertEquals(
                     SubmitOutcome.NO_QUEUE,
-                    intake.submit("host", "/other/a", "a", s).join());
+                    intake.submit(new CallerRequest("host", "/other/a", null), "a", s)
+                            .join());
         }
     }
 
     private final QueueConfig queue =
             new QueueConfig("q", "host", "/clips/", "clips", new Policy(0, 3, 1.5, 500, false));
+    private final Admission admitted = new Admission(Admission.Outcome.ADMITTED, queue, null);
 
     @Nested
     class AJobThatCanNotBeRead {
@@ -116,11 +129,11 @@
         @Test
         void hasNoStateThatIsTold() {
             store.set(JOB, "{}");
-            assertEquals(JobAnswer.UNKNOWN, intake.state(queue, "a").join());
+            assertEquals(JobAnswer.UNKNOWN, intake.state(admitted, "a").join());
             store.setNoText(JobKeys.progress("clips", job));
-            assertEquals(JobAnswer.UNKNOWN, intake.state(queue, "a").join());
+            assertEquals(JobAnswer.UNKNOWN, intake.state(admitted, "a").join());
             store.set(JobKeys.progress("clips", job), "{\"state\":\"DONE\"}");
-            assertEquals(JobAnswer.UNKNOWN, intake.state(queue, "a").join());
+            assertEquals(JobAnswer.UNKNOWN, intake.state(admitted, "a").join());
         }
 
         @Test
@@ -135,7 +148,8 @@
         void mayBeCancelled() {
             store.setNoText(JOB);
             assertEquals(
-                    JobAnswer.of(JobState.CANCELLED), intake.cancel(queue, "a").join());
+                    JobAnswer.of(JobState.CANCELLED),
+                    intake.cancel(admitted, "a").join());
         }
     }
 
@@ -171,15 +185,18 @@
         @Test
         void hasItsLastState() {
             assertEquals(
-                    JobAnswer.of(JobState.COMPLETED), intake.state(queue, "a").join());
+                    JobAnswer.of(JobState.COMPLETED),
+                    intake.state(admitted, "a").join());
         }
 
         @Test
         void mayStillBeCancelledAsBefore() {
             assertEquals(
-                    JobAnswer.of(JobState.CANCELLED), intake.cancel(queue, "a").join());
+                    JobAnswer.of(JobState.CANCELLED),
+                    intake.cancel(admitted, "a").join());
             assertEquals(
-                    JobAnswer.of(JobState.COMPLETED), intake.state(queue, "a").join());
+                    JobAnswer.of(JobState.COMPLETED),
+                    intake.state(admitted, "a").join());
         }
 
         @Test
@@ -190,6 +207,114 @@
         }
     }
 
+    @Nested
+    class AWorkspacesKey {
+
+        private void configure(long version, String... keys) {
+            List<KeyDigest> digests = List.of(keys).stream().map(KeyDigest::of).toList();
+            Workspace news = new Workspace("news", digests, 1, Room.NONE);
+            Workspace archive = new Workspace("archive", List.of(KeyDigest.of("k9")), 1, Room.NONE);
+            QueueConfig keyed = new QueueConfig("q", "host", "/clips/", "clips", queue.policy(), true);
+            JobConfiguration c = new JobConfiguration(
+                    version,
+                    List.of(keyed),
+                    List.of(new ServiceConfig("clips", false, true)),
+                    1 << 18,
+                    new Workspaces(List.of(news, archive), List.of()));
+            store.set(FakeRecords.CONFIGURATION, RecordCodec.write(c));
+        }
+
+        private CallerRequest request(String key) {
+            return new CallerRequest("host", "/clips/a", KeyDigest.of(key));
+        }
+
+        private SubmitOutcome submit(String key) {
+            StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
+            Submission s = new Submission("text", List.of(one), Repeat.ONCE);
+            return intake.submit(request(key), "a", s).join();
+        }
+
+        @Test
+        void admitsAJobAndIsNotStoredInItsRecord() {
+            configure(2, "k1");
+            assertEquals(SubmitOutcome.ACCEPTED, submit("k1"));
+            assertEquals(
+                    "news",
+                    RecordCodec.read(store.value(JOB), JobSpec.class).get().workspace());
+            assertFalse(store.value(JOB).contains("k1"));
+        }
+
+        @Test
+        void thatIsUnknownIsRefusedWithoutAWrite() {
+            configure(2, "k1");
+            assertEquals(SubmitOutcome.UNKNOWN_KEY, submit("k2"));
+            assertEquals("", store.value(JOB));
+        }
+
+        /** Guards against accepting a revoked key because the known configuration is out of date. */
+        @Test
+        void thatWasRevokedIsRefusedBeforeTheWatchReportsIt() {
+            configure(2, "k1");
+            store.tellWatches();
+            configure(3);
+            assertEquals(SubmitOutcome.UNKNOWN_KEY, submit("k1"));
+        }
+
+        @Test
+        void thatWasJustAddedIsAccepted() {
+            configure(2, "k1");
+            store.tellWatches();
+            configure(3, "k1", "k2");
+            loop.passes(1_000);
+            assertEquals(SubmitOutcome.ACCEPTED, submit("k2"));
+        }
+
+        /** Guards against access to the jobs of another workspace. */
+        @Test
+        void givesAccessOnlyToJobsOfItsWorkspace() {
+            configure(2, "k1");
+            submit("k1");
+            Admission other = intake.admit(request("k9")).join();
+            assertEquals(JobAnswer.NO_JOB, intake.state(other, "a").join());
+            assertEquals(JobAnswer.NO_JOB, intake.cancel(other, "a").join());
+            Admission own = intake.admit(request("k1")).join();
+            assertEquals(JobAnswer.of(JobState.QUEUED), intake.state(own, "a").join());
+            JobProgress running = new JobProgress(JobState.RUNNING, List.of(), "", 0, "news");
+            store.set(JobKeys.progress("clips", new JobKey("q", "a")), RecordCodec.write(running));
+            assertEquals(JobAnswer.NO_JOB, intake.state(other, "a").join());
+            assertEquals(JobAnswer.of(JobState.RUNNING), intake.state(own, "a").join());
+        }
+
+        /** Guards against hiding jobs that were accepted by a version without workspaces. */
+        @Test
+        void givesAccessToJobsWithoutAWorkspace() {
+            configure(2, "k1");
+            store.set(JOB, RecordCodec.write(specWithoutWorkspace()));
+            assertFalse(store.value(JOB).contains("workspace"), "the record must stay readable by earlier versions");
+            Admission own = intake.admit(request("k1")).join();
+            assertEquals(JobAnswer.of(JobState.QUEUED), intake.state(own, "a").join());
+        }
+
+        private JobSpec specWithoutWorkspace() {
+            StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
+            return new JobSpec(new JobKey("q", "a"), "clips", "text", List.of(one), Repeat.ONCE, queue.policy(), 0);
+        }
+
+        /** Guards against one read per request while the configuration is out of date. */
+        @Test
+        void causesOneReadForConcurrentRequests() {
+            configure(2, "k1");
+            store.tellWatches();
+            store.holdsReads = true;
+            long before = store.reads;
+            loop.passes(5_000);
+            for (int i = 0; i < 10; i++) {
+                var unused = intake.admit(request("k1"));
+            }
+            assertEquals(before + 1, store.reads);
+        }
+    }
+
     @Nested
     class CountsOfWaitingJobs {
 
--- a/model/src/main/java/org/lupinpaddle/model/SimCaller.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimCaller.java
@@ -20,6 +20,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.Submission;
+import org.lupinpaddle.core.queue.CallerRequest;
 import org.lupinpaddle.daemon.jobs.JobAnswer;
 import org.lupinpaddle.daemon.jobs.JobIntake;
 import org.lupinpaddle.daemon.jobs.SubmitOutcome;
@@ -36,7 +37,7 @@
     private final World world;
     private final History history;
     private final String id;
-    private final String path;
+    private final CallerRequest request;
     private final Submission submission;
     private final boolean mayCancel;
     private final Rules.JobTruth truth;
@@ -52,7 +53,7 @@
         this.world = world;
         this.history = history;
         this.id = String.format("%016x", 0xabc000L + number);
-        this.path = "/" + service + "/" + id;
+        this.request = new CallerRequest("host", "/" + service + "/" + id, null);
         this.submission = submission;
         this.mayCancel = mayCancel;
         this.truth = world.rules.submitted(id, service, world.maxAttempts(), submission);
@@ -79,7 +80,7 @@
         if (e != null) {
             onEntry(
                     e,
-                    i -> i.submit("host", path, id, submission)
+                    i -> i.submit(request, id, submission)
                             .thenAccept(o -> world.time.after(world.net.latency(), () -> {
                                 if (e.isUp()) {
                                     once.accept(o);
@@ -136,9 +137,11 @@
         if (e != null) {
             onEntry(
                     e,
-                    i -> i.queue("host", path)
-                            .thenAccept(q -> q.ifPresent(found ->
-                                    i.state(found, id).thenAccept(a -> world.time.after(1, () -> told(a))))));
+                    i -> i.admit(request).thenAccept(admission -> {
+                        if (admission.isAdmitted()) {
+                            i.state(admission, id).thenAccept(a -> world.time.after(1, () -> told(a)));
+                        }
+                    }));
         }
         world.time.after(ASK_MILLIS, this::ask);
     }
@@ -176,9 +179,11 @@
         if (e != null) {
             onEntry(
                     e,
-                    i -> i.queue("host", path)
-                            .thenAccept(q ->
-                                    q.ifPresent(found -> i.cancel(found, id).thenAccept(this::cancelled))));
+                    i -> i.admit(request).thenAccept(admission -> {
+                        if (admission.isAdmitted()) {
+                            i.cancel(admission, id).thenAccept(this::cancelled);
+                        }
+                    }));
         }
         world.time.after(PATIENCE_MILLIS, () -> {
             if (truth.cancelAnsweredAt == World.NEVER) {
