Isolate ended jobs and reused ids of other workspaces

Cause: cancellation checked only the job's own record, which no longer names a workspace after the job has ended, so any key could cancel an ended job of another workspace. A submission whose id was in use by a job of another workspace was answered 200 although nothing was stored for its caller. A repeated submission was answered under the configuration cached by the entry even if the store held a newer one that no longer contains the key. Besides, an idle watch of the configuration reaches an age of 3 s, so with the bound of 2 s keyed requests read the configuration although the watch worked.

Change: if the job's record does not name its workspace, its progress record is read. For a job of another workspace, a cancellation is answered 410 and a submission 409; if the job's records are unreadable, the answers are 503 and 504. A submission that encounters a newer configuration is first checked against that configuration. Requests without keys cause no additional reads. The watch counts as working for 3.3 s after the request of its newest answer.

Tests: three in JobIntakeTest.AWorkspacesKey.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -36,6 +36,8 @@
  */
 final class ConfigurationFeed implements PrefixWatch.Listener, AutoCloseable {
 
+    // Longer than the age that the newest answer of an idle watch reaches, which is twice its waiting time.
+    private static final long CONFIRMED_MILLIS = 3_300;
     // Identifies workspaces in reports of unreadable entries; they have no store keys of their own.
     private static final String WORKSPACE_PREFIX = "configuration/workspace/";
 
@@ -78,6 +80,17 @@
         return revision;
     }
 
+    /** Returns the workspaces of the configuration in force. */
+    WorkspacesInForce workspaces() {
+        Workspaces known = current().map(JobConfiguration::workspaces).orElse(Workspaces.NONE);
+        return new WorkspacesInForce(records.configurationKey(), revision, isConfirmed(), known);
+    }
+
+    /** Returns whether the watch works, so that a newer configuration is known here soon. */
+    boolean isConfirmed() {
+        return loop.clock().millis() - confirmedAt() <= CONFIRMED_MILLIS;
+    }
+
     /** Returns since when a newer configuration may exist that is not known here. */
     long confirmedAt() {
         return watch.confirmedAt();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -26,9 +27,11 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobKeys;
 import org.lupinpaddle.core.job.JobProgress;
@@ -61,8 +64,6 @@
     // The greatest age of the configuration at which a request is refused without reading the store.
     private static final long FRESH_MILLIS = 200;
     // The greatest age of the configuration at which a key is accepted without reading the store; a healthy watch is
-    // confirmed more often.
-    private static final long KEY_FRESH_MILLIS = 2_000;
     // A count may be 2 s old when it is told; a read of a large queue takes some of them.
     private static final long COUNT_MILLIS = 800;
 
@@ -118,7 +119,7 @@
         Optional<Admission> known = configuration.current().map(c -> c.admit(r));
         long age = loop.clock().millis() - configuration.confirmedAt();
         if (known.isPresent() && known.get().isAdmitted()) {
-            return !known.get().usesKey() || age <= KEY_FRESH_MILLIS || !storeReached.getAsBoolean()
+            return !known.get().usesKey() || configuration.isConfirmed() || !storeReached.getAsBoolean()
                     ? CompletableFuture.completedFuture(known.get())
                     : refreshAndAdmit(r).exceptionally(why -> known.get());
         }
@@ -169,14 +170,28 @@
                 .when(at, 0)
                 .put(at, RecordCodec.write(spec))
                 .build();
-        return store.commit(commit).thenComposeAsync(r -> decided(h, at, r, attempt, mayBeWritten), loop::execute);
+        long admittedRevision = configuration.revision();
+        return store.commit(commit)
+                .thenComposeAsync(
+                        r -> {
+                            StoreItem existing = itemAt(at, r);
+                            boolean keyMustBeRechecked =
+                                    a.usesKey() && r.revisionOf(records.configurationKey()) != admittedRevision;
+                            return existing == null || keyMustBeRechecked
+                                    ? decided(h, r, attempt, mayBeWritten)
+                                    : jobAccess(a, q.service(), key, existing)
+                                            .thenApply(access -> access.submitOutcome);
+                        },
+                        loop::execute);
     }
 
-    private CompletableFuture<SubmitOutcome> decided(
-            Handing h, String at, CommitResult r, int attempt, boolean mayBeWritten) {
+    private static @Nullable StoreItem itemAt(String key, CommitResult r) {
+        return r.current().stream().filter(i -> i.key().equals(key)).findFirst().orElse(null);
+    }
+
+    private CompletableFuture<SubmitOutcome> decided(Handing h, CommitResult r, int attempt, boolean mayBeWritten) {
         boolean unknown = mayBeWritten || r.outcome() == CommitResult.Outcome.UNKNOWN;
-        if (r.outcome() == CommitResult.Outcome.MADE
-                || (r.outcome() == CommitResult.Outcome.CONFLICT && r.revisionOf(at) != 0)) {
+        if (r.outcome() == CommitResult.Outcome.MADE) {
             return CompletableFuture.completedFuture(SubmitOutcome.ACCEPTED);
         }
         boolean tooLong = loop.clock().millis() >= h.until;
@@ -279,8 +294,61 @@
     }
 
     private CompletableFuture<JobAnswer> cancelIfAccessible(Admission a, String service, JobKey key, StoreItem job) {
-        boolean inaccessible = job.read(JobSpec.class).exists(s -> !a.canAccess(s.workspace()));
-        return inaccessible ? CompletableFuture.completedFuture(JobAnswer.NO_JOB) : writeCancel(service, key, 1);
+        return jobAccess(a, service, key, job)
+                .thenComposeAsync(access -> access.cancel(this, service, key), loop::execute);
+    }
+
+    /** Whether a caller may access an existing job, and the resulting answers. */
+    private enum JobAccess {
+        ACCESSIBLE(SubmitOutcome.ACCEPTED) {
+            @Override
+            CompletableFuture<JobAnswer> cancel(JobIntake intake, String service, JobKey key) {
+                return intake.writeCancel(service, key, 1);
+            }
+        },
+        OTHER_WORKSPACE(SubmitOutcome.ID_TAKEN) {
+            @Override
+            CompletableFuture<JobAnswer> cancel(JobIntake intake, String service, JobKey key) {
+                return CompletableFuture.completedFuture(JobAnswer.NO_JOB);
+            }
+        },
+        /** The job's workspace can not be determined because its records are unreadable or missing. */
+        UNKNOWN(SubmitOutcome.UNKNOWN) {
+            @Override
+            CompletableFuture<JobAnswer> cancel(JobIntake intake, String service, JobKey key) {
+                return CompletableFuture.completedFuture(JobAnswer.UNKNOWN);
+            }
+        };
+
+        /** The answer to a submission that reuses the job's id. */
+        private final SubmitOutcome submitOutcome;
+
+        JobAccess(SubmitOutcome submitOutcome) {
+            this.submitOutcome = submitOutcome;
+        }
+
+        abstract CompletableFuture<JobAnswer> cancel(JobIntake intake, String service, JobKey key);
+
+        static JobAccess of(Admission a, @Nullable String workspace) {
+            return a.canAccess(workspace) ? ACCESSIBLE : OTHER_WORKSPACE;
+        }
+    }
+
+    /** Reads the workspace from the job's progress if its record, which is reduced after its end, does not name it. */
+    private CompletableFuture<JobAccess> jobAccess(Admission a, String service, JobKey key, StoreItem job) {
+        if (!a.usesKey()) {
+            return CompletableFuture.completedFuture(JobAccess.ACCESSIBLE);
+        }
+        Either<Unreadable, JobSpec> spec = job.read(JobSpec.class);
+        if (spec.isRight()) {
+            return CompletableFuture.completedFuture(JobAccess.of(a, spec.get().workspace()));
+        }
+        return store.read(JobKeys.progress(service, key))
+                .thenApply(p -> p.map(i -> i.read(JobProgress.class)
+                                .fold(
+                                        unreadable -> JobAccess.UNKNOWN,
+                                        progress -> JobAccess.of(a, progress.workspace())))
+                        .orElse(JobAccess.UNKNOWN));
     }
 
     private CompletableFuture<JobAnswer> writeCancel(String service, JobKey key, int attempt) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
@@ -23,6 +23,8 @@
     NO_QUEUE,
     /** The queue requires a key, and the request has no valid one. */
     UNKNOWN_KEY,
+    /** The id is already in use in this queue by a job of another workspace. */
+    ID_TAKEN,
     /** Not taken, and it never will be by this call; come back later. */
     NOT_TAKEN,
     /** Not known: the store did not say whether it is kept. Sending the same id again is safe. */
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -285,6 +285,39 @@
             assertEquals(JobAnswer.of(JobState.RUNNING), intake.state(own, "a").join());
         }
 
+        /** Guards against cancelling an ended job of another workspace, whose own record no longer names it. */
+        @Test
+        void givesNoAccessToEndedJobsOfOtherWorkspaces() {
+            configure(2, "k1");
+            store.tellWatches();
+            store.set(JOB, JobSpec.OVER);
+            JobProgress completed = new JobProgress(JobState.COMPLETED, List.of(), "", 0, "news");
+            store.set(JobKeys.progress("clips", new JobKey("q", "a")), RecordCodec.write(completed));
+            Admission other = intake.admit(request("k9")).join();
+            assertEquals(JobAnswer.NO_JOB, intake.cancel(other, "a").join());
+            Admission own = intake.admit(request("k1")).join();
+            assertEquals(
+                    JobAnswer.of(JobState.CANCELLED), intake.cancel(own, "a").join());
+        }
+
+        /** Guards against acknowledging a submission whose id is in use by another workspace. */
+        @Test
+        void doesNotAcceptAnIdThatAnotherWorkspaceUses() {
+            configure(2, "k1");
+            assertEquals(SubmitOutcome.ACCEPTED, submit("k1"));
+            assertEquals(SubmitOutcome.ID_TAKEN, submit("k9"));
+            assertEquals(SubmitOutcome.ACCEPTED, submit("k1"));
+        }
+
+        /** Guards against accepting a repeated submission under an outdated configuration. */
+        @Test
+        void isRefusedForARepeatedSubmissionOnceRevoked() {
+            configure(2, "k1");
+            assertEquals(SubmitOutcome.ACCEPTED, submit("k1"));
+            configure(3);
+            assertEquals(SubmitOutcome.UNKNOWN_KEY, submit("k1"));
+        }
+
         /** Guards against hiding jobs that were accepted by a version without workspaces. */
         @Test
         void givesAccessToJobsWithoutAWorkspace() {
