Enforce workspace quotas across services with compare-and-swap grants

Cause: a workspace's maximum applies across all services, whose owners are different entries, and nothing tracked the workspace's total usage.

Change: one store record per workspace (lupinpaddle/quota/NAME) divides its maximum into grants, one per service. An owner raises or lowers only the grant of its own service, on condition that it still owns the service, that the configuration is the one it knows and that the record is at the revision it has observed, so grants never add up to more than the maximum. A task is charged from its placement until its run is known to be over, and is placed only within the durable grant and while the watch of the configuration works; while the outcome of a write is unknown, the lower value applies. A grant belongs to the service: the next owner takes it over together with the runs that it covers. If the maximum falls below the granted total, owners return unused amounts and no task starts until the rest fits.

An owner that needs more records a request. Other owners then return unused amounts, and return what exceeds their fair share as their runs end. A remainder too small for any task is returned, and an owner whose last run has ended yields, so that tasks larger than a fair share run in turn. A task that exceeds the whole maximum runs alone. Without quotas, no record is read, watched or written.

Model: callers of three workspaces with keys and quotas, bursts of submissions, lowered and raised maxima, and revoked keys (--workspaces); rules QUOTA and CONFIG; two Sabotage switches under which these rules break.

--- a/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobKeys.java
@@ -15,8 +15,10 @@
  */
 package org.lupinpaddle.core.job;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.regex.Pattern;
+import org.lupinpaddle.core.workspace.KeyDigest;
 
 /**
  * Where the job scheduler's records lie in the store. What the owner of a service must notice lies under one
@@ -34,6 +36,9 @@
     private static final String INPUTS = "lupinpaddle/in/";
     private static final String PROGRESS = "lupinpaddle/progress/";
     private static final String REPORTS = FLEET + "report/";
+    private static final String QUOTAS = "lupinpaddle/quota/";
+    // Store keys are limited to 200 bytes; a longer workspace name is replaced by its digest.
+    private static final int MOST_NAME_BYTES = 120;
     private static final String JOB = "job/";
     private static final String CANCEL = "cancel/";
     private static final String EVACUATIONS = FLEET + "evacuate/";
@@ -180,6 +185,17 @@
         return after(UPKEEP, key).filter(k -> NUMBER.matcher(k).matches()).map(Long::valueOf);
     }
 
+    /** Returns the prefix of all quota allocations. */
+    public static String quotas() {
+        return QUOTAS;
+    }
+
+    /** Returns the key of the quota allocation of a workspace. */
+    public static String quota(String workspace) {
+        boolean isLong = workspace.getBytes(StandardCharsets.UTF_8).length > MOST_NAME_BYTES;
+        return QUOTAS + (isLong ? KeyDigest.of(workspace).toHex() : workspace);
+    }
+
     /** Returns the key of which instances were ordered lately. */
     public static String recentOrders() {
         return RECENT_ORDERS;
--- a/core/src/main/java/org/lupinpaddle/core/placement/Room.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Room.java
@@ -48,6 +48,11 @@
         return new Room(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
     }
 
+    /** Returns this amount multiplied by {@code count}. */
+    public Room times(long count) {
+        return new Room(cpuMillis * count, memoryMb * count, accelerators * count);
+    }
+
     /** Returns the larger one of each kind. */
     public Room orMore(Room other) {
         return new Room(
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -26,11 +26,15 @@
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.job.TaskRecord;
+import org.lupinpaddle.core.workspace.WorkspaceQuota;
 
 /** One job at the owner of its service, with all its tasks. */
 final class LiveJob {
 
     final JobSpec spec;
+    /** The workspace quota that its tasks are charged to. */
+    final WorkspaceQuota quota;
+
     final List<LiveTask> tasks = new ArrayList<>();
     final List<LiveStep> steps = new ArrayList<>();
     JobState state = JobState.QUEUED;
@@ -56,8 +60,9 @@
     private final Map<TaskId, LiveTask> byId = new HashMap<>();
     private final long objectiveMillis;
 
-    LiveJob(JobSpec spec, RunTimes times) {
+    LiveJob(JobSpec spec, WorkspaceQuota quota, RunTimes times) {
         this.spec = spec;
+        this.quota = quota;
         for (int k = 0; k < spec.repeat().times(); k++) {
             for (int s = 0; s < spec.steps().size(); s++) {
                 LiveStep step = new LiveStep(this, k, s);
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -31,6 +31,8 @@
     final StepSpec spec;
     /** What each of its tasks takes of a worker. */
     final Room room;
+    /** The amount charged to the workspace quota per task, also if a task fills its worker. */
+    final Room need;
 
     final List<LiveTask> tasks = new ArrayList<>();
     // Asked for in each pass over all steps, so counted and not looked up.
@@ -53,6 +55,8 @@
         this.number = number;
         this.spec = job.spec.steps().get(number);
         this.room = Room.of(spec);
+        StepSpec.Need taskNeed = spec.need();
+        this.need = new Room(taskNeed.cpuMillis(), taskNeed.memoryMb(), taskNeed.accelerators());
         for (int i = 0; i < spec.count(); i++) {
             tasks.add(new LiveTask(this, new TaskId(time, number, i)));
         }
@@ -67,6 +71,11 @@
     void moved(LiveTask.Phase from, LiveTask.Phase to) {
         waiting += count(to == LiveTask.Phase.WAITING) - count(from == LiveTask.Phase.WAITING);
         done += count(to == LiveTask.Phase.DONE) - count(from == LiveTask.Phase.DONE);
+        if (to.onWorker() && !from.onWorker()) {
+            job.quota.add(need);
+        } else if (from.onWorker() && !to.onWorker()) {
+            job.quota.remove(need);
+        }
     }
 
     /** Takes in that one of its tasks was done just now. */
@@ -131,6 +140,11 @@
         return tailMillis - ownMillis + own;
     }
 
+    /** Returns the minimum amount that one placement requires: that of a single task, or of the whole gang. */
+    Room smallestPlacement() {
+        return spec.gang() ? need.times(tasks.size()) : need;
+    }
+
     boolean hasWaiting() {
         return waiting > 0;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -36,6 +36,7 @@
     }
 
     void run() {
+        state.quotas.clearWaiting();
         if (!state.knowsWorkers()) {
             return;
         }
@@ -46,13 +47,28 @@
         }
         Room most = mostFree(usable);
         for (StepUrgency u : byUrgency(most)) {
+            LiveStep s = u.step();
             // What is free only shrinks while steps are placed.
-            if (most.holds(u.step().room)) {
-                int waiting = u.step().waiting();
-                advise(u.step(), usable);
-                most = u.step().waiting() < waiting ? mostFree(usable) : most;
+            if (most.holds(s.room)) {
+                int waiting = s.waiting();
+                if (s.job.quota.mayPlace(s.smallestPlacement())) {
+                    advise(s, usable);
+                }
+                if (s.hasWaiting()) {
+                    s.job.quota.addWaiting(s.need.times(s.waiting()), s.smallestPlacement());
+                }
+                most = s.waiting() < waiting ? mostFree(usable) : most;
             }
         }
+        state.quotas.boundWaiting(totalFree(usable));
+    }
+
+    private static Room totalFree(List<LiveWorker> workers) {
+        Room total = Room.NONE;
+        for (LiveWorker w : workers) {
+            total = total.plus(w.free().orMore(Room.NONE));
+        }
+        return total;
     }
 
     /** Returns the steps that wait and might find room, the most urgent one first. */
@@ -102,6 +118,9 @@
             if (t.phase != Phase.WAITING || now < t.orderDueAt) {
                 continue;
             }
+            if (!step.job.quota.mayPlace(step.need)) {
+                return;
+            }
             Optional<LiveWorker> w = Placer.choose(usable, t.wish(now));
             if (w.isPresent()) {
                 assign(t, w.get(), t.run + 1);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -36,6 +36,7 @@
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.run.LiveTask.Phase;
+import org.lupinpaddle.core.workspace.QuotaTable;
 
 /**
  * Runs the jobs of one service while its entry owns the service. It decides; its host carries orders out and
@@ -71,7 +72,13 @@
 
     /** Makes the scheduler of a service whose ownership has just been won. */
     public ServiceScheduler(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
-        state = new ServiceState(service, timing, port, steady, wall);
+        this(service, timing, port, new QuotaTable(service), steady, wall);
+    }
+
+    /** Makes the scheduler with workspace quotas that the host maintains. */
+    public ServiceScheduler(
+            String service, SchedulerTiming timing, SchedulerPort port, QuotaTable quotas, Clock steady, Clock wall) {
+        state = new ServiceState(service, timing, port, quotas, steady, wall);
         WorkerJudge judge = new WorkerJudge(state);
         advisor = new Advisor(state);
         pacing = new PacingPass(state);
@@ -93,7 +100,7 @@
         if (state.unreadableJobs.remove(spec.key().id())) {
             state.workers.values().forEach(w -> w.results().processRetainedAgain());
         }
-        LiveJob job = new LiveJob(spec, state.times);
+        LiveJob job = new LiveJob(spec, state.quotas.of(spec.workspace()), state.times);
         state.add(job);
         noteArrival(job);
         if (progress != null) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -31,6 +31,7 @@
 import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.workspace.QuotaTable;
 
 /** What the owner of a service believes: the jobs, the workers, and the steps that several parts share. */
 final class ServiceState {
@@ -42,6 +43,8 @@
     final String service;
     final SchedulerTiming timing;
     final SchedulerPort port;
+    /** The workspace quotas that limit placement. */
+    final QuotaTable quotas;
     /** All jobs that are known; those that have ended are kept for a while. */
     final Map<JobKey, LiveJob> jobs = new LinkedHashMap<>();
     /** Those that have not ended, in the same order. */
@@ -67,7 +70,9 @@
     private final Clock steady;
     private final Clock wall;
 
-    ServiceState(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
+    ServiceState(
+            String service, SchedulerTiming timing, SchedulerPort port, QuotaTable quotas, Clock steady, Clock wall) {
+        this.quotas = quotas;
         this.service = service;
         this.timing = timing;
         this.port = port;
--- a/core/src/main/java/org/lupinpaddle/core/workspace/Workspaces.java
+++ b/core/src/main/java/org/lupinpaddle/core/workspace/Workspaces.java
@@ -15,7 +15,6 @@
  */
 package org.lupinpaddle.core.workspace;
 
-import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashSet;
@@ -115,10 +114,4 @@
         }
         return Optional.ofNullable(holder);
     }
-
-    /** Returns the workspaces that have a resource limit. */
-    @JsonIgnore
-    public List<Workspace> limited() {
-        return all.stream().filter(Workspace::isLimited).toList();
-    }
 }
--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/workspace/WorkspaceQuotaTest.java
@@ -0,0 +1,292 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.workspace;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.placement.Room;
+
+/** Tests how owners of services share a workspace's quota through stored allocations. */
+class WorkspaceQuotaTest {
+
+    private static final long STEP_MILLIS = 10;
+
+    private QuotaAllocation stored = QuotaAllocation.NONE;
+    private long revision;
+    private long now;
+
+    private static Room cpu(long amount) {
+        return new Room(amount, 0, 0);
+    }
+
+    /** The owner of a service that places tasks of one size within its quota. */
+    private final class Owner {
+        final WorkspaceQuota quota;
+        final Room task;
+        int waiting;
+        int running;
+        int placed;
+
+        Owner(String service, long maximum, long task) {
+            this.task = cpu(task);
+            quota = new WorkspaceQuota(service);
+            quota.setMaximum(cpu(maximum));
+            quota.onNoAllocation(0);
+        }
+
+        void place() {
+            quota.clearWaiting();
+            while (waiting > 0 && quota.mayPlace(task)) {
+                waiting--;
+                running++;
+                placed++;
+                quota.add(task);
+            }
+            if (waiting > 0) {
+                quota.addWaiting(task.times(waiting), task);
+            }
+        }
+
+        void endOne() {
+            if (running > 0) {
+                running--;
+                quota.remove(task);
+            }
+        }
+
+        /** Writes the due allocation unless the stored revision has changed, and reads the stored one. */
+        void write() {
+            boolean current = quota.revision() == revision;
+            quota.next(now).ifPresent(a -> {
+                if (current) {
+                    quota.onWriteStarted(a);
+                    stored = a;
+                    revision++;
+                }
+            });
+            readStored();
+        }
+
+        void readStored() {
+            if (revision > 0) {
+                quota.onAllocation(stored, revision);
+            }
+        }
+
+        long used() {
+            return running * task.cpuMillis();
+        }
+    }
+
+    private void pass(List<Owner> owners) {
+        now += STEP_MILLIS;
+        for (Owner o : owners) {
+            o.place();
+            o.write();
+        }
+    }
+
+    private void passes(int count, List<Owner> owners) {
+        for (int i = 0; i < count; i++) {
+            pass(owners);
+        }
+    }
+
+    private static long used(List<Owner> owners) {
+        return owners.stream().mapToLong(Owner::used).sum();
+    }
+
+    @Nested
+    class AnOwner {
+
+        @Test
+        void placesNothingBeforeItsGrantIsStored() {
+            Owner a = new Owner("a", 10, 1);
+            a.waiting = 3;
+            a.place();
+            assertEquals(0, a.running);
+            a.write();
+            a.place();
+            assertEquals(3, a.running);
+        }
+
+        @Test
+        void ofTheOnlyBusyServiceUsesTheWholeMaximum() {
+            Owner a = new Owner("a", 10, 1);
+            Owner b = new Owner("b", 10, 1);
+            a.waiting = 30;
+            passes(20, List.of(a, b));
+            assertEquals(10, a.running);
+        }
+
+        @Test
+        void getsItsFairShareOfAGrantThatAnotherHolds() {
+            Owner a = new Owner("a", 10, 1);
+            Owner b = new Owner("b", 10, 1);
+            a.waiting = 100;
+            passes(20, List.of(a, b));
+            b.waiting = 100;
+            for (int i = 0; i < 100; i++) {
+                passes(5, List.of(a, b));
+                a.endOne();
+            }
+            assertTrue(b.running >= 4, "b runs " + b.running);
+            assertTrue(used(List.of(a, b)) <= 10);
+        }
+
+        /** Guards against using an unconfirmed higher grant, and against ignoring an unconfirmed lower one. */
+        @Test
+        void countsTheLowerGrantWhileAWriteIsUnanswered() {
+            Owner a = new Owner("a", 10, 1);
+            a.waiting = 4;
+            a.place();
+            QuotaAllocation raised = a.quota.next(now).orElseThrow();
+            a.quota.onWriteStarted(raised);
+            assertFalse(a.quota.mayPlace(a.task));
+            a.quota.onAllocation(raised, 1);
+            assertTrue(a.quota.mayPlace(a.task));
+            a.quota.onWriteStarted(QuotaAllocation.NONE);
+            assertFalse(a.quota.mayPlace(a.task));
+        }
+
+        /** Guards against a grant that stays unusable after a write that lowered it has failed. */
+        @Test
+        void writesAgainAfterAWriteWithoutOutcome() {
+            Owner a = new Owner("a", 10, 1);
+            a.waiting = 4;
+            passes(3, List.of(a));
+            a.quota.onWriteStarted(QuotaAllocation.NONE);
+            a.waiting = 2;
+            a.place();
+            assertEquals(4, a.running);
+            passes(2, List.of(a));
+            assertEquals(6, a.running);
+        }
+
+        @Test
+        void startsNothingWhileTheAllocationIsUnreadable() {
+            Owner a = new Owner("a", 10, 1);
+            a.waiting = 4;
+            passes(3, List.of(a));
+            a.quota.onUnreadable();
+            assertFalse(a.quota.mayPlace(a.task));
+        }
+    }
+
+    @Nested
+    class ALoweredMaximum {
+
+        @Test
+        void blocksPlacementUntilRunningTasksFit() {
+            Owner a = new Owner("a", 10, 1);
+            Owner b = new Owner("b", 10, 1);
+            List<Owner> both = List.of(a, b);
+            a.waiting = 6;
+            b.waiting = 4;
+            passes(20, both);
+            assertEquals(10, used(both));
+            both.forEach(o -> o.quota.setMaximum(cpu(3)));
+            both.forEach(o -> o.waiting = 20);
+            for (int i = 0; i < 200; i++) {
+                long before = a.placed + b.placed;
+                long running = used(both);
+                pass(both);
+                assertTrue(a.placed + b.placed == before || used(both) <= 3, "placed a task while using " + running);
+                if (i % 20 == 0) {
+                    a.endOne();
+                    b.endOne();
+                }
+            }
+            assertTrue(used(both) <= 3);
+            assertTrue(a.placed + b.placed > 10, "no task placed below the new maximum");
+        }
+    }
+
+    @Nested
+    class ATaskLargerThanItsFairShare {
+
+        /** Guards against starvation when every fair share is smaller than a task. */
+        @Test
+        void runsInTurn() {
+            List<Owner> all = new ArrayList<>();
+            for (String s : List.of("a", "b", "c", "d")) {
+                Owner o = new Owner(s, 10, 8);
+                o.waiting = 20;
+                all.add(o);
+            }
+            for (int i = 0; i < 400; i++) {
+                passes(10, all);
+                assertTrue(used(all) <= 10);
+                all.forEach(Owner::endOne);
+            }
+            all.forEach(o -> assertTrue(o.placed >= 5, o.quota.describe() + " placed " + o.placed));
+        }
+
+        @Test
+        void runsAloneIfItExceedsTheMaximum() {
+            Owner a = new Owner("a", 10, 25);
+            Owner b = new Owner("b", 10, 1);
+            a.waiting = 1;
+            passes(40, List.of(a, b));
+            assertEquals(1, a.running);
+            b.waiting = 5;
+            passes(40, List.of(a, b));
+            assertEquals(0, b.running);
+            a.endOne();
+            passes(60, List.of(a, b));
+            assertEquals(5, b.running);
+        }
+    }
+
+    @Nested
+    class Owners {
+
+        /** Guards against exceeding the maximum under any order of placements, writes, reads and ends of runs. */
+        @Test
+        void neverUseMoreThanTheMaximumTogether() {
+            for (int seed = 0; seed < 300; seed++) {
+                stored = QuotaAllocation.NONE;
+                revision = 0;
+                now = 0;
+                Random random = new Random(seed);
+                long maximum = 5 + random.nextInt(30);
+                List<Owner> all = new ArrayList<>();
+                for (String s : List.of("a", "b", "c")) {
+                    all.add(new Owner(s, maximum, 1 + random.nextInt(4)));
+                }
+                for (int i = 0; i < 600; i++) {
+                    now += random.nextInt(30);
+                    Owner o = all.get(random.nextInt(all.size()));
+                    switch (random.nextInt(5)) {
+                        case 0 -> o.waiting += random.nextInt(10);
+                        case 1 -> o.place();
+                        case 2 -> o.write();
+                        case 3 -> o.readStored();
+                        default -> o.endOne();
+                    }
+                    assertTrue(used(all) <= maximum, "seed " + seed + " uses " + used(all) + " of " + maximum);
+                }
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMeters.java
@@ -22,6 +22,7 @@
 import java.util.function.Supplier;
 import org.lupinpaddle.core.run.OrderOutcome;
 import org.lupinpaddle.core.run.SchedulerEvent;
+import org.lupinpaddle.daemon.port.CommitResult;
 
 /**
  * All figures of an entry that runs jobs, in one place. Names are dotted; what follows the last dot of a counter
@@ -46,6 +47,11 @@
         registry.counter("requests.unknown.key").inc();
     }
 
+    /** Counts the outcome of a write of quota allocations. */
+    void quotaWritten(CommitResult.Outcome outcome) {
+        count("quota.writes", outcome);
+    }
+
     /** Counts a decision of a scheduler, and how long its job took to get there. */
     void decided(SchedulerEvent e) {
         switch (e.kind()) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -119,7 +119,8 @@
                 p.wall(),
                 timing,
                 p.meters(),
-                unreadable);
+                unreadable,
+                configuration::workspaces);
         fleetShared = new FleetHost.Entry(
                 p.name(),
                 p.store(),
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
@@ -89,6 +90,7 @@
     private final PrefixWatch inputs;
     private final EvacuationFeed evacuations;
     private final EarlierJobs earlier;
+    private final QuotaKeeper quotas;
 
     private @Nullable ServiceScheduler scheduler;
     private final WorkerFeed workers;
@@ -116,6 +118,7 @@
      * @param timing the scheduler's times
      * @param meters the entry's figures
      * @param unreadable entries of the store that can not be read
+     * @param workspaces supplies the workspaces of the current configuration
      */
     record Entry(
             KeyValueStore store,
@@ -127,7 +130,8 @@
             Clock wall,
             SchedulerTiming timing,
             JobMeters meters,
-            UnreadableEntries unreadable) {}
+            UnreadableEntries unreadable,
+            Supplier<WorkspacesInForce> workspaces) {}
 
     /**
      * Makes the host.
@@ -145,6 +149,7 @@
         patience = new StartPatience(entry.loop, () -> !closed && scheduler == null, entry.reachesStore, canNotBegin);
         startedAt = entry.loop.clock().millis();
         records = new OwnedRecords(entry.store, entry.loop, service, fence);
+        quotas = new QuotaKeeper(entry, service, fence, this::requestTick);
         earlier = new EarlierJobs(records, entry.loop, service, entry.unreadable);
         inputs = new PrefixWatch(entry.store, entry.loop, JobKeys.inputs(service), this);
         evacuations = new EvacuationFeed(
@@ -201,7 +206,7 @@
     }
 
     private void begin() {
-        scheduler = new ServiceScheduler(service, entry.timing, this, entry.loop.clock(), entry.wall);
+        scheduler = new ServiceScheduler(service, entry.timing, this, quotas.table(), entry.loop.clock(), entry.wall);
         Collection<WorkerFacts> listed = workers.of(service);
         scheduler.onWorkers(listed);
         evacuations.start();
@@ -338,6 +343,7 @@
                 scheduler.onWorkersKnown(Math.min(workers.confirmedAt(), inputs.confirmedAt()));
             }
             scheduler.tick();
+            quotas.run();
             endHandOver();
         }
     }
@@ -527,6 +533,7 @@
         closedAt = entry.loop.clock().millis();
         inputs.close();
         evacuations.close();
+        quotas.close();
         boolean written = scheduler == null || scheduler.isWritten();
         Log.info("scheduler-stopped", "service", service, "fence", fence, "all-written", written);
         if (handedOver != null) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
@@ -57,6 +57,8 @@
         JOB,
         /** How far a job is. */
         PROGRESS,
+        /** The quota allocation of a workspace. */
+        QUOTA,
         /** A request to empty a worker. */
         EVACUATION,
         /** What a service has to do and with what. */
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -48,6 +48,7 @@
 import org.lupinpaddle.core.run.StartOrder;
 import org.lupinpaddle.core.run.StopOrder;
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
+import org.lupinpaddle.core.workspace.Workspaces;
 import org.lupinpaddle.daemon.port.CommitResult;
 import org.lupinpaddle.daemon.port.HoldResult;
 import org.lupinpaddle.daemon.port.InstanceOrders;
@@ -177,7 +178,8 @@
                 loop.clock(),
                 timing,
                 new JobMeters(),
-                new UnreadableEntries(new JobMeters()));
+                new UnreadableEntries(new JobMeters()),
+                () -> new WorkspacesInForce(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE));
         WorkerFeed workers =
                 new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMeters()), () -> {});
         workers.start();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -46,6 +46,7 @@
 import org.lupinpaddle.core.run.SchedulerTiming;
 import org.lupinpaddle.core.run.StartOrder;
 import org.lupinpaddle.core.run.StopOrder;
+import org.lupinpaddle.core.workspace.Workspaces;
 import org.lupinpaddle.daemon.port.HoldResult;
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.StoreItem;
@@ -77,7 +78,8 @@
                 loop.clock(),
                 timing,
                 new JobMeters(),
-                new UnreadableEntries(new JobMeters()));
+                new UnreadableEntries(new JobMeters()),
+                () -> new WorkspacesInForce(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE));
         WorkerFeed workers =
                 new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMeters()), () -> {});
         SchedulerHost host = new SchedulerHost(entry, "clips", fence, workers, () -> {}, () -> {});
--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -49,6 +49,9 @@
     @Option(name = "--restarts", description = "Some workers crash and start again under their ids")
     private boolean restarts;
 
+    @Option(name = "--workspaces", description = "Callers belong to workspaces with keys and quotas, which change")
+    private boolean workspaces;
+
     /** Runs the histories that the arguments name. */
     public static void main(String[] args) {
         System.exit(run(args));
@@ -84,6 +87,9 @@
         if (restarts) {
             w.withRestarts(s);
         }
+        if (workspaces) {
+            w.withWorkspaces(s);
+        }
         try {
             w.run();
             return true;
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -20,6 +20,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.job.EndKind;
@@ -60,6 +61,10 @@
         LOST,
         /** No more instances of a wave are down than allowed. */
         WAVE,
+        /** A workspace's running tasks stay within its quota. */
+        QUOTA,
+        /** Keys are accepted or refused according to a configuration that may be in force. */
+        CONFIG,
         /** After a loss of power of all entries service comes back. */
         RECOVER
     }
@@ -75,6 +80,7 @@
 
     private final VirtualTime time;
     private final Map<String, JobTruth> jobs = new HashMap<>();
+    private @Nullable SimWorkspaces workspaces;
 
     /** What is true of a job, whoever knows it. */
     static final class JobTruth {
@@ -83,6 +89,9 @@
         final int maxAttempts;
         final Submission submission;
         final Map<TaskId, TaskTruth> tasks = new HashMap<>();
+        /** The name of its workspace; empty if it has none. */
+        String workspace = "";
+
         boolean hopeless;
         long handedInAt = World.NEVER;
         boolean accepted;
@@ -107,6 +116,15 @@
             return submission.steps().get(t.step());
         }
 
+        /** Returns the CPU that its running tasks use, in thousandths of a core. */
+        long runningCpu() {
+            return tasks.entrySet().stream()
+                    .filter(e -> e.getValue().runsOn != null
+                            && Objects.requireNonNull(e.getValue().runsOn).isUp())
+                    .mapToLong(e -> step(e.getKey()).need().cpuMillis())
+                    .sum();
+        }
+
         /** Returns how many workers have crashed under one of its tasks, at most. */
         int maxCrashedUnder() {
             return tasks.values().stream().mapToInt(t -> t.crashedUnder).max().orElse(0);
@@ -168,6 +186,11 @@
         this.time = time;
     }
 
+    /** Enables the quota check on starts. */
+    void checkQuotasOf(SimWorkspaces checked) {
+        workspaces = checked;
+    }
+
     JobTruth submitted(String id, String service, int maxAttempts, Submission s) {
         return jobs.computeIfAbsent(id, i -> new JobTruth(i, service, maxAttempts, s));
     }
@@ -227,6 +250,21 @@
         checkCrashes(t, what);
         t.runsOn = w;
         t.atWork = false;
+        checkQuota(job, o.task(), what);
+    }
+
+    private void checkQuota(JobTruth job, TaskId started, String what) {
+        SimWorkspaces checked = workspaces;
+        if (checked == null || job.workspace.isEmpty()) {
+            return;
+        }
+        long running = jobs.values().stream()
+                .filter(j -> j.workspace.equals(job.workspace))
+                .mapToLong(JobTruth::runningCpu)
+                .sum();
+        // The rule allows one task beyond the tolerated overage.
+        double limit = checked.maxCpu(job.workspace) + job.step(started).need().cpuMillis();
+        require(Rule.QUOTA, running <= limit, what + ": " + job.workspace + " runs " + running + ", limit " + limit);
     }
 
     private void checkCrashes(TaskTruth t, String what) {
--- a/model/src/main/java/org/lupinpaddle/model/Sabotage.java
+++ b/model/src/main/java/org/lupinpaddle/model/Sabotage.java
@@ -24,5 +24,14 @@
     /** Workers are told to forget ends as soon as they list them. */
     ENDS_FORGOTTEN_EARLY,
     /** A new owner of the fleet is not told which instances its predecessor has ordered lately. */
-    RECENT_ORDERS_UNTOLD
+    RECENT_ORDERS_UNTOLD,
+    /** Quota allocations are not written to the store, so owners do not see each other's grants. */
+    QUOTAS_NOT_SHARED,
+    /** Entries keep using the first configuration that they have read. */
+    CONFIGURATION_NOT_UPDATED;
+
+    /** Returns whether it has an effect only in histories with workspaces. */
+    boolean needsWorkspaces() {
+        return this == QUOTAS_NOT_SHARED || this == CONFIGURATION_NOT_UPDATED;
+    }
 }
--- a/model/src/main/java/org/lupinpaddle/model/SimCaller.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimCaller.java
@@ -21,6 +21,7 @@
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.Submission;
 import org.lupinpaddle.core.queue.CallerRequest;
+import org.lupinpaddle.core.workspace.KeyDigest;
 import org.lupinpaddle.daemon.jobs.JobAnswer;
 import org.lupinpaddle.daemon.jobs.JobIntake;
 import org.lupinpaddle.daemon.jobs.SubmitOutcome;
@@ -37,7 +38,8 @@
     private final World world;
     private final History history;
     private final String id;
-    private final CallerRequest request;
+    private final int number;
+    private final String path;
     private final Submission submission;
     private final boolean mayCancel;
     private final Rules.JobTruth truth;
@@ -53,11 +55,18 @@
         this.world = world;
         this.history = history;
         this.id = String.format("%016x", 0xabc000L + number);
-        this.request = new CallerRequest("host", "/" + service + "/" + id, null);
+        this.number = number;
+        this.path = "/" + service + "/" + id;
         this.submission = submission;
         this.mayCancel = mayCancel;
         this.truth = world.rules.submitted(id, service, world.maxAttempts(), submission);
         truth.hopeless = submission.text().startsWith("hopeless");
+        world.workspaces().ifPresent(w -> truth.workspace = w.nameOf(number));
+    }
+
+    private CallerRequest request() {
+        KeyDigest key = world.workspaces().map(w -> w.keyOf(number)).orElse(null);
+        return new CallerRequest("host", path, key);
     }
 
     String id() {
@@ -71,9 +80,12 @@
         tries++;
         SimEntry e = someEntry();
         boolean[] answered = new boolean[1];
+        CallerRequest request = request();
+        long sentAt = world.time.now();
         Consumer<SubmitOutcome> once = o -> {
             if (!answered[0]) {
                 answered[0] = true;
+                checkKey(o, request.key(), sentAt);
                 submitted(o);
             }
         };
@@ -90,6 +102,16 @@
         world.time.after(PATIENCE_MILLIS, () -> once.accept(SubmitOutcome.UNKNOWN));
     }
 
+    private void checkKey(SubmitOutcome o, @Nullable KeyDigest key, long sentAt) {
+        world.workspaces().ifPresent(w -> {
+            if (o == SubmitOutcome.ACCEPTED) {
+                w.checkAccepted(id, key, sentAt);
+            } else if (o == SubmitOutcome.UNKNOWN_KEY) {
+                w.checkRefused(id, key, sentAt);
+            }
+        });
+    }
+
     private void onEntry(SimEntry e, Consumer<JobIntake> what) {
         VirtualLoop loop = e.loop();
         world.time.after(
@@ -137,7 +159,7 @@
         if (e != null) {
             onEntry(
                     e,
-                    i -> i.admit(request).thenAccept(admission -> {
+                    i -> i.admit(request()).thenAccept(admission -> {
                         if (admission.isAdmitted()) {
                             i.state(admission, id).thenAccept(a -> world.time.after(1, () -> told(a)));
                         }
@@ -179,7 +201,7 @@
         if (e != null) {
             onEntry(
                     e,
-                    i -> i.admit(request).thenAccept(admission -> {
+                    i -> i.admit(request()).thenAccept(admission -> {
                         if (admission.isAdmitted()) {
                             i.cancel(admission, id).thenAccept(this::cancelled);
                         }
--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -56,7 +56,7 @@
                         name,
                         kind.capacity(),
                         new SimStorePort(world, name, hall, out, in),
-                        new SimRecords(),
+                        new SimRecords(world.sabotage),
                         new SimWorkerPort(world, hall, out, in),
                         order -> CompletableFuture.completedFuture(Optional.empty()),
                         new SimInstancePort(world, in),
--- a/model/src/main/java/org/lupinpaddle/model/SimRecords.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimRecords.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.model;
 
 import io.vavr.control.Either;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
@@ -26,6 +27,13 @@
 /** The records of operators and workers, in the product's own form. */
 final class SimRecords implements PlatformRecords {
 
+    private final Sabotage sabotage;
+    private @Nullable Either<Unreadable, JobConfiguration> firstConfiguration;
+
+    SimRecords(Sabotage sabotage) {
+        this.sabotage = sabotage;
+    }
+
     @Override
     public String configurationKey() {
         return World.CONFIGURATION;
@@ -38,7 +46,10 @@
 
     @Override
     public Either<Unreadable, JobConfiguration> configuration(StoreItem item) {
-        return item.read(JobConfiguration.class);
+        Either<Unreadable, JobConfiguration> read = item.read(JobConfiguration.class);
+        Either<Unreadable, JobConfiguration> previous = firstConfiguration;
+        firstConfiguration = previous == null ? read : previous;
+        return sabotage == Sabotage.CONFIGURATION_NOT_UPDATED ? firstConfiguration : read;
     }
 
     @Override
--- a/model/src/main/java/org/lupinpaddle/model/SimStorePort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimStorePort.java
@@ -104,7 +104,8 @@
     }
 
     @Override
-    public CompletableFuture<CommitResult> commit(StoreCommit c) {
+    public CompletableFuture<CommitResult> commit(StoreCommit commit) {
+        StoreCommit c = sabotage == Sabotage.QUOTAS_NOT_SHARED ? withoutQuotas(commit) : commit;
         return call(
                 new Call<>(true, WireBytes.of(c), WireBytes::of, CALL_MILLIS, CALL_MILLIS),
                 () -> store.commit(c),
@@ -114,6 +115,18 @@
                         List.of()));
     }
 
+    /** Returns the commit without its conditions and writes of quota allocations. */
+    private static StoreCommit withoutQuotas(StoreCommit c) {
+        return new StoreCommit(
+                c.conditions().stream()
+                        .filter(w -> !w.key().startsWith(JobKeys.quotas()))
+                        .toList(),
+                c.puts().stream()
+                        .filter(p -> !p.key().startsWith(JobKeys.quotas()))
+                        .toList(),
+                c.removals());
+    }
+
     private static <T> @Nullable T refusal(Trouble t) {
         throw new StoreException(
                 t == Trouble.REFUSED ? StoreException.Kind.REFUSED : StoreException.Kind.AWAY, "model: " + t);
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -31,6 +31,7 @@
 import org.lupinpaddle.core.queue.QueueConfig;
 import org.lupinpaddle.core.queue.ServiceConfig;
 import org.lupinpaddle.core.upkeep.UpkeepWave;
+import org.lupinpaddle.core.workspace.Workspaces;
 import org.lupinpaddle.daemon.port.StoreItem;
 
 /** One history: a platform with its workers, entries and callers, made and driven by a seed. */
@@ -72,6 +73,7 @@
     private long version;
     private @Nullable CrashingTasks crashing;
     private @Nullable Restarts restarts;
+    private @Nullable SimWorkspaces workspaces;
 
     /** Makes the world of a seed, with at most so many faults. */
     public World(long seed, int mostFaults) {
@@ -121,6 +123,20 @@
         return this;
     }
 
+    /** Adds workspaces whose keys and quotas change, in addition to the other faults. */
+    World withWorkspaces(long seed) {
+        SimWorkspaces w = new SimWorkspaces(this, seed);
+        workspaces = w;
+        rules.checkQuotasOf(w);
+        w.plan(TRAFFIC_FROM, TRAFFIC_MILLIS);
+        return this;
+    }
+
+    /** Returns the workspaces, if this history has any. */
+    Optional<SimWorkspaces> workspaces() {
+        return Optional.ofNullable(workspaces);
+    }
+
     private boolean keepsId() {
         return restarts != null && restarts.keepsId();
     }
@@ -208,12 +224,14 @@
         List<QueueConfig> queues = new ArrayList<>();
         for (String s : site.services()) {
             Policy policy = new Policy(queues.size(), MAX_ATTEMPTS, 1.5, 500, false);
-            queues.add(new QueueConfig("q-" + s, "host", "/" + s + "/", s, policy));
+            queues.add(new QueueConfig("q-" + s, "host", "/" + s + "/", s, policy, workspaces != null));
         }
         List<ServiceConfig> services = new ArrayList<>();
         site.services().forEach(s -> services.add(new ServiceConfig(s, false, true)));
         services.add(new ServiceConfig(HEADROOM, true, true));
-        store.set(CONFIGURATION, RecordCodec.write(new JobConfiguration(version, queues, services, 1 << 18)));
+        Workspaces configured = workspaces().map(SimWorkspaces::configured).orElse(Workspaces.NONE);
+        store.set(
+                CONFIGURATION, RecordCodec.write(new JobConfiguration(version, queues, services, 1 << 18, configured)));
     }
 
     private void askWave() {
@@ -227,7 +245,7 @@
 
     /** Returns a job to be handed in; its text says what it is. */
     Submission submission(int number) {
-        boolean lasting = number % 6 == 0;
+        boolean lasting = isLasting(number);
         StepSpec.Need need = new StepSpec.Need(500 + random.nextInt(2_000), 200, 0);
         List<StepSpec> steps = new ArrayList<>();
         if (lasting) {
@@ -250,6 +268,16 @@
         return new Submission((hopeless ? "hopeless " : "job ") + number, steps, Repeat.ONCE);
     }
 
+    /** Returns whether the tasks of a caller's job are long-running. */
+    boolean isLasting(int caller) {
+        return caller < JOBS && caller % 6 == 0;
+    }
+
+    /** Returns a job with a single step. */
+    Submission singleStepJob(int number, StepSpec step) {
+        return new Submission("job " + number, List.of(step), Repeat.ONCE);
+    }
+
     String service(int number) {
         return site.services().get(number % site.services().size());
     }
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -82,6 +82,26 @@
         }
     }
 
+    @Nested
+    class WorkspaceQuotas {
+
+        @Test
+        void areNotExceededWithoutFaults() {
+            LongStream.range(0, 60).parallel().forEach(s -> holds(s, 0, new World(s, 0).withWorkspaces(s)));
+        }
+
+        @Test
+        void areNotExceededUnderFaults() {
+            LongStream.range(0, 150).parallel().forEach(s -> holds(s, 4, new World(s, 4).withWorkspaces(s)));
+        }
+
+        /** Guards against placing by a maximum that was lowered while the store was out of reach. */
+        @Test
+        void areNotExceededByAnOutdatedMaximum() {
+            holds(7_520_990, 10, new World(7_520_990, 10).withWorkspaces(7_520_990));
+        }
+    }
+
     @Nested
     class AColdStart {
 
@@ -219,7 +239,8 @@
 
         private static boolean breaks(long seed, Sabotage s) {
             try {
-                new World(seed, 4, s).run();
+                World w = new World(seed, 4, s);
+                (s.needsWorkspaces() ? w.withWorkspaces(seed) : w).run();
                 return false;
             } catch (RuleBrokenException e) {
                 return true;
