Stop repeating unconfirmed starts on draining workers

Cause: a start without an answer was repeated until it was answered, even if its worker had begun to drain in the meantime. The repetition could arrive long after drainMs (rule DRAIN). A gang placed before its worker began to drain also got its first start there (found by reading).

Change: starts that are not known to have been carried out are withdrawn as soon as their worker drains. A run that may have begun there is stopped, and its task is placed on another worker. A gang is withdrawn as a whole, also one that is only placed; no test covers a gang.

Test: LeavingWorkerTest.getsNoRepeatedStart failed before (4 starts instead of 2); getsNoStartPlacedBeforeItDrains held before, too.

--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -54,6 +54,7 @@
 
     void sendDueOrders() {
         long now = state.now();
+        state.workers.values().stream().filter(LiveWorker::isKnownToDrain).forEach(this::withdrawStarts);
         // Orders end later, so nothing here changes which tasks a worker has.
         for (LiveWorker w : state.workers.values()) {
             state.openStarts.due(w.facts(), now).forEach(o -> refuse(w, o));
@@ -65,6 +66,21 @@
         }
     }
 
+    /**
+     * Stops unconfirmed starts on a draining worker instead of repeating them, since a repeated start could arrive after the
+     * short period in which the worker may still accept one.
+     */
+    private void withdrawStarts(LiveWorker w) {
+        for (LiveTask t : List.copyOf(w.tasks)) {
+            boolean isPlacedGang = t.phase == Phase.PLACED && t.step.gang();
+            if (isPlacedGang || (t.phase == Phase.STARTING && !t.orderInFlight)) {
+                List<LiveTask> together = t.step.gang() ? t.of.tasks : List.of(t);
+                together.forEach(m -> state.stop(m, "worker-drains"));
+                state.changed(t.job);
+            }
+        }
+    }
+
     private void refuse(LiveWorker w, StopOrder o) {
         String run = o.jobId() + "." + o.task() + "/" + o.run();
         state.note(SchedulerEvent.Kind.STOP_ORDERED, w, "start-open-at-restart=" + run);
--- a/core/src/test/java/org/lupinpaddle/core/run/LeavingWorkerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LeavingWorkerTest.java
@@ -74,6 +74,36 @@
         assertTrue(d.port.holds.size() > asked, "the other task may end, and its worker be gone");
     }
 
+    /** Guards against repeating an unanswered start after its worker has reported that it is draining. */
+    @Test
+    void getsNoRepeatedStart() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job("a", TWO);
+        d.saved();
+        List.copyOf(d.port.starts).forEach(s -> d.scheduler.onStarted(s, OrderOutcome.UNKNOWN));
+        int sent = d.port.starts.size();
+        d.scheduler.onWorkers(List.of(leaving("w1")));
+        for (int i = 0; i < 20; i++) {
+            d.passes(100);
+        }
+        assertEquals(sent, d.port.starts.size());
+        assertEquals(2, d.port.stops.size(), "runs that may have started must be stopped");
+    }
+
+    /** Guards against sending a start if the worker begins to drain while the placement is being written. */
+    @Test
+    void getsNoStartPlacedBeforeItDrains() {
+        d.workers("w1");
+        d.answers("w1", List.of(), List.of());
+        d.job("a", TWO);
+        d.scheduler.onWorkers(List.of(leaving("w1")));
+        d.saved();
+        d.passes(100);
+        assertEquals(0, d.port.starts.size());
+        assertEquals(0, d.port.stops.size());
+    }
+
     /** Such a look is a call to the worker and gives nothing new as a rule: one that stays lists its ends again. */
     @Test
     void isTheOnlyOneThatIs() {
