Model: do not treat a done end as permanently noted after a lease lapse

A worker is cut off from 12,295 to 19,181 ms. Its task ends as done there, and then its lease lapses (it lists other runs as LAPSED). At 18,86x ms the owner, which has waited for every deadline, sends run 2 to another worker, which carries out orders late. At 19.3 s the owner learns of the end, stops run 2 and lets the first worker forget the end. Run 2 begins at 21,141 ms. The model counted such an end as noted nevertheless. This start cannot be prevented, since it was sent before the owner could learn of the end.

Change: after such an end is noted, a start breaks the rule from 1 s on, unless it is an order carried out late. All other checks are as strict as before.

--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -77,6 +77,7 @@
     private static final int STARTS_TOO_MANY = 3;
     private static final long CANCEL_MILLIS = 3_000;
     private static final long NOTICE_MILLIS = 4_500;
+    private static final long NOTED_AFTER_LAPSE_MILLIS = 1_000;
 
     private final VirtualTime time;
     private final Map<String, JobTruth> jobs = new HashMap<>();
@@ -153,6 +154,9 @@
 
         boolean done;
         boolean doneNoted;
+        /** When an end as done was first noted after a lapse of its worker's lease; starts sent before may still arrive. */
+        long doneNotedAfterLapseAt = World.NEVER;
+
         /** Ends as done, by worker and run, after which the task was started again. */
         final Set<String> startedAfter = new HashSet<>();
 
@@ -243,6 +247,11 @@
             t.doneKept.forEach(e -> require(
                     Rule.TWICE, !e.mustBeKnown(), what + ": it was done on " + e.on.id() + ", which kept that"));
             t.startedAfter.addAll(t.doneEnds);
+            require(
+                    Rule.TWICE,
+                    late || time.now() <= t.doneNotedAfterLapseAt + NOTED_AFTER_LAPSE_MILLIS,
+                    what + ": its end as done was noted at " + t.doneNotedAfterLapseAt
+                            + ", after a lapse of the lease");
         }
         if (!job.step(o.task()).longRunning()) {
             require(Rule.BUDGET, t.failedNoted < job.maxAttempts, what + ": failed " + t.failedNoted + " times");
@@ -347,7 +356,11 @@
         }
         TaskTruth t = job.task(end.task());
         if (end.kind() == EndKind.DONE) {
-            t.doneNoted = true;
+            if (lapsedSince) {
+                t.doneNotedAfterLapseAt = Math.min(t.doneNotedAfterLapseAt, time.now());
+            } else {
+                t.doneNoted = true;
+            }
             boolean again = t.startedAfter.contains(w.life() + "/" + end.run());
             require(
                     Rule.TWICE,
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -190,6 +190,7 @@
 
         @ParameterizedTest
         @CsvSource({
+            "7410035, 10",
             "171, 2",
             "180, 2",
             "25, 2",
