Apply stored allocations to quotas added by a later configuration

Cause: a service owner applied stored allocations only to the quotas that were limited when the watch reported a change. A workspace that received its maximum from a later configuration was not among them, and none of its tasks were placed until some allocation changed. Change: stored allocations are applied again when the workspaces in force change. Test: QuotaKeeperTest.AWorkspaceWithAQuota .getsAGrantWhenALaterConfigurationAddsTheQuota failed before the change.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/QuotaKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/QuotaKeeper.java
@@ -96,6 +96,10 @@
         if (!current.workspaces().equals(configured)) {
             configured = current.workspaces();
             table.configure(current.workspaces());
+            // The watch reports changes only, so newly limited quotas are given the allocations read earlier.
+            if (allocationsRead) {
+                applyStored();
+            }
         }
         table.confirm(current.confirmed());
     }
--- /dev/null
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaKeeperTest.java
@@ -0,0 +1,131 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.JobKeys;
+import org.lupinpaddle.core.placement.Room;
+import org.lupinpaddle.core.run.SchedulerTiming;
+import org.lupinpaddle.core.workspace.Workspace;
+import org.lupinpaddle.core.workspace.WorkspaceQuota;
+import org.lupinpaddle.core.workspace.Workspaces;
+
+/** Tests the quota grants that a service owner writes to an in-memory store. */
+class QuotaKeeperTest {
+
+    private static final Room TASK = new Room(1_000, 0, 0);
+
+    private final FakeKeyValueStore store = new FakeKeyValueStore();
+    private final TimedLoop loop = new TimedLoop();
+    private final List<Workspace> workspaces = new ArrayList<>();
+    private final QuotaKeeper keeper = keeper();
+
+    private QuotaKeeper keeper() {
+        long fence = store.set(JobKeys.owner("clips"), "entry");
+        long revision = store.set(FakeRecords.CONFIGURATION, "any");
+        NodeFixture.Instances instances = new NodeFixture.Instances();
+        SchedulerHost.Entry entry = new SchedulerHost.Entry(
+                store,
+                new NodeFixture().workers,
+                order -> CompletableFuture.completedFuture(Optional.empty()),
+                instances,
+                loop,
+                () -> true,
+                loop.clock(),
+                SchedulerTiming.usual(5_000, 300, 12_000),
+                new JobMeters(),
+                new UnreadableEntries(new JobMeters()),
+                () -> new WorkspacesInForce(
+                        FakeRecords.CONFIGURATION, revision, true, new Workspaces(List.copyOf(workspaces), List.of())));
+        return new QuotaKeeper(entry, "clips", fence, () -> {});
+    }
+
+    private void addLimitedWorkspace(String workspace, long cpuMillis) {
+        workspaces.add(new Workspace(workspace, List.of(), 1, new Room(cpuMillis, 0, 0)));
+    }
+
+    private WorkspaceQuota addWaitingTask(String workspace) {
+        WorkspaceQuota q = keeper.table().of(workspace);
+        q.addWaiting(TASK, TASK);
+        return q;
+    }
+
+    private void runKeeper() {
+        for (int i = 0; i < 10; i++) {
+            keeper.run();
+            loop.passes(10);
+        }
+    }
+
+    @Nested
+    class AWorkspaceWithAQuota {
+
+        @Test
+        void getsAGrant() {
+            addLimitedWorkspace("news", 4_000);
+            WorkspaceQuota q = addWaitingTask("news");
+            runKeeper();
+            assertTrue(q.mayPlace(TASK));
+            assertFalse(store.value(JobKeys.quota("news")).isEmpty());
+        }
+
+        /** Guards against withholding grants from a workspace whose quota a later configuration adds. */
+        @Test
+        void getsAGrantWhenALaterConfigurationAddsTheQuota() {
+            addLimitedWorkspace("news", 4_000);
+            runKeeper();
+            addLimitedWorkspace("archive", 4_000);
+            WorkspaceQuota q = addWaitingTask("archive");
+            runKeeper();
+            assertTrue(q.mayPlace(TASK));
+        }
+    }
+
+    @Nested
+    class WithoutQuotas {
+
+        @Test
+        void nothingIsWritten() {
+            addWaitingTask("news");
+            runKeeper();
+            assertEquals(0, store.commits);
+        }
+    }
+
+    @Nested
+    class WithoutOwnership {
+
+        /** Guards against retrying a write that cannot succeed because ownership was lost. */
+        @Test
+        void attemptsOnlyOneWrite() {
+            store.set(JobKeys.owner("clips"), "another entry");
+            addLimitedWorkspace("news", 4_000);
+            WorkspaceQuota q = addWaitingTask("news");
+            runKeeper();
+            assertEquals(1, store.commits);
+            assertFalse(q.mayPlace(TASK));
+        }
+    }
+}
