Model: count completable jobs given up and workers lost to crashing tasks

What a rule allows is not what is best for callers: a job may be given up once two workers have crashed under one of its tasks, whether or not the task crashed them. The summary of a run now says how many jobs were said to have failed that could have been completed, and how many workers were lost to tasks that crash them, so that ways of attributing crashes can be compared.

--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -69,17 +69,24 @@
     private int execute() {
         long begun = System.nanoTime();
         AtomicInteger broken = new AtomicInteger();
+        AtomicInteger givenUp = new AtomicInteger();
+        AtomicInteger lost = new AtomicInteger();
         LongStream.range(seed, seed + count).parallel().forEach(s -> {
-            if (!holds(s)) {
+            World w = world(s);
+            if (!holds(s, w)) {
                 broken.incrementAndGet();
             }
+            givenUp.addAndGet(w.completableJobsGivenUp());
+            lost.addAndGet(w.workersLostToTasks());
         });
         double minutes = (System.nanoTime() - begun) / 1e6 / MILLIS_PER_MINUTE;
-        System.out.printf("histories=%d broken=%d per-minute=%.0f%n", count, broken.get(), count / minutes);
+        System.out.printf(
+                "histories=%d broken=%d completable-jobs-given-up=%d workers-lost-to-tasks=%d per-minute=%.0f%n",
+                count, broken.get(), givenUp.get(), lost.get(), count / minutes);
         return broken.get() == 0 ? EXIT_HELD : EXIT_BROKEN;
     }
 
-    private boolean holds(long s) {
+    private World world(long s) {
         World w = new World(s, faults);
         if (crashing) {
             w.withCrashingTasks(s);
@@ -90,6 +97,10 @@
         if (workspaces) {
             w.withWorkspaces(s);
         }
+        return w;
+    }
+
+    private boolean holds(long s, World w) {
         try {
             w.run();
             return true;
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -131,6 +131,11 @@
             return tasks.values().stream().mapToInt(t -> t.crashedUnder).max().orElse(0);
         }
 
+        /** Returns whether a task has failed as often as its queue allows. */
+        boolean hasUsedUpAttempts() {
+            return tasks.values().stream().anyMatch(t -> t.failed >= maxAttempts);
+        }
+
         boolean lasting() {
             return submission.steps().stream().anyMatch(StepSpec::longRunning);
         }
@@ -419,8 +424,7 @@
     }
 
     void toldFailed(JobTruth job) {
-        boolean cause = job.tasks.values().stream().anyMatch(t -> t.failed >= job.maxAttempts)
-                || job.maxCrashedUnder() >= CRASHES_THAT_ALLOW_TO_GIVE_UP;
+        boolean cause = job.hasUsedUpAttempts() || job.maxCrashedUnder() >= CRASHES_THAT_ALLOW_TO_GIVE_UP;
         job.saidToHaveFailed = true;
         require(Rule.LOST, cause, job.id + " is said to have failed, without cause");
     }
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -137,6 +137,23 @@
         return Optional.ofNullable(workspaces);
     }
 
+    /** Returns how many jobs are said to have failed that could have been completed and crash no worker themselves. */
+    int completableJobsGivenUp() {
+        int n = 0;
+        for (Rules.JobTruth j : rules.jobs()) {
+            boolean guilty = crashing != null && crashing.isGuilty(j.id);
+            if (j.saidToHaveFailed && !j.hopeless && !guilty && !j.hasUsedUpAttempts()) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    /** Returns how many workers were lost to tasks that crash them. */
+    int workersLostToTasks() {
+        return crashing == null ? 0 : crashing.workersLost();
+    }
+
     private boolean keepsId() {
         return restarts != null && restarts.keepsId();
     }
