Hold a lost worker against a task only where the task was at work and alone

What callers saw: an accepted job was told FAILED ("3 workers crashed under task") though at most one worker had crashed while it ran the task, and good ones stood by.

Cause: the loss of a worker counted against every task that had been given to it.

Change: LossLog keeps recent losses; a crash is doubtful where the run was due to end when its worker was last heard, or where a worker that did not run the step was lost with it, also if that is found out later. A suspect is started only on a worker that has just answered, and a choice not yet sent is made anew when its worker falls silent.

--- a/core/src/main/java/org/lupinpaddle/core/run/CrashJudge.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CrashJudge.java
@@ -34,6 +34,8 @@
     private static final int CERTAIN_BESIDE_DOUBTFUL = 2;
     private static final int ALL_BESIDE_CERTAIN = 4;
     private static final int ALL_DOUBTFUL = 5;
+    // Runs of siblings differ by less than the rest.
+    private static final double NEARLY_DONE = 0.9;
     // A lasting task meets a crash now and then for as long as it lasts: what has worked so long has not caused it.
     private static final long SOUND_MILLIS = 600_000;
 
@@ -43,49 +45,56 @@
         this.state = state;
     }
 
-    /** A task that may have crashed its worker, and whether it is known to have run there. */
-    record Suspect(LiveTask task, boolean ran) {
+    /** A task that may have crashed its worker, and whether it was at work there when the worker was lost. */
+    record Suspect(LiveTask task, boolean ran) {}
 
-        /** Returns those among the tasks of a worker that is lost, before they are taken off it. */
-        static List<Suspect> among(Collection<LiveTask> tasks) {
-            // What was never sent there, or was done before, has not crashed it.
-            return tasks.stream()
-                    .filter(t -> t.phase != Phase.PLACED && !t.finished)
-                    .map(t -> new Suspect(t, t.isKnownToRun()))
-                    .toList();
-        }
+    /** Returns the suspects among the tasks of a worker that is lost, before they are taken off it. */
+    List<Suspect> suspects(Collection<LiveTask> tasks, LossLog.Loss loss) {
+        // What was never sent there, or was done before, has not crashed it.
+        return tasks.stream()
+                .filter(t -> t.phase != Phase.PLACED && !t.finished)
+                .map(t -> new Suspect(t, t.isKnownToRun() && !mayHaveEndedBefore(t, loss)))
+                .toList();
+    }
+
+    /** Returns whether a run was due to end when its worker was last known to work: the loss may have come after its end. */
+    private boolean mayHaveEndedBefore(LiveTask t, LossLog.Loss loss) {
+        return !t.step.longRunning() && loss.from() - t.begunAt >= NEARLY_DONE * state.expectedMillis(t.of);
     }
 
     /**
      * Takes in that a worker is gone, after its tasks have been taken off it. One that drained has ended as planned; one that
      * can not be reached may live on, with nothing that runs. An order on its instance comes after it was emptied.
      */
-    void onLost(LiveWorker w, LossEvidence evidence, List<Suspect> suspects) {
+    void onLost(LiveWorker w, LossEvidence evidence, LossLog.Loss loss, List<Suspect> suspects) {
         if (!evidence.provesEnd() || w.isKnownToDrain()) {
             return;
         }
         for (Suspect s : suspects) {
             if (!s.task.job.state.ended()) {
-                count(s.task, s.ran, w);
+                count(s.task, s.ran, loss);
             }
         }
     }
 
-    private void count(LiveTask t, boolean ran, LiveWorker w) {
-        boolean forgiven = t.step.longRunning() && t.ranMillis >= SOUND_MILLIS;
-        int certain = (forgiven ? 0 : t.crashes) + (ran ? 1 : 0);
-        int doubtful = (forgiven ? 0 : t.doubtfulCrashes) + (ran ? 0 : 1);
+    private void count(LiveTask t, boolean ran, LossLog.Loss loss) {
+        if (t.step.longRunning() && t.ranMillis >= SOUND_MILLIS) {
+            t.forgetCrashes();
+        }
+        if (ran) {
+            t.certainLosses.add(loss);
+        }
+        int all = t.crashes + t.doubtfulCrashes + 1;
+        // Another worker may have been found lost only now.
+        int excused = t.excuse(l -> state.losses.hasCauseOutside(l, t.of, state.workers.values(), state.now()));
+        int certain = t.crashes + (ran ? 1 : 0) - excused;
+        int doubtful = all - certain;
         t.crashed(certain, doubtful, state.now());
         state.changed(t.job);
-        String counts = "crashes=" + certain + " doubtful=" + doubtful + " lost="
-                + w.facts().id();
+        String counts = "crashes=" + certain + " doubtful=" + doubtful + " lost=" + loss.worker();
         state.note(SchedulerEvent.Kind.CRASH_COUNTED, t, t.suspicion.name(), counts);
-        int all = certain + doubtful;
         if (isProven(certain, all)) {
-            giveUp(
-                    t,
-                    all + " workers crashed under task " + t.id + ", the last was "
-                            + w.facts().id());
+            giveUp(t, all + " workers crashed under task " + t.id + ", the last was " + loss.worker());
         }
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -15,10 +15,13 @@
  */
 package org.lupinpaddle.core.run;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.job.StepSpec;
@@ -91,6 +94,8 @@
     int crashes;
 
     int doubtfulCrashes;
+    /** The losses of workers that this owner counts as crashes under it. */
+    final List<LossLog.Loss> certainLosses = new ArrayList<>();
     /** The longest that a run of it was at work before its worker crashed. */
     private long ranBeforeCrashMillis;
 
@@ -113,6 +118,8 @@
     long orderDueAt;
 
     boolean orderInFlight;
+    /** Whether its worker is being asked for a sign of life before the start goes out. */
+    boolean probeInFlight;
     /** When its newest start went out. */
     long orderSentAt;
     /** From when on a hold that does not list the run proves that it is gone. */
@@ -188,6 +195,7 @@
             worker.remove(this);
         }
         worker = null;
+        probeInFlight = false;
         ranMillis = begunAt == Long.MAX_VALUE ? 0 : now - begunAt;
         inherited = false;
         percent = 0;
@@ -243,6 +251,20 @@
         ranBeforeCrashMillis = Math.max(ranBeforeCrashMillis, ranMillis);
     }
 
+    /** Takes losses back that another cause explains, and returns how many these are. */
+    int excuse(Predicate<LossLog.Loss> explained) {
+        int before = certainLosses.size();
+        certainLosses.removeIf(explained);
+        return before - certainLosses.size();
+    }
+
+    /** Lets the count of crashes begin anew. */
+    void forgetCrashes() {
+        crashes = 0;
+        doubtfulCrashes = 0;
+        certainLosses.clear();
+    }
+
     /** Returns how long a run of it must have been at work before other tasks may join it. */
     long isolationMillis() {
         return Math.min(MOST_ISOLATION_MILLIS, ISOLATION_MILLIS + ranBeforeCrashMillis);
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.placement.Candidate;
 import org.lupinpaddle.core.placement.Room;
 import org.lupinpaddle.core.placement.StepTime;
@@ -41,6 +42,9 @@
     // No worker crashes, starts, is given a task and ends it within this time.
     private static final long FASTEST_RESTART_MILLIS = 100;
 
+    // Long enough for the write between the choice of a worker and the start; short beside the time of a run.
+    private static final long JUST_RESPONDED_MILLIS = 250;
+
     // A lasting task never ends well; after this it has shown what an end would. A third of the 6 s that one may
     // be without a run, so that those that wait get there in time; what fails does so at once as a rule.
     private static final long LASTING_PROOF_MILLIS = 2_000;
@@ -52,6 +56,9 @@
     private WorkerIncarnation incarnation;
 
     private long incarnationKnownAt = Long.MAX_VALUE;
+    /** How the life before this one was lost, if this owner knew it. */
+    private LossLog.@Nullable Loss earlierLife;
+
     /** Whether this life is known to have ended: nothing that is held against it holds for the next one under its id. */
     boolean over;
 
@@ -78,6 +85,8 @@
     private boolean mustAnswer;
     /** How many calls got no answer since it was last heard. */
     private int missedResponses;
+    /** When the first of these was to be answered. */
+    private long firstMissedAt = Long.MAX_VALUE;
 
     private long fencedAt = Long.MAX_VALUE;
 
@@ -125,9 +134,10 @@
     }
 
     /** Returns the next life of a restarted worker: nothing of this one's clock, results and health holds for it. */
-    LiveWorker restarted(WorkerIncarnation next, long now) {
+    LiveWorker restarted(WorkerIncarnation next, LossLog.Loss loss, long now) {
         over = true;
         LiveWorker w = new LiveWorker(facts, now);
+        w.earlierLife = loss;
         w.incarnation = next;
         w.incarnationKnownAt = now;
         w.listed = listed;
@@ -345,6 +355,12 @@
     void responded(long now) {
         respondedAt = now;
         missedResponses = 0;
+        firstMissedAt = Long.MAX_VALUE;
+    }
+
+    /** Returns whether it has answered so lately that it can not have failed since, as a rule. */
+    boolean hasJustResponded(long now) {
+        return now - lastResponseAt() <= JUST_RESPONDED_MILLIS;
     }
 
     /** Returns when anything came back from it last. */
@@ -361,6 +377,7 @@
         if (dueAt >= respondedAt) {
             unansweredDueAt = dueAt;
             missedResponses++;
+            firstMissedAt = Math.min(firstMissedAt, dueAt);
         }
     }
 
@@ -372,11 +389,27 @@
         return mustAnswer || unansweredDueAt >= respondedAt;
     }
 
+    /** Returns how the life before this one was lost; one that this owner did not know may have been lost at any time. */
+    LossLog.Loss lossOfEarlierLife(long now) {
+        LossLog.Loss known = earlierLife;
+        return known != null ? known : new LossLog.Loss(facts.id(), Long.MIN_VALUE, now, Set.of(), false);
+    }
+
+    /** Returns by when a worker that is lost had failed: a call that was to be answered then got no answer. */
+    long failedBy(long now) {
+        return Math.max(lastResponseAt(), Math.min(firstMissedAt, now));
+    }
+
     /** Returns whether nothing came back to several calls: an instance in its place is worth its move then. */
     boolean isOutOfReach() {
         return missedResponses >= MISSED_OUT_OF_REACH;
     }
 
+    /** Returns whether it has answered this owner, and nothing came back to several calls since. */
+    boolean hasFallenSilent() {
+        return fenced && isOutOfReach();
+    }
+
     /** Takes in that orders for an earlier life, with deadlines by its clock, may keep something alive here until then. */
     void orderedByOtherClocksUntil(long until) {
         otherClocksUntil = until;
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -97,7 +97,9 @@
         String detail = "born=" + life.bornMillis() + " clock=" + answer.clockMillis() + first + " tasks="
                 + before.tasks.size() + " before: " + before.describe();
         state.note(SchedulerEvent.Kind.WORKER_RESTARTED, before, detail);
-        LiveWorker w = before.restarted(life, state.now());
+        LossLog.Loss loss = LossLog.Loss.of(before, state.now());
+        state.losses.add(loss);
+        LiveWorker w = before.restarted(life, loss, state.now());
         state.workers.put(life.id(), w);
         advisor.forget(life.id());
         List.copyOf(before.tasks).forEach(t -> move(t, before, w));
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -55,6 +55,7 @@
     void sendDueOrders() {
         long now = state.now();
         state.workers.values().stream().filter(LiveWorker::isKnownToDrain).forEach(this::withdrawStarts);
+        state.workers.values().stream().filter(LiveWorker::isDoubted).forEach(this::takeBackUnsent);
         // Orders end later, so nothing here changes which tasks a worker has.
         for (LiveWorker w : state.workers.values()) {
             state.openStarts.due(w.facts(), now).forEach(o -> refuse(w, o));
@@ -81,6 +82,15 @@
         }
     }
 
+    /** Lets tasks go elsewhere that were chosen for a worker which has fallen silent before their starts went out. */
+    private void takeBackUnsent(LiveWorker w) {
+        for (LiveTask t : List.copyOf(w.tasks)) {
+            if (t.phase == Phase.PLACED) {
+                takeBack(t, "worker-silent");
+            }
+        }
+    }
+
     private void refuse(LiveWorker w, StopOrder o) {
         String run = o.jobId() + "." + o.task() + "/" + o.run();
         state.note(SchedulerEvent.Kind.STOP_ORDERED, w, "start-open-at-restart=" + run);
@@ -89,7 +99,7 @@
 
     private void sendDue(LiveWorker w, LiveTask t, long now) {
         if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion && state.knowsWorkers()) {
-            t.enter(Phase.STARTING, now);
+            startOrProbe(w, t, now);
         }
         if (t.orderInFlight || now < t.orderDueAt || w.facts().address().isEmpty()) {
             return;
@@ -112,6 +122,29 @@
         }
     }
 
+    /**
+     * Makes sure that a worker still answers before it is given a suspect, which would be blamed otherwise for a crash that came
+     * before its start. A stop of the run before has no other effect than to refuse late starts of it.
+     */
+    private void startOrProbe(LiveWorker w, LiveTask t, long now) {
+        if (!t.suspicion.isSuspect() || w.hasJustResponded(now)) {
+            t.enter(Phase.STARTING, now);
+        } else if (!t.probeInFlight && !w.facts().address().isEmpty()) {
+            t.probeInFlight = true;
+            t.orderSentAt = now;
+            state.port.stop(new StopOrder(w.facts(), t.job.spec.key().id(), t.id, t.run - 1));
+        }
+    }
+
+    private void probed(LiveTask t, LiveWorker w, OrderOutcome outcome) {
+        t.probeInFlight = false;
+        if (outcome.isSilence()) {
+            w.unanswered(t.orderSentAt);
+        } else {
+            w.responded(state.now());
+        }
+    }
+
     void onStarted(StartOrder order, OrderOutcome outcome) {
         LiveTask t = state.task(order.jobId(), order.task());
         boolean wanted = t != null && t.worker != null && t.run == order.run();
@@ -212,21 +245,33 @@
             state.openStarts.refused(order);
         }
         LiveTask t = state.task(order.jobId(), order.task());
-        if (t == null || t.worker == null || t.run != order.run() || t.phase != Phase.STOPPING) {
+        if (t == null || t.worker == null) {
+            return;
+        }
+        boolean probe = t.probeInFlight && order.run() == t.run - 1;
+        if (probe) {
+            probed(t, t.worker, outcome);
+        } else if (t.run == order.run() && t.phase == Phase.STOPPING) {
+            t.orderInFlight = false;
+        } else {
             return;
         }
-        t.orderInFlight = false;
         switch (outcome) {
             case FENCED ->
                 state.port.ownershipLost(
                         "a stop was refused by the fence of " + order.worker().id());
             case OTHER_LIFE -> workerLost(t.worker, LossEvidence.OTHER_LIFE);
             case ACCEPTED, OLD_RUN -> {
-                t.provenFrom = state.now();
-                t.worker.holdDueAt = Math.min(t.worker.holdDueAt, state.now());
+                if (!probe) {
+                    t.provenFrom = state.now();
+                    t.worker.holdDueAt = Math.min(t.worker.holdDueAt, state.now());
+                }
+            }
+            case LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED, NOT_SENT, UNKNOWN -> {
+                if (!probe) {
+                    t.orderDueAt = state.now() + RESEND_MILLIS;
+                }
             }
-            case LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED, NOT_SENT, UNKNOWN ->
-                t.orderDueAt = state.now() + RESEND_MILLIS;
         }
     }
 
@@ -313,9 +358,10 @@
 
     private void notShown(LiveWorker w, LiveTask t) {
         if (t.isOfEarlierLife()) {
-            List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.among(List.of(t));
+            LossLog.Loss loss = w.lossOfEarlierLife(state.now());
+            List<CrashJudge.Suspect> suspects = crashes.suspects(List.of(t), loss);
             loseRun(t, LossEvidence.RESTARTED);
-            crashes.onLost(w, LossEvidence.RESTARTED, suspects);
+            crashes.onLost(w, LossEvidence.RESTARTED, loss, suspects);
         } else if (t.phase == Phase.RUNNING) {
             // Not known to happen; a stop makes sure before the task runs elsewhere.
             state.stop(t, "run-vanished");
@@ -467,11 +513,13 @@
         state.note(SchedulerEvent.Kind.WORKER_GONE, w, detail);
         state.workers.remove(w.facts().id());
         w.over = evidence.provesEnd();
-        List<CrashJudge.Suspect> suspects = CrashJudge.Suspect.among(w.tasks);
+        LossLog.Loss loss = LossLog.Loss.of(w, state.now());
+        state.losses.add(loss);
+        List<CrashJudge.Suspect> suspects = crashes.suspects(w.tasks, loss);
         for (LiveTask t : new ArrayList<>(w.tasks)) {
             loseRun(t, evidence);
         }
-        crashes.onLost(w, evidence, suspects);
+        crashes.onLost(w, evidence, loss, suspects);
     }
 
     private void loseRun(LiveTask t, LossEvidence evidence) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -54,6 +54,7 @@
 
     final Map<String, LiveWorker> workers = new HashMap<>();
     final OpenStarts openStarts = new OpenStarts();
+    final LossLog losses = new LossLog();
     final RunTimes times = new RunTimes();
     final DemandTrend trend = new DemandTrend();
     final ArrivalRate arrivals = new ArrivalRate();
--- a/core/src/test/java/org/lupinpaddle/core/run/CrashJudgeTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CrashJudgeTest.java
@@ -40,6 +40,11 @@
     private static final StepSpec TWO_LASTING =
             StepSpec.builder(2, SchedulerDriver.NEED).longRunning(true, 1).build();
 
+    private static final StepSpec HALF_A_SECOND =
+            StepSpec.builder(1, SchedulerDriver.NEED).estimateMillis(500).build();
+    private static final StepSpec WHOLE_WORKER =
+            StepSpec.builder(1, new StepSpec.Need(4_000, 100, 0)).build();
+
     private final SchedulerDriver d = new SchedulerDriver();
 
     private void workers(String... ids) {
@@ -79,6 +84,13 @@
         return s;
     }
 
+    private StartOrder startOf(String job) {
+        return d.port.starts.stream()
+                .filter(s -> s.jobId().equals(job))
+                .reduce((a, b) -> b)
+                .orElseThrow();
+    }
+
     @Nested
     class ALoss {
 
@@ -138,6 +150,55 @@
             assertEquals(0, written().knownCrashes());
         }
 
+        /** Guards against blaming tasks for a cut or the loss of a rack, which takes several workers at once. */
+        @Test
+        void isDoubtfulWhereAWorkerThatDidNotRunTheStepIsLostWithIt() {
+            workers("w1", "w2");
+            d.job("a", WHOLE_WORKER);
+            String first = started().worker().id();
+            d.job("b", WHOLE_WORKER);
+            String second = started().worker().id();
+            d.otherLife(first);
+            d.otherLife(second);
+            assertEquals(0, written().knownCrashes());
+            assertEquals(1, written().knownDoubtfulCrashes());
+        }
+
+        /** Guards against blaming the tasks of whichever worker is found lost first. */
+        @Test
+        void isDoubtfulOnceAnotherWorkerIsFoundToHaveBeenLostWithIt() {
+            workers("w1", "w2", "w3");
+            d.job("a", WHOLE_WORKER);
+            String first = started().worker().id();
+            d.job("b", WHOLE_WORKER);
+            String second = started().worker().id();
+            d.otherLife(first);
+            d.otherLife(second);
+            settle();
+            StartOrder again = startOf("a");
+            d.scheduler.onStarted(again, OrderOutcome.ACCEPTED);
+            d.passes(100);
+            d.answers(again.worker().id(), List.of(new RunningReport("a", FIRST, again.run(), "", 10, -1)), List.of());
+            d.otherLife(again.worker().id());
+            assertEquals(1, written().knownCrashes());
+            assertEquals(1, written().knownDoubtfulCrashes());
+        }
+
+        /** Guards against blaming a task whose run may have ended before its worker crashed out of sight. */
+        @Test
+        void isDoubtfulWhereTheRunWasDueToEndWhenItsWorkerWasLastHeard() {
+            workers("w1");
+            d.job("a", HALF_A_SECOND);
+            StartOrder s = started();
+            d.passes(600);
+            d.answers("w1", List.of(new RunningReport("a", FIRST, s.run(), "", 90, -1)), List.of());
+            d.silent("w1");
+            d.passes(1_000);
+            d.otherLife("w1");
+            assertEquals(0, written().knownCrashes());
+            assertEquals(1, written().knownDoubtfulCrashes());
+        }
+
         @Test
         void thatTheNextOwnerNoticesIsCountedToo() {
             workers("w2");
@@ -156,11 +217,37 @@
     @Nested
     class ASuspect {
 
-        private StartOrder startOf(String job) {
-            return d.port.starts.stream()
-                    .filter(s -> s.jobId().equals(job))
-                    .reduce((a, b) -> b)
-                    .orElseThrow();
+        /** Guards against blaming a task for a worker that was lost before the start reached it. */
+        @Test
+        void isStartedOnlyOnAWorkerThatHasJustAnswered() {
+            workers("w1");
+            d.passes(1_000);
+            d.job("a", crashed(1, 0, false), ONE);
+            settle();
+            assertEquals(List.of(), d.port.starts);
+            d.scheduler.onStopped(d.port.stops.get(0), OrderOutcome.ACCEPTED);
+            d.passes(10);
+            assertEquals("a", d.lastStart().jobId());
+        }
+
+        /** Guards against the same where the worker does not answer: the choice has not gone out, and another one may do. */
+        @Test
+        void isPlacedAnewWhereItsWorkerDoesNotAnswer() {
+            workers("w1");
+            d.passes(1_000);
+            d.job("a", crashed(1, 0, false), ONE);
+            settle();
+            d.scheduler.onStopped(d.port.stops.get(0), OrderOutcome.UNKNOWN);
+            d.passes(10);
+            workers("w2");
+            settle();
+            settle();
+            assertEquals("w2", d.lastStart().worker().id());
+            assertEquals(
+                    List.of(),
+                    d.port.events.stream()
+                            .filter(e -> e.kind() == SchedulerEvent.Kind.CRASH_COUNTED)
+                            .toList());
         }
 
         @Test
--- a/model/src/test/java/org/lupinpaddle/model/RestartsTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/RestartsTest.java
@@ -19,7 +19,6 @@
 
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Histories in which workers crash and start again under their ids. */
@@ -51,7 +50,6 @@
 
         /** Guards against giving up a job whose workers crashed for other reasons. */
         @Test
-        @Tag("known-red")
         void withCrashesBehindCutsGiveUpNothingWithoutCause() {
             long s = GIVEN_UP_WITHOUT_CAUSE;
             holds(s, 0, new World(s, 0).withRestarts(s));
