Do not take a run as alive from an answer that a newer one has overtaken

What callers saw: a service that allows one task to be away had a second one stopped while the first was not at work (AVAIL).

Cause: an entry that shows another life lets a further poll be sent at once, and the answer to the one before also let the next be sent, so that two polls stayed under way for good. Their answers overtake each other, and the older list of runs was believed.

Change: only the newest poll's outcome counts for the next poll and for silence; of an answer by an older clock than one read since its poll was sent only the results are processed. A worker's clock orders its answers, so an overtaken one is always known.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -90,7 +90,9 @@
 
     private long fencedAt = Long.MAX_VALUE;
 
-    boolean holdInFlight;
+    /** The newest poll, while it has no answer; an older one may still get one. */
+    private @Nullable HoldOrder poll;
+
     /** When the worker answers the newest hold at the latest. */
     long holdAnswerDueAt;
 
@@ -163,6 +165,46 @@
         return fenced && sentAt >= clockReadAt && clock < clockMillis;
     }
 
+    /**
+     * Returns whether an answer by this clock, to a poll that was sent then, is older than one that was read before: two polls
+     * may be under way at once, and answers on different connections overtake each other.
+     */
+    boolean isOvertaken(long clock, long sentAt) {
+        return fenced && sentAt < clockReadAt && clock <= clockMillis;
+    }
+
+    /** Takes in that a poll is sent, which the worker answers by {@code dueAt}. */
+    void polled(HoldOrder sent, long dueAt) {
+        poll = sent;
+        holdAnswerDueAt = dueAt;
+    }
+
+    /** Returns whether the newest poll has no answer yet. */
+    boolean isPolled() {
+        return poll != null;
+    }
+
+    /** Takes in that a poll has got its answer, or gets none, and returns whether it was the newest. */
+    @SuppressWarnings("ReferenceEquality") // Two polls may ask for the same.
+    boolean pollEnded(HoldOrder sent) {
+        boolean newest = poll == sent;
+        if (newest) {
+            poll = null;
+        }
+        return newest;
+    }
+
+    /** Lets the next poll be sent though the newest one has no answer. */
+    void abandonPoll() {
+        poll = null;
+    }
+
+    /** Waits for the answer to the poll that was sent to this life before. */
+    void awaitPollOf(LiveWorker before) {
+        poll = before.poll;
+        holdAnswerDueAt = before.holdAnswerDueAt;
+    }
+
     /** Takes in the birth that an answer states, where none is known. */
     void states(WorkerIncarnation life, long now) {
         if (life.hasBirth() && !incarnation.hasBirth()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -45,7 +45,7 @@
         w.update(f, state.now());
         if (restarted) {
             // A poll that waits at the earlier life may stay without an answer until it times out.
-            w.holdInFlight = false;
+            w.abandonPoll();
             w.holdDueAt = state.now();
             w.mustAnswerAgain();
         }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -279,12 +279,7 @@
         Set<LiveTask> shown = new HashSet<>();
         w.runsUnreadableJobs = false;
         answer.running().forEach(r -> running(w, r, shown));
-        List<EndReport> others = new ArrayList<>();
-        for (EndReport e : w.results().newResults(answer)) {
-            ended(w, e, others);
-            w.results().processed(e.number());
-        }
-        logOtherResults(w, others);
+        processResults(w, answer);
         if (answer.mayHaveMoreEnds()) {
             return;
         }
@@ -296,6 +291,20 @@
         }
     }
 
+    /** Takes in the results of an answer that a newer one has overtaken; what it shows as running may have ended since. */
+    void onOvertakenAnswer(LiveWorker w, HoldAnswer answer) {
+        processResults(w, answer);
+    }
+
+    private void processResults(LiveWorker w, HoldAnswer answer) {
+        List<EndReport> others = new ArrayList<>();
+        for (EndReport e : w.results().newResults(answer)) {
+            ended(w, e, others);
+            w.results().processed(e.number());
+        }
+        logOtherResults(w, others);
+    }
+
     /** Takes in what was done on a worker that was taken to be over before its last answer arrived. */
     void onLateAnswer(HoldAnswer answer) {
         for (EndReport e : answer.ended()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -258,14 +258,25 @@
             return;
         }
         long now = state.now();
-        w.holdInFlight = false;
-        w.answered(answer.clockMillis(), now);
+        boolean overtaken = w.isOvertaken(answer.clockMillis(), sentAt);
+        if (overtaken) {
+            w.responded(now);
+        } else {
+            w.answered(answer.clockMillis(), now);
+        }
         if (handingOver && !leaves(w)) {
+            w.pollEnded(order);
             return;
         }
-        runs.onHeld(w, sentAt, answer);
+        if (overtaken) {
+            runs.onOvertakenAnswer(w, answer);
+        } else {
+            runs.onHeld(w, sentAt, answer);
+        }
         w.holdAwaitsRecords = w.results().hasPending();
-        w.holdDueAt = w.holdAwaitsRecords ? now + pauseMillis(w) : now;
+        if (w.pollEnded(order)) {
+            w.holdDueAt = w.holdAwaitsRecords ? now + pauseMillis(w) : now;
+        }
     }
 
     /** Returns how long a worker is left alone while its ends are being made durable. */
@@ -280,14 +291,15 @@
         if (w == null) {
             return;
         }
-        w.holdInFlight = false;
-        w.holdAwaitsRecords = false;
-        if (outcome.isSilence()) {
-            w.unanswered(Math.min(w.holdAnswerDueAt, state.now()));
+        if (w.pollEnded(order)) {
+            w.holdAwaitsRecords = false;
+            if (outcome.isSilence()) {
+                w.unanswered(Math.min(w.holdAnswerDueAt, state.now()));
+            }
+            // The look that tells a lost answer from a worker out of reach follows at once.
+            boolean looks = w.isDoubted() && !w.isOutOfReach();
+            w.holdDueAt = state.now() + (looks ? 0 : HOLD_RETRY_MILLIS);
         }
-        // The look that tells a lost answer from a worker out of reach follows at once.
-        boolean looks = w.isDoubted() && !w.isOutOfReach();
-        w.holdDueAt = state.now() + (looks ? 0 : HOLD_RETRY_MILLIS);
         if (outcome == OrderOutcome.OTHER_LIFE) {
             runs.workerLost(w, LossEvidence.OTHER_LIFE);
         } else if (outcome == OrderOutcome.FENCED) {
@@ -381,8 +393,7 @@
         if (keep) {
             LiveWorker again = new LiveWorker(w.facts(), state.now());
             again.continueLife(w);
-            again.holdInFlight = w.holdInFlight;
-            again.holdAnswerDueAt = w.holdAnswerDueAt;
+            again.awaitPollOf(w);
             state.workers.put(w.facts().id(), again);
         }
     }
@@ -392,12 +403,11 @@
         for (LiveWorker w : state.workers.values()) {
             boolean asked = !handingOver || leaves(w);
             if (!asked
-                    || w.holdInFlight
+                    || w.isPolled()
                     || now < w.holdDueAt
                     || w.facts().address().isEmpty()) {
                 continue;
             }
-            w.holdInFlight = true;
             long wait = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
             boolean look = !w.fenced
                     || (w.results().lastDurable() > 0 && !w.mayAcknowledge(now))
@@ -405,9 +415,10 @@
                     || w.results().hasPending()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             long waits = look ? 0 : wait;
-            w.holdAnswerDueAt = now + waits;
-            state.port.hold(new HoldOrder(
-                    w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.acknowledgeable(now), waits));
+            HoldOrder poll = new HoldOrder(
+                    w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.acknowledgeable(now), waits);
+            w.polled(poll, now + waits);
+            state.port.hold(poll);
         }
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -302,6 +302,56 @@
         }
     }
 
+    @Nested
+    class AnAnswerThatWasOvertakenByTheEndOfARun {
+
+        private static final long CALL_MILLIS = 3;
+
+        private @Nullable HoldOrder early;
+        private long sentAt;
+
+        private void runEndsWhileAnOlderAnswerIsOnItsWay() {
+            listed("w1");
+            StartOrder s = started("a");
+            early = d.lastHold("w1");
+            sentAt = d.now;
+            // The entry of another life lets a further poll be sent, and keeps new runs away.
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            d.passes(CALL_MILLIS);
+            EndReport stopped = new EndReport(1, "a", TASK, s.run(), EndKind.STOPPED, "");
+            d.answersAs("w1", FIRST_BIRTH, OLD_CLOCK + 20, List.of(), List.of(stopped));
+            d.passes(50);
+            d.saved();
+        }
+
+        private void olderAnswerArrives() {
+            HoldAnswer older = new HoldAnswer(FIRST_BIRTH, OLD_CLOCK + 10, List.of(running("a", 1)), List.of());
+            d.scheduler.onHeld(Objects.requireNonNull(early), sentAt, older);
+            d.passes(1);
+        }
+
+        /** Guards against taking a run that has ended for one that is alive, which keeps a stopped task off every worker. */
+        @Test
+        void doesNotBringTheRunBack() {
+            runEndsWhileAnOlderAnswerIsOnItsWay();
+            olderAnswerArrives();
+            assertEquals(
+                    List.of(),
+                    d.port.events.stream()
+                            .filter(e -> e.kind() == SchedulerEvent.Kind.RUN_FOUND)
+                            .toList());
+        }
+
+        /** Guards against two polls of a worker that are under way together for good. */
+        @Test
+        void doesNotLetAFurtherPollBeSent() {
+            runEndsWhileAnOlderAnswerIsOnItsWay();
+            int holds = d.port.holds.size();
+            olderAnswerArrives();
+            assertEquals(holds, d.port.holds.size());
+        }
+    }
+
     @Nested
     class ALifeThatFallsSilent {
 
