Poll without a deadline after a silence

What callers saw: a task that was done ran again on another worker (TWICE).

Cause: the poll that finds a worker restarted carried a deadline by the earlier life's clock, which the new life took for the longest time that it holds anything. The next owner knew nothing of that and reckoned the worker empty more than 2 s too early. Evidence: with the worker's calls printed: hold deadline=24188 at clock=3, deadline then 10003; the successor's last one was 7567.

Change: a poll that is sent later than 100 ms after the worker's last answer carries no deadline, as it acknowledges no results; one that follows the answer does. Where a life shows a run that its record gives to an earlier life, the longest hold is reckoned with. No call but a start can carry another life's deadline now, and an accepted start shows.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -454,7 +454,7 @@
 
     /** Takes in that orders for an earlier life, with deadlines by its clock, may keep something alive here until then. */
     void orderedByOtherClocksUntil(long until) {
-        otherClocksUntil = until;
+        otherClocksUntil = Math.max(otherClocksUntil, until);
     }
 
     /** Returns how long a time on a worker's clock takes at most. */
@@ -486,11 +486,14 @@
      * restarted and used the same numbers for results that nobody has seen: it has to answer first.
      */
     long acknowledgeable(long now) {
-        return mayAcknowledge(now) ? results.lastDurable() : 0;
+        return isKnownToLive(now) ? results.lastDurable() : 0;
     }
 
-    /** Returns whether its last answer is so new that no other life can be at work there. */
-    boolean mayAcknowledge(long now) {
+    /**
+     * Returns whether its last answer is so new that no other life can be at work there, for which the numbers of results and
+     * the deadlines of this one would mean something else.
+     */
+    boolean isKnownToLive(long now) {
         return now - lastAnswerAt <= FASTEST_RESTART_MILLIS;
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -335,6 +335,10 @@
             return;
         }
         shown.add(t);
+        if (t.isOfEarlierLife()) {
+            // Its start carried a deadline by the clock of the life that it was meant for.
+            w.orderedByOtherClocksUntil(state.now() + LiveWorker.longestByOwnClock(state.timing.longestHoldMillis()));
+        }
         t.incarnation = w.incarnation();
         t.load = r.load();
         if (r.percent() != t.percent) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -409,14 +409,13 @@
                 continue;
             }
             long wait = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
-            boolean look = !w.fenced
-                    || (w.results().lastDurable() > 0 && !w.mayAcknowledge(now))
+            boolean look = !w.isKnownToLive(now)
                     || w.isDoubted()
                     || w.results().hasPending()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             long waits = look ? 0 : wait;
-            HoldOrder poll = new HoldOrder(
-                    w.facts(), w.deadlineIn(state.timing.holdMillis(), now), w.acknowledgeable(now), waits);
+            long deadline = w.isKnownToLive(now) ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
+            HoldOrder poll = new HoldOrder(w.facts(), deadline, w.acknowledgeable(now), waits);
             w.polled(poll, now + waits);
             state.port.hold(poll);
         }
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -226,6 +226,23 @@
             assertTrue(s.deadlineMillis() < NEW_CLOCK + 2 * SchedulerDriver.HOLD_MILLIS, () -> "" + s.deadlineMillis());
         }
 
+        /** Guards against a deadline by the clock of a life that has ended in the silence, which another owner can not know of. */
+        @Test
+        void toPollCarriesNoDeadlineAfterASilence() {
+            listed("w1");
+            started("a");
+            assertTrue(d.lastHold("w1").deadlineMillis() > OLD_CLOCK);
+            d.passes(1_000);
+            d.silent("w1");
+            d.passes(300);
+            assertEquals(0, d.lastHold("w1").deadlineMillis());
+            assertEquals(0, d.lastHold("w1").waitMillis());
+            d.answersAs("w1", FIRST_BIRTH, OLD_CLOCK + 1_300, List.of(running("a", 1)), List.of());
+            assertEquals(
+                    OLD_CLOCK + 1_300 + SchedulerDriver.HOLD_MILLIS,
+                    d.lastHold("w1").deadlineMillis());
+        }
+
         /** Guards against placing by the room and labels that an earlier life had. */
         @Test
         void waitsForTheEntryOfTheNewLife() {
@@ -394,6 +411,20 @@
             assertEquals(1, written().knownDoubtfulCrashes());
         }
 
+        /** Guards against a second run while a deadline by the earlier life's clock still keeps the first one alive. */
+        @Test
+        void aRunOfAnEarlierLifeThatIsShownMayBeKeptForAsLongAsAnyWorkerDoes() {
+            TaskRecord r = new TaskRecord(0, 0, 0, 1, 0, false, "w1", "", 0, 0, FIRST_BIRTH);
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            d.job("a", new JobProgress(JobState.RUNNING, List.of(r), "", 0), ONE);
+            d.passes(10);
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(running("a", 1)), List.of());
+            d.silent("w1");
+            d.passes(9_500);
+            assertEquals(List.of(), d.port.starts);
+            assertFalse(d.port.events.stream().anyMatch(e -> e.kind() == SchedulerEvent.Kind.WORKER_GONE));
+        }
+
         /** Guards against blaming a task whose record, by an earlier version, does not name a life. */
         @Test
         void aRunOfAnUnknownLifeCountsForNothing() {
