Do not give a worker up while a start to it is under way

What callers saw: a task ran on two workers at once (TWICE).

Cause: the platform's list, made before, says that a worker is gone; the worker restarts under its id and accepts a repeated start after its owner has given it up by that list and placed the task elsewhere.

Change: a list ends no worker with a start under way or with an entry of another life; unanswered starts to a worker that has been silent too long are not sent again. So nothing that could begin a run is under way when the run is given up by the list.

--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -104,6 +104,10 @@
         if (t.orderInFlight || now < t.orderDueAt || w.facts().address().isEmpty()) {
             return;
         }
+        if (t.phase == Phase.STARTING && t.unanswered > 0 && state.isMissed(w)) {
+            // The platform's list may tell meanwhile that it is lost, unless a start is under way to its next life.
+            return;
+        }
         if (t.phase == Phase.STARTING) {
             t.orderInFlight = true;
             t.orderSentAt = now;
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -207,12 +207,22 @@
         for (LiveWorker w : List.copyOf(state.workers.values())) {
             if (!w.tasks.isEmpty()
                     && state.wasMissed(w, askedAt)
-                    && !workers.contains(w.facts().id())) {
+                    && !workers.contains(w.facts().id())
+                    && !mayHaveStartedAgain(w)) {
                 runs.workerLost(w, LossEvidence.NOT_LIVING);
             }
         }
     }
 
+    /**
+     * Returns whether a later life, which began after the platform's list was made, may be at work under the worker's id: its
+     * entry says so, or a start is under way that such a life takes for its own. The answer to that start or to the next poll
+     * tells.
+     */
+    private static boolean mayHaveStartedAgain(LiveWorker w) {
+        return w.hasEntryOfOtherLife() || w.tasks.stream().anyMatch(t -> t.phase == Phase.STARTING && t.orderInFlight);
+    }
+
     /** Takes in which workers are to be emptied, and those of them that other work waits for. */
     public void onEvacuations(Set<String> workers, Set<String> urgent) {
         state.evacuating.stream()
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -319,6 +319,51 @@
         }
     }
 
+    @Nested
+    class AListOfInstancesWithoutTheWorker {
+
+        private StartOrder silentSinceItsStart() {
+            listed("w1");
+            d.job("a", ONE);
+            d.passes(50);
+            d.saved();
+            d.scheduler.onWorkers(
+                    List.of(SchedulerDriver.born("w1", FIRST_BIRTH), SchedulerDriver.born("w2", FIRST_BIRTH)));
+            d.passes(1);
+            d.answersAs("w2", FIRST_BIRTH, OLD_CLOCK, List.of(), List.of());
+            d.passes(2_800);
+            return d.lastStart();
+        }
+
+        private boolean isLost() {
+            return d.port.events.stream().anyMatch(e -> e.kind() == SchedulerEvent.Kind.WORKER_GONE);
+        }
+
+        /** Guards against a second run beside the one that the next life of the worker begins by a start under way. */
+        @Test
+        void endsNoRunWhoseStartIsUnderWay() {
+            StartOrder s = silentSinceItsStart();
+            d.scheduler.onLiving(Set.of(), d.now);
+            assertFalse(isLost());
+            d.scheduler.onStarted(s, OrderOutcome.UNKNOWN);
+            d.passes(300);
+            assertEquals(1, d.port.starts.size(), "no further start goes out, which would be under way again");
+            d.scheduler.onLiving(Set.of(), d.now);
+            assertTrue(isLost());
+        }
+
+        /** Guards against the same where the worker's entry already shows its next life. */
+        @Test
+        void endsNoRunOfAWorkerWhoseEntryIsNewer() {
+            StartOrder s = silentSinceItsStart();
+            d.scheduler.onStarted(s, OrderOutcome.UNKNOWN);
+            d.scheduler.onWorkers(List.of(SchedulerDriver.born("w1", SECOND_BIRTH)));
+            d.passes(10);
+            d.scheduler.onLiving(Set.of(), d.now);
+            assertFalse(isLost());
+        }
+    }
+
     @Nested
     class AnAnswerThatWasOvertakenByTheEndOfARun {
 
