Count the crash of a task that ran alone though its run was due to end

Change: the doubt does not hold for a task that ran alone.

Model: a job is not lost while long-running tasks hold its workspace's quota. The check is narrowed to just this; Sabotage.LIMITED_TASKS_REFUSED shows that it still notices jobs that could run.

--- a/core/src/main/java/org/lupinpaddle/core/run/CrashJudge.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CrashJudge.java
@@ -57,9 +57,14 @@
                 .toList();
     }
 
-    /** Returns whether a run was due to end when its worker was last known to work: the loss may have come after its end. */
+    /**
+     * Returns whether a run was due to end when its worker was last known to work: the loss may have come after its end. Of a
+     * task that ran alone after several crashes this is less likely than a further one.
+     */
     private boolean mayHaveEndedBefore(LiveTask t, LossLog.Loss loss) {
-        return !t.step.longRunning() && loss.from() - t.begunAt >= NEARLY_DONE * state.expectedMillis(t.of);
+        return !t.step.longRunning()
+                && !t.suspicion.closesWorker()
+                && loss.from() - t.begunAt >= NEARLY_DONE * state.expectedMillis(t.of);
     }
 
     /**
--- a/core/src/test/java/org/lupinpaddle/core/run/CrashJudgeTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CrashJudgeTest.java
@@ -199,6 +199,19 @@
             assertEquals(1, written().knownDoubtfulCrashes());
         }
 
+        /** Guards against starting a task too often that crashes its workers towards the end of its runs. */
+        @Test
+        void countsWhereTheTaskRanAloneThoughItWasDueToEnd() {
+            workers("w1");
+            d.job("a", crashed(0, 2, false), HALF_A_SECOND);
+            StartOrder s = started();
+            d.passes(600);
+            d.answers("w1", List.of(new RunningReport("a", FIRST, s.run(), "", 90, -1)), List.of());
+            d.otherLife("w1");
+            assertEquals(1, written().knownCrashes());
+            assertEquals(2, written().knownDoubtfulCrashes());
+        }
+
         @Test
         void thatTheNextOwnerNoticesIsCountedToo() {
             workers("w2");
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -142,14 +142,30 @@
 
         boolean allDone() {
             for (int s = 0; s < submission.steps().size(); s++) {
-                for (int i = 0; i < submission.steps().get(s).count(); i++) {
-                    if (!task(new TaskId(0, s, i)).done) {
-                        return false;
-                    }
+                if (!isStepDone(s)) {
+                    return false;
                 }
             }
             return true;
         }
+
+        private boolean isStepDone(int s) {
+            for (int i = 0; i < submission.steps().get(s).count(); i++) {
+                if (!task(new TaskId(0, s, i)).done) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        /** Returns the first step that is not done; the last one if all are. */
+        StepSpec nextStep() {
+            int s = 0;
+            while (s < submission.steps().size() - 1 && isStepDone(s)) {
+                s++;
+            }
+            return submission.steps().get(s);
+        }
     }
 
     /** What is true of a task. */
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -62,9 +62,19 @@
 
     @Override
     public CompletableFuture<OrderOutcome> start(StartOrder o, long fence) {
+        if (world.sabotage == Sabotage.LIMITED_TASKS_REFUSED && isLimited(o)) {
+            return CompletableFuture.completedFuture(OrderOutcome.UNHEALTHY);
+        }
         return order(o.worker(), WireBytes.of(o), (w, c) -> w.start(o, c.fence, c.late), shown(fence));
     }
 
+    private boolean isLimited(StartOrder o) {
+        Rules.JobTruth job = world.rules.job(o.jobId());
+        return job != null
+                && !job.lasting()
+                && world.workspaces().filter(w -> w.limits(job.workspace)).isPresent();
+    }
+
     @Override
     public CompletableFuture<OrderOutcome> stop(StopOrder o, long fence) {
         return order(o.worker(), WireBytes.FRAME, (w, c) -> w.stop(o, c.fence), shown(fence));
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkspaces.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkspaces.java
@@ -148,9 +148,23 @@
         return states.get(world.isLasting(caller) ? COUNT : caller % COUNT);
     }
 
+    /** Returns whether the workspace, which may be none, has a quota. */
+    boolean limits(String workspace) {
+        return !workspace.isEmpty() && !workspace.equals(states.get(COUNT).name);
+    }
+
+    /** Returns the CPU quota that is configured now, in thousandths of a core; the workspace must have one. */
+    long configuredCpu(String workspace) {
+        return states.stream()
+                .filter(t -> t.name.equals(workspace))
+                .mapToLong(t -> t.cpu)
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Returns the highest CPU quota that may be in force, in thousandths of a core, including the tolerance. */
     double maxCpu(String workspace) {
-        if (workspace.equals(states.get(COUNT).name)) {
+        if (!limits(workspace)) {
             return Double.MAX_VALUE;
         }
         return inForceSince(world.time.now() - CONFIGURATION_DELAY_MILLIS).stream()
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.model;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
@@ -90,6 +91,8 @@
             LongStream.range(0, 60).parallel().forEach(s -> holds(s, 0, new World(s, 0).withWorkspaces(s)));
         }
 
+        private static final long HELD_QUOTA = 7_730_485;
+
         @Test
         void areNotExceededUnderFaults() {
             LongStream.range(0, 150).parallel().forEach(s -> holds(s, 4, new World(s, 4).withWorkspaces(s)));
@@ -100,6 +103,26 @@
         void areNotExceededByAnOutdatedMaximum() {
             holds(7_520_990, 10, new World(7_520_990, 10).withWorkspaces(7_520_990));
         }
+
+        /** Guards against counting a job as lost whose quota is held by long-running tasks. */
+        @Test
+        void mayBeHeldByLongRunningTasks() {
+            holds(HELD_QUOTA, 10, world(Sabotage.NONE));
+        }
+
+        /** Guards against excusing jobs that could run within their quota. */
+        @Test
+        void excuseNoJobThatCouldRun() {
+            RuleBrokenException e = assertThrows(
+                    RuleBrokenException.class,
+                    () -> world(Sabotage.LIMITED_TASKS_REFUSED).run());
+            assertTrue(String.valueOf(e.getMessage()).startsWith("LOST"), e.getMessage());
+            assertTrue(String.valueOf(e.getMessage()).contains("was accepted and is not done"), e.getMessage());
+        }
+
+        private static World world(Sabotage s) {
+            return new World(HELD_QUOTA, 10, s).withCrashingTasks(HELD_QUOTA).withWorkspaces(HELD_QUOTA);
+        }
     }
 
     @Nested
