Reckon with starts that were under way when their worker restarted

What callers saw: a task ran on two workers at once (TWICE).

Cause: the time for which a restarted worker may keep its runs by a deadline of its earlier life's clock was reckoned at the restart, from the starts known to have no answer. One that was still under way was left out, and the next life carried it out. Evidence: with late orders printed at the worker: at 17162 ms a start for the life born at 6986 reaches the one born at 15324, asks for 81195 at clock 1819 and moves the deadline from 6810 to 11819; the owner gives the runs up at 26052 ms, when they may live until 27143 by the worker's clock at full speed.

Change: a start without an answer that was meant for an earlier life than the known one puts that time off. It covers each such start, since each gets an answer or none.

--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -154,6 +154,7 @@
         boolean wanted = t != null && t.worker != null && t.run == order.run();
         if (outcome == OrderOutcome.UNKNOWN) {
             state.openStarts.unanswered(order, wanted, state.now());
+            expectLateAtNextLife(order);
         }
         if (t == null || t.worker == null || !wanted) {
             return;
@@ -174,6 +175,15 @@
         }
     }
 
+    /** Takes in that a start without an answer may reach a later life than it was meant for, with a deadline by another clock. */
+    private void expectLateAtNextLife(StartOrder order) {
+        LiveWorker w = state.workers.get(order.worker().id());
+        if (w != null && w.incarnation().differsFrom(order.worker().incarnation())) {
+            long arrivesBy = state.openStarts.lastCarriedOutBy(order.worker().id(), state.now());
+            w.orderedByOtherClocksUntil(arrivesBy + LiveWorker.longestByOwnClock(state.timing.longestHoldMillis()));
+        }
+    }
+
     /** The first order for a run has reached another life: its own worker never had it, and has not crashed under it. */
     private void otherLifeStarted(LiveTask t, LiveWorker w) {
         if (t.phase == Phase.STARTING && t.unanswered == 0) {
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -436,6 +436,24 @@
             d.passes(2_000);
             assertTrue(isLost());
         }
+
+        /** Guards against the same by a start that was under way at the restart and is carried out seconds later. */
+        @Test
+        void mayKeepItsRunsByAStartThatWasUnderWay() {
+            listed("w1");
+            d.job("a", ONE);
+            d.passes(50);
+            d.saved();
+            d.passes(10);
+            d.answersAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
+            d.passes(500);
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.UNKNOWN);
+            d.silent("w1");
+            d.passes(LONGEST_HOLD_MILLIS + 2_000);
+            assertFalse(isLost());
+            d.passes(15_000);
+            assertTrue(isLost());
+        }
     }
 
     @Nested
