Do not start what was placed by a quota that has been lowered since

What callers saw: a workspace ran more than its quota (QUOTA).

Cause: the maximum was read when a task was placed and not again when its start went out.

Change: QuotaPass takes back choices that have not gone out while the charge exceeds the maximum. Nothing is started beyond a maximum that the owner knows, since a start goes out in the same pass, after it.

WorkspaceQuotaTest.AMaximumThatIsLowered tests a method that is new.

--- a/core/src/main/java/org/lupinpaddle/core/run/CrashJudge.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CrashJudge.java
@@ -34,7 +34,7 @@
     private static final int CERTAIN_BESIDE_DOUBTFUL = 2;
     private static final int ALL_BESIDE_CERTAIN = 4;
     private static final int ALL_DOUBTFUL = 5;
-    // Runs of siblings differ by less than the rest.
+    // Tasks of a step take about the same time; the rest allows for their difference.
     private static final double NEARLY_DONE = 0.9;
     // A lasting task meets a crash now and then for as long as it lasts: what has worked so long has not caused it.
     private static final long SOUND_MILLIS = 600_000;
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/QuotaPass.java
@@ -0,0 +1,55 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.List;
+import org.lupinpaddle.core.run.LiveTask.Phase;
+
+/**
+ * Takes back choices by a quota that was lowered while they were being written: their starts have not gone out. What runs
+ * already is left to end.
+ */
+final class QuotaPass {
+
+    private final ServiceState state;
+
+    QuotaPass(ServiceState state) {
+        this.state = state;
+    }
+
+    void run() {
+        for (LiveWorker w : state.workers.values()) {
+            if (w.tasks.stream().anyMatch(QuotaPass::exceedsQuota)) {
+                takeBack(w);
+            }
+        }
+    }
+
+    private static boolean exceedsQuota(LiveTask t) {
+        return t.phase == Phase.PLACED && t.job.quota.isExceededBy(t.of.need);
+    }
+
+    private void takeBack(LiveWorker w) {
+        for (LiveTask t : List.copyOf(w.tasks)) {
+            // Each one that is taken back may leave enough for the rest.
+            if (exceedsQuota(t)) {
+                List<LiveTask> together = t.step.gang() ? t.of.tasks : List.of(t);
+                together.forEach(m -> state.stop(m, "quota-was-lowered"));
+                state.changed(t.job);
+            }
+        }
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -65,6 +65,7 @@
     private final Advisor advisor;
     private final PacingPass pacing;
     private final RoomPass rooms;
+    private final QuotaPass quotas;
     private final RecordPass records;
     private final long startedAt;
     private boolean handingOver;
@@ -83,6 +84,7 @@
         advisor = new Advisor(state);
         pacing = new PacingPass(state);
         rooms = new RoomPass(state);
+        this.quotas = new QuotaPass(state);
         records = new RecordPass(state);
         runs = new RunTracker(state, judge, advisor);
         restarts = new RestartTracker(state, runs, advisor);
@@ -378,6 +380,7 @@
         stragglers.run();
         pacing.run();
         rooms.run();
+        quotas.run();
         placement.run();
         records.run();
         runs.sendDueOrders();
--- a/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
+++ b/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
@@ -184,6 +184,20 @@
         return !overGranted && r.of(used) + need <= usable;
     }
 
+    /**
+     * Returns whether a placed task, whose need is charged already, would be started beyond the maximum, which may have been
+     * lowered since. A task that is larger than the maximum may be started where nothing else is charged.
+     */
+    public boolean isExceededBy(Room need) {
+        for (Resource r : Resource.values()) {
+            long limit = Math.max(r.of(maximum), r.of(need));
+            if (r.of(maximum) > 0 && r.of(need) > 0 && r.of(used) + othersGranted(r) > limit) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private long granted(Resource r) {
         return r.of(allocation.grant(service).granted());
     }
--- a/core/src/test/java/org/lupinpaddle/core/workspace/WorkspaceQuotaTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/workspace/WorkspaceQuotaTest.java
@@ -289,4 +289,33 @@
             }
         }
     }
+
+    @Nested
+    class AMaximumThatIsLowered {
+
+        /** Guards against starting tasks that were placed by the maximum before. */
+        @Test
+        void isExceededByTasksPlacedBefore() {
+            WorkspaceQuota q = new WorkspaceQuota("clips");
+            q.setMaximum(cpu(4_000));
+            q.onNoAllocation(0);
+            q.add(cpu(1_000));
+            q.add(cpu(1_000));
+            assertFalse(q.isExceededBy(cpu(1_000)));
+            q.setMaximum(cpu(1_500));
+            assertTrue(q.isExceededBy(cpu(1_000)));
+            q.remove(cpu(1_000));
+            assertFalse(q.isExceededBy(cpu(1_000)));
+        }
+
+        /** Guards against taking a task back without end that is larger than the maximum. */
+        @Test
+        void isNotExceededByALargerTaskAlone() {
+            WorkspaceQuota q = new WorkspaceQuota("clips");
+            q.setMaximum(cpu(1_500));
+            q.onNoAllocation(0);
+            q.add(cpu(2_000));
+            assertFalse(q.isExceededBy(cpu(2_000)));
+        }
+    }
 }
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -104,6 +104,13 @@
             holds(7_520_990, 10, new World(7_520_990, 10).withWorkspaces(7_520_990));
         }
 
+        /** Guards against starting what was placed by a maximum that was lowered while the choice was written. */
+        @Test
+        void areNotExceededByEarlierChoices() {
+            World w = new World(8_802_090, 10).withRestarts(8_802_090).withWorkspaces(8_802_090);
+            holds(8_802_090, 10, w);
+        }
+
         /** Guards against counting a job as lost whose quota is held by long-running tasks. */
         @Test
         void mayBeHeldByLongRunningTasks() {
