One piece of code for what the fixes of the known failures wrote again

No behaviour changes.

- Stopping a task with its gang stood three times (RoomPass, QuotaPass, draining workers): ServiceState.stopWithGang.
- The time for which orders by another life's clock may keep something alive was worked out three times: ServiceState.expectOtherClocks.
- The poll of a worker that goes on as the same life was handed over beside continueLife, which now does both; the outcome of a poll is taken in once.
- A wrapper around processResults, and a switch with a flag in three of its cases.
- QuotaPass looked at every task in each pass also where no workspace is limited; it asks QuotaTable.hasLimits now, which replaces a copy in QuotaKeeper.
- Model: one sum of a workspace's running CPU, one check that a step is done.
Tests: FakePort.events, one isLost, the quotas of the existing Owner; assertions as before.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -120,7 +120,7 @@
     boolean orderInFlight;
     /** Whether its worker is being asked for a sign of life before the start goes out. */
     boolean probeInFlight;
-    /** When its newest start went out. */
+    /** When its newest start, or the probe before it, went out. */
     long orderSentAt;
     /** From when on a hold that does not list the run proves that it is gone. */
     long provenFrom = Long.MAX_VALUE;
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -199,12 +199,6 @@
         poll = null;
     }
 
-    /** Waits for the answer to the poll that was sent to this life before. */
-    void awaitPollOf(LiveWorker before) {
-        poll = before.poll;
-        holdAnswerDueAt = before.holdAnswerDueAt;
-    }
-
     /** Takes in the birth that an answer states, where none is known. */
     void states(WorkerIncarnation life, long now) {
         if (life.hasBirth() && !incarnation.hasBirth()) {
@@ -473,12 +467,14 @@
         return results;
     }
 
-    /** Goes on with the results of the same life: what is not durable yet must not be discarded there. */
+    /** Goes on with the poll and the results of the same life: what is not durable yet must not be discarded there. */
     void continueLife(LiveWorker before) {
         incarnation = before.incarnation;
         incarnationKnownAt = before.incarnationKnownAt;
         otherClocksUntil = before.otherClocksUntil;
         results = before.results;
+        poll = before.poll;
+        holdAnswerDueAt = before.holdAnswerDueAt;
     }
 
     /**
--- a/core/src/main/java/org/lupinpaddle/core/run/QuotaPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/QuotaPass.java
@@ -31,6 +31,9 @@
     }
 
     void run() {
+        if (!state.quotas.hasLimits()) {
+            return;
+        }
         for (LiveWorker w : state.workers.values()) {
             if (w.tasks.stream().anyMatch(QuotaPass::exceedsQuota)) {
                 takeBack(w);
@@ -46,9 +49,7 @@
         for (LiveTask t : List.copyOf(w.tasks)) {
             // Each one that is taken back may leave enough for the rest.
             if (exceedsQuota(t)) {
-                List<LiveTask> together = t.step.gang() ? t.of.tasks : List.of(t);
-                together.forEach(m -> state.stop(m, "quota-was-lowered"));
-                state.changed(t.job);
+                state.stopWithGang(t, "quota-was-lowered");
             }
         }
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -72,7 +72,7 @@
         if (restarted || lateUntil > now) {
             // A deadline by an earlier life's clock means nothing to this one, which then holds on for as long as it
             // ever does.
-            w.orderedByOtherClocksUntil(lateUntil + LiveWorker.longestByOwnClock(state.timing.longestHoldMillis()));
+            state.expectOtherClocks(w, lateUntil);
         }
         state.openStarts.onNewLife(id, answer.running(), now);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RoomPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RoomPass.java
@@ -49,15 +49,8 @@
                 return;
             }
             if (t.phase == Phase.PLACED) {
-                takeBack(t);
+                state.stopWithGang(t, "worker-has-shrunk");
             }
         }
     }
-
-    /** A gang starts as a whole or not at all. */
-    private void takeBack(LiveTask t) {
-        List<LiveTask> together = t.step.gang() ? t.of.tasks : List.of(t);
-        together.forEach(m -> state.stop(m, "worker-has-shrunk"));
-        state.changed(t.job);
-    }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -75,9 +75,7 @@
         for (LiveTask t : List.copyOf(w.tasks)) {
             boolean isPlacedGang = t.phase == Phase.PLACED && t.step.gang();
             if (isPlacedGang || (t.phase == Phase.STARTING && !t.orderInFlight)) {
-                List<LiveTask> together = t.step.gang() ? t.of.tasks : List.of(t);
-                together.forEach(m -> state.stop(m, "worker-drains"));
-                state.changed(t.job);
+                state.stopWithGang(t, "worker-drains");
             }
         }
     }
@@ -179,8 +177,8 @@
     private void expectLateAtNextLife(StartOrder order) {
         LiveWorker w = state.workers.get(order.worker().id());
         if (w != null && w.incarnation().differsFrom(order.worker().incarnation())) {
-            long arrivesBy = state.openStarts.lastCarriedOutBy(order.worker().id(), state.now());
-            w.orderedByOtherClocksUntil(arrivesBy + LiveWorker.longestByOwnClock(state.timing.longestHoldMillis()));
+            state.expectOtherClocks(
+                    w, state.openStarts.lastCarriedOutBy(order.worker().id(), state.now()));
         }
     }
 
@@ -262,30 +260,31 @@
         if (t == null || t.worker == null) {
             return;
         }
-        boolean probe = t.probeInFlight && order.run() == t.run - 1;
-        if (probe) {
+        if (t.probeInFlight && order.run() == t.run - 1) {
             probed(t, t.worker, outcome);
         } else if (t.run == order.run() && t.phase == Phase.STOPPING) {
-            t.orderInFlight = false;
+            stopAnswered(t, t.worker, outcome);
         } else {
             return;
         }
+        if (outcome == OrderOutcome.FENCED) {
+            state.port.ownershipLost(
+                    "a stop was refused by the fence of " + order.worker().id());
+        } else if (outcome == OrderOutcome.OTHER_LIFE) {
+            workerLost(t.worker, LossEvidence.OTHER_LIFE);
+        }
+    }
+
+    private void stopAnswered(LiveTask t, LiveWorker w, OrderOutcome outcome) {
+        t.orderInFlight = false;
         switch (outcome) {
-            case FENCED ->
-                state.port.ownershipLost(
-                        "a stop was refused by the fence of " + order.worker().id());
-            case OTHER_LIFE -> workerLost(t.worker, LossEvidence.OTHER_LIFE);
+            case FENCED, OTHER_LIFE -> {}
             case ACCEPTED, OLD_RUN -> {
-                if (!probe) {
-                    t.provenFrom = state.now();
-                    t.worker.holdDueAt = Math.min(t.worker.holdDueAt, state.now());
-                }
-            }
-            case LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED, NOT_SENT, UNKNOWN -> {
-                if (!probe) {
-                    t.orderDueAt = state.now() + RESEND_MILLIS;
-                }
+                t.provenFrom = state.now();
+                w.holdDueAt = Math.min(w.holdDueAt, state.now());
             }
+            case LATE, NO_ROOM, NO_TICKET, UNHEALTHY, MALFORMED, NOT_SENT, UNKNOWN ->
+                t.orderDueAt = state.now() + RESEND_MILLIS;
         }
     }
 
@@ -305,12 +304,8 @@
         }
     }
 
-    /** Takes in the results of an answer that a newer one has overtaken; what it shows as running may have ended since. */
-    void onOvertakenAnswer(LiveWorker w, HoldAnswer answer) {
-        processResults(w, answer);
-    }
-
-    private void processResults(LiveWorker w, HoldAnswer answer) {
+    /** Takes in the results of an answer; what it shows as running may have ended since, where a newer one has overtaken it. */
+    void processResults(LiveWorker w, HoldAnswer answer) {
         List<EndReport> others = new ArrayList<>();
         for (EndReport e : w.results().newResults(answer)) {
             ended(w, e, others);
@@ -351,7 +346,7 @@
         shown.add(t);
         if (t.isOfEarlierLife()) {
             // Its start carried a deadline by the clock of the life that it was meant for.
-            w.orderedByOtherClocksUntil(state.now() + LiveWorker.longestByOwnClock(state.timing.longestHoldMillis()));
+            state.expectOtherClocks(w, state.now());
         }
         t.incarnation = w.incarnation();
         t.load = r.load();
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -270,6 +270,7 @@
             return;
         }
         long now = state.now();
+        boolean newest = w.pollEnded(order);
         boolean overtaken = w.isOvertaken(answer.clockMillis(), sentAt);
         if (overtaken) {
             w.responded(now);
@@ -277,16 +278,15 @@
             w.answered(answer.clockMillis(), now);
         }
         if (handingOver && !leaves(w)) {
-            w.pollEnded(order);
             return;
         }
         if (overtaken) {
-            runs.onOvertakenAnswer(w, answer);
+            runs.processResults(w, answer);
         } else {
             runs.onHeld(w, sentAt, answer);
         }
         w.holdAwaitsRecords = w.results().hasPending();
-        if (w.pollEnded(order)) {
+        if (newest) {
             w.holdDueAt = w.holdAwaitsRecords ? now + pauseMillis(w) : now;
         }
     }
@@ -406,7 +406,6 @@
         if (keep) {
             LiveWorker again = new LiveWorker(w.facts(), state.now());
             again.continueLife(w);
-            again.awaitPollOf(w);
             state.workers.put(w.facts().id(), again);
         }
     }
@@ -422,12 +421,13 @@
                 continue;
             }
             long wait = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
-            boolean look = !w.isKnownToLive(now)
+            boolean known = w.isKnownToLive(now);
+            boolean look = !known
                     || w.isDoubted()
                     || w.results().hasPending()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             long waits = look ? 0 : wait;
-            long deadline = w.isKnownToLive(now) ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
+            long deadline = known ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
             HoldOrder poll = new HoldOrder(w.facts(), deadline, w.acknowledgeable(now), waits);
             w.polled(poll, now + waits);
             state.port.hold(poll);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -156,6 +156,14 @@
         return then - Math.max(w.lastResponseAt(), startedAt) > timing.silentMillis();
     }
 
+    /**
+     * Takes in that an order with a deadline by the clock of another life may reach the worker until then: it may keep what
+     * it runs for the longest time that any worker does.
+     */
+    void expectOtherClocks(LiveWorker w, long arrivesBy) {
+        w.orderedByOtherClocksUntil(arrivesBy + LiveWorker.longestByOwnClock(timing.longestHoldMillis()));
+    }
+
     /** Returns whether another worker could take the task now. */
     boolean hasPlaceElsewhere(LiveTask t) {
         return workers.values().stream()
@@ -180,6 +188,13 @@
         }
     }
 
+    /** Stops a task that is not known to run, and with it its gang, which starts as a whole or not at all. */
+    void stopWithGang(LiveTask t, String why) {
+        List<LiveTask> together = t.step.gang() ? t.of.tasks : List.of(t);
+        together.forEach(m -> stop(m, why));
+        changed(t.job);
+    }
+
     /** Lets a task have no further run, and stops the one it may have. */
     void finish(LiveTask t, String why) {
         t.finished = true;
--- a/core/src/main/java/org/lupinpaddle/core/workspace/QuotaTable.java
+++ b/core/src/main/java/org/lupinpaddle/core/workspace/QuotaTable.java
@@ -58,6 +58,11 @@
         });
     }
 
+    /** Returns whether any workspace is limited. */
+    public boolean hasLimits() {
+        return byName.values().stream().anyMatch(WorkspaceQuota::isLimited);
+    }
+
     /** Resets the waiting demand before a placement pass. */
     public void clearWaiting() {
         byName.values().forEach(WorkspaceQuota::clearWaiting);
--- a/core/src/test/java/org/lupinpaddle/core/run/CrashJudgeTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CrashJudgeTest.java
@@ -256,11 +256,7 @@
             settle();
             settle();
             assertEquals("w2", d.lastStart().worker().id());
-            assertEquals(
-                    List.of(),
-                    d.port.events.stream()
-                            .filter(e -> e.kind() == SchedulerEvent.Kind.CRASH_COUNTED)
-                            .toList());
+            assertEquals(List.of(), d.port.events(SchedulerEvent.Kind.CRASH_COUNTED));
         }
 
         @Test
--- a/core/src/test/java/org/lupinpaddle/core/run/FakePort.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/FakePort.java
@@ -31,6 +31,11 @@
     final List<String> lost = new ArrayList<>();
     final List<SchedulerEvent> events = new ArrayList<>();
 
+    /** Returns the events of a kind. */
+    List<SchedulerEvent> events(SchedulerEvent.Kind kind) {
+        return events.stream().filter(e -> e.kind() == kind).toList();
+    }
+
     @Override
     public void start(StartOrder order) {
         starts.add(order);
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -99,6 +99,10 @@
                 .toList();
     }
 
+    private boolean isLost() {
+        return !d.port.events(SchedulerEvent.Kind.WORKER_GONE).isEmpty();
+    }
+
     @Nested
     class TheResultsOfALaterLife {
 
@@ -335,10 +339,6 @@
             return d.lastStart();
         }
 
-        private boolean isLost() {
-            return d.port.events.stream().anyMatch(e -> e.kind() == SchedulerEvent.Kind.WORKER_GONE);
-        }
-
         /** Guards against a second run beside the one that the next life of the worker begins by a start under way. */
         @Test
         void endsNoRunWhoseStartIsUnderWay() {
@@ -397,11 +397,7 @@
         void doesNotBringTheRunBack() {
             runEndsWhileAnOlderAnswerIsOnItsWay();
             olderAnswerArrives();
-            assertEquals(
-                    List.of(),
-                    d.port.events.stream()
-                            .filter(e -> e.kind() == SchedulerEvent.Kind.RUN_FOUND)
-                            .toList());
+            assertEquals(List.of(), d.port.events(SchedulerEvent.Kind.RUN_FOUND));
         }
 
         /** Guards against two polls of a worker that are under way together for good. */
@@ -419,10 +415,6 @@
 
         private static final long LONGEST_HOLD_MILLIS = 10_000;
 
-        private boolean isLost() {
-            return d.port.events.stream().anyMatch(e -> e.kind() == SchedulerEvent.Kind.WORKER_GONE);
-        }
-
         /** Guards against a second run while a deadline by the earlier life's clock still keeps the first one alive. */
         @Test
         void mayKeepItsRunsForAsLongAsAnyWorkerDoes() {
@@ -485,7 +477,7 @@
             d.silent("w1");
             d.passes(9_500);
             assertEquals(List.of(), d.port.starts);
-            assertFalse(d.port.events.stream().anyMatch(e -> e.kind() == SchedulerEvent.Kind.WORKER_GONE));
+            assertFalse(isLost());
         }
 
         /** Guards against blaming a task whose record, by an earlier version, does not name a life. */
--- a/core/src/test/java/org/lupinpaddle/core/workspace/WorkspaceQuotaTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/workspace/WorkspaceQuotaTest.java
@@ -296,9 +296,7 @@
         /** Guards against starting tasks that were placed by the maximum before. */
         @Test
         void isExceededByTasksPlacedBefore() {
-            WorkspaceQuota q = new WorkspaceQuota("clips");
-            q.setMaximum(cpu(4_000));
-            q.onNoAllocation(0);
+            WorkspaceQuota q = new Owner("clips", 4_000, 1_000).quota;
             q.add(cpu(1_000));
             q.add(cpu(1_000));
             assertFalse(q.isExceededBy(cpu(1_000)));
@@ -311,9 +309,7 @@
         /** Guards against taking a task back without end that is larger than the maximum. */
         @Test
         void isNotExceededByALargerTaskAlone() {
-            WorkspaceQuota q = new WorkspaceQuota("clips");
-            q.setMaximum(cpu(1_500));
-            q.onNoAllocation(0);
+            WorkspaceQuota q = new Owner("clips", 1_500, 2_000).quota;
             q.add(cpu(2_000));
             assertFalse(q.isExceededBy(cpu(2_000)));
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/QuotaKeeper.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/QuotaKeeper.java
@@ -140,7 +140,7 @@
     /** Applies configuration changes and writes due allocations; called after each scheduler tick. */
     void run() {
         configure();
-        if (!watching && hasLimits()) {
+        if (!watching && table.hasLimits()) {
             watching = true;
             watch.start();
         }
@@ -158,12 +158,6 @@
         }
     }
 
-    private boolean hasLimits() {
-        boolean[] any = new boolean[1];
-        table.forEachLimited((name, q) -> any[0] = true);
-        return any[0];
-    }
-
     private void write(Map<String, QuotaAllocation> due) {
         WorkspacesInForce current = workspaces.get();
         // No grant is raised by a maximum that a newer configuration may have lowered.
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.StepSpec;
@@ -142,16 +143,16 @@
 
         boolean allDone() {
             for (int s = 0; s < submission.steps().size(); s++) {
-                if (!isStepDone(s)) {
+                if (!isStepDone(0, s)) {
                     return false;
                 }
             }
             return true;
         }
 
-        private boolean isStepDone(int s) {
+        boolean isStepDone(int time, int s) {
             for (int i = 0; i < submission.steps().get(s).count(); i++) {
-                if (!task(new TaskId(0, s, i)).done) {
+                if (!task(new TaskId(time, s, i)).done) {
                     return false;
                 }
             }
@@ -161,7 +162,7 @@
         /** Returns the first step that is not done; the last one if all are. */
         StepSpec nextStep() {
             int s = 0;
-            while (s < submission.steps().size() - 1 && isStepDone(s)) {
+            while (s < submission.steps().size() - 1 && isStepDone(0, s)) {
                 s++;
             }
             return submission.steps().get(s);
@@ -288,15 +289,20 @@
         if (checked == null || job.workspace.isEmpty()) {
             return;
         }
-        long running = jobs.values().stream()
-                .filter(j -> j.workspace.equals(job.workspace))
-                .mapToLong(JobTruth::runningCpu)
-                .sum();
+        long running = runningCpu(job.workspace, j -> true);
         // The rule allows one task beyond the tolerated overage.
         double limit = checked.maxCpu(job.workspace) + job.step(started).need().cpuMillis();
         require(Rule.QUOTA, running <= limit, what + ": " + job.workspace + " runs " + running + ", limit " + limit);
     }
 
+    /** Returns the CPU that a workspace's running tasks of some jobs use, in thousandths of a core. */
+    long runningCpu(String workspace, Predicate<JobTruth> which) {
+        return jobs.values().stream()
+                .filter(j -> j.workspace.equals(workspace) && which.test(j))
+                .mapToLong(JobTruth::runningCpu)
+                .sum();
+    }
+
     private void checkCrashes(TaskTruth t, String what) {
         if (t.crashedByIt >= CRASHES_THAT_TELL) {
             t.startedAfterCrashes++;
@@ -325,9 +331,7 @@
 
     private void checkOrder(JobTruth job, TaskId id, String what) {
         for (int before : job.step(id).after()) {
-            for (int i = 0; i < job.submission.steps().get(before).count(); i++) {
-                require(Rule.ORDER, job.task(new TaskId(id.time(), before, i)).done, what + ": step " + before);
-            }
+            require(Rule.ORDER, job.isStepDone(id.time(), before), what + ": step " + before);
         }
     }
 
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -357,10 +357,7 @@
         if (workspaces == null || !workspaces.limits(job.workspace)) {
             return false;
         }
-        long held = 0;
-        for (Rules.JobTruth j : rules.jobs()) {
-            held += j.lasting() && j.workspace.equals(job.workspace) ? j.runningCpu() : 0;
-        }
+        long held = rules.runningCpu(job.workspace, Rules.JobTruth::lasting);
         return held + job.nextStep().need().cpuMillis() > workspaces.configuredCpu(job.workspace);
     }
 
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -86,13 +86,13 @@
     @Nested
     class WorkspaceQuotas {
 
+        private static final long HELD_QUOTA = 7_730_485;
+
         @Test
         void areNotExceededWithoutFaults() {
             LongStream.range(0, 60).parallel().forEach(s -> holds(s, 0, new World(s, 0).withWorkspaces(s)));
         }
 
-        private static final long HELD_QUOTA = 7_730_485;
-
         @Test
         void areNotExceededUnderFaults() {
             LongStream.range(0, 150).parallel().forEach(s -> holds(s, 4, new World(s, 4).withWorkspaces(s)));
