Raise a worker's fencing token when a start may arrive late

What callers saw: a task ran on two workers at once, or again after it was done (TWICE).

Cause: a start without an answer is carried out seconds later by the next incarnation of its worker, which has restarted under its id and has forgotten its fence and its closed runs. All that kept it out was a stop of the same run, sent to the new incarnation, which takes the same slow way as the start. The task had been placed elsewhere, or was done, before that stop was answered.

Change: each worker has a fencing token of its own, which is raised as soon as a start has no answer or an incarnation has ended. The first order that reaches a new incarnation makes it reject what was sent before. The tokens are the store revisions between the write that acquired the service and the owner's latest accepted conditional write; every later owner acquires at a higher one. A run of an earlier incarnation is given up only when no copy of its start can be accepted any more.

UnansweredStarts and its test go: a worker is no longer sent stops at a restart. What the test checked is checked by what a scripted worker executes, and by the tokens.

--- a/core/src/main/java/org/lupinpaddle/core/run/HoldOrder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/HoldOrder.java
@@ -24,5 +24,6 @@
  * @param deadlineMillis the deadline for running tasks, on the worker's own clock; 0 to leave it unchanged
  * @param acknowledgedUpTo the number of the newest result that the worker may discard
  * @param waitMillis how long the answer may be delayed until a run ends
+ * @param fence the fencing token; the worker rejects orders with a lower one than it has seen
  */
-public record HoldOrder(WorkerFacts worker, long deadlineMillis, long acknowledgedUpTo, long waitMillis) {}
+public record HoldOrder(WorkerFacts worker, long deadlineMillis, long acknowledgedUpTo, long waitMillis, long fence) {}
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -92,6 +92,8 @@
     private long firstMissedAt = Long.MAX_VALUE;
 
     private long fencedAt = Long.MAX_VALUE;
+    /** The highest fencing token of the holds that this incarnation has answered. */
+    private long confirmedFence = FencingTokens.NONE;
 
     /** The newest hold while it is unanswered; an older one may still be answered. */
     private @Nullable HoldOrder pendingHold;
@@ -383,6 +385,16 @@
         return latestDeadline;
     }
 
+    /** Records that this incarnation has answered a hold with a fencing token and rejects lower ones from then on. */
+    void confirmFence(long fence) {
+        confirmedFence = Math.max(confirmedFence, fence);
+    }
+
+    /** Returns the fencing token below which this incarnation is known to reject orders. */
+    long confirmedFence() {
+        return confirmedFence;
+    }
+
     /** Returns whether the worker may still be executing an order that an earlier owner sent in time. */
     boolean mayFollowEarlierOwner(long now, long stopMillis) {
         return !fenced || now - fencedAt <= stopMillis;
@@ -491,6 +503,7 @@
         incarnationKnownAt = previous.incarnationKnownAt;
         foreignDeadlinesUntil = previous.foreignDeadlinesUntil;
         results = previous.results;
+        confirmedFence = previous.confirmedFence;
         pendingHold = previous.pendingHold;
         holdAnswerDueAt = previous.holdAnswerDueAt;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/PaceOrder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PaceOrder.java
@@ -26,5 +26,6 @@
  * @param task the task of the job
  * @param run the number of the run
  * @param percent the percentage of full speed, 0 to 100
+ * @param fence the fencing token; the worker rejects orders with a lower one than it has seen
  */
-public record PaceOrder(WorkerFacts worker, String jobId, TaskId task, int run, int percent) {}
+public record PaceOrder(WorkerFacts worker, String jobId, TaskId task, int run, int percent, long fence) {}
--- a/core/src/main/java/org/lupinpaddle/core/run/PacingPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PacingPass.java
@@ -111,7 +111,8 @@
     private void send(LiveWorker w, LiveTask t) {
         if (!t.paceConfirmed && !t.paceInFlight && state.now() >= t.nextPaceOrderAt) {
             t.paceInFlight = true;
-            state.port.pace(new PaceOrder(w.facts(), t.job.spec.key().id(), t.id, t.run, t.pacePercent));
+            state.port.pace(
+                    new PaceOrder(w.facts(), t.job.spec.key().id(), t.id, t.run, t.pacePercent, state.nextFence(w)));
         }
     }
 
@@ -121,7 +122,7 @@
             return;
         }
         t.paceInFlight = false;
-        if (outcome == OrderOutcome.FENCED) {
+        if (outcome == OrderOutcome.FENCED && !state.wasFencedByOwnOrder(order.worker(), order.fence())) {
             state.port.ownershipLost(
                     "a pace was refused by the fence of " + order.worker().id());
         } else if (outcome == OrderOutcome.ACCEPTED) {
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -57,25 +57,27 @@
      * incarnation that is earlier than the known one.
      */
     @Nullable
-    LiveWorker onAnswer(LiveWorker w, long sentAt, HoldResponse answer) {
+    LiveWorker onAnswer(LiveWorker w, HoldOrder order, long sentAt, HoldResponse answer) {
         logUnreadable(w, answer.bornMillis(), "answer");
         LiveWorker incarnation = resolveIncarnation(w, sentAt, answer);
-        if (incarnation != null && !incarnation.fenced) {
-            onFirstAnswer(incarnation, incarnation != w, answer);
+        if (incarnation == null) {
+            return null;
+        }
+        incarnation.confirmFence(order.fence());
+        if (!incarnation.fenced) {
+            onFirstAnswer(incarnation, incarnation != w);
         }
         return incarnation;
     }
 
-    private void onFirstAnswer(LiveWorker w, boolean restarted, HoldResponse answer) {
+    private void onFirstAnswer(LiveWorker w, boolean restarted) {
         long now = state.now();
-        String id = w.facts().id();
-        long lateStartsUntil = state.unansweredStarts.latestArrival(id, now);
+        long lateStartsUntil = state.latestArrival(w);
         if (restarted || lateStartsUntil > now) {
             // A deadline by an earlier incarnation's clock is meaningless to this one, which may then keep a run for
             // the maximum time.
             state.expectForeignDeadlines(w, lateStartsUntil);
         }
-        state.unansweredStarts.onNewIncarnation(id, answer.running(), now);
     }
 
     private @Nullable LiveWorker resolveIncarnation(LiveWorker w, long sentAt, HoldResponse answer) {
@@ -102,6 +104,7 @@
         state.losses.add(loss);
         LiveWorker w = previous.nextIncarnation(incarnation, loss, state.now());
         state.workers.put(incarnation.id(), w);
+        state.fences.supersedeAll(incarnation.id());
         advisor.forget(incarnation.id());
         List.copyOf(previous.tasks).forEach(t -> transfer(t, previous, w));
         return w;
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -58,7 +58,6 @@
         state.workers.values().stream().filter(LiveWorker::isUnresponsive).forEach(this::withdrawUnsentPlacements);
         // Order outcomes arrive later, so the tasks of a worker do not change during this loop.
         for (LiveWorker w : state.workers.values()) {
-            state.unansweredStarts.due(w.facts(), now).forEach(o -> sendRefusal(w, o));
             for (LiveTask t : w.tasks) {
                 if (t.phase != Phase.RUNNING) {
                     sendDueOrder(w, t, now);
@@ -89,12 +88,6 @@
         }
     }
 
-    private void sendRefusal(LiveWorker w, StopOrder o) {
-        String run = o.jobId() + "." + o.task() + "/" + o.run();
-        state.note(SchedulerEvent.Kind.STOP_ORDERED, w, "start-open-at-restart=" + run);
-        state.port.stop(o);
-    }
-
     private void sendDueOrder(LiveWorker w, LiveTask t, long now) {
         if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion && state.isWorkerListFresh()) {
             startOrProbe(w, t, now);
@@ -110,7 +103,7 @@
         if (t.phase == Phase.STARTING) {
             t.orderInFlight = true;
             t.orderSentAt = now;
-            state.port.start(new StartOrder(
+            StartOrder order = new StartOrder(
                     w.facts(),
                     t.job.spec.key().id(),
                     t.id,
@@ -118,10 +111,13 @@
                     t.job.spec.text(),
                     w.deadlineIn(state.timing.holdMillis(), now),
                     t.checkpoint,
-                    t.ticket));
+                    t.ticket,
+                    state.nextFence(w));
+            state.outstandingStarts.sent(order);
+            state.port.start(order);
         } else if (t.phase == Phase.STOPPING && t.absenceConclusiveFrom == Long.MAX_VALUE) {
             t.orderInFlight = true;
-            state.port.stop(new StopOrder(w.facts(), t.job.spec.key().id(), t.id, t.run));
+            state.port.stop(new StopOrder(w.facts(), t.job.spec.key().id(), t.id, t.run, state.nextFence(w)));
         }
     }
 
@@ -136,7 +132,7 @@
         } else if (!t.probeInFlight && !w.facts().address().isEmpty()) {
             t.probeInFlight = true;
             t.orderSentAt = now;
-            state.port.stop(new StopOrder(w.facts(), t.job.spec.key().id(), t.id, t.run - 1));
+            state.port.stop(new StopOrder(w.facts(), t.job.spec.key().id(), t.id, t.run - 1, state.nextFence(w)));
         }
     }
 
@@ -153,8 +149,11 @@
         LiveTask t = state.task(order.jobId(), order.task());
         boolean current = t != null && t.worker != null && t.run == order.run();
         if (outcome == OrderOutcome.UNKNOWN) {
-            state.unansweredStarts.unanswered(order, current, state.now());
+            state.outstandingStarts.unanswered(order, state.now());
+            state.fences.supersede(order.worker().id(), order.fence());
             expectLateStart(order);
+        } else {
+            state.outstandingStarts.answered(order);
         }
         if (t == null || t.worker == null || !current) {
             return;
@@ -165,7 +164,9 @@
         } else {
             t.worker.recordResponse(state.now());
         }
-        if (outcome == OrderOutcome.FENCED) {
+        if (outcome == OrderOutcome.FENCED && state.wasFencedByOwnOrder(order.worker(), order.fence())) {
+            t.nextOrderAt = state.now();
+        } else if (outcome == OrderOutcome.FENCED) {
             state.port.ownershipLost(
                     "a start was refused by the fence of " + order.worker().id());
         } else if (outcome == OrderOutcome.OTHER_LIFE) {
@@ -181,8 +182,7 @@
     private void expectLateStart(StartOrder order) {
         LiveWorker w = state.workers.get(order.worker().id());
         if (w != null && w.incarnation().isKnownToDifferFrom(order.worker().incarnation())) {
-            state.expectForeignDeadlines(
-                    w, state.unansweredStarts.latestArrival(order.worker().id(), state.now()));
+            state.expectForeignDeadlines(w, state.latestArrival(w));
         }
     }
 
@@ -260,9 +260,6 @@
     }
 
     void onStopped(StopOrder order, OrderOutcome outcome) {
-        if (!outcome.isSilence()) {
-            state.unansweredStarts.refused(order);
-        }
         LiveTask t = state.task(order.jobId(), order.task());
         if (t == null || t.worker == null) {
             return;
@@ -275,8 +272,10 @@
             return;
         }
         if (outcome == OrderOutcome.FENCED) {
-            state.port.ownershipLost(
-                    "a stop was refused by the fence of " + order.worker().id());
+            if (!state.wasFencedByOwnOrder(order.worker(), order.fence())) {
+                state.port.ownershipLost(
+                        "a stop was refused by the fence of " + order.worker().id());
+            }
         } else if (outcome == OrderOutcome.OTHER_LIFE) {
             workerLost(t.worker, LossEvidence.OTHER_LIFE);
         }
@@ -350,7 +349,7 @@
         if (t == null || t.worker != w || t.run != r.run()) {
             state.note(
                     SchedulerEvent.Kind.STOP_ORDERED, w, "unknown-run=" + r.jobId() + "." + r.task() + "/" + r.run());
-            state.port.stop(new StopOrder(w.facts(), r.jobId(), r.task(), r.run()));
+            state.port.stop(new StopOrder(w.facts(), r.jobId(), r.task(), r.run(), state.nextFence(w)));
             return;
         }
         listed.add(t);
@@ -389,6 +388,10 @@
     }
 
     private void runNotListed(LiveWorker w, LiveTask t) {
+        if (t.belongsToEarlierIncarnation() && state.mayStartLate(w, t)) {
+            // The next hold carries a higher fencing token, so its answer shows whether the run has started.
+            return;
+        }
         if (t.belongsToEarlierIncarnation()) {
             RecentLosses.Loss loss = w.previousLossOrUnknown(state.now());
             List<CrashTracker.Suspect> suspects = crashes.suspects(List.of(t), loss);
@@ -548,6 +551,7 @@
         String detail = "tasks=" + w.tasks.size() + " evidence=" + evidence + " " + w.describe();
         state.note(SchedulerEvent.Kind.WORKER_GONE, w, detail);
         state.workers.remove(w.facts().id());
+        state.fences.supersedeAll(w.facts().id());
         w.ended = evidence.provesEnd();
         RecentLosses.Loss loss = RecentLosses.Loss.of(w, state.now());
         state.losses.add(loss);
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -65,6 +65,8 @@
         TASK_PACED,
         /** A worker has restarted under its id. */
         WORKER_RESTARTED,
+        /** Orders to a worker carry a higher fencing token, since an earlier order may arrive late. */
+        FENCE_RAISED,
         /** A worker states an unreadable birth. */
         BIRTH_UNREADABLE,
         /** A worker was declared lost or was forgotten. */
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerPort.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerPort.java
@@ -46,6 +46,16 @@
      */
     void save(List<ProgressWrite> batch);
 
+    /** Returns the store revision of the write that acquired the service: the lowest fencing token of this owner. */
+    long lowestFence();
+
+    /**
+     * Returns the latest store revision at which this entry is known to have owned the service: the highest fencing
+     * token that it may use. All tokens from {@link #lowestFence} up to it are above those of earlier owners and below
+     * those of later ones, whose acquiring writes have higher revisions.
+     */
+    long highestFence();
+
     /** Reports that an evacuated worker is empty; repeated until it is removed from the list. */
     void emptied(String worker);
 
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -270,7 +270,7 @@
     /** Handles a worker's answer to a hold that was sent at {@code sentAt}. */
     public void onHoldAnswered(HoldOrder order, long sentAt, HoldResponse answer) {
         LiveWorker known = state.workers.get(order.worker().id());
-        LiveWorker w = known == null ? null : restarts.onAnswer(known, sentAt, answer);
+        LiveWorker w = known == null ? null : restarts.onAnswer(known, order, sentAt, answer);
         if (w == null) {
             runs.onLateAnswer(answer);
             return;
@@ -293,7 +293,8 @@
         }
         w.holdAwaitsRecords = w.results().hasPending();
         if (newest) {
-            w.nextHoldAt = w.holdAwaitsRecords ? now + holdPauseMillis(w) : now;
+            boolean pause = w.holdAwaitsRecords && !state.isFenceUnconfirmed(w);
+            w.nextHoldAt = pause ? now + holdPauseMillis(w) : now;
         }
     }
 
@@ -320,7 +321,7 @@
         }
         if (outcome == OrderOutcome.OTHER_LIFE) {
             runs.workerLost(w, LossEvidence.OTHER_LIFE);
-        } else if (outcome == OrderOutcome.FENCED) {
+        } else if (outcome == OrderOutcome.FENCED && !state.wasFencedByOwnOrder(order.worker(), order.fence())) {
             state.port.ownershipLost(
                     "a hold was refused by the fence of " + order.worker().id());
         }
@@ -429,12 +430,14 @@
             long longPollMillis = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
             boolean confirmed = w.isIncarnationConfirmed(now);
             boolean immediate = !confirmed
+                    || state.isFenceUnconfirmed(w)
                     || w.isUnresponsive()
                     || w.results().hasPending()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             long waitMillis = immediate ? 0 : longPollMillis;
             long deadline = confirmed ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
-            HoldOrder hold = new HoldOrder(w.facts(), deadline, w.acknowledgeableResult(now), waitMillis);
+            HoldOrder hold =
+                    new HoldOrder(w.facts(), deadline, w.acknowledgeableResult(now), waitMillis, state.nextFence(w));
             w.holdSent(hold, now + waitMillis);
             state.port.hold(hold);
         }
@@ -464,7 +467,7 @@
                 .toList();
         expired.forEach(state::remove);
         advisor.forgetEnded();
-        state.unansweredStarts.forgetExpired(state.now());
+        state.outstandingStarts.forgetExpired(state.now());
         return expired.stream().map(j -> j.spec.key()).toList();
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -52,7 +52,8 @@
     final Map<JobKey, LiveJob> unsaved = new LinkedHashMap<>();
 
     final Map<String, LiveWorker> workers = new HashMap<>();
-    final UnansweredStarts unansweredStarts = new UnansweredStarts();
+    final OutstandingStarts outstandingStarts = new OutstandingStarts();
+    final FencingTokens fences;
     final RecentLosses losses = new RecentLosses();
     final RunTimeEstimator runTimes = new RunTimeEstimator();
     final DemandTrend trend = new DemandTrend();
@@ -81,6 +82,7 @@
         this.service = service;
         this.timing = timing;
         this.port = port;
+        this.fences = new FencingTokens(port);
         this.monotonicClock = monotonicClock;
         this.wallClock = wallClock;
         this.startedAt = monotonicClock.millis();
@@ -150,6 +152,35 @@
                 && now >= w.avoidUntil;
     }
 
+    /** Returns the fencing token for the next order to the worker. */
+    long nextFence(LiveWorker w) {
+        return fences.next(w.facts().id());
+    }
+
+    /** Returns whether this owner has raised the worker's fencing token and no hold with the new one is answered yet. */
+    boolean isFenceUnconfirmed(LiveWorker w) {
+        return nextFence(w) > w.confirmedFence();
+    }
+
+    /**
+     * Returns whether a rejected order carried a fencing token that this owner has raised since. Otherwise a later
+     * owner has raised it.
+     */
+    boolean wasFencedByOwnOrder(WorkerFacts worker, long fence) {
+        return fence < fences.current(worker.id());
+    }
+
+    /** Returns whether the worker may still start the newest run of the task by an order that it receives late. */
+    boolean mayStartLate(LiveWorker w, LiveTask t) {
+        return outstandingStarts.mayStart(
+                w.facts().id(), w.confirmedFence(), t.job.spec.key().id(), t.id, t.run, now());
+    }
+
+    /** Returns until when an order that the worker receives late may take effect there; now if there is none. */
+    long latestArrival(LiveWorker w) {
+        return outstandingStarts.latestArrival(w.facts().id(), w.confirmedFence(), now());
+    }
+
     /** Returns whether the worker has been silent for longer than a healthy worker ever is. */
     boolean isSilent(LiveWorker w) {
         return wasSilentAt(w, now());
--- a/core/src/main/java/org/lupinpaddle/core/run/StartOrder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StartOrder.java
@@ -29,6 +29,7 @@
  * @param deadlineMillis the deadline of the run, on the worker's own clock
  * @param checkpoint the checkpoint to resume from; empty to start from the beginning
  * @param ticket the permission of the advice service; empty if none is needed
+ * @param fence the fencing token; the worker rejects orders with a lower one than it has seen
  */
 public record StartOrder(
         WorkerFacts worker,
@@ -38,4 +39,5 @@
         String text,
         long deadlineMillis,
         String checkpoint,
-        String ticket) {}
+        String ticket,
+        long fence) {}
--- a/core/src/main/java/org/lupinpaddle/core/run/StopOrder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StopOrder.java
@@ -25,5 +25,6 @@
  * @param jobId the caller's id of the job
  * @param task the task of the job
  * @param run the number of the run
+ * @param fence the fencing token; the worker rejects orders with a lower one than it has seen
  */
-public record StopOrder(WorkerFacts worker, String jobId, TaskId task, int run) {}
+public record StopOrder(WorkerFacts worker, String jobId, TaskId task, int run, long fence) {}
--- a/core/src/test/java/org/lupinpaddle/core/run/FakeSchedulerPort.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/FakeSchedulerPort.java
@@ -21,6 +21,13 @@
 /** Records the calls of a scheduler. */
 final class FakeSchedulerPort implements SchedulerPort {
 
+    static final long LOWEST_FENCE = 100;
+
+    /** The fencing tokens that the scheduler may use. */
+    long lowestFence = LOWEST_FENCE;
+
+    long highestFence = 1_000;
+
     final List<StartOrder> starts = new ArrayList<>();
     final List<StopOrder> stops = new ArrayList<>();
     final List<HoldOrder> holds = new ArrayList<>();
@@ -66,6 +73,16 @@
         saves.add(batch);
     }
 
+    @Override
+    public long lowestFence() {
+        return lowestFence;
+    }
+
+    @Override
+    public long highestFence() {
+        return highestFence;
+    }
+
     @Override
     public void emptied(String worker) {
         emptied.add(worker);
--- a/core/src/test/java/org/lupinpaddle/core/run/OwnerExperiment.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/OwnerExperiment.java
@@ -63,6 +63,7 @@
     private static final long LIST_MILLIS = 250;
     private static final long CALL_MILLIS = 3;
     private static final long WRITE_MILLIS = 15;
+    private static final long LOWEST_FENCE = 100;
 
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Map<String, Worker> workers = new TreeMap<>();
@@ -310,6 +311,16 @@
         at(WRITE_MILLIS, () -> event("saved", () -> scheduler.onSaved(batch)));
     }
 
+    @Override
+    public long lowestFence() {
+        return LOWEST_FENCE;
+    }
+
+    @Override
+    public long highestFence() {
+        return LOWEST_FENCE;
+    }
+
     @Override
     public void emptied(String worker) {
         told("emptied", worker);
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -465,6 +465,119 @@
         }
     }
 
+    @Nested
+    class AStartThatMayArriveAfterTheRestart {
+
+        private static final long MAX_ORDER_DELAY_MILLIS = 15_000;
+
+        /** Starts a job whose first start has no answer and whose second start is accepted. */
+        private StartOrder startTwice() {
+            d.submit("a", ONE);
+            d.advance(50);
+            d.completeSaves();
+            StartOrder first = d.lastStart();
+            d.scheduler.onStarted(first, OrderOutcome.UNKNOWN);
+            d.advance(250);
+            StartOrder second = d.lastStart();
+            assertTrue(second.fence() > first.fence());
+            d.scheduler.onStarted(second, OrderOutcome.ACCEPTED);
+            return first;
+        }
+
+        /** Guards against a late start that repeats a run which an earlier incarnation has completed. */
+        @Test
+        void isFencedByTheFirstHoldOfTheNextIncarnation() {
+            listInFirstIncarnation("w1");
+            StartOrder late = startTwice();
+            d.answerHoldAs("w1", FIRST_BIRTH, OLD_CLOCK + 500, List.of(), List.of(done(1, "a", 1)));
+            d.advance(50);
+            d.completeSaves();
+            d.leaveHoldUnanswered("w1");
+            d.advance(300);
+            assertTrue(d.lastHold("w1").fence() > late.fence());
+            d.answerHoldAs("w1", SECOND_BIRTH, NEW_CLOCK, List.of(), List.of());
+            d.advance(10);
+            assertTrue(d.lastHold("w1").fence() > late.fence());
+        }
+
+        /** Guards against a second run of a task that a late start begins on the next incarnation. */
+        @Test
+        void keepsItsTaskUntilItIsFenced() {
+            listInFirstIncarnation("w1");
+            HoldOrder early = d.lastHold("w1");
+            long sentAt = d.now + 300;
+            StartOrder late = startTwice();
+            d.advance(100);
+            d.scheduler.onHoldAnswered(early, sentAt, new HoldResponse(SECOND_BIRTH, NEW_CLOCK, List.of(), List.of()));
+            d.advance(10);
+            assertEquals(List.of(), d.port.events(SchedulerEvent.Kind.RUN_ENDED));
+            assertTrue(d.lastHold("w1").fence() > late.fence());
+            d.answerHoldAs("w1", SECOND_BIRTH, NEW_CLOCK + 10, List.of(), List.of());
+            assertEquals(1, d.port.events(SchedulerEvent.Kind.RUN_ENDED).size());
+        }
+
+        /** Guards against a second run where the store has not confirmed any revision that could serve as a token. */
+        @Test
+        void keepsItsTaskUntilItExpiresIfTheFenceCannotBeRaised() {
+            d.port.highestFence = FakeSchedulerPort.LOWEST_FENCE;
+            listInFirstIncarnation("w1");
+            d.submit("a", ONE);
+            d.advance(50);
+            d.completeSaves();
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.UNKNOWN);
+            d.advance(250);
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            long unansweredAt = d.now - 250;
+            d.advance(300);
+            for (long clock = NEW_CLOCK; d.now <= unansweredAt + MAX_ORDER_DELAY_MILLIS; clock += 1_000) {
+                d.answerHoldAs("w1", SECOND_BIRTH, clock, List.of(), List.of());
+                assertEquals(0, d.port.events(SchedulerEvent.Kind.RUN_ENDED).size());
+                d.advance(1_000);
+            }
+            d.answerHoldAs("w1", SECOND_BIRTH, NEW_CLOCK + 60_000, List.of(), List.of());
+            assertEquals(1, d.port.events(SchedulerEvent.Kind.RUN_ENDED).size());
+        }
+
+        /** Guards against a late start to a worker that was given up and has been listed again since. */
+        @Test
+        void isFencedAfterItsWorkerWasGivenUp() {
+            listInFirstIncarnation("w1");
+            d.submit("a", ONE);
+            d.advance(50);
+            d.completeSaves();
+            StartOrder late = d.lastStart();
+            d.scheduler.onStarted(late, OrderOutcome.UNKNOWN);
+            d.advance(3_000);
+            d.scheduler.onRunningWorkers(Set.of(), d.now);
+            assertTrue(isLost());
+            d.scheduler.onWorkers(List.of(SchedulerDriver.workerBornAt("w1", SECOND_BIRTH)));
+            d.advance(10);
+            assertTrue(d.lastHold("w1").fence() > late.fence());
+        }
+
+        /** Guards against treating this owner's own fence as that of a later owner. */
+        @Test
+        void isRepeatedWhenFencedByThisOwner() {
+            listInFirstIncarnation("w1");
+            d.submit("a", ONE);
+            d.submit("b", ONE);
+            d.advance(50);
+            d.completeSaves();
+            StartOrder a = d.port.starts.get(0);
+            StartOrder b = d.port.starts.get(1);
+            d.scheduler.onStarted(a, OrderOutcome.UNKNOWN);
+            d.advance(250);
+            d.scheduler.onStarted(b, OrderOutcome.FENCED);
+            d.advance(10);
+            assertEquals(List.of(), d.port.lost);
+            StartOrder again = d.lastStart();
+            assertEquals(b.jobId(), again.jobId());
+            assertEquals(b.run(), again.run());
+            d.scheduler.onStarted(again, OrderOutcome.FENCED);
+            assertEquals(1, d.port.lost.size());
+        }
+    }
+
     @Nested
     class UnderANewOwner {
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FencedRecordWriter.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FencedRecordWriter.java
@@ -49,6 +49,9 @@
     private final Map<String, Long> written = new HashMap<>();
 
     private final List<Map<String, String>> queue = new ArrayList<>();
+    /** The latest revision at which the store confirmed the ownership by accepting a conditional write. */
+    private long ownedRevision;
+
     private boolean writing;
     /** The number of following writes to send one by one because the store rejected them when merged. */
     private int unmergedWrites;
@@ -75,6 +78,7 @@
         this.loop = loop;
         this.ownerKey = SchedulerKeys.owner(duty);
         this.fence = fence;
+        this.ownedRevision = fence;
     }
 
     /** Sets the revision that the next write of a record expects. */
@@ -96,6 +100,14 @@
         return revision >= written.getOrDefault(key, 0L) && queue.stream().noneMatch(w -> w.containsKey(key));
     }
 
+    /**
+     * Returns the latest known store revision at which this entry owned the duty. Every later owner acquires it at a
+     * higher one.
+     */
+    long ownedRevision() {
+        return ownedRevision;
+    }
+
     /** Returns the number of writes that are queued or in progress. */
     int pendingWrites() {
         return queue.size();
@@ -130,6 +142,7 @@
     private Outcome outcome(Map<String, String> values, CommitResult r) {
         return switch (r.outcome()) {
             case MADE -> {
+                ownedRevision = Math.max(ownedRevision, r.revision());
                 values.forEach((key, value) -> {
                     revisions.put(key, value.isEmpty() ? 0 : r.revision());
                     written.put(key, r.revision());
@@ -225,6 +238,7 @@
                 .thenAcceptAsync(
                         r -> {
                             if (r.outcome() == CommitResult.Outcome.MADE) {
+                                ownedRevision = Math.max(ownedRevision, r.revision());
                                 onRemoved.run();
                             } else {
                                 Log.info("records-not-removed", "count", keys.size(), "outcome", r.outcome());
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
@@ -69,6 +69,7 @@
                     RUN_FOUND,
                     OTHER_ENDS_TOLD,
                     WORKER_RESTARTED,
+                    FENCE_RAISED,
                     BIRTH_UNREADABLE,
                     WORKER_GONE,
                     CRASH_COUNTED,
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -387,14 +387,14 @@
     @Override
     public void start(StartOrder order) {
         context.orders
-                .start(order, fence)
+                .start(order)
                 .thenAcceptAsync(o -> notifyScheduler(s -> s.onStarted(order, o)), context.loop::execute);
     }
 
     @Override
     public void stop(StopOrder order) {
         context.orders
-                .stop(order, fence)
+                .stop(order)
                 .thenAcceptAsync(o -> notifyScheduler(s -> s.onStopped(order, o)), context.loop::execute);
     }
 
@@ -402,7 +402,7 @@
     public void hold(HoldOrder order) {
         long sentAt = context.loop.clock().millis();
         context.orders
-                .hold(order, fence)
+                .hold(order)
                 .exceptionally(why -> unreadable(order, why))
                 .thenAcceptAsync(
                         r -> notifyScheduler(s -> {
@@ -425,7 +425,7 @@
     @Override
     public void pace(PaceOrder order) {
         context.orders
-                .pace(order, fence)
+                .pace(order)
                 .thenAcceptAsync(o -> notifyScheduler(s -> s.onPaced(order, o)), context.loop::execute);
     }
 
@@ -494,6 +494,16 @@
         context.loop.after(TICK_MILLIS, this::writeRemaining);
     }
 
+    @Override
+    public long lowestFence() {
+        return fence;
+    }
+
+    @Override
+    public long highestFence() {
+        return records.ownedRevision();
+    }
+
     @Override
     public void emptied(String worker) {
         evacuations.answerEmpty(worker);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/WorkerOrders.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/WorkerOrders.java
@@ -29,14 +29,14 @@
 public interface WorkerOrders {
 
     /** Starts a run. */
-    CompletableFuture<OrderOutcome> start(StartOrder order, long fence);
+    CompletableFuture<OrderOutcome> start(StartOrder order);
 
     /** Stops a run. */
-    CompletableFuture<OrderOutcome> stop(StopOrder order, long fence);
+    CompletableFuture<OrderOutcome> stop(StopOrder order);
 
     /** Sets the fraction of full speed at which a run works. */
-    CompletableFuture<OrderOutcome> pace(PaceOrder order, long fence);
+    CompletableFuture<OrderOutcome> pace(PaceOrder order);
 
     /** Extends the time for which the worker keeps its tasks running, and reports their state. */
-    CompletableFuture<HoldResult> hold(HoldOrder order, long fence);
+    CompletableFuture<HoldResult> hold(HoldOrder order);
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FencedRecordWriterTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FencedRecordWriterTest.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.daemon.jobs;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -60,6 +61,37 @@
         }
     }
 
+    @Nested
+    class TheOwnedRevision {
+
+        @Test
+        void isThatOfTheAcquiringWriteAtFirst() {
+            assertEquals(fence, records.ownedRevision());
+        }
+
+        @Test
+        void advancesWithEachWrite() {
+            write("mine");
+            assertTrue(records.ownedRevision() > fence);
+        }
+
+        /** Guards against a fencing token that a later owner might have as well. */
+        @Test
+        void isBelowThatOfALaterOwner() {
+            write("mine");
+            long next = store.set(SchedulerKeys.owner("clips"), "entry-2");
+            write("no longer owner");
+            assertTrue(records.ownedRevision() < next);
+        }
+
+        @Test
+        void doesNotAdvanceWithAWriteWithoutAnAnswer() {
+            store.dropsCommitAnswers = true;
+            write("late");
+            assertEquals(fence, records.ownedRevision());
+        }
+    }
+
     @Nested
     class LateWrites {
 
--- a/model/src/main/java/org/lupinpaddle/model/Sabotage.java
+++ b/model/src/main/java/org/lupinpaddle/model/Sabotage.java
@@ -21,6 +21,8 @@
     NONE,
     /** Workers receive the same fencing token from every owner. */
     NO_FENCES,
+    /** Workers receive the same fencing token from an owner as long as it owns the service. */
+    FENCES_NOT_RAISED,
     /** Each hold acknowledges all ends of runs, so workers forget an end as soon as they have reported it. */
     ENDS_FORGOTTEN_EARLY,
     /** A new owner of the fleet cannot read which instances its predecessor has ordered recently. */
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -55,22 +55,32 @@
         this.in = in;
     }
 
-    private long effective(long fence) {
-        return world.sabotage == Sabotage.NO_FENCES ? 1 : fence;
+    private long effective(long fence, WorkerFacts worker) {
+        return switch (world.sabotage) {
+            case NO_FENCES -> 1;
+            case FENCES_NOT_RAISED -> unraised(fence, world.fence(worker.service()));
+            default -> fence;
+        };
+    }
+
+    /** Returns the token of the write that acquired the service if the order is from its present owner. */
+    private static long unraised(long fence, long ownersFence) {
+        return ownersFence == 0 ? fence : Math.min(fence, ownersFence);
     }
 
     private HoldOrder effective(HoldOrder o) {
         return world.sabotage == Sabotage.ENDS_FORGOTTEN_EARLY
-                ? new HoldOrder(o.worker(), o.deadlineMillis(), Long.MAX_VALUE, o.waitMillis())
+                ? new HoldOrder(o.worker(), o.deadlineMillis(), Long.MAX_VALUE, o.waitMillis(), o.fence())
                 : o;
     }
 
     @Override
-    public CompletableFuture<OrderOutcome> start(StartOrder o, long fence) {
+    public CompletableFuture<OrderOutcome> start(StartOrder o) {
         if (world.sabotage == Sabotage.LIMITED_TASKS_REFUSED && isLimited(o)) {
             return CompletableFuture.completedFuture(OrderOutcome.UNHEALTHY);
         }
-        return order(o.worker(), WireBytes.of(o), (w, c) -> w.start(o, c.fence, c.late), effective(fence));
+        return order(
+                o.worker(), WireBytes.of(o), (w, c) -> w.start(o, c.fence, c.late), effective(o.fence(), o.worker()));
     }
 
     private boolean isLimited(StartOrder o) {
@@ -81,14 +91,15 @@
     }
 
     @Override
-    public CompletableFuture<OrderOutcome> stop(StopOrder o, long fence) {
-        return order(o.worker(), WireBytes.OVERHEAD_BYTES, (w, c) -> w.stop(o, c.fence), effective(fence));
+    public CompletableFuture<OrderOutcome> stop(StopOrder o) {
+        return order(
+                o.worker(), WireBytes.OVERHEAD_BYTES, (w, c) -> w.stop(o, c.fence), effective(o.fence(), o.worker()));
     }
 
     @Override
-    public CompletableFuture<OrderOutcome> pace(PaceOrder o, long fence) {
+    public CompletableFuture<OrderOutcome> pace(PaceOrder o) {
         // Simulated tasks do not interfere with each other, so pacing has no effect.
-        return order(o.worker(), WireBytes.OVERHEAD_BYTES, (w, c) -> OrderOutcome.ACCEPTED, fence);
+        return order(o.worker(), WireBytes.OVERHEAD_BYTES, (w, c) -> OrderOutcome.ACCEPTED, o.fence());
     }
 
     private CompletableFuture<OrderOutcome> order(
@@ -144,7 +155,7 @@
     }
 
     @Override
-    public CompletableFuture<HoldResult> hold(HoldOrder o, long fence) {
+    public CompletableFuture<HoldResult> hold(HoldOrder o) {
         CompletableFuture<HoldResult> future = new CompletableFuture<>();
         SimWorker w = world.fleet.workerAt(o.worker().address());
         if (w != null && world.net.faultToWorker(hall, w, false) == CallFault.NONE) {
@@ -152,7 +163,8 @@
                     WireBytes.OVERHEAD_BYTES,
                     () -> !future.isDone(),
                     () -> world.net.deliver(
-                            world.net.latency(), () -> arrive(w, effective(o), effective(fence), future)));
+                            world.net.latency(),
+                            () -> arrive(w, effective(o), effective(o.fence(), o.worker()), future)));
         }
         world.time.schedule(
                 o.waitMillis() + CALL_TIMEOUT_MILLIS,
--- a/model/src/test/java/org/lupinpaddle/model/WorkerRestartsTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/WorkerRestartsTest.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.model;
 
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.fail;
 
 import java.util.stream.LongStream;
@@ -75,4 +76,42 @@
                             seed, 6, new World(seed, 6).withCrashingTasks(seed).withRestarts(seed)));
         }
     }
+
+    /**
+     * Histories in which an unanswered start is executed by the next incarnation of its worker, after its run has ended or
+     * was started elsewhere.
+     */
+    @Nested
+    class StartExecutedAfterARestart {
+
+        private static final long SEED_WITH_RUN_ELSEWHERE = 8804219;
+        private static final long SEED_WITH_COMPLETED_RUN = 8804828;
+
+        private static World world(long seed, int faults, Sabotage sabotage) {
+            return new World(seed, faults, sabotage).withRestarts(seed);
+        }
+
+        /** Guards against a second run beside the one that the task was given elsewhere. */
+        @Test
+        void isRejectedWhileTheTaskRunsElsewhere() {
+            long seed = SEED_WITH_RUN_ELSEWHERE;
+            assertRulesHold(seed, 0, world(seed, 0, Sabotage.NONE));
+        }
+
+        /** Guards against repeating a run that is done. */
+        @Test
+        void isRejectedAfterItsRunIsDone() {
+            long seed = SEED_WITH_COMPLETED_RUN;
+            assertRulesHold(seed, 6, world(seed, 6, Sabotage.NONE).withCrashingTasks(seed));
+        }
+
+        /** Guards against rules that do not notice the start if its worker still accepts it. */
+        @Test
+        void isDetectedIfTheFenceIsNotRaised() {
+            assertThrows(
+                    RuleViolationException.class,
+                    () -> world(SEED_WITH_RUN_ELSEWHERE, 0, Sabotage.FENCES_NOT_RAISED)
+                            .run());
+        }
+    }
 }
