Raise the fencing token when a hold that changes its worker has no answer

What callers saw, by a forced order of events: a task that was done ran again (TWICE).

Cause: as with starts, a hold without an answer is carried out by the next incarnation of its worker. Its acknowledgement discards results that nobody has processed, since the incarnation numbers them from 1 again, and its deadline keeps runs alive by the clock of the earlier one. That a hold after 100 ms of silence carries neither limits when such a hold is sent, not when it arrives.

Change: a hold that acknowledges or sets a deadline and gets no answer raises the worker's token. Holds that only ask for a report do not.

--- a/core/src/main/java/org/lupinpaddle/core/run/HoldOrder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/HoldOrder.java
@@ -26,4 +26,13 @@
  * @param waitMillis how long the answer may be delayed until a run ends
  * @param fence the fencing token; the worker rejects orders with a lower one than it has seen
  */
-public record HoldOrder(WorkerFacts worker, long deadlineMillis, long acknowledgedUpTo, long waitMillis, long fence) {}
+public record HoldOrder(WorkerFacts worker, long deadlineMillis, long acknowledgedUpTo, long waitMillis, long fence) {
+
+    /**
+     * Returns whether it does more than ask for a report. Carried out late by the next incarnation of a worker, it
+     * would discard results that nobody has processed, or keep runs alive by the clock of the earlier one.
+     */
+    boolean changesWorker() {
+        return acknowledgedUpTo > 0 || deadlineMillis > 0;
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -306,6 +306,9 @@
 
     /** Handles a hold that was rejected or not answered. */
     public void onHoldFailed(HoldOrder order, OrderOutcome outcome) {
+        if (outcome == OrderOutcome.UNKNOWN && order.changesWorker()) {
+            state.fences.supersede(order.worker().id(), order.fence());
+        }
         LiveWorker w = state.workers.get(order.worker().id());
         if (w == null) {
             return;
--- a/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
@@ -658,6 +658,45 @@
             f.run(50);
         }
 
+        /** Guards against a late lastSeen that removes an end of the new life which nobody has seen. */
+        @Test
+        void holdForgetsAnEnd() {
+            Call hold = lateHold();
+            startOnSecondLife("a");
+            w1.end("a", EndKind.DONE);
+            f.carryOut(hold);
+            f.run(3_000);
+            assertHeld();
+        }
+
+        /** Guards against the same failure if the answer that listed the end is lost. */
+        @Test
+        void holdForgetsAnEndWhoseAnswerWasLost() {
+            Call hold = lateHold();
+            startOnSecondLife("a");
+            w1.cut = true;
+            f.run(100);
+            w1.end("a", EndKind.DONE);
+            f.run(200);
+            f.carryOut(hold);
+            w1.cut = false;
+            f.run(3_000);
+            assertHeld();
+        }
+
+        // Guards against a late deadline by the first life's clock that keeps a run of the new life beyond its release.
+        @Test
+        void holdExtendsARun() {
+            Call hold = lateHold();
+            startOnSecondLife("a");
+            addOtherWorker();
+            w1.cut = true;
+            f.run(LATER_MILLIS);
+            f.carryOut(hold);
+            f.run(20_000);
+            assertHeld();
+        }
+
         /** Guards against the same failure by a late start that the new life refuses as old. */
         @Test
         void refusedStartExtendsARun() {
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -578,6 +578,37 @@
         }
     }
 
+    @Nested
+    class AHoldThatMayArriveAfterTheRestart {
+
+        /** Guards against a late hold that acknowledges results of the next incarnation, which nobody has processed. */
+        @Test
+        void isFencedIfItAcknowledgesResults() {
+            listInFirstIncarnation("w1");
+            completeOnFirstIncarnation("w1", "a", "b", "c");
+            HoldOrder late = d.lastHold("w1");
+            assertEquals(3, late.acknowledgedUpTo());
+            d.advance(600);
+            d.leaveHoldUnanswered("w1");
+            d.advance(300);
+            assertTrue(d.lastHold("w1").fence() > late.fence());
+        }
+
+        /** Guards against using up tokens for each hold to a worker that stays silent. */
+        @Test
+        void needsNoFenceIfItOnlyAsksForAReport() {
+            listInFirstIncarnation("w1");
+            d.advance(600);
+            d.leaveHoldUnanswered("w1");
+            d.advance(300);
+            long fence = d.lastHold("w1").fence();
+            d.leaveHoldUnanswered("w1");
+            d.advance(300);
+            assertEquals(0, d.lastHold("w1").acknowledgedUpTo());
+            assertEquals(fence, d.lastHold("w1").fence());
+        }
+    }
+
     @Nested
     class UnderANewOwner {
 
--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -52,6 +52,9 @@
     @Option(name = "--workspaces", description = "Callers belong to workspaces with keys and quotas, which change")
     private boolean workspaces;
 
+    @Option(name = "--late-holds", description = "Workers that execute orders late do so with holds as well")
+    private boolean lateHolds;
+
     /** Runs the histories that the arguments select. */
     public static void main(String[] args) {
         System.exit(run(args));
@@ -94,6 +97,9 @@
         if (restarts) {
             w.withRestarts(s);
         }
+        if (lateHolds) {
+            w.withLateHolds(s);
+        }
         if (workspaces) {
             w.withWorkspaces(s);
         }
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -158,7 +158,9 @@
     public CompletableFuture<HoldResult> hold(HoldOrder o) {
         CompletableFuture<HoldResult> future = new CompletableFuture<>();
         SimWorker w = world.fleet.workerAt(o.worker().address());
-        if (w != null && world.net.faultToWorker(hall, w, false) == CallFault.NONE) {
+        if (w != null && world.lateHolds().filter(l -> l.delaysNext(w)).isPresent()) {
+            executeLate(w, effective(o), effective(o.fence(), o.worker()));
+        } else if (w != null && world.net.faultToWorker(hall, w, false) == CallFault.NONE) {
             out.transfer(
                     WireBytes.OVERHEAD_BYTES,
                     () -> !future.isDone(),
@@ -172,6 +174,17 @@
         return future;
     }
 
+    private void executeLate(SimWorker addressed, HoldOrder o, long fence) {
+        long delay = world.lateHolds().orElseThrow().delayMillis();
+        world.net.deliver(delay, () -> {
+            SimWorker w = world.fleet.workerAt(o.worker().address());
+            boolean arrives = w != null && (w == addressed || w.hasAnsweredFor(REFUSABLE_AFTER_MILLIS));
+            if (w != null && arrives && w.isUp() && w.id().equals(o.worker().id())) {
+                w.hold(o, fence, answer -> {}, () -> {});
+            }
+        });
+    }
+
     private void arrive(SimWorker w, HoldOrder o, long fence, CompletableFuture<HoldResult> future) {
         if (!w.isUp()) {
             return;
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -74,6 +74,7 @@
     private @Nullable CrashingTasks crashingTasks;
     private @Nullable WorkerRestarts restarts;
     private @Nullable SimWorkspaces workspaces;
+    private @Nullable LateHolds lateHolds;
 
     /** Creates the world of a seed with at most the given number of faults. */
     public World(long seed, int maxFaults) {
@@ -123,6 +124,17 @@
         return this;
     }
 
+    /** Lets workers that execute orders late do so with holds as well. */
+    World withLateHolds(long seed) {
+        lateHolds = new LateHolds(net, seed);
+        return this;
+    }
+
+    /** Returns which holds are executed late, if any are in this history. */
+    Optional<LateHolds> lateHolds() {
+        return Optional.ofNullable(lateHolds);
+    }
+
     /** Adds workspaces whose keys and quotas change. */
     World withWorkspaces(long seed) {
         SimWorkspaces w = new SimWorkspaces(this, seed);
--- a/model/src/test/java/org/lupinpaddle/model/WorkerRestartsTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/WorkerRestartsTest.java
@@ -114,4 +114,28 @@
                             .run());
         }
     }
+
+    /** Histories in which workers that execute orders late do so with holds as well. */
+    @Nested
+    class LateHold {
+
+        private static final long SEED_WITH_UNSEEN_RESULT = 9501159;
+
+        private static void assertRulesHoldWithLateHolds(long seed, int faults) {
+            World w = new World(seed, faults).withRestarts(seed).withLateHolds(seed);
+            assertRulesHold(seed, faults, w);
+        }
+
+        /** Guards against repeating a run whose result its worker discards before an owner has seen it. */
+        @Test
+        void doesNotAcknowledgeResultsOfTheNextIncarnation() {
+            assertRulesHoldWithLateHolds(SEED_WITH_UNSEEN_RESULT, 0);
+        }
+
+        /** Guards against the same fault at other moments. */
+        @Test
+        void breaksNoRule() {
+            LongStream.range(0, 60).parallel().forEach(seed -> assertRulesHoldWithLateHolds(seed, 6));
+        }
+    }
 }
