Show that a task is no longer stopped at work after its start was late

What callers saw: a serving task was stopped while another one of its step was away (AVAIL).

A start without an answer began its run late, after its owner had decided to stop it.

Change: tests only; after the first start without an answer the next hold carries a higher token, so the late start is rejected.

Left: a worker that no later order reaches may still begin the run.

--- a/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
@@ -34,7 +34,7 @@
 import org.lupinpaddle.core.run.ScriptedFleet.Fate;
 import org.lupinpaddle.core.run.ScriptedFleet.Owner;
 
-/** Forces orders of events in which the next life of a worker carries out an order that was sent to an earlier one. */
+/** Forces orders of events in which a worker carries out an order late, most often in its next life under the same id. */
 class LateStartAfterRestartTest {
 
     private static final long FIRST_BIRTH = 1_000_000;
@@ -625,6 +625,22 @@
         }
     }
 
+    @Nested
+    class WithoutARestart {
+
+        /** Guards against a run that begins late and is then stopped while it is at work. */
+        @Test
+        void startIsRejectedOnceALaterHoldWasAnswered() {
+            f.starts.addAll(List.of(Fate.LATE, Fate.LATE, Fate.LATE, Fate.LATE));
+            startLate();
+            f.run(2_000);
+            Call late = f.lateStarts.get(0);
+            f.carryOut(late);
+            assertEquals(OrderOutcome.FENCED, late.outcome);
+            assertHeld();
+        }
+    }
+
     @Nested
     class OtherOrders {
 
@@ -684,7 +700,7 @@
             assertHeld();
         }
 
-        // Guards against a late deadline by the first life's clock that keeps a run of the new life beyond its release.
+        /** Guards against a late deadline by the first life's clock that keeps a run alive beyond its release. */
         @Test
         void holdExtendsARun() {
             Call hold = lateHold();
--- a/model/src/test/java/org/lupinpaddle/model/WorkerRestartsTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/WorkerRestartsTest.java
@@ -115,6 +115,29 @@
         }
     }
 
+    /** Histories in which an unanswered start is executed late by the incarnation that it was meant for. */
+    @Nested
+    class LateStart {
+
+        private static final long SEED_WITH_CRASHING_TASKS = 8802256;
+        private static final long SEED_WITHOUT_CRASHING_TASKS = 9400366;
+
+        /** Guards against stopping a run that began late, while another task of its step is away. */
+        @Test
+        void isNotStoppedWhileItIsAtWork() {
+            long seed = SEED_WITHOUT_CRASHING_TASKS;
+            assertRulesHold(seed, 6, new World(seed, 6).withRestarts(seed));
+        }
+
+        /** Guards against the same failure while the other task has been given up for crashing workers. */
+        @Test
+        void isNotStoppedWhileACrashingTaskIsAway() {
+            long seed = SEED_WITH_CRASHING_TASKS;
+            World w = new World(seed, 6).withCrashingTasks(seed).withRestarts(seed);
+            assertRulesHold(seed, 6, w);
+        }
+    }
+
     /** Histories in which workers that execute orders late do so with holds as well. */
     @Nested
     class LateHold {
