Expect late deadlines on every worker whose token was raised

A hold with a deadline by the clock of an earlier incarnation reached the next one before its first poll; its worker had been given up by the list of instances, or had not been listed for a while, so that its first answer did not count as a restart and no late deadline was expected.

Change: the first answer of a worker whose token was raised counts like a restart, and a worker that is dropped while unlisted gets a raised token.

Also from the review: tests that a stop, a hold and a pace refused by this owner's own token do not end its ownership and are sent again, that the first hold with a raised token does not wait, and that a worker lost with a start in flight gets a raised token. Comments that named one fence of an owner. The confirmed token is no longer kept across a loss by deadlines; the next answer tells it.

--- a/core/src/main/java/org/lupinpaddle/core/run/FencingTokens.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/FencingTokens.java
@@ -22,7 +22,7 @@
  * The fencing tokens of an owner's orders, one for each worker. A worker's token is raised when an order to it may
  * arrive after later ones. Once an order with the new token has reached the worker, the late one has no effect. Unlike
  * a stop, this also holds if the worker has restarted under its id: the first order that reaches the new incarnation
- * makes it reject all orders that were sent before.
+ * makes it reject all orders that were sent before. An order that arrives before that one cannot be rejected.
  */
 final class FencingTokens {
 
@@ -64,6 +64,11 @@
         return next;
     }
 
+    /** Returns whether an order to a worker was superseded. */
+    boolean isRaised(String worker) {
+        return raised.containsKey(worker);
+    }
+
     /** Returns the highest token that orders to a worker have carried. */
     long current(String worker) {
         return raised.getOrDefault(worker, port.lowestFence());
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -503,7 +503,6 @@
         incarnationKnownAt = previous.incarnationKnownAt;
         foreignDeadlinesUntil = previous.foreignDeadlinesUntil;
         results = previous.results;
-        confirmedFence = previous.confirmedFence;
         pendingHold = previous.pendingHold;
         holdAnswerDueAt = previous.holdAnswerDueAt;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/OrderOutcome.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/OrderOutcome.java
@@ -19,7 +19,7 @@
 public enum OrderOutcome {
     /** Executed now, or by an earlier copy of the order. */
     ACCEPTED,
-    /** Refused: a newer owner has raised the worker's fence. */
+    /** Refused: the worker has seen an order with a higher fencing token, of a later owner or of this one. */
     FENCED,
     /** Refused: a run with this or a higher number has been stopped or has ended there. */
     OLD_RUN,
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -73,9 +73,11 @@
     private void onFirstAnswer(LiveWorker w, boolean restarted) {
         long now = state.now();
         long lateStartsUntil = state.latestArrival(w);
-        if (restarted || lateStartsUntil > now) {
+        if (restarted
+                || lateStartsUntil > now
+                || state.fences.isRaised(w.facts().id())) {
             // A deadline by an earlier incarnation's clock is meaningless to this one, which may then keep a run for
-            // the maximum time.
+            // the maximum time. An order with such a deadline may have arrived before the raised token.
             state.expectForeignDeadlines(w, lateStartsUntil);
         }
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -389,7 +389,7 @@
 
     private void runNotListed(LiveWorker w, LiveTask t) {
         if (t.belongsToEarlierIncarnation() && state.mayStartLate(w, t)) {
-            // The next hold carries a higher fencing token, so its answer shows whether the run has started.
+            // The answer to a hold with a higher fencing token shows whether the run has started.
             return;
         }
         if (t.belongsToEarlierIncarnation()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -42,8 +42,8 @@
  * Schedules the jobs of one service while this entry owns the service. The scheduler only decides; the host executes
  * its orders and reports their outcomes, all on one thread. Three rules keep a task from running twice: a placement
  * is durable, conditional on ownership, before the start is sent; a worker that has answered a hold of this owner
- * rejects orders of earlier owners; and a task is placed again only when its last run is proven to have ended (see
- * {@link RunTracker}).
+ * rejects orders of earlier owners, and those of this owner that it superseded (see {@link FencingTokens}); and a task
+ * is placed again only when its last run is proven to have ended (see {@link RunTracker}).
  */
 public final class ServiceScheduler {
 
@@ -293,7 +293,7 @@
         }
         w.holdAwaitsRecords = w.results().hasPending();
         if (newest) {
-            boolean pause = w.holdAwaitsRecords && !state.isFenceUnconfirmed(w);
+            boolean pause = w.holdAwaitsRecords && !state.needsFenceConfirmation(w);
             w.nextHoldAt = pause ? now + holdPauseMillis(w) : now;
         }
     }
@@ -405,6 +405,7 @@
                 releaseOrForget(w);
             } else if (!w.listed && w.tasks.isEmpty() && now - w.unlistedSince > UNLISTED_KEEP_MILLIS) {
                 state.note(SchedulerEvent.Kind.WORKER_GONE, w, "tasks=0 evidence=unlisted " + w.describe());
+                state.fences.supersedeAll(w.facts().id());
                 state.workers.remove(w.facts().id());
             }
         }
@@ -433,7 +434,7 @@
             long longPollMillis = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
             boolean confirmed = w.isIncarnationConfirmed(now);
             boolean immediate = !confirmed
-                    || state.isFenceUnconfirmed(w)
+                    || state.needsFenceConfirmation(w)
                     || w.isUnresponsive()
                     || w.results().hasPending()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -157,8 +157,8 @@
         return fences.next(w.facts().id());
     }
 
-    /** Returns whether this owner has raised the worker's fencing token and no hold with the new one is answered yet. */
-    boolean isFenceUnconfirmed(LiveWorker w) {
+    /** Returns whether the worker has not yet answered a hold with the fencing token of the next order. */
+    boolean needsFenceConfirmation(LiveWorker w) {
         return nextFence(w) > w.confirmedFence();
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
@@ -45,6 +45,10 @@
     private static final StepSpec ONE =
             StepSpec.builder(1, SchedulerDriver.NEED).place("", "rack-w2").build();
 
+    /** Runs on the first worker while that is usable. */
+    private static final StepSpec ON_FIRST_WORKER =
+            StepSpec.builder(1, SchedulerDriver.NEED).place("", "rack-w1").build();
+
     private final ScriptedFleet f = new ScriptedFleet();
     private ScriptedWorker w1 = f.add("w1", FIRST_BIRTH, 60_000);
 
@@ -713,6 +717,47 @@
             assertHeld();
         }
 
+        /** Lets a run of the new life begin after a late hold, and the worker fall silent. */
+        private void startAfterLateHold(Call hold) {
+            w1.cut = false;
+            restart();
+            f.carryOut(hold);
+            f.run(100);
+            f.driver().submit("c", ON_FIRST_WORKER);
+            f.runUntil(() -> w1.runs("c"));
+            f.run(20);
+            w1.cut = true;
+            f.run(20_000);
+            assertHeld();
+        }
+
+        /** Guards against a late deadline that a new life takes before its first poll, after its worker was given up. */
+        @Test
+        void holdExtendsARunAfterItsWorkerWasGivenUp() {
+            Call hold = lateHold();
+            addOtherWorker();
+            f.driver().submit("a", ON_FIRST_WORKER);
+            f.runUntil(() -> w1.runs("a"));
+            f.run(20);
+            w1.cut = true;
+            w1.restart(SECOND_BIRTH - 5);
+            f.run(3_500);
+            f.listInstances("w2");
+            awaitRunOnOtherWorker();
+            startAfterLateHold(hold);
+        }
+
+        /** Guards against the same failure after its worker was not listed for some time. */
+        @Test
+        void holdExtendsARunAfterItsWorkerWasUnlisted() {
+            Call hold = lateHold();
+            addOtherWorker();
+            w1.cut = true;
+            f.driver().scheduler.onWorkers(List.of(SchedulerDriver.workerBornAt("w2", FIRST_BIRTH)));
+            f.run(7_000);
+            startAfterLateHold(hold);
+        }
+
         /** Guards against the same failure by a late start that the new life refuses as old. */
         @Test
         void refusedStartExtendsARun() {
--- a/core/src/test/java/org/lupinpaddle/core/run/PacingPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/PacingPassTest.java
@@ -104,6 +104,29 @@
             assertTrue(lastPace() > 40, "paced to " + lastPace());
         }
 
+        /** Guards against giving up the service because of this owner's own fence. */
+        @Test
+        void getsARepeatedOrderIfTheFirstWasOvertakenByAHigherFence() {
+            d.submit("b", StepSpec.builder(1, SchedulerDriver.NEED).build());
+            d.advance(50);
+            d.completeSaves();
+            d.advance(950);
+            d.answerHold(
+                    "w1",
+                    List.of(new RunStatus("a", SERVES, 1, "", 100, 150), new RunStatus("a", FILLS, 1, "", 100, 500)),
+                    List.of());
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.UNKNOWN);
+            d.advance(250);
+            PaceOrder early = d.port.paces.get(0);
+            d.scheduler.onPaced(early, OrderOutcome.FENCED);
+            d.advance(250);
+            assertEquals(List.of(), d.port.lost);
+            PaceOrder again = d.port.paces.get(1);
+            assertTrue(again.fence() > early.fence());
+            d.scheduler.onPaced(again, OrderOutcome.FENCED);
+            assertEquals(1, d.port.lost.size());
+        }
+
         @Test
         void getsARepeatedOrderIfTheFirstWasNotAnswered() {
             d.advance(1_000);
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.StepSpec;
@@ -578,6 +579,92 @@
         }
     }
 
+    @Nested
+    class AnOrderOvertakenByAHigherFence {
+
+        /** Starts two jobs, the first of which is at work; the start of the second gets no answer. */
+        private void startSecondWithoutAnswer() {
+            listInFirstIncarnation("w1");
+            submitAndStart("a");
+            d.submit("b", ONE);
+            d.advance(50);
+            d.completeSaves();
+        }
+
+        private void raiseFence() {
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.UNKNOWN);
+            d.advance(250);
+        }
+
+        /** Guards against giving up the service because of this owner's own fence. */
+        @Test
+        void thatIsAStopIsRepeated() {
+            startSecondWithoutAnswer();
+            d.scheduler.onCancel(new JobKey("q", "a"));
+            d.advance(10);
+            StopOrder early = d.port.stops.get(0);
+            raiseFence();
+            d.scheduler.onStopped(early, OrderOutcome.FENCED);
+            d.advance(10);
+            assertEquals(List.of(), d.port.lost);
+            StopOrder again = d.port.stops.get(1);
+            assertTrue(again.fence() > early.fence());
+            d.scheduler.onStopped(again, OrderOutcome.FENCED);
+            assertEquals(1, d.port.lost.size());
+        }
+
+        /** Guards against the same failure by a hold. */
+        @Test
+        void thatIsAHoldIsRepeated() {
+            startSecondWithoutAnswer();
+            HoldOrder early = d.lastHold("w1");
+            raiseFence();
+            d.scheduler.onHoldFailed(early, OrderOutcome.FENCED);
+            d.advance(300);
+            assertEquals(List.of(), d.port.lost);
+            HoldOrder again = d.lastHold("w1");
+            assertTrue(again.fence() > early.fence());
+            d.scheduler.onHoldFailed(again, OrderOutcome.FENCED);
+            assertEquals(1, d.port.lost.size());
+        }
+    }
+
+    @Nested
+    class ARaisedFence {
+
+        /** Guards against leaving the late start acceptable for as long as a hold waits for an end. */
+        @Test
+        void isSentWithAHoldThatDoesNotWait() {
+            listInFirstIncarnation("w1");
+            d.submit("a", ONE);
+            d.advance(50);
+            d.completeSaves();
+            StartOrder late = d.lastStart();
+            d.scheduler.onStarted(late, OrderOutcome.UNKNOWN);
+            d.answerHoldAs("w1", FIRST_BIRTH, OLD_CLOCK + 50, List.of(), List.of());
+            d.advance(1);
+            assertTrue(d.lastHold("w1").fence() > late.fence());
+            assertEquals(0, d.lastHold("w1").waitMillis());
+            d.answerHoldAs("w1", FIRST_BIRTH, OLD_CLOCK + 60, List.of(), List.of());
+            d.advance(1);
+            assertTrue(d.lastHold("w1").waitMillis() > 0);
+        }
+
+        /** Guards against a start in flight that reaches a worker which has been given up and is listed again. */
+        @Test
+        void isSentToAWorkerThatWasLostWithAStartInFlight() {
+            listInFirstIncarnation("w1");
+            d.submit("a", ONE);
+            d.advance(50);
+            d.completeSaves();
+            StartOrder late = d.lastStart();
+            d.answerAsOtherIncarnation("w1");
+            d.scheduler.onWorkers(List.of(SchedulerDriver.workerBornAt("w1", SECOND_BIRTH)));
+            d.advance(10);
+            assertTrue(d.lastHold("w1").fence() > late.fence());
+        }
+    }
+
     @Nested
     class AHoldThatMayArriveAfterTheRestart {
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipManager.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipManager.java
@@ -39,7 +39,7 @@
 
 /**
  * Maintains this entry's lease and acquires duties without an owner. A duty is owned by the entry that holds its key
- * under a live lease; the revision of the acquiring write is the owner's fence (fencing token).
+ * under a live lease; the revision of the acquiring write is the owner's fence, its lowest fencing token.
  */
 final class OwnershipManager implements PrefixWatch.Listener, AutoCloseable {
 
