Test late starts of restarted workers on the wire

The job worker's stand-in can execute a start late: it gets no answer, and the next incarnation executes it right after its first answer to a hold. Holds that wait at a restart are cut off, as by a crash; so far the next incarnation answered them without having seen their fencing token.

--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobInstances.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobInstances.java
@@ -105,8 +105,10 @@
                 .put("service", instance.pool)
                 .put("address", instance.description.path("address").asText())
                 .put("zone", instance.description.path("zone").asText())
-                .put("state", "ready")
-                .put("born", instance.bornMillis);
+                .put("state", "ready");
+        if (instance.description.path("statesBirth").asBoolean()) {
+            record.put("born", instance.bornMillis);
+        }
         record.set("room", instance.description.path("room"));
         record.set("labels", instance.description.path("labels"));
         recordWriter.accept("servers/" + instance.incarnationId, record.toString());
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerIncarnation.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerIncarnation.java
@@ -76,6 +76,11 @@
         return bornMillis;
     }
 
+    boolean isRunning(String task, int run) {
+        Run current = running.get(task);
+        return current != null && current.number == run;
+    }
+
     /** Returns the reason if the start is refused, otherwise an empty string. */
     String start(JsonNode order) {
         if (isFenced(order)) {
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerStandIn.java
@@ -18,7 +18,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -59,12 +62,30 @@
     private String incarnationId = "";
     private @Nullable JobWorkerIncarnation incarnation;
 
-    private record PendingHold(long endsAt, Response response, Callback callback) {}
+    private final Map<String, Integer> executedStarts = new HashMap<>();
+    private boolean nextStartIsLate;
+    private @Nullable LateStart lateStart;
+    private final CompletableFuture<String> lateStartOutcome = new CompletableFuture<>();
 
-    private JobWorkerStandIn(String machine, String pool, String hall, String rack, String platform) {
+    private record PendingHold(
+            JobWorkerIncarnation incarnation, long endsAt, Request request, Response response, Callback callback) {
+
+        /** Closes the connection without an answer, as a crash does. */
+        void abort() {
+            request.getConnectionMetaData().getConnection().getEndPoint().close();
+        }
+    }
+
+    private record LateStart(JobWorkerIncarnation sentTo, String incarnationId, JsonNode order) {}
+
+    private JobWorkerStandIn(
+            String machine, String pool, String hall, String rack, String platform, boolean statesBirth) {
         this.platform = platform;
-        description =
-                JsonHttp.object().put("machine", machine).put("pool", pool).put("zone", hall);
+        description = JsonHttp.object()
+                .put("machine", machine)
+                .put("pool", pool)
+                .put("zone", hall)
+                .put("statesBirth", statesBirth);
         description
                 .putObject("room")
                 .put("cpu", CPU_MILLIS)
@@ -85,7 +106,16 @@
     /** Starts a worker that represents an instance of a pool and reports to the platform. */
     public static JobWorkerStandIn start(String machine, String pool, String hall, String rack, String platform)
             throws Exception {
-        JobWorkerStandIn w = new JobWorkerStandIn(machine, pool, hall, rack, platform);
+        return start(new JobWorkerStandIn(machine, pool, hall, rack, platform, true));
+    }
+
+    /** Starts a worker like {@link #start}, but one that does not state when its incarnation was born. */
+    public static JobWorkerStandIn startWithoutBirth(
+            String machine, String pool, String hall, String rack, String platform) throws Exception {
+        return start(new JobWorkerStandIn(machine, pool, hall, rack, platform, false));
+    }
+
+    private static JobWorkerStandIn start(JobWorkerStandIn w) throws Exception {
         w.server.start();
         w.client.start();
         w.description.put("address", w.address());
@@ -99,6 +129,24 @@
         return "127.0.0.1:" + connector.getLocalPort();
     }
 
+    /**
+     * Makes the next start order late: it gets no answer, and after a restart under the same id the next incarnation
+     * executes it right after its first answer to a hold.
+     */
+    public synchronized void delayNextStartUntilRestart() {
+        nextStartIsLate = true;
+    }
+
+    /** Completes when the late start is executed, with the reason if it is refused, otherwise an empty string. */
+    public CompletableFuture<String> lateStartOutcome() {
+        return lateStartOutcome;
+    }
+
+    /** Returns how often a task has been started, by any incarnation. */
+    public synchronized int executedStarts(String task) {
+        return executedStarts.getOrDefault(task, 0);
+    }
+
     private static long now() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -137,13 +185,17 @@
             current.endDueRuns();
         }
         holds.removeIf(h -> {
-            boolean due = current == null || current.hasEnds() || now() >= h.endsAt;
+            if (current == null) {
+                JsonHttp.answer(h.response, h.callback, MISDIRECTED, JsonHttp.object());
+                return true;
+            }
+            if (current != h.incarnation) {
+                h.abort();
+                return true;
+            }
+            boolean due = current.hasEnds() || now() >= h.endsAt;
             if (due) {
-                JsonHttp.answer(
-                        h.response,
-                        h.callback,
-                        current == null ? MISDIRECTED : OK,
-                        current == null ? JsonHttp.object() : current.holdAnswer());
+                answerHold(current, h.response, h.callback);
             }
             return due;
         });
@@ -163,15 +215,44 @@
         }
         current.endDueRuns();
         switch (path) {
-            case "/api/run-start" -> answer(response, callback, current.start(body));
+            case "/api/run-start" -> start(current, body, response, callback);
             case "/api/run-stop" -> answer(response, callback, current.stop(body));
             case "/api/pace" -> answer(response, callback, current.checkFence(body));
-            case "/api/hold" -> hold(current, body, response, callback);
+            case "/api/hold" -> hold(current, request, body, response, callback);
             default -> JsonHttp.answer(response, callback, NOT_FOUND, JsonHttp.object());
         }
     }
 
-    private void hold(JobWorkerIncarnation current, JsonNode body, Response response, Callback callback) {
+    private void start(JobWorkerIncarnation current, JsonNode body, Response response, Callback callback) {
+        if (nextStartIsLate) {
+            nextStartIsLate = false;
+            lateStart = new LateStart(current, incarnationId, body);
+            return;
+        }
+        answer(response, callback, execute(current, body));
+    }
+
+    private String execute(JobWorkerIncarnation current, JsonNode start) {
+        String task = start.path("task").asText();
+        int run = start.path("run").asInt();
+        boolean wasRunning = current.isRunning(task, run);
+        String refused = current.start(start);
+        if (refused.isEmpty() && !wasRunning) {
+            executedStarts.merge(task, 1, Integer::sum);
+        }
+        return refused;
+    }
+
+    private void executeLateStart(JobWorkerIncarnation current) {
+        LateStart late = lateStart;
+        if (late != null && late.sentTo != current && late.incarnationId.equals(incarnationId)) {
+            lateStart = null;
+            lateStartOutcome.complete(execute(current, late.order));
+        }
+    }
+
+    private void hold(
+            JobWorkerIncarnation current, Request request, JsonNode body, Response response, Callback callback) {
         String refused = current.checkFence(body);
         if (!refused.isEmpty()) {
             answer(response, callback, refused);
@@ -179,10 +260,20 @@
         }
         current.acceptHold(body);
         if (current.hasEnds() || body.path("waitMs").asLong() == 0) {
-            JsonHttp.answer(response, callback, OK, current.holdAnswer());
+            answerHold(current, response, callback);
         } else {
-            holds.add(new PendingHold(now() + body.path("waitMs").asLong(), response, callback));
+            long endsAt = now() + body.path("waitMs").asLong();
+            holds.add(new PendingHold(current, endsAt, request, response, callback));
+        }
+    }
+
+    private void answerHold(JobWorkerIncarnation current, Response response, Callback callback) {
+        ObjectNode answer = current.holdAnswer();
+        if (!description.path("statesBirth").asBoolean()) {
+            answer.remove("born");
         }
+        JsonHttp.answer(response, callback, OK, answer);
+        executeLateStart(current);
     }
 
     private static void answer(Response response, Callback callback, String refused) {
