--- a/core/src/main/java/org/lupinpaddle/core/run/FencingTokens.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/FencingTokens.java
@@ -64,7 +64,7 @@
         return next;
     }
 
-    /** Returns whether an order to a worker was superseded. */
+    /** Returns whether the token of a worker has been raised. */
     boolean isRaised(String worker) {
         return raised.containsKey(worker);
     }
