--- a/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
@@ -34,7 +34,7 @@
 import org.lupinpaddle.core.run.ScriptedFleet.Fate;
 import org.lupinpaddle.core.run.ScriptedFleet.Owner;
 
-/** Forces orders of events in which a worker carries out an order late, most often in its next life under the same id. */
+/** Forces orders of events in which a worker carries out an order late, most often in its next incarnation under the same id. */
 class LateStartAfterRestartTest {
 
     private static final long FIRST_BIRTH = 1_000_000;
@@ -52,8 +52,8 @@
     private final ScriptedFleet f = new ScriptedFleet();
     private ScriptedWorker w1 = f.add("w1", FIRST_BIRTH, 60_000);
 
-    /** Replaces the worker by one that states this birth and whose first life has this clock. */
-    private void firstLife(long born, long clockMillis) {
+    /** Replaces the worker by one that states this birth and whose first incarnation has this clock. */
+    private void firstIncarnation(long born, long clockMillis) {
         f.workers.clear();
         w1 = f.add("w1", born, clockMillis);
     }
@@ -91,7 +91,7 @@
         assertTrue(!w1.hasEnds(), "the end has to be acknowledged");
     }
 
-    /** Leaves all starts of a run unanswered, and lets the first life answer its stop. */
+    /** Leaves all starts of a run unanswered, and lets the first incarnation answer its stop. */
     private void stopUnanswered() {
         f.starts.addAll(List.of(Fate.LATE, Fate.LATE, Fate.LATE));
         startLate();
@@ -152,7 +152,7 @@
         assertEquals(List.of(), f.judge.broken);
     }
 
-    /** Runs a test with the late start at both moments after the first answer of the last life. */
+    /** Runs a test with the late start at both moments after the first answer of the last incarnation. */
     @Retention(RetentionPolicy.RUNTIME)
     @ParameterizedTest
     @ValueSource(longs = {200, 1_000})
@@ -178,7 +178,7 @@
     @Nested
     class RunLost {
 
-        /** Guards against a late copy of a lost run, which the new life was told to refuse. */
+        /** Guards against a late copy of a lost run, which the new incarnation was told to refuse. */
         @AtBothDelays
         void runLostStopsWork(long delayMillis) {
             startTwice();
@@ -204,9 +204,9 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against a late copy of a lost run whose task is at work again on the new life itself. */
+        /** Guards against a late copy of a lost run whose task is at work again on the new incarnation itself. */
         @AtBothDelays
-        void runLostPlacedOnNewLife(long delayMillis) {
+        void runLostPlacedOnNewIncarnation(long delayMillis) {
             startLate();
             f.runUntil(() -> w1.runs("a"));
             f.run(50);
@@ -254,7 +254,7 @@
     @Nested
     class StoppedBefore {
 
-        /** Guards against trusting a stop that only the first life has answered. */
+        /** Guards against trusting a stop that only the first incarnation has answered. */
         @AtBothDelays
         void stoppedBeforeStopsWork(long delayMillis) {
             stopUnanswered();
@@ -263,7 +263,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against the same failure while the stop to the new life is lost once. */
+        /** Guards against the same failure while the stop to the new incarnation is lost once. */
         @AtBothDelays
         void stoppedBeforeStopLost(long delayMillis) {
             stopUnanswered();
@@ -273,7 +273,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against the same failure while the stops to the new life are late. */
+        /** Guards against the same failure while the stops to the new incarnation are late. */
         @AtBothDelays
         void stoppedBeforeStopsLate(long delayMillis) {
             stopUnanswered();
@@ -283,9 +283,9 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against taking the first life's late answer to a stop for the new life's. */
+        /** Guards against taking the first incarnation's late answer to a stop for the new incarnation's. */
         @AtBothDelays
-        void answerOfFirstLifeLate(long delayMillis) {
+        void answerOfFirstIncarnationLate(long delayMillis) {
             f.stops.addAll(List.of(Fate.ANSWER_LATE, Fate.LOST));
             stopUnanswered();
             f.run(5);
@@ -365,7 +365,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against the same failure while the stop to the new life is lost once. */
+        /** Guards against the same failure while the stop to the new incarnation is lost once. */
         @AtBothDelays
         void instancesStopLost(long delayMillis) {
             giveUpByInstances();
@@ -374,7 +374,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against the same failure while the stops to the new life are late. */
+        /** Guards against the same failure while the stops to the new incarnation are late. */
         @AtBothDelays
         void instancesStopsLate(long delayMillis) {
             giveUpByInstances();
@@ -391,7 +391,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against the same failure while the stop to the new life is lost once. */
+        /** Guards against the same failure while the stop to the new incarnation is lost once. */
         @AtBothDelays
         void deadlinesStopLost(long delayMillis) {
             giveUpByDeadlines();
@@ -400,7 +400,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against the same failure while the stops to the new life are late. */
+        /** Guards against the same failure while the stops to the new incarnation are late. */
         @AtBothDelays
         void deadlinesStopsLate(long delayMillis) {
             giveUpByDeadlines();
@@ -420,7 +420,7 @@
             f.run(300);
         }
 
-        /** Guards against trusting a stop that only the second life has answered. */
+        /** Guards against trusting a stop that only the second incarnation has answered. */
         @AtBothDelays
         void twoRestartsStopsWork(long delayMillis) {
             restartAfterRefusal();
@@ -428,7 +428,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against the same failure while the stop to the third life is lost once. */
+        /** Guards against the same failure while the stop to the third incarnation is lost once. */
         @AtBothDelays
         void twoRestartsStopLost(long delayMillis) {
             restartAfterRefusal();
@@ -437,7 +437,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against the same failure while the stops to the third life are late. */
+        /** Guards against the same failure while the stops to the third incarnation are late. */
         @AtBothDelays
         void twoRestartsStopsLate(long delayMillis) {
             restartAfterRefusal();
@@ -446,9 +446,9 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against taking the second life's late answer to a stop for the third life's. */
+        /** Guards against taking the second incarnation's late answer to a stop for the third incarnation's. */
         @AtBothDelays
-        void answerOfSecondLifeLate(long delayMillis) {
+        void answerOfSecondIncarnationLate(long delayMillis) {
             startTwice();
             f.stops.addAll(List.of(Fate.ANSWER_LATE, Fate.LOST));
             restart();
@@ -467,7 +467,7 @@
         /** Guards against a restart that only the clock shows. */
         @AtBothDelays
         void noBirthRunLost(long delayMillis) {
-            firstLife(0, 60_000);
+            firstIncarnation(0, 60_000);
             startTwice();
             restart(0);
             startLateAfter(delayMillis);
@@ -476,7 +476,7 @@
         /** Guards against the same failure after the run was done. */
         @AtBothDelays
         void noBirthRunDone(long delayMillis) {
-            firstLife(0, 60_000);
+            firstIncarnation(0, 60_000);
             startTwice();
             completeAndNote();
             restart(0);
@@ -486,7 +486,7 @@
         /** Guards against a restart that neither a birth nor the clock shows. */
         @AtBothDelays
         void noBirthClockAheadRunDone(long delayMillis) {
-            firstLife(0, 0);
+            firstIncarnation(0, 0);
             startTwice();
             completeAndNote();
             w1.cut = true;
@@ -499,7 +499,7 @@
         /** Guards against the same failure for a run that was lost. */
         @AtBothDelays
         void noBirthClockAheadRunLost(long delayMillis) {
-            firstLife(0, 0);
+            firstIncarnation(0, 0);
             startTwice();
             w1.cut = true;
             restart(0);
@@ -508,10 +508,10 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against a first life with an unreadable birth, whose clock shows the restart. */
+        /** Guards against a first incarnation with an unreadable birth, whose clock shows the restart. */
         @AtBothDelays
         void unreadableThenBornRunDone(long delayMillis) {
-            firstLife(UNREADABLE, 60_000);
+            firstIncarnation(UNREADABLE, 60_000);
             startTwice();
             completeAndNote();
             restart(SECOND_BIRTH);
@@ -521,13 +521,13 @@
         /** Guards against the same failure for a run that was lost. */
         @AtBothDelays
         void unreadableThenBornRunLost(long delayMillis) {
-            firstLife(UNREADABLE, 60_000);
+            firstIncarnation(UNREADABLE, 60_000);
             startTwice();
             restart(SECOND_BIRTH);
             startLateAfter(delayMillis);
         }
 
-        /** Guards against a new life with an unreadable birth, whose clock shows the restart. */
+        /** Guards against a new incarnation with an unreadable birth, whose clock shows the restart. */
         @AtBothDelays
         void bornThenUnreadableRunDone(long delayMillis) {
             startTwice();
@@ -544,7 +544,7 @@
             startLateAfter(delayMillis);
         }
 
-        /** Guards against ignoring a life whose birth is earlier than the previous one's. */
+        /** Guards against ignoring an incarnation whose birth is earlier than the previous one's. */
         @AtBothDelays
         void birthBackRunLost(long delayMillis) {
             startTwice();
@@ -597,7 +597,7 @@
         }
     }
 
-    /** The new life has carried out polls, but no answer of it has arrived. */
+    /** The new incarnation has carried out polls, but no answer of it has arrived. */
     @Nested
     class FirstAnswersLost {
 
@@ -608,7 +608,7 @@
             assertHeld();
         }
 
-        /** Guards against a late copy of a done run if the new life's first answer is lost. */
+        /** Guards against a late copy of a done run if the new incarnation's first answer is lost. */
         @Test
         void firstAnswerLostRunDone() {
             startTwice();
@@ -669,7 +669,7 @@
             return f.lateHolds.get(0);
         }
 
-        private void startOnSecondLife(String job) {
+        private void startOnSecondIncarnation(String job) {
             restart();
             awaitFirstAnswer();
             f.run(50);
@@ -678,11 +678,11 @@
             f.run(50);
         }
 
-        /** Guards against a late lastSeen that removes an end of the new life which nobody has seen. */
+        /** Guards against a late lastSeen that removes an end of the new incarnation which nobody has seen. */
         @Test
         void holdForgetsAnEnd() {
             Call hold = lateHold();
-            startOnSecondLife("a");
+            startOnSecondIncarnation("a");
             w1.end("a", EndKind.DONE);
             f.carryOut(hold);
             f.run(3_000);
@@ -693,7 +693,7 @@
         @Test
         void holdForgetsAnEndWhoseAnswerWasLost() {
             Call hold = lateHold();
-            startOnSecondLife("a");
+            startOnSecondIncarnation("a");
             w1.cut = true;
             f.run(100);
             w1.end("a", EndKind.DONE);
@@ -704,11 +704,11 @@
             assertHeld();
         }
 
-        /** Guards against a late deadline by the first life's clock that keeps a run alive beyond its release. */
+        /** Guards against a late deadline by the first incarnation's clock that keeps a run alive beyond its release. */
         @Test
         void holdExtendsARun() {
             Call hold = lateHold();
-            startOnSecondLife("a");
+            startOnSecondIncarnation("a");
             addOtherWorker();
             w1.cut = true;
             f.run(LATER_MILLIS);
@@ -717,7 +717,7 @@
             assertHeld();
         }
 
-        /** Lets a run of the new life begin after a late hold, and the worker fall silent. */
+        /** Lets a run of the new incarnation begin after a late hold, and the worker fall silent. */
         private void startAfterLateHold(Call hold) {
             w1.cut = false;
             restart();
@@ -731,7 +731,7 @@
             assertHeld();
         }
 
-        /** Guards against a late deadline that a new life takes before its first poll, after its worker was given up. */
+        /** Guards against a late deadline that a new incarnation takes before its first poll, after its worker was given up. */
         @Test
         void holdExtendsARunAfterItsWorkerWasGivenUp() {
             Call hold = lateHold();
@@ -758,14 +758,14 @@
             startAfterLateHold(hold);
         }
 
-        /** Guards against the same failure by a late start that the new life refuses as old. */
+        /** Guards against the same failure by a late start that the new incarnation refuses as old. */
         @Test
         void refusedStartExtendsARun() {
             startLate();
             f.runUntil(() -> w1.runs("a"));
             w1.end("a", EndKind.DONE);
             f.run(1_500);
-            startOnSecondLife("b");
+            startOnSecondIncarnation("b");
             addOtherWorker();
             w1.cut = true;
             f.run(LATER_MILLIS);
@@ -775,7 +775,7 @@
             assertHeld();
         }
 
-        /** Guards against a late stop of an earlier run that ends a later run on the new life. */
+        /** Guards against a late stop of an earlier run that ends a later run on the new incarnation. */
         @Test
         void stopLeavesALaterRun() {
             f.stops.addAll(List.of(Fate.LATE));
--- a/core/src/test/java/org/lupinpaddle/core/run/ScriptedFleet.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ScriptedFleet.java
@@ -41,7 +41,7 @@
         ANSWER_LOST,
         /** Carried out at once and answered when the test says so. */
         ANSWER_LATE,
-        /** Carried out when the test says so, by whichever life has the id then. */
+        /** Carried out when the test says so, by whichever incarnation has the id then. */
         LATE
     }
 
@@ -71,7 +71,7 @@
         final long sentAt;
         final long localSentAt;
         final long failsAt;
-        final int life;
+        final int incarnation;
         boolean open = true;
 
         @Nullable
@@ -84,7 +84,7 @@
             this.sentAt = sentAt;
             this.localSentAt = owner.driver.now;
             this.failsAt = sentAt + waitMillis + CALL_MILLIS;
-            this.life = worker.life;
+            this.incarnation = worker.incarnation;
         }
     }
 
@@ -259,7 +259,7 @@
 
     private void answerHold(Call c) {
         HoldOrder h = (HoldOrder) c.order;
-        if (!c.open || c.worker.life != c.life || c.worker.cut) {
+        if (!c.open || c.worker.incarnation != c.incarnation || c.worker.cut) {
             waitingHolds.remove(c);
         } else if (now >= c.sentAt + h.waitMillis() || c.worker.hasEnds()) {
             waitingHolds.remove(c);
--- a/core/src/test/java/org/lupinpaddle/core/run/ScriptedWorker.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ScriptedWorker.java
@@ -39,10 +39,10 @@
     private long clockZero;
 
     long born;
-    int life = 1;
+    int incarnation = 1;
     /** Whether no call reaches it and none of its answers arrives. */
     boolean cut;
-    /** When it first answered a poll in this life; -1 before. */
+    /** When it first answered a poll in this incarnation; -1 before. */
     long firstAnswerAt = -1;
 
     /** A task, as orders name it. */
@@ -66,7 +66,7 @@
         lastEnd = 0;
         clockZero = now;
         born = nextBorn;
-        life++;
+        incarnation++;
         firstAnswerAt = -1;
     }
 
@@ -180,6 +180,6 @@
 
     @Override
     public String toString() {
-        return id + " in life " + life;
+        return id + " in incarnation " + incarnation;
     }
 }
