--- a/core/src/test/java/org/lupinpaddle/core/run/ScriptedFleet.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ScriptedFleet.java
@@ -113,7 +113,7 @@
     }
 
     /** Returns the fencing token of an order. */
-    private static long fencingToken(Object order) {
+    private static long fenceOf(Object order) {
         if (order instanceof StartOrder s) {
             return s.fence();
         }
@@ -247,7 +247,7 @@
     }
 
     private void execute(Call c) {
-        long token = fencingToken(c.order);
+        long token = fenceOf(c.order);
         if (c.order instanceof StartOrder s) {
             c.outcome = c.worker.start(s, token);
         } else if (c.order instanceof StopOrder s) {
