--- a/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LateStartAfterRestartTest.java
@@ -678,7 +678,7 @@
             f.run(50);
         }
 
-        /** Guards against a late lastSeen that removes an end of the new incarnation which nobody has seen. */
+        /** Guards against a late acknowledgement that removes an end of the new incarnation which nobody has seen. */
         @Test
         void holdForgetsAnEnd() {
             Call hold = lateHold();
