--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -23,6 +23,7 @@
 import java.util.stream.Collectors;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.fleet.OngoingOperation.Phase;
 import org.lupinpaddle.core.queue.ServiceConfig;
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
@@ -95,6 +96,11 @@
         state.services = List.copyOf(services);
     }
 
+    /** Sets the cordoned data halls. */
+    public void onCordons(HallCordons cordons) {
+        state.cordons = cordons;
+    }
+
     /** Handles a report from the owner of a service. */
     public void onReport(String service, ServiceReport report) {
         state.onReport(service, report);
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -28,6 +28,7 @@
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
 import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.queue.ServiceConfig;
 import org.lupinpaddle.core.upkeep.EvacuationRecord;
 import org.lupinpaddle.core.upkeep.UpkeepWave;
@@ -65,6 +66,8 @@
     final Set<String> impossibleMoves = new HashSet<>();
 
     List<ServiceConfig> services = List.of();
+    /** The cordoned data halls. */
+    HallCordons cordons = HallCordons.DISABLED;
     /** Whether the latest instance list was complete. */
     boolean listComplete = true;
     /**
--- a/core/src/main/java/org/lupinpaddle/core/placement/WorkerFacts.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/WorkerFacts.java
@@ -29,6 +29,7 @@
  * @param remainingMillis the minimum time until it ends while draining; 0 if not reported
  * @param capacity its total resources
  * @param labels its kind and its rack
+ * @param coldMillis how long after this record was written the worker stays slow because it is cold; 0 if it is warm
  */
 public record WorkerFacts(
         String id,
@@ -39,9 +40,24 @@
         boolean draining,
         long remainingMillis,
         Resources capacity,
-        List<String> labels) {
+        List<String> labels,
+        long coldMillis) {
 
-    /** Creates the properties of a worker that does not report its start time. */
+    /** Creates the properties of a warm worker. */
+    public WorkerFacts(
+            String id,
+            long startMillis,
+            String service,
+            String address,
+            String hall,
+            boolean draining,
+            long remainingMillis,
+            Resources capacity,
+            List<String> labels) {
+        this(id, startMillis, service, address, hall, draining, remainingMillis, capacity, labels, 0);
+    }
+
+    /** Creates the properties of a warm worker that does not report its start time. */
     public WorkerFacts(
             String id,
             String service,
--- a/core/src/main/java/org/lupinpaddle/core/queue/ServiceConfig.java
+++ b/core/src/main/java/org/lupinpaddle/core/queue/ServiceConfig.java
@@ -21,5 +21,12 @@
  * @param name the service's name
  * @param headroom whether it is the reserve pool, whose instances are off and are moved to other services
  * @param guardsRoom whether its workers refuse tasks that exceed their capacity
+ * @param coldStartsPerSecond the maximum number of tasks started per second on a worker that is cold; 0 for no limit
  */
-public record ServiceConfig(String name, boolean headroom, boolean guardsRoom) {}
+public record ServiceConfig(String name, boolean headroom, boolean guardsRoom, double coldStartsPerSecond) {
+
+    /** Creates the configuration of a service without a limit on starts on cold workers. */
+    public ServiceConfig(String name, boolean headroom, boolean guardsRoom) {
+        this(name, headroom, guardsRoom, 0);
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -26,6 +26,7 @@
 import org.lupinpaddle.core.capacity.ArrivalRate;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
@@ -194,6 +195,11 @@
         state.workersConfirmedAt = Math.max(state.workersConfirmedAt, since);
     }
 
+    /** Sets the cordoned data halls. */
+    public void onCordons(HallCordons cordons) {
+        state.cordons = cordons;
+    }
+
     /**
      * Returns whether a silent worker still has tasks, so that the platform's list of instances should be requested.
      */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -25,6 +25,7 @@
 import org.lupinpaddle.core.capacity.ArrivalRate;
 import org.lupinpaddle.core.capacity.DemandTrend;
 import org.lupinpaddle.core.common.Clock;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.TaskId;
@@ -63,6 +64,8 @@
     final Set<String> urgentlyEvacuating = new HashSet<>();
     /** Caller ids of jobs whose records cannot be read. Their runs are left as they are. */
     final Set<String> unreadableJobs = new HashSet<>();
+    /** The cordoned data halls. */
+    HallCordons cordons = HallCordons.DISABLED;
     /** The time up to which the list of workers is confirmed. */
     long workersConfirmedAt = Long.MIN_VALUE / 2;
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.workspace.Workspaces;
 import org.lupinpaddle.daemon.common.EventLoop;
@@ -86,6 +87,11 @@
         return new ActiveWorkspaces(records.configurationKey(), revision, isConfirmed(), known);
     }
 
+    /** Returns the cordoned data halls. */
+    HallCordons cordons() {
+        return HallCordons.DISABLED;
+    }
+
     /** Returns whether the watch works, so that this entry soon learns of a newer configuration. */
     boolean isConfirmed() {
         return loop.clock().millis() - confirmedAt() <= CONFIRMED_MILLIS;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -25,11 +25,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.common.Unreadable;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.fleet.FleetPlanner;
 import org.lupinpaddle.core.fleet.FleetPort;
 import org.lupinpaddle.core.fleet.FleetTiming;
@@ -125,6 +127,7 @@
      * @param timing the planner's timing
      * @param meters the entry's metrics
      * @param unreadable the unreadable entries of the store
+     * @param cordons supplies the current view of cordoned data halls
      */
     record Context(
             String name,
@@ -136,7 +139,8 @@
             Clock wall,
             FleetTiming timing,
             JobMetrics meters,
-            UnreadableEntries unreadable) {
+            UnreadableEntries unreadable,
+            Supplier<HallCordons> cordons) {
 
         /** Returns how long after a change of owner a recently ordered instance must not be ordered. */
         static long takeOverMillis(long ownerLeaseMillis) {
@@ -227,6 +231,7 @@
             dropOrdersOfEndedLives();
         }
         if (!isHandingOver()) {
+            planner.onCordons(context.cordons.get());
             planner.tick();
         }
         context.loop.after(TICK_MILLIS, this::tick);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -121,7 +121,8 @@
                 timing,
                 p.meters(),
                 unreadable,
-                configuration::workspaces);
+                configuration::workspaces,
+                configuration::cordons);
         fleetContext = new FleetHost.Context(
                 p.name(),
                 p.store(),
@@ -134,7 +135,8 @@
                         p.limits().upkeepMillis(),
                         FleetHost.Context.takeOverMillis(p.limits().ownerLeaseMillis())),
                 p.meters(),
-                unreadable);
+                unreadable,
+                configuration::cordons);
     }
 
     public void start() {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -32,6 +32,7 @@
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.common.Unreadable;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobSpec;
@@ -118,6 +119,7 @@
      * @param meters the entry's metrics
      * @param unreadable the unreadable entries of the store
      * @param workspaces supplies the workspaces of the current configuration
+     * @param cordons supplies the current view of cordoned data halls
      */
     record Context(
             KeyValueStore store,
@@ -130,7 +132,8 @@
             SchedulerTiming timing,
             JobMetrics meters,
             UnreadableEntries unreadable,
-            Supplier<ActiveWorkspaces> workspaces) {}
+            Supplier<ActiveWorkspaces> workspaces,
+            Supplier<HallCordons> cordons) {}
 
     /**
      * Creates the host.
@@ -351,6 +354,7 @@
             if (evacuations.isRead()) {
                 scheduler.onWorkersConfirmed(Math.min(workers.confirmedAt(), inputs.confirmedAt()));
             }
+            scheduler.onCordons(context.cordons.get());
             scheduler.tick();
             quotas.run();
             endHandOver();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/PlatformRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/PlatformRecords.java
@@ -17,6 +17,7 @@
 
 import io.vavr.control.Either;
 import org.lupinpaddle.core.common.Unreadable;
+import org.lupinpaddle.core.cordon.Cordon;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.upkeep.UpkeepWave;
@@ -36,6 +37,15 @@
     /** Parses a worker's record, or returns why it is unreadable. */
     Either<Unreadable, WorkerFacts> worker(StoreItem item);
 
+    /** Returns a key prefix of everything that operators write: the configuration, cordons and waves. */
+    String operatorPrefix();
+
+    /** Returns the key prefix of the cordons of data halls. */
+    String cordonPrefix();
+
+    /** Parses the cordon of a data hall, or returns why its key names no hall. */
+    Either<Unreadable, Cordon> cordon(StoreItem item);
+
     /** Returns the key prefix of the maintenance waves that operators request. */
     String wavePrefix();
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.daemon.settings;
 
 import java.nio.file.Path;
+import java.util.Set;
 import org.lupinpaddle.core.ownership.OwnerRank;
 
 /**
@@ -41,8 +42,9 @@
      * @param name its name, unlike all others
      * @param hall the data hall it stands in
      * @param capacity how much it can do, in thousandths of a core
+     * @param halls all data halls of the deployment; empty if not known
      */
-    public record Entry(String name, String hall, long capacity) {}
+    public record Entry(String name, String hall, long capacity, Set<String> halls) {}
 
     /**
      * Where the entry listens, each as IP and port.
@@ -71,6 +73,8 @@
      * @param ownerLeaseMillis how long after an owner of the fleet its successor waits with its first order
      * @param upkeepMillis how long the platform takes for the upkeep of an instance
      * @param fencedInstances whether the platform checks fences of orders on instances
+     * @param cordonMillis how long after a hall was cordoned tasks may still start there; 0 if the deployment has no
+     *     cordons
      */
     public record Bounds(
             long longestHoldMillis,
@@ -78,7 +82,8 @@
             long graceSeconds,
             long ownerLeaseMillis,
             long upkeepMillis,
-            boolean fencedInstances) {}
+            boolean fencedInstances,
+            long cordonMillis) {}
 
     /**
      * How operators ask. Without an address nothing listens for them.
@@ -109,7 +114,7 @@
     static JobSettings parse(String file, String text) throws SettingsException {
         TomlChecks t = TomlChecks.parse(file, text);
         JobSettings s = new JobSettings(
-                new Entry(t.name("entry.name"), t.name("entry.hall"), capacity(t)),
+                new Entry(t.name("entry.name"), t.name("entry.hall"), capacity(t), t.names("entry.halls")),
                 new Listen(
                         t.address("listen.callers", true),
                         t.address("listen.ready", true),
@@ -124,7 +129,8 @@
                         t.number("bounds.grace_seconds", 1, 3_600),
                         t.number("bounds.owner_lease_millis", 0, MOST_MILLIS),
                         t.seconds("bounds.upkeep_seconds"),
-                        t.flag("bounds.fenced_instances")),
+                        t.flag("bounds.fenced_instances"),
+                        t.millis("bounds.cordon_millis", 0)),
                 t.has("operator")
                         ? new Operator(t.address("operator.address", true), t.token("operator.token"))
                         : Operator.NONE);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/TomlChecks.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/TomlChecks.java
@@ -24,6 +24,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -113,6 +114,26 @@
         return v;
     }
 
+    /** Returns a set of names; empty if it is missing. */
+    Set<String> names(String key) throws SettingsException {
+        JsonNode n = at(key);
+        Set<String> all = new LinkedHashSet<>();
+        if (n.isMissingNode()) {
+            return all;
+        }
+        String want = "a list of names of small letters, digits and hyphens, 63 at most, in quotes";
+        if (!n.isArray()) {
+            throw new SettingsException(file, key, "has the wrong type; give " + want);
+        }
+        for (JsonNode a : n) {
+            if (!a.isTextual() || !NAME.matcher(a.textValue()).matches()) {
+                throw new SettingsException(file, key, a + " is no name; give " + want);
+            }
+            all.add(a.textValue());
+        }
+        return all;
+    }
+
     String address(String key, boolean mayBeZero) throws SettingsException {
         String want = "IP:PORT in quotes, such as \"127.0.0.1:8080\"";
         return checkAddress(key, text(key, want), mayBeZero, want);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOperation;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
@@ -179,7 +180,8 @@
                 timing,
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
-                () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE));
+                () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
+                () -> HallCordons.DISABLED);
         WorkerFeed workers =
                 new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMetrics()), () -> {});
         workers.start();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
@@ -17,6 +17,7 @@
 
 import io.vavr.control.Either;
 import org.lupinpaddle.core.common.Unreadable;
+import org.lupinpaddle.core.cordon.Cordon;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.upkeep.UpkeepWave;
@@ -26,7 +27,8 @@
 /** Locates and parses platform records that tests write in the format of the stored records. */
 final class FakeRecords implements PlatformRecords {
 
-    static final String CONFIGURATION = "configuration";
+    static final String CONFIGURATION = "operator/configuration";
+    static final String CORDONS = "operator/cordon/";
 
     @Override
     public String configurationKey() {
@@ -48,6 +50,21 @@
         return item.read(WorkerFacts.class);
     }
 
+    @Override
+    public String operatorPrefix() {
+        return "operator/";
+    }
+
+    @Override
+    public String cordonPrefix() {
+        return CORDONS;
+    }
+
+    @Override
+    public Either<Unreadable, Cordon> cordon(StoreItem item) {
+        return Either.right(new Cordon(item.key().substring(CORDONS.length()), item.revision()));
+    }
+
     @Override
     public String wavePrefix() {
         return "wave/";
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHandOverTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHandOverTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.fleet.FleetTiming;
 import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOperation;
@@ -86,7 +87,8 @@
                 loop.clock(),
                 timing,
                 new JobMetrics(),
-                new UnreadableEntries(new JobMetrics()));
+                new UnreadableEntries(new JobMetrics()),
+                () -> HallCordons.DISABLED);
         FleetHost host = new FleetHost(context, store.set(SchedulerKeys.owner(JobNode.FLEET), name));
         host.start(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
         return host;
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
@@ -134,7 +134,7 @@
     }
 
     private JobNode node() {
-        JobSettings.Bounds bounds = new JobSettings.Bounds(6_000, 300, GRACE_SECONDS, LEASE_MILLIS, 2_000, false);
+        JobSettings.Bounds bounds = new JobSettings.Bounds(6_000, 300, GRACE_SECONDS, LEASE_MILLIS, 2_000, false, 0);
         return new JobNode(
                 loop,
                 new JobNode.Parts(
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaManagerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaManagerTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.job.SchedulerKeys;
 import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.run.SchedulerTiming;
@@ -58,7 +59,8 @@
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(
-                        FakeRecords.CONFIGURATION, revision, true, new Workspaces(List.copyOf(workspaces), List.of())));
+                        FakeRecords.CONFIGURATION, revision, true, new Workspaces(List.copyOf(workspaces), List.of())),
+                () -> HallCordons.DISABLED);
         return new QuotaManager(entry, "clips", fence, () -> {});
     }
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.fleet.InstanceList;
 import org.lupinpaddle.core.fleet.InstanceOperation;
 import org.lupinpaddle.core.fleet.InstanceOrderOutcome;
@@ -79,7 +80,8 @@
                 timing,
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
-                () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE));
+                () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
+                () -> HallCordons.DISABLED);
         WorkerFeed workers =
                 new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMetrics()), () -> {});
         SchedulerHost host = new SchedulerHost(context, "clips", fence, workers, () -> {}, () -> {});
--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -49,7 +49,7 @@
         Link out = new Link(world.time, kind.linkBytesPerMilli());
         Link in = new Link(world.time, kind.linkBytesPerMilli());
         JobSettings.Bounds bounds = new JobSettings.Bounds(
-                SimWorker.MAX_HOLD_MILLIS, SimWorker.STOP_MILLIS, 6, World.LEASE_MILLIS, World.UPKEEP_MILLIS, false);
+                SimWorker.MAX_HOLD_MILLIS, SimWorker.STOP_MILLIS, 6, World.LEASE_MILLIS, World.UPKEEP_MILLIS, false, 0);
         return new JobNode(
                 loop,
                 new JobNode.Parts(
--- a/model/src/main/java/org/lupinpaddle/model/SimRecords.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimRecords.java
@@ -18,6 +18,7 @@
 import io.vavr.control.Either;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Unreadable;
+import org.lupinpaddle.core.cordon.Cordon;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.upkeep.UpkeepWave;
@@ -57,6 +58,21 @@
         return item.read(WorkerFacts.class);
     }
 
+    @Override
+    public String operatorPrefix() {
+        return World.OPERATORS;
+    }
+
+    @Override
+    public String cordonPrefix() {
+        return World.CORDONS;
+    }
+
+    @Override
+    public Either<Unreadable, Cordon> cordon(StoreItem item) {
+        return Either.right(new Cordon(item.key().substring(World.CORDONS.length()), item.revision()));
+    }
+
     @Override
     public String wavePrefix() {
         return World.WAVES;
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -44,7 +44,9 @@
     static final long UPKEEP_MILLIS = 2_000;
     static final long MOVE_MILLIS = 1_500;
     static final String SPARE_POOL = "spare";
-    static final String CONFIGURATION = "model/configuration";
+    static final String OPERATORS = "model/operator/";
+    static final String CONFIGURATION = OPERATORS + "configuration";
+    static final String CORDONS = OPERATORS + "cordon/";
     static final String WORKERS = "model/worker/";
     static final String WAVES = "model/wave/";
     static final String WAVE_STATUS = "model/wave-status/";
