Read the operators' cordons from the configuration's watch

Cause: no code read the cordons, so every view was HallCordons.DISABLED. Change: where Bounds.cordonMillis is above 0, the configuration feed watches operatorPrefix() and CordonFeed turns its items into a view, logs changes and reports unreadable cordons. The waiting time of the watch follows from the bound. JobNode.Parts takes all halls of the deployment; the model passes none yet. Without cordons the feed watches the configuration's key as before.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -32,7 +32,7 @@
 import org.lupinpaddle.daemon.port.StoreItem;
 
 /**
- * Provides the operators' configuration in force at this entry. The configuration never moves backwards: items with a
+ * Provides the operators' configuration and cordons in force at this entry. The configuration never moves backwards: items with a
  * revision older than the one in force are ignored.
  */
 final class ConfigurationFeed implements PrefixWatch.Listener, AutoCloseable {
@@ -47,6 +47,7 @@
     private final PlatformRecords records;
     private final UnreadableEntries unreadable;
     private final PrefixWatch watch;
+    private final CordonFeed cordons;
     private final Runnable onChange;
     private @Nullable JobConfiguration configuration;
     private long revision;
@@ -58,13 +59,18 @@
             EventLoop loop,
             PlatformRecords records,
             UnreadableEntries unreadable,
+            CordonFeed cordons,
             Runnable onChange) {
         this.store = store;
         this.loop = loop;
         this.records = records;
         this.unreadable = unreadable;
+        this.cordons = cordons;
         this.onChange = onChange;
-        watch = new PrefixWatch(store, loop, records.configurationKey(), this);
+        // One watch covers the configuration and the cordons, so cordons need no call of their own.
+        watch = cordons.isEnabled()
+                ? new PrefixWatch(store, loop, records.operatorPrefix(), 0, cordons.watchMillis(), this)
+                : new PrefixWatch(store, loop, records.configurationKey(), this);
     }
 
     void start() {
@@ -87,9 +93,19 @@
         return new ActiveWorkspaces(records.configurationKey(), revision, isConfirmed(), known);
     }
 
-    /** Returns the cordoned data halls. */
+    /** Returns the cordoned data halls; the view is current if the watch has been answered recently. */
     HallCordons cordons() {
-        return HallCordons.DISABLED;
+        return cordons.view(confirmedAt());
+    }
+
+    /** Returns whether all halls of the deployment are cordoned for certain, so that no task can start anywhere. */
+    boolean areAllHallsCordoned() {
+        return cordons.coversAllHalls(confirmedAt(), loop.clock().millis());
+    }
+
+    /** Logs whether the view of the cordons is current, if that has changed and the entry owns a service. */
+    void logCordonConfirmation(boolean ownsService) {
+        cordons.logConfirmation(ownsService, confirmedAt(), loop.clock().millis());
     }
 
     /** Returns whether the watch works, so that this entry soon learns of a newer configuration. */
@@ -124,11 +140,19 @@
 
     @Override
     public void onRead() {
-        watch.items().forEach(this::apply);
+        applyAll();
     }
 
     @Override
     public void onChanges(List<StoreChanges.Change> changes) {
+        applyAll();
+    }
+
+    private void applyAll() {
+        // Cordons come first: a new configuration may bring this entry duties, and they must not start on an old view.
+        if (cordons.isEnabled()) {
+            cordons.update(watch.items());
+        }
         watch.items().forEach(this::apply);
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobCommandExecutor.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobCommandExecutor.java
@@ -52,11 +52,17 @@
     private final JobIntake intake;
     private final UnreadableEntriesQuery unreadable;
 
-    public JobCommandExecutor(KeyValueStore store, PlatformRecords records, JobIntake intake) {
+    /**
+     * Creates an executor.
+     *
+     * @param cordons reads the cordons; empty if the deployment has none
+     */
+    JobCommandExecutor(
+            KeyValueStore store, PlatformRecords records, JobIntake intake, Optional<CordonRecords> cordons) {
         this.store = store;
         this.records = records;
         this.intake = intake;
-        unreadable = new UnreadableEntriesQuery(store, records);
+        unreadable = new UnreadableEntriesQuery(store, records, cordons);
     }
 
     @Override
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -82,6 +83,7 @@
      * @param advice advises which workers may run a step
      * @param instances lists and orders instances
      * @param limits the limits that the platform sets for the entry
+     * @param halls all data halls of the deployment; empty if not known
      * @param wall the wall clock
      * @param meters the entry's metrics
      */
@@ -94,6 +96,7 @@
             AdviceService advice,
             InstanceOrders instances,
             JobSettings.Bounds limits,
+            Set<String> halls,
             Clock wall,
             JobMetrics meters) {}
 
@@ -102,12 +105,20 @@
         this.loop = loop;
         meters = p.meters();
         unreadable = new UnreadableEntries(meters);
-        configuration = new ConfigurationFeed(p.store(), loop, p.records(), unreadable, this::configurationChanged);
+        CordonRecords cordonRecords = new CordonRecords(p.records(), p.halls());
+        CordonFeed cordons =
+                new CordonFeed(cordonRecords, unreadable, p.limits().cordonMillis());
+        configuration =
+                new ConfigurationFeed(p.store(), loop, p.records(), unreadable, cordons, this::configurationChanged);
         workerFeedFactory = () -> new WorkerFeed(p.store(), loop, p.records(), unreadable, this::workersChanged);
         ownership = new OwnershipManager(p.store(), loop, p.name(), p.capacity(), this);
         addGauges();
+        if (cordons.isEnabled()) {
+            addCordonGauges();
+        }
         intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall(), this::reachesStore);
-        commandExecutor = new JobCommandExecutor(p.store(), p.records(), intake);
+        commandExecutor = new JobCommandExecutor(
+                p.store(), p.records(), intake, cordons.isEnabled() ? Optional.of(cordonRecords) : Optional.empty());
         SchedulerTiming timing = SchedulerTiming.usual(
                 p.limits().longestHoldMillis(), p.limits().stopMillis(), MAX_STORE_SILENCE_MILLIS);
         schedulerContext = new SchedulerHost.Context(
@@ -160,6 +171,11 @@
         meters.gauge("log.lines.left.out", Log::leftOut);
     }
 
+    private void addCordonGauges() {
+        meters.gauge("cordons.halls", () -> configuration.cordons().halls().size());
+        meters.gauge("cordons.age.millis", () -> loop.clock().millis() - configuration.confirmedAt());
+    }
+
     /** Returns the handler of callers' requests. Use it on the event loop only. */
     public JobIntake intake() {
         return intake;
@@ -182,6 +198,7 @@
     private void check() {
         long now = loop.clock().millis();
         unstartedDuties = hosts.values().stream().filter(h -> !h.isStarted()).count();
+        configuration.logCordonConfirmation(!hosts.isEmpty());
         boolean next = !stopping && reachesStore() && intake.isConfigured();
         if (next != ready) {
             ready = next;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
@@ -37,12 +37,13 @@
     private static final long RETRY_MILLIS = 200;
     // A lost answer is noticed after this time and the time limit of a call, which is sooner than the 3 s without
     // faults after which the platform measures an entry against its limits.
-    private static final long WATCH_MILLIS = 1_500;
+    static final long WATCH_MILLIS = 1_500;
 
     private final KeyValueStore store;
     private final EventLoop loop;
     private final String prefix;
     private final long batchMillis;
+    private final long watchMillis;
     private final Listener listener;
     private final Map<String, StoreItem> items = new LinkedHashMap<>();
     private long revision;
@@ -86,10 +87,22 @@
      * cost.
      */
     PrefixWatch(KeyValueStore store, EventLoop loop, String prefix, long batchMillis, Listener listener) {
+        this(store, loop, prefix, batchMillis, WATCH_MILLIS, listener);
+    }
+
+    /**
+     * Creates a watch that waits after each change, and whose calls are answered after a given time without changes.
+     *
+     * @param batchMillis the waiting time after a change
+     * @param watchMillis the time after which a call without changes is answered
+     */
+    PrefixWatch(
+            KeyValueStore store, EventLoop loop, String prefix, long batchMillis, long watchMillis, Listener listener) {
         this.store = store;
         this.loop = loop;
         this.prefix = prefix;
         this.batchMillis = batchMillis;
+        this.watchMillis = watchMillis;
         this.listener = listener;
     }
 
@@ -126,7 +139,7 @@
             return;
         }
         long sentAt = loop.clock().millis();
-        store.watch(prefix, revision, WATCH_MILLIS)
+        store.watch(prefix, revision, watchMillis)
                 .whenComplete((c, why) -> loop.execute(() -> {
                     if (why != null) {
                         watchFailed(why);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
@@ -52,6 +52,8 @@
         CONFIGURATION,
         /** A workspace entry of the operators' configuration. */
         WORKSPACE,
+        /** A cordon of a data hall requested by the operators. */
+        CORDON,
         /** A maintenance wave requested by the operators. */
         WAVE,
         /** An accepted job. */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntriesQuery.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntriesQuery.java
@@ -39,10 +39,17 @@
 
     private final KeyValueStore store;
     private final PlatformRecords records;
+    private final Optional<CordonRecords> cordons;
 
-    UnreadableEntriesQuery(KeyValueStore store, PlatformRecords records) {
+    /**
+     * Creates a query.
+     *
+     * @param cordons reads the cordons; empty if the deployment has none
+     */
+    UnreadableEntriesQuery(KeyValueStore store, PlatformRecords records, Optional<CordonRecords> cordons) {
         this.store = store;
         this.records = records;
+        this.cordons = cordons;
     }
 
     /** Returns why an item is unreadable; empty if it is readable or not of the expected kind. */
@@ -54,12 +61,18 @@
     CompletableFuture<List<String>> all() {
         return check(records.configurationKey(), this::configuration)
                 .thenCombine(check(records.workerPrefix(), i -> why(records.worker(i))), UnreadableEntriesQuery::concat)
+                .thenCombine(ofCordons(), UnreadableEntriesQuery::concat)
                 .thenCombine(check(records.wavePrefix(), i -> why(records.wave(i))), UnreadableEntriesQuery::concat)
                 .thenCombine(
                         check(SchedulerKeys.fleet(), UnreadableEntriesQuery::ofFleet), UnreadableEntriesQuery::concat)
                 .thenCombine(ofJobs(), UnreadableEntriesQuery::concat);
     }
 
+    private CompletableFuture<List<String>> ofCordons() {
+        return cordons.map(c -> check(c.prefix(), c::fault))
+                .orElseGet(() -> CompletableFuture.completedFuture(List.of()));
+    }
+
     /** Lists unreadable jobs and progress records; the schedulers leave such jobs alone. */
     CompletableFuture<List<String>> ofJobs() {
         return check(SchedulerKeys.allInputs(), UnreadableEntriesQuery::ofJob)
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/PlatformRecords.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/PlatformRecords.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.daemon.port;
 
 import io.vavr.control.Either;
+import java.util.Optional;
 import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.cordon.Cordon;
 import org.lupinpaddle.core.placement.WorkerFacts;
@@ -46,6 +47,11 @@
     /** Parses the cordon of a data hall, or returns why its key names no hall. */
     Either<Unreadable, Cordon> cordon(StoreItem item);
 
+    /** Returns why the value of a cordon is unreadable; empty if it is readable. The cordon is in force either way. */
+    default Optional<Unreadable> cordonValueFault(StoreItem item) {
+        return item.text().swap().toJavaOptional();
+    }
+
     /** Returns the key prefix of the maintenance waves that operators request. */
     String wavePrefix();
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobCommandExecutorTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobCommandExecutorTest.java
@@ -20,6 +20,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Nested;
@@ -39,10 +41,11 @@
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final DirectLoop loop = new DirectLoop();
     private final FakeRecords records = new FakeRecords();
-    private final ConfigurationFeed feed =
-            new ConfigurationFeed(store, loop, records, new UnreadableEntries(new JobMetrics()), () -> {});
+    private final UnreadableEntries unreadable = new UnreadableEntries(new JobMetrics());
+    private final CordonFeed cordons = new CordonFeed(new CordonRecords(records, Set.of()), unreadable, 0);
+    private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, unreadable, cordons, () -> {});
     private final JobCommandExecutor questions = new JobCommandExecutor(
-            store, records, new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true));
+            store, records, new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true), Optional.empty());
 
     private List<String> answer(String words) {
         List<String> lines = new ArrayList<>();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -19,6 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -50,8 +51,9 @@
     private final FakeKeyValueStore store = new FakeKeyValueStore();
     private final DirectLoop loop = new DirectLoop();
     private final FakeRecords records = new FakeRecords();
-    private final ConfigurationFeed feed =
-            new ConfigurationFeed(store, loop, records, new UnreadableEntries(new JobMetrics()), () -> {});
+    private final UnreadableEntries unreadable = new UnreadableEntries(new JobMetrics());
+    private final CordonFeed cordons = new CordonFeed(new CordonRecords(records, Set.of()), unreadable, 0);
+    private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, unreadable, cordons, () -> {});
     private boolean reached = true;
     private final JobIntake intake = new JobIntake(store, loop, records, feed, () -> 0, () -> reached);
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.fleet.InstanceList;
@@ -146,6 +147,7 @@
                         order -> CompletableFuture.completedFuture(Optional.empty()),
                         instances,
                         bounds,
+                        Set.of(),
                         loop.clock(),
                         new JobMetrics()));
     }
--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.model;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.lupinpaddle.daemon.jobs.JobMetrics;
 import org.lupinpaddle.daemon.jobs.JobNode;
@@ -61,6 +62,7 @@
                         order -> CompletableFuture.completedFuture(Optional.empty()),
                         new SimInstancePort(world, in),
                         bounds,
+                        Set.of(),
                         () -> World.EPOCH + world.time.now(),
                         new JobMetrics()));
     }
