Reject submissions while all halls are cordoned

Cause: a submission waited although no hall could run it. Change: JobIntake answers ALL_HALLS_CORDONED before its first write, if the view is current and covers all halls; a job that is already stored keeps its outcome, for one read in place of the commit.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -143,10 +143,46 @@
             return CompletableFuture.completedFuture(SubmitOutcome.NOT_TAKEN);
         }
         PendingSubmission h = new PendingSubmission(request, id, s, loop.clock().millis() + ACCEPT_TIMEOUT_MILLIS);
-        return admit(request).thenCompose(a -> accept(h, a, 1, false)).exceptionally(why -> {
-            Log.info("accept-refused", "job", id, "why", StoreFailure.text(why));
-            return SubmitOutcome.NOT_TAKEN;
-        });
+        // Cordons are checked only here, before the first write: a job that may be stored is never rejected.
+        return admit(request)
+                .thenCompose(a -> configuration.areAllHallsCordoned() ? outcomeIfStored(h, a) : accept(h, a, 1, false))
+                .exceptionally(why -> {
+                    Log.info("accept-refused", "job", id, "why", StoreFailure.text(why));
+                    return SubmitOutcome.NOT_TAKEN;
+                });
+    }
+
+    /**
+     * Returns the outcome of a submission while all halls are cordoned: a job that is already stored keeps its outcome,
+     * and no other is stored. The read replaces the commit of an accepted submission, so it costs no additional call.
+     */
+    private CompletableFuture<SubmitOutcome> outcomeIfStored(PendingSubmission h, Admission a) {
+        QueueConfig q = a.queue();
+        if (q == null) {
+            return CompletableFuture.completedFuture(refusal(a));
+        }
+        JobKey key = new JobKey(q.name(), h.id);
+        return store.read(SchedulerKeys.job(q.service(), key))
+                .thenComposeAsync(
+                        job -> job.map(j -> outcomeOfStored(h, a, q, j)).orElseGet(() -> {
+                            Log.info("accept-refused", "job", h.id, "why", "all halls are cordoned");
+                            return CompletableFuture.completedFuture(SubmitOutcome.ALL_HALLS_CORDONED);
+                        }),
+                        loop::execute);
+    }
+
+    private CompletableFuture<SubmitOutcome> outcomeOfStored(
+            PendingSubmission h, Admission a, QueueConfig q, StoreItem job) {
+        // No commit checks the configuration here, so a key is checked against the newest one.
+        CompletableFuture<Admission> newest =
+                a.usesKey() ? refreshAndAdmit(h.request) : CompletableFuture.completedFuture(a);
+        return newest.thenCompose(n -> n.isAdmitted()
+                ? jobAccess(n, q.service(), new JobKey(q.name(), h.id), job).thenApply(access -> access.submitOutcome)
+                : CompletableFuture.completedFuture(refusal(n)));
+    }
+
+    private static SubmitOutcome refusal(Admission a) {
+        return a.outcome() == Admission.Outcome.UNKNOWN_KEY ? SubmitOutcome.UNKNOWN_KEY : SubmitOutcome.NO_QUEUE;
     }
 
     /** A submission whose outcome is not yet known. */
@@ -156,9 +192,7 @@
             PendingSubmission h, Admission a, int attempt, boolean mayBeWritten) {
         QueueConfig q = a.queue();
         if (q == null) {
-            SubmitOutcome refused =
-                    a.outcome() == Admission.Outcome.UNKNOWN_KEY ? SubmitOutcome.UNKNOWN_KEY : SubmitOutcome.NO_QUEUE;
-            return CompletableFuture.completedFuture(mayBeWritten ? SubmitOutcome.UNKNOWN : refused);
+            return CompletableFuture.completedFuture(mayBeWritten ? SubmitOutcome.UNKNOWN : refusal(a));
         }
         JobKey key = new JobKey(q.name(), h.id);
         String at = SchedulerKeys.job(q.service(), key);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
@@ -27,6 +27,8 @@
     ID_TAKEN,
     /** The job was not accepted and this call will not store it later; the caller should retry. */
     NOT_TAKEN,
+    /** All data halls are cordoned. The job was not accepted and this call did not write anything. */
+    ALL_HALLS_CORDONED,
     /** The store did not report whether the job is stored. Submitting the same id again is safe. */
     UNKNOWN
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
@@ -35,6 +35,9 @@
     // Where the platform does not say: the longest that one has asked for, rounded up.
     private static final long STOP_MILLIS = 1_000;
     private static final long MOST_MILLIS = 86_400_000;
+    // Of the bound, 1,200 ms are reserved for a start's call. Within the rest the watch of the cordons must be answered
+    // twice; a smaller bound would take more than four calls a second at every entry.
+    private static final long LEAST_CORDON_MILLIS = 2_000;
 
     /**
      * Who the entry is.
@@ -74,7 +77,7 @@
      * @param upkeepMillis how long the platform takes for the upkeep of an instance
      * @param fencedInstances whether the platform checks fences of orders on instances
      * @param cordonMillis how long after a hall was cordoned tasks may still start there; 0 if the deployment has no
-     *     cordons
+     *     cordons, else 2,000 or more
      */
     public record Bounds(
             long longestHoldMillis,
@@ -130,7 +133,7 @@
                         t.number("bounds.owner_lease_millis", 0, MOST_MILLIS),
                         t.seconds("bounds.upkeep_seconds"),
                         t.flag("bounds.fenced_instances"),
-                        t.millis("bounds.cordon_millis", 0)),
+                        t.millisOrZero("bounds.cordon_millis", LEAST_CORDON_MILLIS, MOST_MILLIS)),
                 t.has("operator")
                         ? new Operator(t.address("operator.address", true), t.token("operator.token"))
                         : Operator.NONE);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/TomlChecks.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/TomlChecks.java
@@ -217,6 +217,19 @@
         return (long) Math.ceil(n.doubleValue());
     }
 
+    /**
+     * Returns a time as {@link #millis(String, long)} does, where {@code least} to {@code most} and 0 are in range.
+     */
+    long millisOrZero(String key, long least, long most) throws SettingsException {
+        double v = at(key).asDouble();
+        long millis = millis(key, 0);
+        if (Double.isNaN(v) || (millis != 0 && (millis < least || millis > most))) {
+            throw new SettingsException(
+                    file, key, at(key).asText() + " is out of range; give 0, or " + least + " to " + most + " ms");
+        }
+        return millis;
+    }
+
     /** Returns a number above 0, with or without a fraction; the other where it is missing. */
     double fraction(String key, double otherwise) throws SettingsException {
         JsonNode n = at(key);
