Test the reading of cordons, the rejections and the new settings

Cause: the feed, the intake and the decoding of cordons and cold times had no tests. Deployments without cordons are compared call by call with those that have them. The log lines of the view have no test.

--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeKeyValueStore.java
@@ -30,6 +30,7 @@
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.StoreChanges;
 import org.lupinpaddle.daemon.port.StoreCommit;
+import org.lupinpaddle.daemon.port.StoreException;
 import org.lupinpaddle.daemon.port.StoreItem;
 import org.lupinpaddle.daemon.port.StorePage;
 
@@ -57,6 +58,12 @@
     /** The number of requested commits. */
     int commits;
 
+    /** The requested pages and watches, each as call, prefix and, for a watch, waiting time. */
+    final List<String> calls = new ArrayList<>();
+
+    /** Whether the store refuses pages and watches. */
+    boolean refusesPagesAndWatches;
+
     /** The number of requested reads of single keys. */
     int reads;
 
@@ -176,6 +183,10 @@
 
     @Override
     public CompletableFuture<StorePage> page(String prefix, String after) {
+        calls.add("page " + prefix);
+        if (refusesPagesAndWatches) {
+            return CompletableFuture.failedFuture(new StoreException(StoreException.Kind.REFUSED, "page"));
+        }
         List<StoreItem> found =
                 items.values().stream().filter(i -> i.key().startsWith(prefix)).toList();
         return CompletableFuture.completedFuture(new StorePage(found, revision, false));
@@ -183,6 +194,10 @@
 
     @Override
     public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
+        calls.add("watch " + prefix + " " + waitMillis);
+        if (refusesPagesAndWatches) {
+            return CompletableFuture.failedFuture(new StoreException(StoreException.Kind.REFUSED, "watch"));
+        }
         PendingWatch w = new PendingWatch(prefix, afterRevision, new CompletableFuture<>());
         pendingWatches.add(w);
         return w.answer;
@@ -200,6 +215,13 @@
         answered.forEach(w -> w.answer.complete(new StoreChanges(changes(w), revision)));
     }
 
+    /** Fails the pending watches, whether or not they are muted. */
+    void failWatches(StoreException.Kind why) {
+        List<PendingWatch> failed = List.copyOf(pendingWatches);
+        pendingWatches.clear();
+        failed.forEach(w -> w.answer.completeExceptionally(new StoreException(why, "watch")));
+    }
+
     private List<StoreChanges.Change> changes(PendingWatch w) {
         Stream<StoreChanges.Change> removed = removedAt.entrySet().stream()
                 .filter(e -> e.getKey().startsWith(w.prefix) && e.getValue() > w.after)
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
@@ -62,7 +62,10 @@
 
     @Override
     public Either<Unreadable, Cordon> cordon(StoreItem item) {
-        return Either.right(new Cordon(item.key().substring(CORDONS.length()), item.revision()));
+        String hall = item.key().substring(CORDONS.length());
+        return hall.isEmpty()
+                ? Either.left(Unreadable.Reason.NOT_OF_ITS_KEY.in("key"))
+                : Either.right(new Cordon(hall, item.revision()));
     }
 
     @Override
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
@@ -69,7 +69,18 @@
     final TimedLoop loop = new TimedLoop();
     final Workers workers = new Workers();
     final Instances instances = new Instances();
-    final JobNode node = node();
+    final JobMetrics meters = new JobMetrics();
+    final JobNode node;
+
+    /** Creates an entry of a deployment without cordons. */
+    NodeFixture() {
+        this(0, Set.of());
+    }
+
+    /** Creates an entry with a bound of cordons and all halls of the deployment. */
+    NodeFixture(long cordonMillis, Set<String> halls) {
+        node = node(cordonMillis, halls);
+    }
 
     /** Answers each hold order after 20 ms and accepts all orders. */
     final class Workers implements WorkerOrders {
@@ -134,8 +145,9 @@
         }
     }
 
-    private JobNode node() {
-        JobSettings.Bounds bounds = new JobSettings.Bounds(6_000, 300, GRACE_SECONDS, LEASE_MILLIS, 2_000, false, 0);
+    private JobNode node(long cordonMillis, Set<String> halls) {
+        JobSettings.Bounds bounds =
+                new JobSettings.Bounds(6_000, 300, GRACE_SECONDS, LEASE_MILLIS, 2_000, false, cordonMillis);
         return new JobNode(
                 loop,
                 new JobNode.Parts(
@@ -147,9 +159,9 @@
                         order -> CompletableFuture.completedFuture(Optional.empty()),
                         instances,
                         bounds,
-                        Set.of(),
+                        halls,
                         loop.clock(),
-                        new JobMetrics()));
+                        meters));
     }
 
     void advance(long millis) {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/settings/JobSettingsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/settings/JobSettingsTest.java
@@ -19,6 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -52,6 +53,10 @@
         return JobSettings.parse("my.toml", GOOD.replace("[listen]", lines + "\n[listen]"));
     }
 
+    private static JobSettings.Bounds withBound(String line) throws SettingsException {
+        return JobSettings.parse("my.toml", GOOD + line).bounds();
+    }
+
     @Nested
     class GoodSettings {
 
@@ -73,6 +78,19 @@
             assertEquals(1_000, JobSettings.parse("f", GOOD).entry().capacity());
         }
 
+        /** Guards against cordons that are not read, or a deployment without cordons that reads some. */
+        @Test
+        void mayStateTheBoundOfCordonsAndAllHalls() throws SettingsException {
+            Set<String> halls = Set.of("north", "south");
+            assertEquals(halls, with("halls = [\"north\", \"south\"]").entry().halls());
+            assertEquals(5_000, withBound("cordon_millis = 5000").cordonMillis());
+            assertEquals(2_000, withBound("cordon_millis = 1999.5").cordonMillis());
+            assertEquals(0, withBound("cordon_millis = 0").cordonMillis());
+            JobSettings none = JobSettings.parse("f", GOOD);
+            assertEquals(Set.of(), none.entry().halls());
+            assertEquals(0, none.bounds().cordonMillis());
+        }
+
         @Test
         void mayLeaveOutHowLongAStopTakes() throws SettingsException {
             JobSettings s = JobSettings.parse("f", GOOD.replace("stop_millis = 399.5\n", ""));
@@ -90,6 +108,22 @@
             assertTrue(String.valueOf(e.getMessage()).contains("entry.cpu_s"), e.getMessage());
         }
 
+        /** Guards against a bound that no watch can keep, or that is taken for no cordons at all. */
+        @ParameterizedTest
+        @ValueSource(strings = {"-1", "1", "1999", "1e12", "nan", "inf", "true", "\"5 s\"", "[5000]"})
+        void ofTheBoundOfCordonsNameTheKey(String value) {
+            SettingsException e = assertThrows(SettingsException.class, () -> withBound("cordon_millis = " + value));
+            assertTrue(String.valueOf(e.getMessage()).contains("bounds.cordon_millis"), e.getMessage());
+        }
+
+        /** Guards against halls that are left out: a cordon of such a hall would be taken for a mistyped one. */
+        @ParameterizedTest
+        @ValueSource(strings = {"\"north\"", "[\"north\", 5]", "[\"\"]", "[\"North Hall\"]", "[[\"north\"]]", "true"})
+        void ofTheHallsNameTheKey(String value) {
+            SettingsException e = assertThrows(SettingsException.class, () -> with("halls = " + value));
+            assertTrue(String.valueOf(e.getMessage()).contains("entry.halls"), e.getMessage());
+        }
+
         @ParameterizedTest
         @CsvSource({
             "metrics = \"10.1.0.9:9464\", metrics = 9464, listen.metrics",
