--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/CordonFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/CordonFeed.java
@@ -115,8 +115,11 @@
         return view.isCurrent(now) && view.coversAll(records.halls());
     }
 
-    /** Logs whether the view is current, if that has changed and the entry owns a service, which depends on it. */
-    void logConfirmation(boolean ownsService, long confirmedAt, long now) {
+    /**
+     * Logs whether the view is current, if that has changed and the entry owns a service, which depends on it. Returns
+     * whether the view counts as current in the log; it does for an entry that owns no service.
+     */
+    boolean logConfirmation(boolean ownsService, long confirmedAt, long now) {
         boolean current = !ownsService || view(confirmedAt).isCurrent(now);
         Long since = unconfirmedSince;
         if (!current && since == null) {
@@ -128,5 +131,6 @@
                 Log.info("cordons-confirmed", "after-millis", now - since, "halls", byHall.size());
             }
         }
+        return current;
     }
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonFeedTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonFeedTest.java
@@ -189,6 +189,15 @@
             assertTrue(2 * f.watchMillis() + 300 <= maxAge, () -> "waiting time " + f.watchMillis());
         }
 
+        /** Guards against owners that start nothing without saying why, and against such lines of other entries. */
+        @Test
+        void isLoggedByOwnersOfServices() {
+            assertTrue(cordons.logConfirmation(false, 0, MAX_AGE_MILLIS + 1), "the entry owns no service");
+            assertTrue(cordons.logConfirmation(true, 0, MAX_AGE_MILLIS));
+            assertFalse(cordons.logConfirmation(true, 0, MAX_AGE_MILLIS + 1));
+            assertTrue(cordons.logConfirmation(true, 2_000, MAX_AGE_MILLIS + 1));
+        }
+
         @Test
         void usesTheWaitingTimeOfTheBound() {
             startFeed();
