Start nothing on workers of cordoned halls

Cause: the scheduler of a service received the cordons and did not use them.

Change: a worker of a cordoned hall is not usable, and no worker is while the view of the cordons is not current. A start is neither sent nor sent again in these cases.

--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -126,15 +126,19 @@
     }
 
     private void moveLongRunning(LiveWorker w, LiveTask t) {
+        if (mayMove(w, t) && state.canMoveElsewhere(t)) {
+            state.stop(t, w.facts().draining() ? "worker-drains" : "worker-is-emptied");
+        }
+    }
+
+    /** Returns whether a running long-running task may be stopped now in order to move to another worker. */
+    boolean mayMove(LiveWorker w, LiveTask t) {
         if (w.isIsolated(t) && !w.facts().draining()) {
             // Each start of a task that may crash its worker puts another worker at risk, so a run that has not proven
             // itself is left in place.
-            return;
-        }
-        boolean mayMove = w.facts().draining() || unavailableSiblings(t) < Math.max(1, t.step.mayMiss());
-        if (mayMove && state.canMoveElsewhere(t)) {
-            state.stop(t, w.facts().draining() ? "worker-drains" : "worker-is-emptied");
+            return false;
         }
+        return w.facts().draining() || unavailableSiblings(t) < Math.max(1, t.step.mayMiss());
     }
 
     private long unavailableSiblings(LiveTask t) {
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -89,7 +89,7 @@
     }
 
     private void sendDueOrder(LiveWorker w, LiveTask t, long now) {
-        if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion && state.isWorkerListFresh()) {
+        if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion && mayStartNow(w)) {
             startOrProbe(w, t, now);
         }
         if (t.orderInFlight || now < t.nextOrderAt || w.facts().address().isEmpty()) {
@@ -100,6 +100,9 @@
             // is in flight.
             return;
         }
+        if (t.phase == Phase.STARTING && !state.mayStartOn(w)) {
+            return;
+        }
         if (t.phase == Phase.STARTING) {
             t.orderInFlight = true;
             t.orderSentAt = now;
@@ -121,6 +124,10 @@
         }
     }
 
+    private boolean mayStartNow(LiveWorker w) {
+        return state.isWorkerListFresh() && state.mayStartOn(w);
+    }
+
     /**
      * Checks that the worker still responds before it is sent a suspect task, which would otherwise be blamed for an
      * earlier crash. The probe is a stop of the previous run, whose only effect is that late starts of that run are
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -62,6 +62,7 @@
     private final RestartTracker restarts;
     private final PlacementPass placement;
     private final Evacuator evacuator;
+    private final CordonPass cordonedHalls;
     private final StragglerPass stragglers;
     private final Advisor advisor;
     private final PacingPass pacing;
@@ -92,6 +93,7 @@
         stragglers = new StragglerPass(state, faultyWorkers);
         placement = new PlacementPass(state, advisor);
         evacuator = new Evacuator(state);
+        cordonedHalls = new CordonPass(state, evacuator);
         startedAt = state.now();
     }
 
@@ -195,7 +197,7 @@
         state.workersConfirmedAt = Math.max(state.workersConfirmedAt, since);
     }
 
-    /** Sets the cordoned data halls. */
+    /** Sets the cordoned data halls. Nothing is placed or started while the view is not current. */
     public void onCordons(HallCordons cordons) {
         state.cordons = cordons;
     }
@@ -393,6 +395,7 @@
         }
         dropWorkers();
         evacuator.run();
+        cordonedHalls.run();
         stragglers.run();
         pacing.run();
         capacity.run();
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -143,6 +143,21 @@
 
     /** Returns whether the worker may be given new tasks now. */
     boolean isUsable(LiveWorker w) {
+        return mayStartOn(w) && isUsableIfNotCordoned(w);
+    }
+
+    /** Returns whether the worker's hall is cordoned. */
+    boolean isCordoned(LiveWorker w) {
+        return cordons.isCordoned(w.facts().hall());
+    }
+
+    /** Returns whether the cordons are known and allow starts on the worker. */
+    boolean mayStartOn(LiveWorker w) {
+        return cordons.isCurrent(now()) && !isCordoned(w);
+    }
+
+    /** Returns whether the worker could be given new tasks now if no hall were cordoned. */
+    boolean isUsableIfNotCordoned(LiveWorker w) {
         long now = now();
         return w.listed
                 && w.fenced
--- a/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
+++ b/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
@@ -169,19 +169,38 @@
             return false;
         }
         for (Resource r : Resource.values()) {
-            if (r.of(maximum) > 0 && r.of(need) > 0 && !mayPlace(r, r.of(need))) {
+            if (r.of(maximum) > 0 && r.of(need) > 0 && !mayPlace(r, r.of(need), r.of(used))) {
                 return false;
             }
         }
         return true;
     }
 
-    private boolean mayPlace(Resource r, long need) {
+    /**
+     * Returns whether a task that is charged already may be placed again after its run has been stopped. It may not where the
+     * grant or the maximum has been lowered below the usage, or where the service would return its grant to another service.
+     */
+    public boolean mayReplace(Resources need) {
+        if (!isLimited()) {
+            return true;
+        }
+        if (!allocationKnown || !maximumConfirmed || yielding || (used.equals(need) && isContested())) {
+            return false;
+        }
+        for (Resource r : Resource.values()) {
+            if (r.of(maximum) > 0 && r.of(need) > 0 && !mayPlace(r, r.of(need), r.of(used) - r.of(need))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean mayPlace(Resource r, long need, long inUse) {
         long granted = granted(r);
         Resources pending = unconfirmed;
         long usable = pending == null ? granted : Math.min(granted, r.of(pending));
         boolean overGranted = granted + othersGranted(r) > Math.max(r.of(maximum), need);
-        return !overGranted && r.of(used) + need <= usable;
+        return !overGranted && inUse + need <= usable;
     }
 
     /**
