Record the time for which a cordon alone keeps a task waiting

Cause: a task that fits only on workers of cordoned halls requested quota that it could not use, and neither the log nor the load line showed why it waited.

Change: CordonWaits determines which waiting tasks would fit on an otherwise usable worker of a cordoned hall and on no usable one. They request no quota. Their placement carries cordoned-millis, and while a hall is cordoned the load line carries cordoned-running and cordoned-waiting. Without a cordon it returns at once.

--- a/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
@@ -104,7 +104,7 @@
         PlacementRequest request = t.placementRequirements(state.now());
         long room = state.workers.values().stream()
                 .filter(w -> state.isUsable(w) && Placer.isEligible(w, request))
-                .mapToLong(w -> Math.min(required, w.free().countOf(t.liveStep.room)))
+                .mapToLong(w -> Math.min(required, w.roomFor(t.liveStep)))
                 .sum();
         return room >= required;
     }
--- /dev/null
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
@@ -0,0 +1,170 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.placement.PlacementRequest;
+import org.lupinpaddle.core.placement.Placer;
+import org.lupinpaddle.core.run.LiveTask.Phase;
+
+/**
+ * Determines which tasks wait only because halls are cordoned, and for how long. Such a task would fit on a worker of a
+ * cordoned hall that is otherwise usable, and on no usable worker.
+ */
+final class CordonWaits {
+
+    // Looks at all waiting steps; the precision suffices for waits of seconds.
+    private static final long UPDATE_INTERVAL_MILLIS = 100;
+    private static final long NOT_WAITING = Long.MIN_VALUE;
+
+    private final ServiceState state;
+    /** The waits of tasks that are still to be placed. */
+    private final Map<LiveTask, Wait> waits = new LinkedHashMap<>();
+    /** The workers that could be given new tasks if no hall were cordoned. */
+    private List<LiveWorker> cordoned = List.of();
+
+    private long nextUpdateAt = Long.MIN_VALUE;
+
+    private static final class Wait {
+        long since = NOT_WAITING;
+        long millis;
+
+        void pause(long now) {
+            millis = totalMillis(now);
+            since = NOT_WAITING;
+        }
+
+        long totalMillis(long now) {
+            return since == NOT_WAITING ? millis : millis + now - since;
+        }
+    }
+
+    CordonWaits(ServiceState state) {
+        this.state = state;
+    }
+
+    /** Prepares for a placement pass. */
+    void beginPass() {
+        cordoned = state.cordons.isAnyCordoned()
+                ? state.workers.values().stream()
+                        .filter(w -> state.isCordoned(w) && state.isUsableIfNotCordoned(w))
+                        .toList()
+                : List.of();
+    }
+
+    /** Returns whether only a cordon keeps the step's waiting tasks from a worker, given the workers that are usable. */
+    boolean isCause(LiveStep s, List<LiveWorker> usable) {
+        if (cordoned.isEmpty()) {
+            return false;
+        }
+        LiveTask first = firstPlaceable(s);
+        if (first == null) {
+            return false;
+        }
+        long required = s.spec.gang() ? s.tasks.size() : 1;
+        PlacementRequest request = first.placementRequirements(state.now());
+        long inCordonedHalls = countRoom(s, request, cordoned, required);
+        if (inCordonedHalls == 0) {
+            return false;
+        }
+        long elsewhere = countRoom(s, request, usable, required);
+        return elsewhere < required && elsewhere + inCordonedHalls >= required;
+    }
+
+    /** Returns a waiting task that may be placed now; null if there is none. A gang is placed as a whole. */
+    private @Nullable LiveTask firstPlaceable(LiveStep s) {
+        LiveTask first = null;
+        for (LiveTask t : s.tasks) {
+            boolean placeable = t.phase == Phase.WAITING && state.now() >= t.nextOrderAt;
+            if (s.spec.gang() && !placeable) {
+                return null;
+            }
+            if (placeable && first == null) {
+                first = t;
+            }
+        }
+        return first;
+    }
+
+    /** Returns how many tasks of the step fit on the workers, at most {@code limit}. */
+    private static long countRoom(LiveStep s, PlacementRequest request, List<LiveWorker> workers, long limit) {
+        long room = 0;
+        for (LiveWorker w : workers) {
+            if (Placer.isEligible(w, request)) {
+                room += w.roomFor(s);
+                if (room >= limit) {
+                    return limit;
+                }
+            }
+        }
+        return room;
+    }
+
+    /** Updates the waits after a placement pass over the usable workers. */
+    void update(List<LiveWorker> usable) {
+        long now = state.now();
+        if (cordoned.isEmpty() && waits.isEmpty()) {
+            return;
+        }
+        if (!cordoned.isEmpty() && now < nextUpdateAt) {
+            return;
+        }
+        nextUpdateAt = now + UPDATE_INTERVAL_MILLIS;
+        waits.keySet().removeIf(t -> t.phase != Phase.WAITING || t.job.state.ended());
+        waits.values().forEach(w -> w.pause(now));
+        if (!cordoned.isEmpty()) {
+            long wallMillis = state.wallNow();
+            for (LiveJob j : state.activeJobs.values()) {
+                for (LiveStep s : j.steps) {
+                    if (s.hasWaiting() && s.isReady(wallMillis) && state.hasUniqueId(j) && isCause(s, usable)) {
+                        resume(s, now);
+                    }
+                }
+            }
+        }
+    }
+
+    private void resume(LiveStep s, long now) {
+        for (LiveTask t : s.tasks) {
+            if (t.phase == Phase.WAITING && now >= t.nextOrderAt) {
+                waits.computeIfAbsent(t, k -> new Wait()).since = now;
+            }
+        }
+    }
+
+    /** Returns for how long a cordon alone has kept a task from a worker until its placement, and forgets it. */
+    long placed(LiveTask t) {
+        Wait w = waits.remove(t);
+        return w == null ? 0 : w.totalMillis(state.now());
+    }
+
+    /** Returns the load due to cordons; null while no hall is cordoned. */
+    LoadSummary.@Nullable CordonLoad load() {
+        if (!state.cordons.isAnyCordoned()) {
+            return null;
+        }
+        int running = state.workers.values().stream()
+                .filter(state::isCordoned)
+                .mapToInt(w -> w.tasks.size())
+                .sum();
+        int waiting = (int)
+                waits.values().stream().filter(w -> w.since != NOT_WAITING).count();
+        return new LoadSummary.CordonLoad(running, waiting);
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -284,6 +284,14 @@
         return facts.capacity().minus(used);
     }
 
+    /** Returns how many more tasks of the step fit, by their room and the step's limit per worker. */
+    long roomFor(LiveStep s) {
+        long fitting = free().countOf(s.room);
+        int maxTasks = s.spec.perWorkerMost();
+        StepRepetition repetition = s.tasks.get(0).stepTime;
+        return maxTasks == 0 ? fitting : Math.min(fitting, Math.max(0, maxTasks - taskCount(repetition)));
+    }
+
     /** Returns whether its tasks need more room than it has, because its room has shrunk since they were placed. */
     boolean exceedsCapacity() {
         return !tasks.isEmpty() && !facts.capacity().canHold(used);
--- a/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
@@ -15,6 +15,8 @@
  */
 package org.lupinpaddle.core.run;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * A snapshot of a service's load and capacity, for the log.
  *
@@ -24,10 +26,26 @@
  * @param workers workers that can take new tasks
  * @param silent listed workers whose last answer is overdue
  * @param needed the number of workers that the service requests
+ * @param cordon the load due to cordons; null while no hall is cordoned
  */
-public record LoadSummary(int waiting, int hopeless, int running, int workers, int silent, int needed) {
+public record LoadSummary(
+        int waiting,
+        int hopeless,
+        int running,
+        int workers,
+        int silent,
+        int needed,
+        @Nullable CordonLoad cordon) {
+
+    /**
+     * The load due to cordoned halls.
+     *
+     * @param running tasks on workers of cordoned halls
+     * @param waiting tasks that would fit on such a worker and on no other
+     */
+    public record CordonLoad(int running, int waiting) {}
 
-    static LoadSummary of(ServiceState state, int needed) {
+    static LoadSummary of(ServiceState state, int needed, @Nullable CordonLoad cordon) {
         long wallMillis = state.wallNow();
         int waiting = 0;
         int hopeless = 0;
@@ -48,6 +66,6 @@
         int silent = (int) state.workers.values().stream()
                 .filter(w -> w.listed && state.now() - w.lastAnswerAt > state.timing.silentMillis())
                 .count();
-        return new LoadSummary(waiting, hopeless, running, usable, silent, needed);
+        return new LoadSummary(waiting, hopeless, running, usable, silent, needed, cordon);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -29,22 +29,29 @@
 
     private final ServiceState state;
     private final Advisor advisor;
+    private final CordonWaits cordonWaits;
 
-    PlacementPass(ServiceState state, Advisor advisor) {
+    PlacementPass(ServiceState state, Advisor advisor, CordonWaits cordonWaits) {
         this.state = state;
         this.advisor = advisor;
+        this.cordonWaits = cordonWaits;
     }
 
     void run() {
         state.quotas.clearWaiting();
-        if (!state.isWorkerListFresh()) {
+        if (!state.isWorkerListFresh() || !state.cordons.isCurrent(state.now())) {
             return;
         }
         List<LiveWorker> usable =
                 state.workers.values().stream().filter(state::isUsable).toList();
-        if (usable.isEmpty()) {
-            return;
+        cordonWaits.beginPass();
+        if (!usable.isEmpty()) {
+            placeWaiting(usable);
         }
+        cordonWaits.update(usable);
+    }
+
+    private void placeWaiting(List<LiveWorker> usable) {
         Resources maxFree = maxFree(usable);
         for (StepUrgency u : waitingStepsByUrgency(maxFree)) {
             LiveStep s = u.step();
@@ -54,7 +61,7 @@
                 if (s.job.quota.mayPlace(s.minPlacement())) {
                     placeWithAdvice(s, usable);
                 }
-                if (s.hasWaiting()) {
+                if (s.hasWaiting() && !cordonWaits.isCause(s, usable)) {
                     s.job.quota.addWaiting(s.need.times(s.waiting()), s.minPlacement());
                 }
                 maxFree = s.waiting() < waiting ? maxFree(usable) : maxFree;
@@ -192,6 +199,10 @@
         state.markChanged(job);
         t.placedVersion = job.version;
         String detail = "attempts=" + t.failures + " version=" + t.placedVersion + " waited-millis=" + waitedMillis(t);
+        long cordonedMillis = cordonWaits.placed(t);
+        if (cordonedMillis > 0) {
+            detail += " cordoned-millis=" + cordonedMillis;
+        }
         state.note(SchedulerEvent.Kind.TASK_PLACED, t, "", detail);
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -62,7 +62,8 @@
     private final RestartTracker restarts;
     private final PlacementPass placement;
     private final Evacuator evacuator;
-    private final CordonPass cordonedHalls;
+    private final CordonPass cordons;
+    private final CordonWaits cordonWaits;
     private final StragglerPass stragglers;
     private final Advisor advisor;
     private final PacingPass pacing;
@@ -91,9 +92,10 @@
         runs = new RunTracker(state, faultyWorkers, advisor);
         restarts = new RestartTracker(state, runs, advisor);
         stragglers = new StragglerPass(state, faultyWorkers);
-        placement = new PlacementPass(state, advisor);
+        cordonWaits = new CordonWaits(state);
+        placement = new PlacementPass(state, advisor, cordonWaits);
         evacuator = new Evacuator(state);
-        cordonedHalls = new CordonPass(state, evacuator);
+        cordons = new CordonPass(state, evacuator);
         startedAt = state.now();
     }
 
@@ -395,7 +397,7 @@
         }
         dropWorkers();
         evacuator.run();
-        cordonedHalls.run();
+        cordons.run();
         stragglers.run();
         pacing.run();
         capacity.run();
@@ -465,7 +467,7 @@
 
     /** Returns a summary of the load, for the log. */
     public LoadSummary load() {
-        return LoadSummary.of(state, lastNeeded);
+        return LoadSummary.of(state, lastNeeded, cordonWaits.load());
     }
 
     /**
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
@@ -15,6 +15,8 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.lupinpaddle.core.run.LoadSummary;
 import org.lupinpaddle.core.run.SchedulerEvent;
 import org.lupinpaddle.daemon.common.Log;
@@ -55,8 +57,7 @@
 
     /** Logs the load of a service and the workers available to it. */
     static void writeLoad(String service, long fence, LoadSummary l) {
-        Log.info(
-                "service-load",
+        List<Object> fields = new ArrayList<>(List.of(
                 "service",
                 service,
                 "fence",
@@ -72,6 +73,11 @@
                 "silent",
                 l.silent(),
                 "needed",
-                l.needed());
+                l.needed()));
+        LoadSummary.CordonLoad cordon = l.cordon();
+        if (cordon != null) {
+            fields.addAll(List.of("cordoned-running", cordon.running(), "cordoned-waiting", cordon.waiting()));
+        }
+        Log.info("service-load", fields.toArray());
     }
 }
