--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -17,8 +17,11 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.cordon.Cordon;
+import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
@@ -27,6 +30,7 @@
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.workspace.QuotaTable;
 
 /** Drives a scheduler with simulated workers on a manual clock. */
 final class SchedulerDriver {
@@ -34,6 +38,7 @@
     static final long HOLD_MILLIS = 5_000;
     static final long INHERITED_MILLIS = 15_000;
     static final long STOP_MILLIS = 300;
+    static final long CORDON_AGE_MILLIS = 3_300;
     static final StepSpec.Need NEED = new StepSpec.Need(1_000, 100, 0);
     private static final Resources ROOM = new Resources(4_000, 8_000, 0);
 
@@ -43,10 +48,21 @@
     /** Whether the queue of submitted jobs requires advice. */
     boolean advised;
 
+    /** The view of the cordons, which is confirmed with each tick; null while the watch is silent. */
+    @Nullable
+    Collection<Cordon> cordons;
+    /** The workspace of submitted jobs; null for none. */
+    @Nullable
+    String workspace;
+
     SchedulerDriver() {
+        this(new QuotaTable("clips"));
+    }
+
+    SchedulerDriver(QuotaTable quotas) {
         SchedulerTiming timing =
                 new SchedulerTiming(HOLD_MILLIS, 1_000, 2_000, 2_700, INHERITED_MILLIS, STOP_MILLIS, 10_000);
-        scheduler = new ServiceScheduler("clips", timing, port, () -> now, () -> now);
+        scheduler = new ServiceScheduler("clips", timing, port, quotas, () -> now, () -> now);
     }
 
     static WorkerFacts worker(String id) {
@@ -84,6 +100,16 @@
         return new WorkerFacts(id, "clips", "at-" + id, "north", false, 0, ROOM, List.of(rack));
     }
 
+    static WorkerFacts workerInHall(String id, String hall, String... labels) {
+        return new WorkerFacts(id, "clips", "at-" + id, hall, false, 0, ROOM, List.of(labels));
+    }
+
+    /** Replaces the cordons; the watch works from now on. */
+    void cordon(String... halls) {
+        cordons = Arrays.stream(halls).map(h -> new Cordon(h, now + 1)).toList();
+        tick();
+    }
+
     /** Lists these workers and answers a hold of each. */
     void listAndAnswer(WorkerFacts... all) {
         scheduler.onWorkers(List.of(all));
@@ -102,7 +128,8 @@
     private void submitJob(String id, @Nullable JobProgress progress, StepSpec... steps) {
         JobKey key = new JobKey("q", id);
         Policy policy = new Policy(0, 3, 1.5, 500, advised);
-        scheduler.onJob(new JobSpec(key, "clips", "text", List.of(steps), Repeat.ONCE, policy, now), progress);
+        scheduler.onJob(
+                new JobSpec(key, "clips", "text", List.of(steps), Repeat.ONCE, policy, now, workspace), progress);
     }
 
     /** Answers the newest hold of a worker. */
@@ -160,6 +187,9 @@
 
     private void tick() {
         scheduler.onWorkersConfirmed(now);
+        if (cordons != null) {
+            scheduler.onCordons(HallCordons.of(cordons, now, CORDON_AGE_MILLIS));
+        }
         scheduler.tick();
     }
 
