Test which long-running tasks stay in a cordoned hall

Cause: four changes of CordonPass and of the quota check in scratch copies passed all tests: finite tasks that move, moves from unresponsive workers, several moves into the room of one worker, and moves that lose a quota to another service.

Change: one test for each.

--- a/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
@@ -488,6 +488,33 @@
             assertTrue(workersInUse().contains("s1"));
         }
 
+        /** Guards against the same failure by a step with at most one task on a worker. */
+        @Test
+        void ofOneStepDoNotMoveIntoTheSameRoom() {
+            list(N1, N2);
+            StepSpec twoMayMiss = StepSpec.builder(2, SchedulerDriver.NEED)
+                    .longRunning(true, 2)
+                    .perWorkerMost(1)
+                    .build();
+            d.submit("a", twoMayMiss);
+            carryOut(3);
+            listAndReport(N1, N2, S1);
+            d.cordon("north");
+            d.advance(300);
+            assertEquals(1, d.port.stops.size());
+        }
+
+        /** A cordon changes nothing for tasks on an unreachable worker, whose deadline ends them. */
+        @Test
+        void onAWorkerThatDoesNotRespondStay() {
+            startInTheNorth("a", 1);
+            listAndReport(N1, N2, S1);
+            d.leaveHoldUnanswered("n1");
+            d.cordon("north");
+            d.advance(300);
+            assertEquals(List.of(), stoppedOn());
+        }
+
         @Test
         void stayWhileTheViewIsNotCurrent() {
             startInTheNorth("a", 1);
@@ -500,28 +527,50 @@
 
         @Test
         void ofFiniteTasksEndInPlace() {
-            list(N1, S1);
+            list(N1);
             d.submit("a", ONE);
+            d.submit("long", longRunning(1));
             carryOut(3);
+            listAndReport(N1, S1);
             d.cordon("north");
             carryOut(ROUNDS_OF_A_MOVE);
-            assertEquals(Set.of("n1"), workersInUse());
-            running.clear();
+            assertEquals(Set.of("n1", "s1"), workersInUse(), "only the long-running task moves");
+            running.remove("a" + FIRST);
             d.answerHold("n1", List.of(), List.of(new RunResult(1, "a", FIRST, 1, EndKind.DONE, "")));
             save();
             assertEquals(1, d.port.events(SchedulerEvent.Kind.JOB_ENDED).size());
             assertEquals(List.of(), d.port.emptied);
         }
 
-        /** Limits the workspace's tasks of this service to {@code granted} of {@code maximum} CPU milliseconds. */
+        /** Guards against handing the quota of the only task over to another service, which may never return it. */
+        @Test
+        void stayIfAnotherServiceWaitsForTheirQuota() {
+            limit(1_000, 1_000);
+            startInTheNorth("a", 1);
+            listAndReport(N1, N2, S1);
+            limit(1_000, 1_000, 1_000);
+            d.cordon("north");
+            carryOut(ROUNDS_OF_A_MOVE);
+            assertEquals(Set.of("n1"), workersInUse());
+        }
+
         private void limit(long maximum, long granted) {
+            limit(maximum, granted, 0);
+        }
+
+        /**
+         * Limits the workspace's tasks of this service to {@code granted} of {@code maximum} CPU milliseconds, while another
+         * service requests some.
+         */
+        private void limit(long maximum, long granted, long requestedByOther) {
             d.workspace = "team";
             Resources max = new Resources(maximum, 0, 0);
             List<KeyDigest> keys = List.of();
             quotas.configure(Workspaces.of(List.of(new Workspace("team", keys, 0, max)), List.of()));
-            QuotaAllocation.Grant grant =
-                    new QuotaAllocation.Grant(new Resources(granted, 0, 0), new Resources(0, 0, 0));
-            quotas.of("team").onAllocation(new QuotaAllocation(Map.of("clips", grant)), ++revision);
+            QuotaAllocation.Grant grant = new QuotaAllocation.Grant(new Resources(granted, 0, 0), Resources.NONE);
+            QuotaAllocation.Grant other =
+                    new QuotaAllocation.Grant(Resources.NONE, new Resources(requestedByOther, 0, 0));
+            quotas.of("team").onAllocation(new QuotaAllocation(Map.of("clips", grant, "other", other)), ++revision);
         }
 
         private long revision;
