Leave gangs, and tasks that could not start elsewhere, in a cordoned hall

Cause: by reading: moving one member of a long-running gang stops all members; a move while the list of workers is stale stops a task that cannot be placed; a paused filler task of a cordoned hall was stopped although no other hall had room.

Change: none of the three is stopped. OwnerExperiment leaves the new, empty field of the load summary out of its hash.

Conclusion: taking out any of the three rules fails one test.

--- a/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
@@ -52,7 +52,7 @@
         List<LiveWorker> cordoned =
                 state.workers.values().stream().filter(state::isCordoned).toList();
         cordoned.forEach(this::withdrawStarts);
-        if (state.now() >= nextMovesAt) {
+        if (state.now() >= nextMovesAt && state.isWorkerListFresh()) {
             nextMovesAt = state.now() + MOVE_INTERVAL_MILLIS;
             moveLongRunning(cordoned);
         }
@@ -77,8 +77,10 @@
         }
     }
 
+    /** A gang stays in place: to move one member would stop all, and its limit on unavailable tasks forbids that. */
     private void moveIfAllowed(LiveWorker w, LiveTask t, Set<LiveStep> withoutRoom) {
         boolean mayMove = t.step.longRunning()
+                && !t.step.gang()
                 && t.phase == Phase.RUNNING
                 && !withoutRoom.contains(t.liveStep)
                 && t.job.quota.mayReplace(t.liveStep.need)
--- a/core/src/main/java/org/lupinpaddle/core/run/PacingPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PacingPass.java
@@ -77,7 +77,7 @@
         }
         if (overTarget && t.pacePercent > STOPPED) {
             setPace(t, t.pacePercent == FULL ? FIRST_CUT : STOPPED, now);
-        } else if (overTarget && now - t.paceChangedAt > MOVE_AFTER_MILLIS) {
+        } else if (overTarget && now - t.paceChangedAt > MOVE_AFTER_MILLIS && mayStop(w, t)) {
             t.avoid(w, now);
             state.stop(t, "disturbs-though-paced");
         } else if (t.pacePercent < FULL && now - t.belowTargetSince > RAISE_DELAY_MILLIS) {
@@ -86,6 +86,11 @@
         }
     }
 
+    /** In a cordoned hall the task could not return to its worker, so it stays paused unless another one has room. */
+    private boolean mayStop(LiveWorker w, LiveTask t) {
+        return !state.isCordoned(w) || state.canMoveElsewhere(t);
+    }
+
     /** Replaces the unknown pace set by an earlier owner: full speed if no task on the worker can be disturbed. */
     private void resetInheritedPace(LiveWorker w, LiveTask t, long now) {
         t.paceInherited = false;
--- a/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
@@ -605,6 +605,37 @@
             assertEquals(Set.of("n1", "n2"), workersInUse());
         }
 
+        /** Guards against stopping a task at the beginning of a store outage, during which nothing is placed. */
+        @Test
+        void stayWhileTheListOfWorkersIsStale() {
+            startInTheNorth("a", 1);
+            listAndReport(N1, N2, S1);
+            d.now += 2_600;
+            d.scheduler.onCordons(
+                    HallCordons.of(List.of(new Cordon("north", 7)), d.now, SchedulerDriver.CORDON_AGE_MILLIS));
+            d.scheduler.tick();
+            assertEquals(List.of(), stoppedOn());
+            d.cordon("north");
+            assertEquals(List.of("n1"), stoppedOn());
+        }
+
+        /** Guards against stopping all members of a gang in order to move one. */
+        @Test
+        void ofLongRunningGangsStay() {
+            list(N1, S1);
+            d.submit(
+                    "a",
+                    StepSpec.builder(2, new StepSpec.Need(4_000, 100, 0))
+                            .longRunning(true, 1)
+                            .gang(true, false)
+                            .build());
+            carryOut(3);
+            listAndReport(N1, S1, S2);
+            d.cordon("north");
+            carryOut(ROUNDS_OF_A_MOVE);
+            assertEquals(Set.of("n1", "s1"), workersInUse());
+        }
+
         /** Guards against exposing a second worker to a task that may crash it. */
         @Test
         void ofIsolatedSuspectsStay() {
--- a/core/src/test/java/org/lupinpaddle/core/run/OwnerExperiment.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/OwnerExperiment.java
@@ -214,7 +214,8 @@
     private void tellLoad() {
         LoadSummary l = scheduler.load();
         mostWaiting = Math.max(mostWaiting, l.waiting());
-        told("load", l);
+        // Keeps the hash comparable with that of versions whose summary had no such field.
+        told("load", l.toString().replace(", cordon=null", ""));
     }
 
     private void tick() {
--- a/core/src/test/java/org/lupinpaddle/core/run/PacingPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/PacingPassTest.java
@@ -95,6 +95,16 @@
             assertEquals(FILLS, d.port.stops.get(0).task());
         }
 
+        /** Guards against discarding the work of a task that could run nowhere else until the cordon is lifted. */
+        @Test
+        void staysPausedInACordonedHallIfNoOtherHallHasRoom() {
+            d.cordon("north");
+            for (int i = 0; i < 7; i++) {
+                reportTailLatency(150);
+            }
+            assertEquals(List.of(), d.port.stops);
+        }
+
         @Test
         void speedsUpAgainWhenTheLatencyIsWellBelowTheTarget() {
             reportTailLatency(150);
