Keep the view of cordons current while the store is slow

A slow store takes 250 ms to answer; with a waiting time of 1,500 ms an idle view would not have been current for part of each period, and nothing would have started. Change: the watch of cordons waits 1,350 ms; the smallest bound is 2,400 ms.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -32,8 +32,8 @@
 import org.lupinpaddle.daemon.port.StoreItem;
 
 /**
- * Provides the operators' configuration and cordons in force at this entry. The configuration never moves backwards: items with a
- * revision older than the one in force are ignored.
+ * Provides the operators' configuration and cordons in force at this entry. The configuration never moves backwards:
+ * items with a revision older than the one in force are ignored.
  */
 final class ConfigurationFeed implements PrefixWatch.Listener, AutoCloseable {
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/CordonFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/CordonFeed.java
@@ -34,9 +34,8 @@
     private static final long MAX_AGE_MILLIS = 3_300;
     // Part of the bound: a start that is sent at the greatest age of the view may reach its worker this much later.
     private static final long START_CALL_MILLIS = 1_200;
-    private static final long WATCH_CALL_MILLIS = 150;
-    // Below this waiting time, watching would cost more than twenty calls a second.
-    private static final long MIN_WATCH_MILLIS = 50;
+    // A slow store takes 250 ms to answer; with less, an idle view was not current for part of each period.
+    private static final long WATCH_CALL_MILLIS = 300;
 
     private final CordonRecords records;
     private final UnreadableEntries unreadable;
@@ -64,7 +63,7 @@
 
     /** Returns the waiting time of the watch, in milliseconds, with which an idle view stays current. */
     long watchMillis() {
-        return Math.max(MIN_WATCH_MILLIS, Math.min(PrefixWatch.WATCH_MILLIS, maxAgeMillis() / 2 - WATCH_CALL_MILLIS));
+        return Math.min(PrefixWatch.WATCH_MILLIS, maxAgeMillis() / 2 - WATCH_CALL_MILLIS);
     }
 
     private long maxAgeMillis() {
@@ -124,7 +123,10 @@
         Long since = unconfirmedSince;
         if (!current && since == null) {
             unconfirmedSince = now;
-            Log.warn("cordons-unconfirmed", "age-millis", now - confirmedAt);
+            Log.warn(
+                    "cordons-unconfirmed",
+                    "age-millis",
+                    confirmedAt <= Long.MIN_VALUE / 2 ? "never" : now - confirmedAt);
         } else if (current && since != null) {
             unconfirmedSince = null;
             if (ownsService) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/settings/JobSettings.java
@@ -36,8 +36,8 @@
     private static final long STOP_MILLIS = 1_000;
     private static final long MOST_MILLIS = 86_400_000;
     // Of the bound, 1,200 ms are reserved for a start's call. Within the rest the watch of the cordons must be answered
-    // twice; a smaller bound would take more than four calls a second at every entry.
-    private static final long LEAST_CORDON_MILLIS = 2_000;
+    // twice by a slow store; a smaller bound would take more than four calls a second at every entry.
+    private static final long LEAST_CORDON_MILLIS = 2_400;
 
     /**
      * Who the entry is.
@@ -77,7 +77,7 @@
      * @param upkeepMillis how long the platform takes for the upkeep of an instance
      * @param fencedInstances whether the platform checks fences of orders on instances
      * @param cordonMillis how long after a hall was cordoned tasks may still start there; 0 if the deployment has no
-     *     cordons, else 2,000 or more
+     *     cordons, else 2,400 or more
      */
     public record Bounds(
             long longestHoldMillis,
