Size pools and plan moves without the instances of cordoned halls

Cause: pools counted the workers of a cordoned hall as usable, and instances of such a hall were moved into and out of pools.

Change: the pool sizer counts and moves only instances whose hall is not cordoned, for service pools and the headroom pool alike. A move that has not been ordered when its hall is cordoned is dropped with the reason hall-cordoned; one whose order is accepted or unanswered is finished. A successor drops a resumed move only once no order of its predecessor can still be carried out. Upkeep takes idle instances of a cordoned hall right after those of the headroom pool, whatever their pool needs. The delay before a pool shrinks restarts when the cordoned halls change, and an instance that moved during a cordon keeps the minimum stay before it moves again.

Conclusion: without a cordon no decision depends on the new state.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -19,6 +19,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.lupinpaddle.core.capacity.ServiceReport;
@@ -45,6 +46,9 @@
     // Moves only save cost; one whose evacuation takes longer than this is not worth completing.
     private static final long MOVE_EVACUATION_TIMEOUT_MILLIS = 8_000;
 
+    /** The reason of a move that is dropped because of a cordon. */
+    private static final String HALL_CORDONED = "hall-cordoned";
+
     private final FleetState state;
     private final PoolSizer sizer;
     private final UpkeepScheduler upkeepScheduler;
@@ -123,17 +127,19 @@
         if (i != null && i.state() == PlatformInstance.State.UNKNOWN) {
             return;
         }
+        Optional<InstanceOperation> operation = InstanceOperation.parse(r.errand());
         boolean current = i != null
                 && i.worker().equals(r.worker())
                 && i.pool().equals(service)
                 && !state.ongoingOperations.containsKey(r.instance());
-        InstanceOperation.parse(r.errand())
-                .filter(ongoing -> current)
-                .ifPresentOrElse(
-                        ongoing -> state.ongoingOperations.put(
-                                r.instance(),
-                                new OngoingOperation(r.instance(), ongoing, service, r.worker(), state.now())),
-                        () -> state.port.endEvacuation(service, r.worker()));
+        if (i == null || !current || operation.isEmpty()) {
+            state.port.endEvacuation(service, r.worker());
+            return;
+        }
+        boolean cordonInForce = state.cordons.isAnyCordoned();
+        OngoingOperation ongoing =
+                new OngoingOperation(i, operation.get(), service, r.worker(), cordonInForce, state.now());
+        state.ongoingOperations.put(r.instance(), ongoing);
     }
 
     /** Adds the waves requested by operators. */
@@ -171,6 +177,7 @@
             return;
         }
         ongoing.orderInFlight = false;
+        ongoing.orderUnanswered |= outcome == InstanceOrderOutcome.UNKNOWN;
         state.port.logDecision("errand-ordered", instance, "errand=" + operation + " outcome=" + outcome);
         switch (outcome) {
             case TAKEN -> onOrderAccepted(ongoing);
@@ -208,6 +215,7 @@
         if (!listReceived || state.predecessorOrders == null) {
             return;
         }
+        dropMovesOfCordonedHalls();
         new ArrayList<>(state.ongoingOperations.values()).forEach(this::advance);
         upkeepScheduler.run();
         sizer.run();
@@ -218,6 +226,21 @@
                 .forEach(this::advanceOrder);
     }
 
+    /**
+     * Ends the moves of cordoned halls that have not been ordered. The order of a predecessor may still be carried
+     * out, so such a move remains until that is excluded; it is not ordered again meanwhile.
+     */
+    private void dropMovesOfCordonedHalls() {
+        state.ongoingOperations.values().stream()
+                .filter(ongoing -> isUnorderedMoveOfCordonedHall(ongoing) && state.mayOrder(ongoing.instance))
+                .toList()
+                .forEach(ongoing -> state.endOperation(ongoing, HALL_CORDONED));
+    }
+
+    private boolean isUnorderedMoveOfCordonedHall(OngoingOperation ongoing) {
+        return ongoing.isMove() && !ongoing.mayBeOrdered() && state.cordons.isCordoned(ongoing.hall);
+    }
+
     private void advance(OngoingOperation ongoing) {
         switch (ongoing.phase) {
             case EVACUATING -> advanceEvacuation(ongoing);
@@ -269,6 +292,7 @@
         }
         boolean unknown = i != null && i.state() == PlatformInstance.State.UNKNOWN;
         if (!unknown
+                && !isUnorderedMoveOfCordonedHall(ongoing)
                 && state.mayOrder(ongoing.instance)
                 && !ongoing.orderInFlight
                 && state.now() >= ongoing.orderDueAt) {
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -62,6 +62,8 @@
     private final Map<String, Set<String>> unreachableByPool = new HashMap<>();
     /** When the last operation of each instance ended. */
     private final Map<String, Long> operationEndedAt = new HashMap<>();
+    /** Instances whose last operation was a move that began while a hall was cordoned. */
+    private final Set<String> movedDuringCordon = new HashSet<>();
     /** Moves that the platform rejected as impossible, as {@code instance>pool}. */
     final Set<String> impossibleMoves = new HashSet<>();
 
@@ -163,6 +165,16 @@
                 .toList();
     }
 
+    /** Returns whether the data hall of an instance is cordoned. */
+    boolean isCordoned(PlatformInstance i) {
+        return cordons.isCordoned(i.hall());
+    }
+
+    /** Returns the remaining instances of a pool that can be given new work: those whose hall is not cordoned. */
+    List<PlatformInstance> availableInstances(String pool) {
+        return remainingInstances(pool).stream().filter(i -> !isCordoned(i)).toList();
+    }
+
     /** Handles a report from the owner of a service. */
     void onReport(String service, ServiceReport report) {
         reports.put(service, report);
@@ -174,22 +186,32 @@
                         .collect(Collectors.toSet()));
     }
 
-    /** Returns the remaining instances of a pool whose worker is not reported as unreachable. */
+    /** Returns the available instances of a pool whose worker is not reported as unreachable. */
     List<PlatformInstance> usableInstances(String pool) {
-        Set<String> unreachable = unreachableByPool.getOrDefault(pool, Set.of());
-        return remainingInstances(pool).stream()
-                .filter(i -> !unreachable.contains(i.worker()))
-                .toList();
+        return availableInstances(pool).stream().filter(this::isReachable).toList();
+    }
+
+    private boolean isReachable(PlatformInstance i) {
+        return !unreachableByPool.getOrDefault(i.pool(), Set.of()).contains(i.worker());
+    }
+
+    /** Returns whether the owner of the service reports the instance's worker as reachable and without tasks. */
+    boolean isIdle(PlatformInstance i) {
+        return reports.containsKey(i.pool()) && isReachable(i) && load(i) == 0;
     }
 
-    /** Returns the number of instances moving into a pool, by order of this planner or a predecessor. */
+    /**
+     * Returns the number of instances moving into a pool, by order of this planner or a predecessor. Instances of
+     * cordoned halls do not count.
+     */
     int incomingCount(String pool) {
         long ordered = ongoingOperations.values().stream()
-                .filter(ongoing -> ongoing.isMoveTo(pool))
+                .filter(ongoing -> ongoing.isMoveTo(pool) && !cordons.isCordoned(ongoing.hall))
                 .count();
         long orderedByOthers = instances.values().stream()
                 .filter(i -> i.state() == PlatformInstance.State.MOVING
                         && i.pool().equals(pool)
+                        && !isCordoned(i)
                         && !ongoingOperations.containsKey(i.id()))
                 .count();
         return (int) (ordered + orderedByOthers);
@@ -232,8 +254,8 @@
     /** Starts an operation on an instance. An urgent operation is one that waiting work depends on. */
     void startOperation(PlatformInstance i, InstanceOperation operation, boolean urgent) {
         boolean runsNothing = isHeadroom(i.pool()) || i.worker().isEmpty();
-        OngoingOperation ongoing =
-                new OngoingOperation(i.id(), operation, i.pool(), runsNothing ? "" : i.worker(), now());
+        OngoingOperation ongoing = new OngoingOperation(
+                i, operation, i.pool(), runsNothing ? "" : i.worker(), cordons.isAnyCordoned(), now());
         ongoingOperations.put(i.id(), ongoing);
         port.logDecision("errand-begun", i.id(), "errand=" + operation + " pool=" + i.pool() + " load=" + load(i));
         if (!ongoing.worker.isEmpty()) {
@@ -248,9 +270,22 @@
         return now() - operationEndedAt.getOrDefault(i.id(), Long.MIN_VALUE / 2) >= MIN_STAY_MILLIS;
     }
 
+    /**
+     * Returns whether the instance replaced one of a cordoned hall and has not been in its pool for the minimum stay.
+     * After the cordon is lifted its pool has a surplus, which must not make the instance move again at once.
+     */
+    boolean isRecentReplacement(PlatformInstance i) {
+        return movedDuringCordon.contains(i.id()) && !hasMinimumStay(i);
+    }
+
     /** Ends an operation, whether it succeeded or not. */
     void endOperation(OngoingOperation ongoing, String why) {
         operationEndedAt.put(ongoing.instance, now());
+        if (ongoing.isMove() && ongoing.begunDuringCordon) {
+            movedDuringCordon.add(ongoing.instance);
+        } else {
+            movedDuringCordon.remove(ongoing.instance);
+        }
         ongoingOperations.remove(ongoing.instance);
         port.logDecision(
                 "errand-ended",
--- a/core/src/main/java/org/lupinpaddle/core/fleet/OngoingOperation.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/OngoingOperation.java
@@ -32,24 +32,55 @@
     final InstanceOperation operation;
     final String service;
     final String worker;
+    /** The data hall of the instance. */
+    final String hall;
+    /** Whether a hall was cordoned when the operation began. */
+    final boolean begunDuringCordon;
+
     final long begunAt;
     Phase phase;
     boolean orderInFlight;
+    /** Whether an order got no answer: it may still be carried out, whatever later orders are answered. */
+    boolean orderUnanswered;
+
     long orderDueAt;
     long acceptedAt;
 
-    OngoingOperation(String instance, InstanceOperation operation, String service, String worker, long now) {
-        this.instance = instance;
+    /**
+     * Creates an operation that has not been ordered yet.
+     *
+     * @param i the instance
+     * @param service the service whose pool the instance leaves
+     * @param worker the worker to evacuate, or empty for none
+     */
+    OngoingOperation(
+            PlatformInstance i,
+            InstanceOperation operation,
+            String service,
+            String worker,
+            boolean begunDuringCordon,
+            long now) {
+        this.instance = i.id();
         this.operation = operation;
         this.service = service;
         this.worker = worker;
+        this.hall = i.hall();
+        this.begunDuringCordon = begunDuringCordon;
         this.begunAt = now;
         this.phase = worker.isEmpty() ? Phase.ORDERING : Phase.EVACUATING;
         this.orderDueAt = now;
     }
 
+    boolean isMove() {
+        return operation.kind() == InstanceOperation.Kind.MOVE;
+    }
+
     boolean isMoveTo(String pool) {
-        return operation.kind() == InstanceOperation.Kind.MOVE
-                && operation.target().equals(pool);
+        return isMove() && operation.target().equals(pool);
+    }
+
+    /** Returns whether an order of this operation has been accepted, or may still be carried out. */
+    boolean mayBeOrdered() {
+        return phase == Phase.AWAITING_COMPLETION || orderInFlight || orderUnanswered;
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -21,13 +21,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lupinpaddle.core.capacity.FleetShares;
 import org.lupinpaddle.core.capacity.ServiceReport;
 
 /**
  * Sizes each pool to its demand plus a reserve, or to its share of the fleet while total demand exceeds the
  * number of instances. Pools grow from the headroom pool first, then from pools with a surplus. A surplus that
- * persists moves to the headroom pool.
+ * persists moves to the headroom pool. Instances of cordoned halls count in no pool and are not moved.
  */
 final class PoolSizer {
 
@@ -51,12 +52,15 @@
     private final Map<String, Integer> retained = new HashMap<>();
 
     private final Map<String, Long> oversizedSince = new HashMap<>();
+    /** The cordoned halls in the previous run. */
+    private Set<String> cordonedHalls = Set.of();
 
     PoolSizer(FleetState state) {
         this.state = state;
     }
 
     void run() {
+        restartShrinkDelayOnCordonChange();
         List<String> pools = new ArrayList<>(state.servicePools());
         shares = computeShares(pools);
         shares.forEach(this::updateRetained);
@@ -65,6 +69,18 @@
         pools.forEach(this::shrink);
     }
 
+    /**
+     * Restarts the delay before pools shrink. Otherwise a pool that was already oversized would give away the
+     * instances of a hall as soon as its cordon is lifted.
+     */
+    private void restartShrinkDelayOnCordonChange() {
+        Set<String> halls = state.cordons.halls();
+        if (!halls.equals(cordonedHalls)) {
+            cordonedHalls = halls;
+            oversizedSince.clear();
+        }
+    }
+
     private void updateRetained(String pool, int share) {
         int high = recentHighs.computeIfAbsent(pool, p -> new SlidingMaximum()).update(state.now(), share);
         retained.put(pool, overcommitted ? high : share);
@@ -73,7 +89,7 @@
     /** Returns the target size of each pool: its demand, or its share while demand exceeds the fleet. */
     private Map<String, Integer> computeShares(List<String> pools) {
         int instances = state.headroomPool()
-                        .map(h -> state.remainingInstances(h).size())
+                        .map(h -> state.availableInstances(h).size())
                         .orElse(0)
                 + pools.stream().mapToInt(this::supply).sum();
         standby = Math.max(state.timing.minWorkers(), instances / (STANDBY_DIVISOR * Math.max(1, pools.size())));
@@ -126,7 +142,7 @@
 
     private Optional<PlatformInstance> donor(String pool) {
         Optional<PlatformInstance> spare = state.headroomPool().stream()
-                .flatMap(h -> state.remainingInstances(h).stream())
+                .flatMap(h -> state.availableInstances(h).stream())
                 .filter(i -> mayMove(i, pool))
                 .min(Comparator.comparing(this::awaitsUpkeep).thenComparing(i -> countInHall(pool, i.hall())));
         if (spare.isPresent()) {
@@ -135,7 +151,9 @@
         return state.servicePools().stream()
                 .filter(p -> !p.equals(pool) && hasSurplus(p))
                 .flatMap(p -> state.usableInstances(p).stream())
-                .filter(i -> mayMove(i, pool) && (!overcommitted || state.hasMinimumStay(i)))
+                .filter(i -> mayMove(i, pool)
+                        && !state.isRecentReplacement(i)
+                        && (!overcommitted || state.hasMinimumStay(i)))
                 .min(Comparator.comparingInt(state::load));
     }
 
@@ -180,7 +198,7 @@
                 .filter(e -> e.service.equals(pool) && e.operation.kind() == InstanceOperation.Kind.MOVE)
                 .count();
         List<PlatformInstance> leaving = state.usableInstances(pool).stream()
-                .filter(i -> mayMove(i, headroom.get()))
+                .filter(i -> mayMove(i, headroom.get()) && !state.isRecentReplacement(i))
                 .sorted(Comparator.comparingInt(state::load)
                         .thenComparing(Comparator.comparingLong((PlatformInstance i) -> countInHall(pool, i.hall()))
                                 .reversed()))
--- a/core/src/main/java/org/lupinpaddle/core/fleet/UpkeepScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/UpkeepScheduler.java
@@ -27,7 +27,8 @@
 /**
  * Runs upkeep waves. The number of instances that are down at the same time never exceeds the wave's limit,
  * instances without tasks go first, and a busy pool gives up only what it can spare while the wave is on
- * schedule.
+ * schedule. Instances of cordoned halls are not among those that a pool can spare; idle ones are taken out regardless
+ * of the needs of their pool, because they get no new work.
  */
 final class UpkeepScheduler {
 
@@ -117,13 +118,18 @@
                 all.add(i);
             }
         }
-        all.sort(Comparator.<PlatformInstance>comparingInt(i -> state.isHeadroom(i.pool()) ? 0 : 1)
+        all.sort(Comparator.<PlatformInstance, Boolean>comparing(i -> !state.isHeadroom(i.pool()))
+                .thenComparing(i -> !isIdleInCordonedHall(i))
                 .thenComparingInt(state::load));
         return all;
     }
 
+    private boolean isIdleInCordonedHall(PlatformInstance i) {
+        return state.isCordoned(i) && state.isIdle(i);
+    }
+
     private boolean mayTakeOut(PlatformInstance i, Pace pace) {
-        if (state.isHeadroom(i.pool()) || pace == Pace.OVERDUE) {
+        if (state.isHeadroom(i.pool()) || isIdleInCordonedHall(i) || pace == Pace.OVERDUE) {
             return true;
         }
         ServiceReport r = state.reports.get(i.pool());
@@ -133,7 +139,7 @@
         long down = state.ongoingOperations.values().stream()
                 .filter(e -> e.service.equals(i.pool()))
                 .count();
-        int spare = state.remainingInstances(i.pool()).size() - r.needed();
+        int spare = state.availableInstances(i.pool()).size() - r.needed();
         return spare > 0 || (pace == Pace.BEHIND_SCHEDULE && down == 0);
     }
 
