--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -191,14 +191,15 @@
             return;
         }
         long since = oversizedSince.computeIfAbsent(pool, p -> state.now());
-        if (state.now() - since < state.timing.shrinkAfterMillis()) {
+        boolean hasRecentReplacement = state.usableInstances(pool).stream().anyMatch(state::isRecentReplacement);
+        if (state.now() - since < state.timing.shrinkAfterMillis() || hasRecentReplacement) {
             return;
         }
         long evacuating = state.ongoingOperations.values().stream()
                 .filter(e -> e.service.equals(pool) && e.operation.kind() == InstanceOperation.Kind.MOVE)
                 .count();
         List<PlatformInstance> leaving = state.usableInstances(pool).stream()
-                .filter(i -> mayMove(i, headroom.get()) && !state.isRecentReplacement(i))
+                .filter(i -> mayMove(i, headroom.get()))
                 .sorted(Comparator.comparingInt(state::load)
                         .thenComparing(Comparator.comparingLong((PlatformInstance i) -> countInHall(pool, i.hall()))
                                 .reversed()))
