Test that upkeep prefers idle instances of a cordoned hall

Cause: with the order of candidates taken out, no test failed.

Change: a test in which usable and cordoned instances are all idle and the pool can spare both.

Conclusion: the test fails without the order and passes with it.

--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetCordonTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetCordonTest.java
@@ -304,6 +304,18 @@
                     "the pool needs all other instances");
         }
 
+        /** Guards against taking out usable instances first, because all idle ones are equal. */
+        @Test
+        void prefersIdleInstancesOfACordonedHallToUsableOnes() {
+            fleet.add(8, "clips", "south");
+            fleet.add(1, "clips", "north");
+            fleet.need("clips", 1);
+            fleet.cordon("north");
+            fleet.wave(1, 60_000, List.of("s-clips0", "n-clips0"));
+            fleet.step();
+            assertEquals("n-clips0", fleet.begun("UPKEEP").get(0).instance());
+        }
+
         /** Guards against upkeep that takes the last usable instances, because cordoned ones count as spare. */
         @Test
         void countsNoInstanceOfACordonedHallAsSpare() {
