Move no instance out of a service's pool by unconfirmed reports

Cause: the store was unreachable for six seconds while the demand of a service began to rise. By its latest report, which asked for 7 workers, the owner of the fleet began ten moves out of its pool of 30. They were carried out when the store returned, and the pool had to be filled again from 18.

Moves out of the headroom pool and upkeep continue. The delay before a pool shrinks starts again with the first confirmed report.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.cordon.HallCordons;
@@ -48,6 +49,8 @@
 
     /** The reason of a move that is dropped because of a cordon. */
     private static final String HALL_CORDONED = "hall-cordoned";
+    /** The reason of a move out of a service's pool that is dropped because reports cannot be read. */
+    private static final String REPORTS_UNCONFIRMED = "reports-unconfirmed";
 
     private final FleetState state;
     private final PoolSizer sizer;
@@ -105,6 +108,15 @@
         state.cordons = cordons;
     }
 
+    /**
+     * Sets the time up to which the records of the fleet, with the reports of the services, are known to be complete,
+     * in milliseconds of the monotonic clock. While it is too long ago, no instance is moved out of the pool of a
+     * service. Reports count as confirmed until this is called.
+     */
+    public void onReportsConfirmed(long confirmedAt) {
+        state.reportsConfirmedAt = confirmedAt;
+    }
+
     /** Handles a report from the owner of a service. */
     public void onReport(String service, ServiceReport report) {
         state.onReport(service, report);
@@ -215,7 +227,7 @@
         if (!listReceived || state.predecessorOrders == null) {
             return;
         }
-        dropMovesOfCordonedHalls();
+        dropUnorderedMoves();
         new ArrayList<>(state.ongoingOperations.values()).forEach(this::advance);
         upkeepScheduler.run();
         sizer.run();
@@ -227,18 +239,27 @@
     }
 
     /**
-     * Ends the moves of cordoned halls that have not been ordered. The order of a predecessor may still be carried
-     * out, so such a move remains until that is excluded; it is not ordered again meanwhile.
+     * Ends the moves that have lost their reason and have not been ordered. The order of a predecessor may still be
+     * carried out, so such a move remains until that is excluded; it is not ordered again meanwhile.
      */
-    private void dropMovesOfCordonedHalls() {
-        state.ongoingOperations.values().stream()
-                .filter(ongoing -> isUnorderedMoveOfCordonedHall(ongoing) && state.mayOrder(ongoing.instance))
-                .toList()
-                .forEach(ongoing -> state.endOperation(ongoing, HALL_CORDONED));
+    private void dropUnorderedMoves() {
+        for (OngoingOperation ongoing : List.copyOf(state.ongoingOperations.values())) {
+            String reason = dropReason(ongoing);
+            if (reason != null && state.mayOrder(ongoing.instance)) {
+                state.endOperation(ongoing, reason);
+            }
+        }
     }
 
-    private boolean isUnorderedMoveOfCordonedHall(OngoingOperation ongoing) {
-        return ongoing.isMove() && !ongoing.mayBeOrdered() && state.cordons.isCordoned(ongoing.hall);
+    /** Returns why an operation must not be ordered any more, or null if it may. */
+    private @Nullable String dropReason(OngoingOperation ongoing) {
+        if (!ongoing.isMove() || ongoing.mayBeOrdered()) {
+            return null;
+        }
+        if (state.cordons.isCordoned(ongoing.hall)) {
+            return HALL_CORDONED;
+        }
+        return state.areReportsConfirmed() || state.isHeadroom(ongoing.service) ? null : REPORTS_UNCONFIRMED;
     }
 
     private void advance(OngoingOperation ongoing) {
@@ -292,7 +313,7 @@
         }
         boolean unknown = i != null && i.state() == PlatformInstance.State.UNKNOWN;
         if (!unknown
-                && !isUnorderedMoveOfCordonedHall(ongoing)
+                && dropReason(ongoing) == null
                 && state.mayOrder(ongoing.instance)
                 && !ongoing.orderInFlight
                 && state.now() >= ongoing.orderDueAt) {
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -28,7 +28,8 @@
 /**
  * Sizes each pool to its demand plus a reserve, or to its share of the fleet while total demand exceeds the
  * number of instances. Pools grow from the headroom pool first, then from pools with a surplus. A surplus that
- * persists moves to the headroom pool. Instances of cordoned halls count in no pool and are not moved.
+ * persists moves to the headroom pool. Instances of cordoned halls count in no pool and are not moved. While reports
+ * are unconfirmed, no instance leaves the pool of a service.
  */
 final class PoolSizer {
 
@@ -145,7 +146,7 @@
                 .flatMap(h -> state.availableInstances(h).stream())
                 .filter(i -> mayMove(i, pool))
                 .min(Comparator.comparing(this::awaitsUpkeep).thenComparing(i -> countInHall(pool, i.hall())));
-        if (spare.isPresent()) {
+        if (spare.isPresent() || !state.areReportsConfirmed()) {
             return spare;
         }
         return state.servicePools().stream()
@@ -186,7 +187,8 @@
         // Work that is too late to count is still completed, on instances that no other pool requests.
         int surplus = supply(pool) - Math.max(share(pool), requested(pool));
         Optional<String> headroom = state.headroomPool();
-        if (surplus <= 0 || headroom.isEmpty() || state.incomingCount(pool) > 0) {
+        boolean mayShrink = state.areReportsConfirmed() && state.incomingCount(pool) == 0;
+        if (surplus <= 0 || headroom.isEmpty() || !mayShrink) {
             oversizedSince.remove(pool);
             return;
         }
--- a/core/src/test/java/org/lupinpaddle/core/fleet/SimulatedFleet.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/SimulatedFleet.java
@@ -80,6 +80,9 @@
 
     private final Set<String> unansweredMoves = new HashSet<>();
     private final List<Event> events = new ArrayList<>();
+    /** Whether the records of the services can be read. */
+    private boolean recordsReadable = true;
+
     private HallCordons cordons = HallCordons.DISABLED;
     private FleetPlanner planner;
     private long now;
@@ -132,6 +135,11 @@
         neededByPool.put(pool, needed);
     }
 
+    /** Sets whether reports and the answers to evacuation requests reach the planner. */
+    void recordsReadable(boolean readable) {
+        recordsReadable = readable;
+    }
+
     void load(String instance, int tasks) {
         loads.put(instance(instance).worker(), tasks);
     }
@@ -185,16 +193,19 @@
         events.removeAll(due);
         due.forEach(e -> e.action().run());
         planner.onInstances(InstanceList.of(List.copyOf(instances.values())));
-        neededByPool.forEach((pool, needed) -> planner.onReport(pool, report(pool, needed)));
-        Map<EvacuationRecord, String> records = new HashMap<>();
-        evacuations.forEach((worker, r) -> records.put(r, evacuatedServices.getOrDefault(worker, "")));
-        planner.onEvacuations(records);
+        if (recordsReadable) {
+            neededByPool.forEach((pool, needed) -> planner.onReport(pool, report(pool, needed)));
+            Map<EvacuationRecord, String> records = new HashMap<>();
+            evacuations.forEach((worker, r) -> records.put(r, evacuatedServices.getOrDefault(worker, "")));
+            planner.onEvacuations(records);
+            planner.onReportsConfirmed(now);
+        }
         planner.onCordons(cordons);
         planner.tick();
         now += STEP_MILLIS;
     }
 
-    private ServiceReport report(String pool, int needed) {
+    ServiceReport report(String pool, int needed) {
         List<WorkerLoad> workers = instances.values().stream()
                 .filter(i -> i.pool().equals(pool))
                 .map(i -> new WorkerLoad(i.worker(), 0, loads.getOrDefault(i.worker(), 0), true))
