Count busy instances of cordoned halls before a move becomes urgent

Cause: the required instances of a service include those for running tasks, but its supply does not include instances of cordoned halls. A cordon of a hall with only running tasks made the moves into the pool urgent, and the service that gave up the instances had to stop its own tasks although no task was waiting.

Change: remaining instances that run tasks in a cordoned hall count when the planner decides whether a move is urgent. Without cordons none are counted.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -188,6 +188,13 @@
         return remainingInstances(pool).stream().filter(i -> !isCordoned(i)).toList();
     }
 
+    /** Returns the number of remaining instances of a pool that run tasks in a cordoned hall. */
+    int busyCordonedCount(String pool) {
+        return (int) remainingInstances(pool).stream()
+                .filter(i -> isCordoned(i) && load(i) > 0)
+                .count();
+    }
+
     /** Handles a report from the owner of a service. */
     void onReport(String service, ServiceReport report) {
         reports.put(service, report);
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -120,10 +120,13 @@
         return new FleetShares.Claim(pool, standby, firm, r.late(), Math.max(0, requested(pool) - firm - r.late()));
     }
 
-    /** Returns whether a pool has too few instances for the work that can still meet its deadline. */
+    /**
+     * Returns whether a pool has too few instances for the work that can still meet its deadline. That work includes
+     * running tasks, so instances of cordoned halls that still run some count.
+     */
     private boolean lacksRequiredInstances(String pool) {
         ServiceReport r = state.reports.get(pool);
-        return r != null && supply(pool) < r.firm();
+        return r != null && supply(pool) + state.busyCordonedCount(pool) < r.firm();
     }
 
     private int supply(String pool) {
--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetCordonTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetCordonTest.java
@@ -152,6 +152,36 @@
             assertEquals(1, fleet.begun("MOVE:clips").size(), "five of eight to clips, three to archive");
         }
 
+        private void givenBusyPoolInNorthAndSurplusInSouth() {
+            fleet.add(4, "clips", "north");
+            for (int i = 0; i < 4; i++) {
+                fleet.load("n-clips" + i, 1);
+            }
+            fleet.add(8, "archive", "south");
+            fleet.need("clips", 4);
+            fleet.need("archive", 4);
+        }
+
+        /** Guards against stopping another service's tasks for work that still runs in the cordoned hall. */
+        @Test
+        void areNotUrgentForTasksThatRunInACordonedHall() {
+            givenBusyPoolInNorthAndSurplusInSouth();
+            fleet.cordon("north");
+            fleet.run(1_000);
+            assertFalse(fleet.begun("MOVE:clips").isEmpty());
+            assertEquals(Set.of(), fleet.urgentlyEvacuated);
+        }
+
+        /** Guards against moves that are not urgent although tasks wait, because others run in a cordoned hall. */
+        @Test
+        void areUrgentForTasksThatWaitDuringACordon() {
+            givenBusyPoolInNorthAndSurplusInSouth();
+            fleet.need("clips", 5);
+            fleet.cordon("north");
+            fleet.run(1_000);
+            assertEquals(1, fleet.urgentlyEvacuated.size(), "four of the five required instances run tasks");
+        }
+
         /** Guards against waiting for instances that arrive in a cordoned hall, by whosever order. */
         @Test
         void doNotCountIncomingInstancesOfACordonedHall() {
--- a/core/src/test/java/org/lupinpaddle/core/fleet/SimulatedFleet.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/SimulatedFleet.java
@@ -66,6 +66,8 @@
     final Map<String, Integer> loads = new HashMap<>();
     /** Instances with ongoing upkeep according to the planner. */
     final Set<String> inUpkeep = new HashSet<>();
+    /** Workers whose evacuation has been requested as urgent. */
+    final Set<String> urgentlyEvacuated = new HashSet<>();
     /** Moves that the planner began or ordered although their hall was cordoned. */
     final List<String> movesOfCordonedHalls = new ArrayList<>();
 
@@ -221,6 +223,9 @@
     public void requestEvacuation(String service, EvacuationRecord r) {
         evacuations.put(r.worker(), r);
         evacuatedServices.put(r.worker(), service);
+        if (r.urgent()) {
+            urgentlyEvacuated.add(r.worker());
+        }
         after(EVACUATION_MILLIS, () -> {
             if (r.equals(evacuations.get(r.worker()))) {
                 loads.remove(r.worker());
