Keep a resumed move of a cordoned hall until its order would be listed

Cause: the record that an owner leaves when it shuts down does not contain moves whose order was accepted. A successor dropped such a move at its first tick because of a cordon, while the lagging list still showed the instance as up in its old pool. Its worker could be given tasks although the instance was about to leave.

Drops for unconfirmed reports do not change.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -151,6 +151,7 @@
         boolean cordonInForce = state.cordons.isAnyCordoned();
         OngoingOperation ongoing =
                 new OngoingOperation(i, operation.get(), service, r.worker(), cordonInForce, state.now());
+        ongoing.resumed = true;
         state.ongoingOperations.put(r.instance(), ongoing);
     }
 
@@ -240,17 +241,28 @@
 
     /**
      * Ends the moves that have lost their reason and have not been ordered. The order of a predecessor may still be
-     * carried out, so such a move remains until that is excluded; it is not ordered again meanwhile.
+     * carried out, or may have been carried out without being listed yet, so such a move remains until both are
+     * excluded; it is not ordered again meanwhile.
      */
     private void dropUnorderedMoves() {
         for (OngoingOperation ongoing : List.copyOf(state.ongoingOperations.values())) {
             String reason = dropReason(ongoing);
-            if (reason != null && state.mayOrder(ongoing.instance)) {
+            boolean mayDrop = state.mayOrder(ongoing.instance)
+                    && !(HALL_CORDONED.equals(reason) && mayBeOrderedUnlisted(ongoing));
+            if (reason != null && mayDrop) {
                 state.endOperation(ongoing, reason);
             }
         }
     }
 
+    /**
+     * Returns whether a predecessor's order may have been accepted although the list still shows the instance in its
+     * old pool. The records of a predecessor that has shut down do not contain answered orders of moves.
+     */
+    private boolean mayBeOrderedUnlisted(OngoingOperation ongoing) {
+        return ongoing.resumed && state.now() - ongoing.begunAt < MAX_LIST_LAG_MILLIS;
+    }
+
     /** Returns why an operation must not be ordered any more, or null if it may. */
     private @Nullable String dropReason(OngoingOperation ongoing) {
         if (!ongoing.isMove() || ongoing.mayBeOrdered()) {
--- a/core/src/main/java/org/lupinpaddle/core/fleet/OngoingOperation.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/OngoingOperation.java
@@ -39,6 +39,9 @@
 
     final long begunAt;
     Phase phase;
+    /** Whether a predecessor began the operation. Its orders and their outcomes are not known. */
+    boolean resumed;
+
     boolean orderInFlight;
     /** Whether an order got no answer: it may still be carried out, whatever later orders are answered. */
     boolean orderUnanswered;
