Look up loads once per upkeep candidate

Cause: the comparator of the upkeep candidates looked up the load of both sides, each time by a scan of the pool's report, at every tick. Every oversized pool was searched for recent replacements at every tick, also without cordons.

Change: the load and the flags of a candidate are computed once and sorted with it. The search for replacements runs only after the delay before a pool shrinks, and only if an instance was moved during a cordon. Decisions do not change.

Processor time was not measured.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -298,6 +298,11 @@
         return movedDuringCordon.contains(i.id()) && !hasMinimumStay(i);
     }
 
+    /** Returns whether a pool has usable instances that are recent replacements. */
+    boolean hasRecentReplacement(String pool) {
+        return !movedDuringCordon.isEmpty() && usableInstances(pool).stream().anyMatch(this::isRecentReplacement);
+    }
+
     /** Ends an operation, whether it succeeded or not. */
     void endOperation(OngoingOperation ongoing, String why) {
         operationEndedAt.put(ongoing.instance, now());
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -196,8 +196,7 @@
             return;
         }
         long since = oversizedSince.computeIfAbsent(pool, p -> state.now());
-        boolean hasRecentReplacement = state.usableInstances(pool).stream().anyMatch(state::isRecentReplacement);
-        if (state.now() - since < state.timing.shrinkAfterMillis() || hasRecentReplacement) {
+        if (state.now() - since < state.timing.shrinkAfterMillis() || state.hasRecentReplacement(pool)) {
             return;
         }
         long evacuating = state.ongoingOperations.values().stream()
--- a/core/src/main/java/org/lupinpaddle/core/fleet/UpkeepScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/UpkeepScheduler.java
@@ -46,6 +46,17 @@
         OVERDUE
     }
 
+    /**
+     * An instance that may be taken out, with the values by which candidates are ordered. They are computed once,
+     * because the load is looked up by a scan of the pool's report.
+     */
+    private record Candidate(PlatformInstance instance, boolean headroom, boolean idleInCordonedHall, int load) {
+
+        static final Comparator<Candidate> ORDER = Comparator.comparing((Candidate c) -> !c.headroom())
+                .thenComparing(c -> !c.idleInCordonedHall())
+                .thenComparingInt(Candidate::load);
+    }
+
     private final FleetState state;
     private final Set<Long> announced = new HashSet<>();
 
@@ -67,12 +78,12 @@
         }
         long down = countDown(w);
         Pace pace = pace(w);
-        for (PlatformInstance i : candidates(w)) {
+        for (Candidate c : candidates(w)) {
             if (down >= w.maxDown()) {
                 break;
             }
-            if (mayTakeOut(i, pace)) {
-                state.startOperation(i, InstanceOperation.upkeep(w.number()), false);
+            if (mayTakeOut(c, pace)) {
+                state.startOperation(c.instance(), InstanceOperation.upkeep(w.number()), false);
                 down++;
             }
         }
@@ -105,33 +116,31 @@
         return ownDown + predecessorDown;
     }
 
-    private List<PlatformInstance> candidates(UpkeepWave w) {
-        List<PlatformInstance> all = new ArrayList<>();
+    private List<Candidate> candidates(UpkeepWave w) {
+        List<Candidate> all = new ArrayList<>();
         for (String id : w.instances()) {
             PlatformInstance i = state.instances.get(id);
-            boolean selectable = i != null
-                    && i.state() == PlatformInstance.State.UP
-                    && !state.ongoingOperations.containsKey(id)
-                    && !state.mayBeDownByPredecessor(i)
-                    && !state.begunInstances(w.number()).contains(id);
-            if (selectable) {
-                all.add(i);
+            if (i != null && isSelectable(i, w)) {
+                boolean idleInCordonedHall = state.isCordoned(i) && state.isIdle(i);
+                all.add(new Candidate(i, state.isHeadroom(i.pool()), idleInCordonedHall, state.load(i)));
             }
         }
-        all.sort(Comparator.<PlatformInstance, Boolean>comparing(i -> !state.isHeadroom(i.pool()))
-                .thenComparing(i -> !isIdleInCordonedHall(i))
-                .thenComparingInt(state::load));
+        all.sort(Candidate.ORDER);
         return all;
     }
 
-    private boolean isIdleInCordonedHall(PlatformInstance i) {
-        return state.isCordoned(i) && state.isIdle(i);
+    private boolean isSelectable(PlatformInstance i, UpkeepWave w) {
+        return i.state() == PlatformInstance.State.UP
+                && !state.ongoingOperations.containsKey(i.id())
+                && !state.mayBeDownByPredecessor(i)
+                && !state.begunInstances(w.number()).contains(i.id());
     }
 
-    private boolean mayTakeOut(PlatformInstance i, Pace pace) {
-        if (state.isHeadroom(i.pool()) || isIdleInCordonedHall(i) || pace == Pace.OVERDUE) {
+    private boolean mayTakeOut(Candidate c, Pace pace) {
+        if (c.headroom() || c.idleInCordonedHall() || pace == Pace.OVERDUE) {
             return true;
         }
+        PlatformInstance i = c.instance();
         ServiceReport r = state.reports.get(i.pool());
         if (r == null) {
             return false;
