--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -19,8 +19,10 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.cordon.HallCordons;
@@ -45,6 +47,11 @@
     // Moves only save cost; one whose evacuation takes longer than this is not worth completing.
     private static final long MOVE_EVACUATION_TIMEOUT_MILLIS = 8_000;
 
+    /** The reason of a move that is dropped because of a cordon. */
+    private static final String HALL_CORDONED = "hall-cordoned";
+    /** The reason of a move out of a service's pool that is dropped because reports cannot be read. */
+    private static final String REPORTS_UNCONFIRMED = "reports-unconfirmed";
+
     private final FleetState state;
     private final PoolSizer sizer;
     private final UpkeepScheduler upkeepScheduler;
@@ -101,6 +108,15 @@
         state.cordons = cordons;
     }
 
+    /**
+     * Sets the time up to which the records of the fleet, with the reports of the services, are known to be complete,
+     * in milliseconds of the monotonic clock. While it is too long ago, no instance is moved out of the pool of a
+     * service. Reports count as confirmed until this is called.
+     */
+    public void onReportsConfirmed(long confirmedAt) {
+        state.reportsConfirmedAt = confirmedAt;
+    }
+
     /** Handles a report from the owner of a service. */
     public void onReport(String service, ServiceReport report) {
         state.onReport(service, report);
@@ -123,17 +139,20 @@
         if (i != null && i.state() == PlatformInstance.State.UNKNOWN) {
             return;
         }
+        Optional<InstanceOperation> operation = InstanceOperation.parse(r.errand());
         boolean current = i != null
                 && i.worker().equals(r.worker())
                 && i.pool().equals(service)
                 && !state.ongoingOperations.containsKey(r.instance());
-        InstanceOperation.parse(r.errand())
-                .filter(ongoing -> current)
-                .ifPresentOrElse(
-                        ongoing -> state.ongoingOperations.put(
-                                r.instance(),
-                                new OngoingOperation(r.instance(), ongoing, service, r.worker(), state.now())),
-                        () -> state.port.endEvacuation(service, r.worker()));
+        if (i == null || !current || operation.isEmpty()) {
+            state.port.endEvacuation(service, r.worker());
+            return;
+        }
+        boolean cordonInForce = state.cordons.isAnyCordoned();
+        OngoingOperation ongoing =
+                new OngoingOperation(i, operation.get(), service, r.worker(), cordonInForce, state.now());
+        ongoing.resumed = true;
+        state.ongoingOperations.put(r.instance(), ongoing);
     }
 
     /** Adds the waves requested by operators. */
@@ -171,6 +190,7 @@
             return;
         }
         ongoing.orderInFlight = false;
+        ongoing.orderUnanswered |= outcome == InstanceOrderOutcome.UNKNOWN;
         state.port.logDecision("errand-ordered", instance, "errand=" + operation + " outcome=" + outcome);
         switch (outcome) {
             case TAKEN -> onOrderAccepted(ongoing);
@@ -208,6 +228,7 @@
         if (!listReceived || state.predecessorOrders == null) {
             return;
         }
+        dropUnorderedMoves();
         new ArrayList<>(state.ongoingOperations.values()).forEach(this::advance);
         upkeepScheduler.run();
         sizer.run();
@@ -218,6 +239,41 @@
                 .forEach(this::advanceOrder);
     }
 
+    /**
+     * Ends the moves that have lost their reason and have not been ordered. The order of a predecessor may still be
+     * carried out, or may have been carried out without being listed yet, so such a move remains until both are
+     * excluded; it is not ordered again meanwhile.
+     */
+    private void dropUnorderedMoves() {
+        for (OngoingOperation ongoing : List.copyOf(state.ongoingOperations.values())) {
+            String reason = dropReason(ongoing);
+            boolean mayDrop = state.mayOrder(ongoing.instance)
+                    && !(HALL_CORDONED.equals(reason) && mayBeOrderedUnlisted(ongoing));
+            if (reason != null && mayDrop) {
+                state.endOperation(ongoing, reason);
+            }
+        }
+    }
+
+    /**
+     * Returns whether a predecessor's order may have been accepted although the list still shows the instance in its
+     * old pool. The records of a predecessor that has shut down do not contain answered orders of moves.
+     */
+    private boolean mayBeOrderedUnlisted(OngoingOperation ongoing) {
+        return ongoing.resumed && state.now() - ongoing.begunAt < MAX_LIST_LAG_MILLIS;
+    }
+
+    /** Returns why an operation must not be ordered any more, or null if it may. */
+    private @Nullable String dropReason(OngoingOperation ongoing) {
+        if (!ongoing.isMove() || ongoing.mayBeOrdered()) {
+            return null;
+        }
+        if (state.cordons.isCordoned(ongoing.hall)) {
+            return HALL_CORDONED;
+        }
+        return state.areReportsConfirmed() || state.isHeadroom(ongoing.service) ? null : REPORTS_UNCONFIRMED;
+    }
+
     private void advance(OngoingOperation ongoing) {
         switch (ongoing.phase) {
             case EVACUATING -> advanceEvacuation(ongoing);
@@ -269,6 +325,7 @@
         }
         boolean unknown = i != null && i.state() == PlatformInstance.State.UNKNOWN;
         if (!unknown
+                && dropReason(ongoing) == null
                 && state.mayOrder(ongoing.instance)
                 && !ongoing.orderInFlight
                 && state.now() >= ongoing.orderDueAt) {
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -42,6 +42,9 @@
     // A loaded worker is evacuated 0.6 to 2 s after the request. Evacuation overlaps with the wait for a
     // predecessor's order.
     private static final long EXPECTED_EVACUATION_MILLIS = 1_200;
+    // An idle watch answers every 1,500 ms, so the age of confirmed records reaches 3,000 ms and the duration of a
+    // call.
+    private static final long MAX_REPORT_AGE_MILLIS = 3_300;
 
     final FleetTiming timing;
     final FleetPort port;
@@ -62,12 +65,16 @@
     private final Map<String, Set<String>> unreachableByPool = new HashMap<>();
     /** When the last operation of each instance ended. */
     private final Map<String, Long> operationEndedAt = new HashMap<>();
+    /** Instances whose last operation was a move that began while a hall was cordoned. */
+    private final Set<String> movedDuringCordon = new HashSet<>();
     /** Moves that the platform rejected as impossible, as {@code instance>pool}. */
     final Set<String> impossibleMoves = new HashSet<>();
 
     List<ServiceConfig> services = List.of();
     /** The cordoned data halls. */
     HallCordons cordons = HallCordons.DISABLED;
+    /** The time up to which the records of the fleet are known to be complete. */
+    long reportsConfirmedAt = Long.MAX_VALUE;
     /** Whether the latest instance list was complete. */
     boolean listComplete = true;
     /**
@@ -163,6 +170,31 @@
                 .toList();
     }
 
+    /**
+     * Returns whether the reports of the services are recent enough to take instances out of their pools. A service
+     * whose demand rises while its report cannot be read would lose the instances that it is about to need.
+     */
+    boolean areReportsConfirmed() {
+        return now() - reportsConfirmedAt <= MAX_REPORT_AGE_MILLIS;
+    }
+
+    /** Returns whether the data hall of an instance is cordoned. */
+    boolean isCordoned(PlatformInstance i) {
+        return cordons.isCordoned(i.hall());
+    }
+
+    /** Returns the remaining instances of a pool that can be given new work: those whose hall is not cordoned. */
+    List<PlatformInstance> availableInstances(String pool) {
+        return remainingInstances(pool).stream().filter(i -> !isCordoned(i)).toList();
+    }
+
+    /** Returns the number of remaining instances of a pool that run tasks in a cordoned hall. */
+    int busyCordonedCount(String pool) {
+        return (int) remainingInstances(pool).stream()
+                .filter(i -> isCordoned(i) && load(i) > 0)
+                .count();
+    }
+
     /** Handles a report from the owner of a service. */
     void onReport(String service, ServiceReport report) {
         reports.put(service, report);
@@ -174,22 +206,32 @@
                         .collect(Collectors.toSet()));
     }
 
-    /** Returns the remaining instances of a pool whose worker is not reported as unreachable. */
+    /** Returns the available instances of a pool whose worker is not reported as unreachable. */
     List<PlatformInstance> usableInstances(String pool) {
-        Set<String> unreachable = unreachableByPool.getOrDefault(pool, Set.of());
-        return remainingInstances(pool).stream()
-                .filter(i -> !unreachable.contains(i.worker()))
-                .toList();
+        return availableInstances(pool).stream().filter(this::isReachable).toList();
     }
 
-    /** Returns the number of instances moving into a pool, by order of this planner or a predecessor. */
+    private boolean isReachable(PlatformInstance i) {
+        return !unreachableByPool.getOrDefault(i.pool(), Set.of()).contains(i.worker());
+    }
+
+    /** Returns whether the owner of the service reports the instance's worker as reachable and without tasks. */
+    boolean isIdle(PlatformInstance i) {
+        return reports.containsKey(i.pool()) && isReachable(i) && load(i) == 0;
+    }
+
+    /**
+     * Returns the number of instances moving into a pool, by order of this planner or a predecessor. Instances of
+     * cordoned halls do not count.
+     */
     int incomingCount(String pool) {
         long ordered = ongoingOperations.values().stream()
-                .filter(ongoing -> ongoing.isMoveTo(pool))
+                .filter(ongoing -> ongoing.isMoveTo(pool) && !cordons.isCordoned(ongoing.hall))
                 .count();
         long orderedByOthers = instances.values().stream()
                 .filter(i -> i.state() == PlatformInstance.State.MOVING
                         && i.pool().equals(pool)
+                        && !isCordoned(i)
                         && !ongoingOperations.containsKey(i.id()))
                 .count();
         return (int) (ordered + orderedByOthers);
@@ -232,8 +274,8 @@
     /** Starts an operation on an instance. An urgent operation is one that waiting work depends on. */
     void startOperation(PlatformInstance i, InstanceOperation operation, boolean urgent) {
         boolean runsNothing = isHeadroom(i.pool()) || i.worker().isEmpty();
-        OngoingOperation ongoing =
-                new OngoingOperation(i.id(), operation, i.pool(), runsNothing ? "" : i.worker(), now());
+        OngoingOperation ongoing = new OngoingOperation(
+                i, operation, i.pool(), runsNothing ? "" : i.worker(), cordons.isAnyCordoned(), now());
         ongoingOperations.put(i.id(), ongoing);
         port.logDecision("errand-begun", i.id(), "errand=" + operation + " pool=" + i.pool() + " load=" + load(i));
         if (!ongoing.worker.isEmpty()) {
@@ -248,9 +290,27 @@
         return now() - operationEndedAt.getOrDefault(i.id(), Long.MIN_VALUE / 2) >= MIN_STAY_MILLIS;
     }
 
+    /**
+     * Returns whether the instance replaced one of a cordoned hall and has not been in its pool for the minimum stay.
+     * After the cordon is lifted its pool has a surplus, which must not make the instance move again at once.
+     */
+    boolean isRecentReplacement(PlatformInstance i) {
+        return movedDuringCordon.contains(i.id()) && !hasMinimumStay(i);
+    }
+
+    /** Returns whether a pool has usable instances that are recent replacements. */
+    boolean hasRecentReplacement(String pool) {
+        return !movedDuringCordon.isEmpty() && usableInstances(pool).stream().anyMatch(this::isRecentReplacement);
+    }
+
     /** Ends an operation, whether it succeeded or not. */
     void endOperation(OngoingOperation ongoing, String why) {
         operationEndedAt.put(ongoing.instance, now());
+        if (ongoing.isMove() && ongoing.begunDuringCordon) {
+            movedDuringCordon.add(ongoing.instance);
+        } else {
+            movedDuringCordon.remove(ongoing.instance);
+        }
         ongoingOperations.remove(ongoing.instance);
         port.logDecision(
                 "errand-ended",
