Show operators what is cordoned and what waits because of it

Cause: operators could not see which halls are cordoned, when a hall is empty, or which job waits because of a cordon. Change: job halls lists the halls with their cordons, workers and tasks by service, and the owners of services. job explain names the cordoned halls where the cordons alone keep a step from a worker, judged by the records in the store as the scheduler judges it: label, room and limit per worker. Without cordons job explain reads nothing more.

--- a/core/src/main/java/org/lupinpaddle/core/command/JobCommands.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/JobCommands.java
@@ -31,6 +31,7 @@
                 ExplainCommand.class,
                 OwnersCommand.class,
                 WorkersCommand.class,
+                HallsCommand.class,
                 UpkeepCommand.class,
                 UnreadableCommand.class);
     }
@@ -75,6 +76,15 @@
         }
     }
 
+    /** Lists the data halls. */
+    @Command(name = "halls", description = "Lists the data halls, whether they are cordoned, and what still runs there")
+    public static final class HallsCommand extends BaseCommand {
+        @Override
+        public OperatorCommand get() {
+            return new OperatorCommand.JobHalls();
+        }
+    }
+
     /** Lists the unreadable store entries. */
     @Command(name = "unreadable", description = "Lists the store's entries that can not be read, and what is wrong")
     public static final class UnreadableCommand extends BaseCommand {
--- a/core/src/main/java/org/lupinpaddle/core/command/OperatorCommand.java
+++ b/core/src/main/java/org/lupinpaddle/core/command/OperatorCommand.java
@@ -148,6 +148,9 @@
     /** Lists the workers by service. */
     record JobWorkers() implements Question {}
 
+    /** Lists the data halls, whether they are cordoned, and the tasks in them. */
+    record JobHalls() implements Question {}
+
     /** Lists the platform's upkeep waves. */
     record JobUpkeep() implements Question {}
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobCommandExecutor.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobCommandExecutor.java
@@ -21,10 +21,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.command.CommandParser;
 import org.lupinpaddle.core.command.OperatorCommand;
 import org.lupinpaddle.core.common.Unreadable;
@@ -51,18 +51,25 @@
     private final PlatformRecords records;
     private final JobIntake intake;
     private final UnreadableEntriesQuery unreadable;
+    private final HallsQuery halls;
 
     /**
      * Creates an executor.
      *
      * @param cordons reads the cordons; empty if the deployment has none
+     * @param halls all data halls of the deployment; empty if not known
      */
     JobCommandExecutor(
-            KeyValueStore store, PlatformRecords records, JobIntake intake, Optional<CordonRecords> cordons) {
+            KeyValueStore store,
+            PlatformRecords records,
+            JobIntake intake,
+            Optional<CordonRecords> cordons,
+            Set<String> halls) {
         this.store = store;
         this.records = records;
         this.intake = intake;
         unreadable = new UnreadableEntriesQuery(store, records, cordons);
+        this.halls = new HallsQuery(store, records, cordons, halls);
     }
 
     @Override
@@ -90,6 +97,9 @@
         } else if (command instanceof OperatorCommand.JobUpkeep) {
             return store.range(records.wavePrefix()).thenCombine(store.range(SchedulerKeys.fleet()), this::upkeep);
         }
+        if (command instanceof OperatorCommand.JobHalls) {
+            return unreadable.ofJobs().thenCompose(u -> allJobs().thenCompose(all -> halls.list(all, u.size())));
+        }
         if (command instanceof OperatorCommand.JobUnreadable) {
             return unreadable.all().thenApply(l -> l.isEmpty() ? List.of("all entries can be read") : l);
         }
@@ -97,10 +107,6 @@
                 List.of("this entry runs jobs on the operators' platform; it answers the group job"));
     }
 
-    /** A job as stored; it has no spec once it is finished. */
-    private record StoredJob(
-            JobKey key, String service, @Nullable JobSpec spec, JobProgress progress, boolean cancelled) {}
-
     /**
      * Reads all jobs. Progress is read last: a job whose record marks it as finished has progress by then, or has
      * been removed.
@@ -138,27 +144,34 @@
     private static List<String> formatJobs(List<StoredJob> all, List<String> unreadable) {
         List<String> lines = new ArrayList<>(unreadable);
         for (StoredJob k : all) {
-            lines.add(k.key.id() + "  " + k.progress.state() + "  queue " + k.key.queue() + "  service " + k.service
-                    + (k.cancelled ? "  cancelled by its caller" : ""));
+            lines.add(k.key().id() + "  " + k.progress().state() + "  queue "
+                    + k.key().queue() + "  service " + k.service()
+                    + (k.cancelled() ? "  cancelled by its caller" : ""));
         }
         return lines.isEmpty() ? List.of("no jobs") : lines;
     }
 
     private CompletableFuture<List<String>> explain(String id) {
-        return allJobs().thenCombine(store.range(SchedulerKeys.MEMBERS), (all, members) -> {
-            List<String> lines = new ArrayList<>();
-            all.stream()
-                    .filter(k -> k.key.id().equals(id))
-                    .forEach(k -> lines.addAll(explainJob(k, ownerOf(k.service, members))));
-            return lines.isEmpty() ? List.of("no such job: never accepted, or over for more than two minutes") : lines;
-        });
+        return allJobs()
+                .thenCompose(all -> halls.ifAnyCordoned(all)
+                        .thenCombine(
+                                store.range(SchedulerKeys.MEMBERS),
+                                (snapshot, members) -> explain(id, all, members, snapshot)));
+    }
+
+    private List<String> explain(String id, List<StoredJob> all, StoreRange members, HallSnapshot snapshot) {
+        List<String> lines = new ArrayList<>();
+        all.stream()
+                .filter(k -> k.key().id().equals(id))
+                .forEach(k -> lines.addAll(explainJob(k, ownerOf(k.service(), members), snapshot)));
+        return lines.isEmpty() ? List.of("no such job: never accepted, or over for more than two minutes") : lines;
     }
 
-    private List<String> explainJob(StoredJob k, String owner) {
+    private List<String> explainJob(StoredJob k, String owner, HallSnapshot snapshot) {
         long now = intake.wallMillis();
-        return k.spec == null
-                ? JobExplanation.ofFinished(k.key, k.service, k.progress, k.cancelled, now)
-                : JobExplanation.of(k.spec, k.progress, k.cancelled, owner, now);
+        return k.spec() == null
+                ? JobExplanation.ofFinished(k.key(), k.service(), k.progress(), k.cancelled(), now)
+                : JobExplanation.of(k.spec(), k.progress(), k.cancelled(), owner, snapshot, now);
     }
 
     private static String ownerOf(String service, StoreRange members) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
@@ -35,16 +35,18 @@
      * Describes a job.
      *
      * @param owner the entry that owns the job's service; empty if there is none
+     * @param halls the cordoned halls, with the workers and tasks of all halls
      * @param wallMillis the current wall-clock time
      */
-    static List<String> of(JobSpec spec, JobProgress progress, boolean cancelled, String owner, long wallMillis) {
+    static List<String> of(
+            JobSpec spec, JobProgress progress, boolean cancelled, String owner, HallSnapshot halls, long wallMillis) {
         List<String> lines = new ArrayList<>();
         lines.add(state(spec.key(), spec.service(), progress));
         lines.add("accepted " + (wallMillis - spec.acceptedMillis()) + " ms ago, last change "
                 + (wallMillis - progress.changedMillis()) + " ms ago" + byCaller(cancelled));
         lines.add(owner.isEmpty() ? "waits: nobody owns " + spec.service() : "owner of its service: " + owner);
         if (!progress.state().ended()) {
-            lines.addAll(steps(spec, progress, wallMillis));
+            lines.addAll(steps(spec, progress, halls, wallMillis));
             progress.tasks().stream().filter(JobExplanation::hasCrashes).forEach(t -> lines.add(crashes(t)));
         }
         return lines;
@@ -68,19 +70,20 @@
         return cancelled ? ", cancelled by its caller" : "";
     }
 
-    private static List<String> steps(JobSpec spec, JobProgress progress, long wallMillis) {
+    private static List<String> steps(JobSpec spec, JobProgress progress, HallSnapshot halls, long wallMillis) {
         Map<TaskId, TaskRecord> tasks = new HashMap<>();
         progress.tasks().forEach(t -> tasks.put(new TaskId(t.time(), t.step(), t.index()), t));
         List<String> lines = new ArrayList<>();
         for (int time = 0; time < spec.repeat().repetitions(); time++) {
             for (int step = 0; step < spec.steps().size(); step++) {
-                lines.add(step(spec, tasks, time, step, wallMillis));
+                lines.add(step(spec, tasks, time, step, halls, wallMillis));
             }
         }
         return lines;
     }
 
-    private static String step(JobSpec spec, Map<TaskId, TaskRecord> tasks, int time, int step, long wallMillis) {
+    private static String step(
+            JobSpec spec, Map<TaskId, TaskRecord> tasks, int time, int step, HallSnapshot halls, long wallMillis) {
         StepSpec s = spec.steps().get(step);
         int done = 0;
         List<String> on = new ArrayList<>();
@@ -95,7 +98,9 @@
         int waiting = s.count() - done - on.size();
         String text = "step " + step + (spec.repeat().count() > 0 ? " of time " + time : "") + ": " + done + " of "
                 + s.count() + " done" + (on.isEmpty() ? "" : ", placed: " + String.join(", ", on));
-        return waiting == 0 ? text : text + ", " + waiting + " wait " + reason(spec, tasks, time, s, wallMillis);
+        return waiting == 0
+                ? text
+                : text + ", " + waiting + " wait " + reason(spec, tasks, time, step, halls, wallMillis);
     }
 
     private static boolean hasCrashes(TaskRecord t) {
@@ -108,7 +113,9 @@
                 + t.knownDoubtfulCrashes() + " more may have" + (t.done() ? "; it is not started again" : "");
     }
 
-    private static String reason(JobSpec spec, Map<TaskId, TaskRecord> tasks, int time, StepSpec s, long wallMillis) {
+    private static String reason(
+            JobSpec spec, Map<TaskId, TaskRecord> tasks, int time, int step, HallSnapshot halls, long wallMillis) {
+        StepSpec s = spec.steps().get(step);
         long due = spec.repeat().dueMillis(time);
         if (wallMillis < due) {
             return "for their time, in " + (due - wallMillis) + " ms";
@@ -121,7 +128,18 @@
                 }
             }
         }
-        return "for a worker with " + s.need().cpuMillis() + " thousandths of a core and "
-                + s.need().memoryMb() + " MB" + (s.label().isEmpty() ? "" : " and the label " + s.label());
+        HallSnapshot.CordonBlock block = halls.blockOf(spec, time, step);
+        return "for a worker" + (block == null ? "" : outside(block)) + " with "
+                + s.need().cpuMillis() + " thousandths of a core and "
+                + s.need().memoryMb() + " MB"
+                + (s.label().isEmpty() ? "" : " and the label " + s.label())
+                + (block == null
+                        ? ""
+                        : block.isListedElsewhere() ? "; not enough of them have room" : "; there are not enough");
+    }
+
+    private static String outside(HallSnapshot.CordonBlock block) {
+        return " outside of the cordoned " + (block.halls().size() == 1 ? "hall " : "halls ")
+                + String.join(", ", block.halls());
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -118,7 +118,11 @@
         }
         intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall(), this::reachesStore);
         commandExecutor = new JobCommandExecutor(
-                p.store(), p.records(), intake, cordons.isEnabled() ? Optional.of(cordonRecords) : Optional.empty());
+                p.store(),
+                p.records(),
+                intake,
+                cordons.isEnabled() ? Optional.of(cordonRecords) : Optional.empty(),
+                p.halls());
         SchedulerTiming timing = SchedulerTiming.usual(
                 p.limits().longestHoldMillis(), p.limits().stopMillis(), MAX_STORE_SILENCE_MILLIS);
         schedulerContext = new SchedulerHost.Context(
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobCommandExecutorTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobCommandExecutorTest.java
@@ -45,7 +45,11 @@
     private final CordonFeed cordons = new CordonFeed(new CordonRecords(records, Set.of()), unreadable, 0);
     private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, unreadable, cordons, () -> {});
     private final JobCommandExecutor questions = new JobCommandExecutor(
-            store, records, new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true), Optional.empty());
+            store,
+            records,
+            new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true),
+            Optional.empty(),
+            Set.of());
 
     private List<String> answer(String words) {
         List<String> lines = new ArrayList<>();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobExplanationTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobExplanationTest.java
@@ -49,7 +49,7 @@
     }
 
     private static String explain(JobSpec spec, JobProgress progress, String owner, long now) {
-        return String.join("\n", JobExplanation.of(spec, progress, false, owner, now));
+        return String.join("\n", JobExplanation.of(spec, progress, false, owner, HallSnapshot.NONE, now));
     }
 
     @Nested
@@ -89,7 +89,8 @@
         @Test
         void showsTheReason() {
             JobProgress failed = new JobProgress(JobState.FAILED, List.of(), "task 0.0.1 failed 3 times", 2_000);
-            List<String> lines = JobExplanation.of(job(Repeat.ONCE), failed, false, "entry-1", 3_000);
+            List<String> lines =
+                    JobExplanation.of(job(Repeat.ONCE), failed, false, "entry-1", HallSnapshot.NONE, 3_000);
             assertTrue(lines.get(0).endsWith("FAILED, task 0.0.1 failed 3 times"), lines.get(0));
             assertEquals(3, lines.size());
         }
