Report waits that are due to cordons

Cause: lupinctl report counted waits for a cordoned hall as waits for room. Change: cordoned-millis of TASK_PLACED makes a cause of its own, and the ten jobs that waited longest are listed.

--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/Cause.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/Cause.java
@@ -23,6 +23,8 @@
     FAILED("failed", j -> j.outcome.equals("FAILED")),
     /** No owner of its service took the job for a while. */
     OWNER("waited for an owner", j -> waitedForOwner(j) > threshold(j)),
+    /** Tasks would have found a worker, had its hall not been cordoned. */
+    CORDON("waited: hall cordoned", j -> j.cordonedMillis() > threshold(j)),
     /** The job was taken, but no worker had room for its first task. */
     ROOM("waited for room", j -> waitedForRoom(j) > threshold(j)),
     /** A worker was chosen, but the first run did not start for a while. */
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/JobTrace.java
@@ -49,6 +49,9 @@
     /** The longest wait of any task for a worker, by step. */
     private final Map<String, Long> waitByStep = new HashMap<>();
 
+    /** The longest wait of any task that was due to a cordon alone, by step. */
+    private final Map<String, Long> cordonedByStep = new HashMap<>();
+
     private final Map<String, Long> excessByStep = new HashMap<>();
 
     /** The result of a job compared with its objective. */
@@ -77,6 +80,11 @@
         waitByStep.merge(step(task), waitedMillis, Math::max);
     }
 
+    /** Records for how long a cordon alone kept a task from a worker. */
+    void addCordoned(String task, long cordonedMillis) {
+        cordonedByStep.merge(step(task), cordonedMillis, Math::max);
+    }
+
     /** Records by how much a run took longer than its owner expected. */
     void addRun(String task, long excessMillis) {
         excessByStep.merge(step(task), excessMillis, Math::max);
@@ -95,6 +103,11 @@
                 .sum();
     }
 
+    /** Returns the total wait of all steps that was due to cordons alone; steps run one after another. */
+    long cordonedMillis() {
+        return cordonedByStep.values().stream().mapToLong(Long::longValue).sum();
+    }
+
     /** Returns by how much the longest run of each step exceeded the expectation, summed over the steps. */
     long excessMillis() {
         return excessByStep.values().stream().mapToLong(Long::longValue).sum();
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadReport.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.ctl.report;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -127,6 +128,7 @@
         } else if (line.isDecision("TASK_PLACED")) {
             j.placedAt = earliest(j.placedAt, line.atMillis());
             j.addWait(line.text("task"), line.number("waited-millis", 0));
+            j.addCordoned(line.text("task"), line.number("cordoned-millis", 0));
             second(j.service, line.atMillis()).placed++;
         } else if (line.isDecision("JOB_BEGUN")) {
             j.firstStartAt = earliest(j.firstStartAt, line.atMillis());
@@ -223,6 +225,25 @@
         return byService;
     }
 
+    /**
+     * Returns the jobs that waited only because halls were cordoned, with the time, longest first.
+     *
+     * @param limit the maximum number of jobs
+     */
+    List<CordonedJob> longestCordoned(int limit) {
+        return jobs.entrySet().stream()
+                .map(e -> new CordonedJob(
+                        e.getKey(), e.getValue().service, e.getValue().cordonedMillis()))
+                .filter(j -> j.cordonedMillis > 0)
+                .sorted(Comparator.comparingLong((CordonedJob j) -> -j.cordonedMillis)
+                        .thenComparing(CordonedJob::key))
+                .limit(limit)
+                .toList();
+    }
+
+    /** A job that waited for {@code cordonedMillis} only because halls were cordoned. */
+    record CordonedJob(String key, String service, long cordonedMillis) {}
+
     /** Returns the number of submissions that were not accepted. */
     long refused() {
         return refused;
--- a/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadTable.java
+++ b/ctl/src/main/java/org/lupinpaddle/ctl/report/LoadTable.java
@@ -29,6 +29,7 @@
     private static final double MILLIS = 1_000;
     // The length of a burst of the load in seconds.
     private static final int WORST_SECONDS = 5;
+    private static final int MAX_CORDONED_JOBS = 10;
 
     private LoadTable() {}
 
@@ -40,11 +41,22 @@
         report.causes()
                 .forEach((service, causes) ->
                         causes.forEach((c, n) -> lines.add(String.format("  %-16s %5d  %s", service, n, c.label()))));
+        addCordoned(lines, report.longestCordoned(MAX_CORDONED_JOBS));
         report.seconds().forEach((service, seconds) -> addWorst(lines, service, seconds));
         report.seconds().forEach((service, seconds) -> addService(lines, service, seconds));
         return lines;
     }
 
+    /** Adds the jobs that waited longest because of cordons, whether or not they missed their objective. */
+    private static void addCordoned(List<String> lines, List<LoadReport.CordonedJob> jobs) {
+        if (jobs.isEmpty()) {
+            return;
+        }
+        lines.add("longest waits because of cordoned halls:");
+        jobs.forEach(j -> lines.add(String.format(
+                "  %-16s %s waited %s s: hall cordoned", j.service(), j.key(), seconds(j.cordonedMillis()))));
+    }
+
     /** Adds the seconds with the most accepted jobs that missed their objective, the worst first. */
     private static void addWorst(List<String> lines, String service, TreeMap<Long, LoadReport.Second> seconds) {
         List<Map.Entry<Long, LoadReport.Second>> worst = seconds.entrySet().stream()
--- a/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
+++ b/ctl/src/test/java/org/lupinpaddle/ctl/report/ReportCommandTest.java
@@ -141,6 +141,16 @@
             assertEquals(Map.of("clips", Map.of(Cause.RUN_STOPPED, 1)), causesWith(stopped, anew));
         }
 
+        @Test
+        void distinguishCordonsFromOtherWaits() {
+            String cordoned = decision(
+                    12.0, "TASK_PLACED", JOB, "task=0.1.3 run=1 why=\"waited-millis=900 cordoned-millis=800\"");
+            String shortly = decision(
+                    12.0, "TASK_PLACED", JOB, "task=0.1.3 run=1 why=\"waited-millis=900 cordoned-millis=100\"");
+            assertEquals(Map.of("clips", Map.of(Cause.CORDON, 1)), causesWith(cordoned));
+            assertEquals(Map.of("clips", Map.of(Cause.LATER_ROOM, 1)), causesWith(shortly));
+        }
+
         @Test
         void combineSeveralShortWaits() {
             assertEquals(Map.of("clips", Map.of(Cause.TOGETHER, 1)), causesWith());
@@ -195,6 +205,20 @@
             assertEquals("      10  1 of 1 missed: 1 waited for room", table.get(title + 1));
         }
 
+        /** Guards against counting a wait again for each task of a step, which wait at the same time. */
+        @Test
+        void showJobsThatWaitedBecauseOfCordons() {
+            String why = " run=1 why=\"waited-millis=3300 cordoned-millis=";
+            List<String> table = LoadTable.lines(report(List.of(
+                    lateJob().get(0),
+                    decision(13.0, "TASK_PLACED", JOB, "task=0.0.0" + why + "2000\""),
+                    decision(13.0, "TASK_PLACED", JOB, "task=0.0.1" + why + "1500\""),
+                    decision(19.0, "TASK_PLACED", JOB, "task=0.1.0" + why + "1200\""))));
+            int title = table.indexOf("longest waits because of cordoned halls:");
+            assertEquals("  clips            q/" + JOB + " waited 3.2 s: hall cordoned", table.get(title + 1));
+            assertEquals(-1, LoadTable.lines(report(lateJob())).indexOf("longest waits because of cordoned halls:"));
+        }
+
         @Test
         void withoutTimesOrEventsProduceAnEmptyTable(@TempDir Path folder) throws IOException {
             Path log = Files.write(folder.resolve("all.log"), List.of("nothing here", "event=accept job=a"));
