Let operators' records be removed at the platform stand-in

Cause: a cordon is lifted by removing its record, and a test must know when a worker last started a run. Change: POST /standin/remove; the worker stand-in counts starts and keeps the time of the latest.

--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
@@ -36,8 +36,8 @@
 
 /**
  * A stand-in for the operators' platform: the store, the list of instances with moves and maintenance, and advice that
- * accepts every worker. Tests write operators' keys below {@code op/} with {@code POST /standin/put}; {@code POST
- * /standin/restart} with a {@code machine} makes its worker crash and restart under its id.
+ * accepts every worker. Tests write operators' keys below {@code op/} with {@code POST /standin/put}
+ * and remove them with {@code POST /standin/remove}; {@code POST /standin/restart} with a {@code machine} makes its worker crash and restart under its id.
  */
 public final class JobPlatformStandIn implements AutoCloseable {
 
@@ -126,6 +126,7 @@
                 case "/api/machine-move", "/api/machine-upkeep" -> order(exchange, path.endsWith("upkeep"));
                 case "/api/advise" -> advise(exchange);
                 case "/standin/put" -> putAsOperator(exchange);
+                case "/standin/remove" -> removeAsOperator(exchange);
                 case "/standin/restart" -> restart(exchange);
                 case "/standin/machine" -> exchange.answer(OK, instances.register(exchange.body));
                 default -> exchange.answer(NOT_FOUND, JsonHttp.object());
@@ -235,6 +236,12 @@
         exchange.answer(OK, JsonHttp.object().put("revision", store.revision()));
     }
 
+    /** Removes a record as an operator does. */
+    private void removeAsOperator(Exchange exchange) {
+        writeRecord(exchange.body.path("key").asText(), "");
+        exchange.answer(OK, JsonHttp.object().put("revision", store.revision()));
+    }
+
     private void writeEncoded(String key, String encoded) {
         ArrayNode puts = JsonHttp.array();
         puts.addObject().put("privateKey", key).put("value", encoded).put("lease", 0);
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerStandIn.java
@@ -63,6 +63,8 @@
     private @Nullable JobWorkerIncarnation incarnation;
 
     private final Map<String, Integer> executedStarts = new HashMap<>();
+    private int startCount;
+    private long lastStartAt = Long.MIN_VALUE;
     private boolean nextStartIsLate;
     private @Nullable LateStart lateStart;
     private final CompletableFuture<String> lateStartOutcome = new CompletableFuture<>();
@@ -147,6 +149,16 @@
         return executedStarts.getOrDefault(task, 0);
     }
 
+    /** Returns how many runs have been started, by any incarnation. */
+    public synchronized int startCount() {
+        return startCount;
+    }
+
+    /** Returns when the latest run was started, in milliseconds of the monotonic clock; a negative value if none was. */
+    public synchronized long lastStartAt() {
+        return lastStartAt;
+    }
+
     private static long now() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -239,6 +251,8 @@
         String refused = current.start(start);
         if (refused.isEmpty() && !wasRunning) {
             executedStarts.merge(task, 1, Integer::sum);
+            startCount++;
+            lastStartAt = now();
         }
         return refused;
     }
