--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
@@ -135,7 +135,7 @@
                 + (s.label().isEmpty() ? "" : " and the label " + s.label())
                 + (block == null
                         ? ""
-                        : block.isListedElsewhere() ? "; not enough of them have room" : "; there are not enough");
+                        : block.isListedElsewhere() ? "; the other halls have too little free room" : "; the other halls have too few");
     }
 
     private static String outside(HallSnapshot.CordonBlock block) {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonCommandsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonCommandsTest.java
@@ -206,7 +206,7 @@
             list("w2", "clips", "south");
             submit(A, "clips", step(1).place("fast", "").build());
             cordon("north");
-            assertBlocked("hall north" + NEED + " and the label fast; there are not enough");
+            assertBlocked("hall north" + NEED + " and the label fast; the other halls have too few");
         }
 
         @Test
@@ -216,7 +216,7 @@
             submit(A, "clips", step(1).build());
             cordon("north");
             cordon("south");
-            assertBlocked("halls north, south" + NEED + "; there are not enough");
+            assertBlocked("halls north, south" + NEED + "; the other halls have too few");
         }
 
         @Test
@@ -226,7 +226,7 @@
             submit(A, "clips", step(1).build());
             submit(B, "clips", step(2).build(), on("w2", 0), on("w2", 1));
             cordon("north");
-            assertBlocked("hall north" + NEED + "; not enough of them have room");
+            assertBlocked("hall north" + NEED + "; the other halls have too little free room");
         }
 
         @Test
@@ -235,7 +235,7 @@
             list("w2", "clips", "south");
             submit(A, "clips", step(2).perWorkerMost(1).build(), on("w2", 0));
             cordon("north");
-            assertBlocked("hall north" + NEED + "; not enough of them have room");
+            assertBlocked("hall north" + NEED + "; the other halls have too little free room");
         }
 
         @Test
@@ -244,7 +244,7 @@
             list("w2", "clips", "south");
             submit(A, "clips", step(3).gang(true, false).build());
             cordon("north");
-            assertBlocked("hall north" + NEED + "; there are not enough");
+            assertBlocked("hall north" + NEED + "; the other halls have too few");
         }
 
         /** Guards against blaming a cordon for a step that would wait without it as well. */
