--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobExplanation.java
@@ -135,7 +135,9 @@
                 + (s.label().isEmpty() ? "" : " and the label " + s.label())
                 + (block == null
                         ? ""
-                        : block.isListedElsewhere() ? "; the other halls have too little free room" : "; the other halls have too few");
+                        : block.isListedElsewhere()
+                                ? "; the other halls have too little free room"
+                                : "; the other halls have too few");
     }
 
     private static String outside(HallSnapshot.CordonBlock block) {
