Simulate cordoned halls and cold workers in the model

Cause: no history had a cordon or a hall whose workers return cold, and no rule covered starts in a cordoned hall.

The rule CORDON allows starts until 5,000 ms after the cordon, and 6,000 ms more if since then the history of the store was dropped, the entry lost its connection to the store, or the entry was frozen. CORDONS_HIDDEN and OLD_CORDONS_CONFIRMED disable the reading of cordons. Histories with these options settle for 55 s instead of 40 s.

--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -20,6 +20,7 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.LongStream;
 
 /**
@@ -55,6 +56,12 @@
     @Option(name = "--late-holds", description = "Workers that execute orders late do so with holds as well")
     private boolean lateHolds;
 
+    @Option(name = "--cordons", description = "Operators cordon data halls and lift the cordons")
+    private boolean cordons;
+
+    @Option(name = "--cold-halls", description = "Halls lose all workers, which return cold under new ids")
+    private boolean coldHalls;
+
     /** Runs the histories that the arguments select. */
     public static void main(String[] args) {
         System.exit(run(args));
@@ -74,6 +81,7 @@
         AtomicInteger broken = new AtomicInteger();
         AtomicInteger givenUp = new AtomicInteger();
         AtomicInteger lost = new AtomicInteger();
+        AtomicLong latestStart = new AtomicLong();
         LongStream.range(seed, seed + count).parallel().forEach(s -> {
             World w = world(s);
             if (!runHistory(s, w)) {
@@ -81,11 +89,15 @@
             }
             givenUp.addAndGet(w.completableJobsGivenUp());
             lost.addAndGet(w.workersLostToTasks());
+            w.cordons().ifPresent(c -> latestStart.accumulateAndGet(c.latestStartMillis(), Math::max));
         });
         double minutes = (System.nanoTime() - startNanos) / 1e6 / MILLIS_PER_MINUTE;
         System.out.printf(
                 "histories=%d broken=%d completable-jobs-given-up=%d workers-lost-to-tasks=%d per-minute=%.0f%n",
                 count, broken.get(), givenUp.get(), lost.get(), count / minutes);
+        if (cordons) {
+            System.out.println("latest-start-in-cordoned-hall-millis=" + latestStart.get());
+        }
         return broken.get() == 0 ? EXIT_OK : EXIT_VIOLATION;
     }
 
@@ -100,6 +112,12 @@
         if (lateHolds) {
             w.withLateHolds(s);
         }
+        if (cordons) {
+            w.withCordons(s);
+        }
+        if (coldHalls) {
+            w.withColdHalls(s);
+        }
         if (workspaces) {
             w.withWorkspaces(s);
         }
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -71,6 +71,11 @@
         QUOTA,
         /** Keys are accepted or refused according to a configuration that may be in force. */
         CONFIG,
+        /**
+         * No task starts on a worker of a hall that has been cordoned for longer than the bound, unless the worker
+         * carries the order out late.
+         */
+        CORDON,
         /** Service recovers after all entries lose power. */
         RECOVER
     }
@@ -88,6 +93,15 @@
     private final VirtualTime time;
     private final Map<String, TrackedJob> jobs = new HashMap<>();
     private @Nullable SimWorkspaces workspaces;
+    private @Nullable SimCordons cordons;
+
+    /**
+     * The sender of an order.
+     *
+     * @param entry the name of the entry
+     * @param late whether the worker carries the order out seconds after it was sent
+     */
+    record Sender(String entry, boolean late) {}
 
     /** The actual state of a job, independent of what any entry knows. */
     static final class TrackedJob {
@@ -225,6 +239,11 @@
         workspaces = limitedWorkspaces;
     }
 
+    /** Enables the check of starts in cordoned halls. */
+    void checkCordonsOf(SimCordons simulatedCordons) {
+        cordons = simulatedCordons;
+    }
+
     TrackedJob track(String id, String service, int maxAttempts, Submission s) {
         return jobs.computeIfAbsent(id, i -> new TrackedJob(i, service, maxAttempts, s));
     }
@@ -249,7 +268,8 @@
     }
 
     /** Checks the start of a run. Time limits do not apply to an order that the worker carries out late. */
-    void onStart(SimWorker w, StartOrder o, boolean late) {
+    void onStart(SimWorker w, StartOrder o, Sender sender) {
+        boolean late = sender.late();
         String what = o.jobId() + "." + o.task() + " run " + o.run() + " on " + w.incarnationId();
         TrackedJob job = jobs.get(o.jobId());
         if (job == null) {
@@ -265,6 +285,9 @@
         require(Rule.ROUTE, job.service.equals(w.service()), what + ": worker of " + w.service());
         require(Rule.ROUTE, w.facts().hasLabel(job.step(o.task()).label()), what + ": label missing");
         require(Rule.DRAIN, late || time.now() <= w.drainingSince() + World.DRAIN_MILLIS, what + ": draining");
+        if (cordons != null && !late) {
+            cordons.checkStart(w, sender.entry(), what);
+        }
         checkOrder(job, o.task(), what);
         checkPerWorkerLimit(job, o.task(), w, what);
         TrackedTask t = job.task(o.task());
--- a/model/src/main/java/org/lupinpaddle/model/Sabotage.java
+++ b/model/src/main/java/org/lupinpaddle/model/Sabotage.java
@@ -32,7 +32,19 @@
     /** Workers refuse the tasks of finite jobs that count against a quota. */
     LIMITED_TASKS_REFUSED,
     /** Entries keep using the first configuration that they have read. */
-    CONFIGURATION_NOT_UPDATED;
+    CONFIGURATION_NOT_UPDATED,
+    /** Entries receive neither the operators' cordons nor changes of them. */
+    CORDONS_HIDDEN,
+    /**
+     * A watch of the operators' records that meets a fault is answered as if nothing had changed, so that an old view of
+     * the cordons seems current.
+     */
+    OLD_CORDONS_CONFIRMED;
+
+    /** Returns whether this switch only has an effect in histories with cordons. */
+    boolean needsCordons() {
+        return this == CORDONS_HIDDEN || this == OLD_CORDONS_CONFIRMED;
+    }
 
     /** Returns whether this switch only has an effect in histories with workspaces. */
     boolean needsWorkspaces() {
--- /dev/null
+++ b/model/src/main/java/org/lupinpaddle/model/SimCordons.java
@@ -0,0 +1,231 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.model;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * The operators' cordons of a history: of one, two or all halls, of different lengths, overlapping, requested again while
+ * in force or soon after they were lifted, and beside other faults. The workers of a hall may be cold when its cordon is
+ * lifted. Uses its own random generator, so that histories without cordons do not change.
+ */
+final class SimCordons {
+
+    /** How long after the store has acknowledged a cordon tasks may still start in the hall. */
+    static final long BOUND_MILLIS = 5_000;
+
+    // What the requirement allows in addition when the store is unstable.
+    private static final long EXTENSION_MILLIS = 6_000;
+
+    private static final long SEED = 0xc0_4d0;
+    private static final int MAX_EVENTS = 3;
+    private static final int MIN_SHORT_MILLIS = 50;
+    private static final int SHORT_RANGE_MILLIS = 3_000;
+    // Long enough for starts beyond the bound and its extension.
+    private static final int MIN_LONG_MILLIS = 5_500;
+    private static final int LONG_RANGE_MILLIS = 9_500;
+    private static final int MAX_REPEAT_DELAY_MILLIS = 1_500;
+    private static final int MAX_FAULT_OFFSET_MILLIS = 800;
+    private static final int MIN_SILENT_MILLIS = 3_000;
+    private static final int SILENT_RANGE_MILLIS = 9_000;
+    private static final int MAX_KILLED_MILLIS = 4_000;
+    // The time that accepted jobs need after the last cordon is part of the settling time.
+    private static final long LAST_LIFT_AFTER_TRAFFIC_MILLIS = 5_000;
+
+    private static final List<Disturbance> DISTURBANCES = List.of(
+            fault(Fault.ENTRY_KILLED),
+            fault(Fault.ENTRY_FROZEN),
+            fault(Fault.ENTRY_TURNED_AWAY),
+            fault(Fault.HALL_CUT),
+            fault(Fault.STORE_DOWN),
+            fault(Fault.STORE_LOSES_ANSWERS),
+            fault(Fault.HISTORY_DROPPED),
+            fault(Fault.WORKER_LATE),
+            SimCordons::killOwner,
+            SimCordons::hideOperatorRecordsFromOwner);
+
+    private final World world;
+    private final Random random;
+    private final boolean disturbed;
+    /** When the store acknowledged the cordons in force, by hall. */
+    private final Map<String, Long> acknowledgedAt = new HashMap<>();
+
+    private long lastLiftAt;
+    private long latestStartMillis;
+
+    /** A fault that occurs at about the same time as a cordon. */
+    private interface Disturbance {
+        void inject(SimCordons c);
+    }
+
+    SimCordons(World world, long seed, boolean disturbed) {
+        this.world = world;
+        this.disturbed = disturbed;
+        random = new Random(seed ^ SEED);
+    }
+
+    void plan(long from, long millis) {
+        lastLiftAt = from + millis + LAST_LIFT_AFTER_TRAFFIC_MILLIS;
+        int events = 1 + random.nextInt(MAX_EVENTS);
+        for (int i = 0; i < events; i++) {
+            world.time.schedule(from + random.nextInt((int) millis), this::begin);
+        }
+    }
+
+    /** Returns the longest time between a cordon and a start in its hall that was not carried out late. */
+    long latestStartMillis() {
+        return latestStartMillis;
+    }
+
+    /** Checks the start of a run that the worker does not carry out late. */
+    void checkStart(SimWorker w, String entry, String what) {
+        Long since = acknowledgedAt.get(w.hall());
+        if (since == null) {
+            return;
+        }
+        long millis = world.time.now() - since;
+        latestStartMillis = Math.max(latestStartMillis, millis);
+        long bound = isExtended(entry, since) ? BOUND_MILLIS + EXTENSION_MILLIS : BOUND_MILLIS;
+        world.rules.require(
+                Rules.Rule.CORDON,
+                millis <= bound,
+                what + " by " + entry + ": " + w.hall() + " was cordoned " + millis + " ms ago, allowed are " + bound);
+    }
+
+    /**
+     * Returns whether a fault since the cordon extends the bound for an entry.
+     *
+     * <ul>
+     *   <li>A dropped history does, because it is an instability of the store that ends watches.
+     *   <li>A cut of the entry or its hall does, as does a rejection by the store, because the entry's own link is down
+     *       and the requirement applies to entries whose link is up.
+     *   <li>A frozen entry is extended, because the requirement applies to entries that otherwise work.
+     *   <li>A store that is down, slow or loses answers does not, because the requirement excludes these.
+     *   <li>A killed entry or a change of the owner does not, because a new process starts nothing before its first
+     *       read.
+     *   <li>Unanswered reads of the operators' records do not, because the entry's link is up and its view ages.
+     *   <li>Faults of workers do not, because a late order is exempt and all other orders arrive within milliseconds.
+     * </ul>
+     */
+    private boolean isExtended(String entry, long since) {
+        return world.store.wasCompactedSince(since)
+                || world.net.hasLostConnectionSince(entry, since)
+                || world.entry(entry).loop().wasFrozenSince(since);
+    }
+
+    private void begin() {
+        List<String> halls = pickHalls();
+        if (disturbed && random.nextBoolean()) {
+            Disturbance d = DISTURBANCES.get(random.nextInt(DISTURBANCES.size()));
+            int faultAt = random.nextInt(MAX_FAULT_OFFSET_MILLIS);
+            int cordonAt = random.nextInt(MAX_FAULT_OFFSET_MILLIS);
+            world.time.schedule(faultAt, () -> disturb(d));
+            world.time.schedule(cordonAt, () -> cordon(halls, random.nextInt(3) == 0));
+        } else {
+            cordon(halls, random.nextInt(3) == 0);
+        }
+    }
+
+    private List<String> pickHalls() {
+        List<String> halls = new ArrayList<>(world.site.halls());
+        Collections.shuffle(halls, random);
+        int count =
+                switch (random.nextInt(4)) {
+                    case 0 -> halls.size();
+                    case 1 -> 2;
+                    default -> 1;
+                };
+        return List.copyOf(halls.subList(0, count));
+    }
+
+    private void cordon(List<String> halls, boolean repeated) {
+        long millis = Math.min(durationMillis(), lastLiftAt - world.time.now());
+        if (millis <= 0) {
+            return;
+        }
+        world.history.add("cordon of " + halls + " for " + millis + " ms");
+        for (String hall : halls) {
+            world.store.set(World.CORDONS + hall, "{}");
+            // A request for a hall that is already cordoned does not extend the time in which tasks may start there.
+            acknowledgedAt.putIfAbsent(hall, world.time.now());
+        }
+        world.time.schedule(millis, () -> {
+            lift(halls);
+            if (repeated) {
+                world.time.schedule(random.nextInt(MAX_REPEAT_DELAY_MILLIS), () -> cordon(halls, false));
+            }
+        });
+    }
+
+    private long durationMillis() {
+        return random.nextInt(4) == 0
+                ? MIN_SHORT_MILLIS + random.nextInt(SHORT_RANGE_MILLIS)
+                : MIN_LONG_MILLIS + random.nextInt(LONG_RANGE_MILLIS);
+    }
+
+    /** Lifts the cordons of halls. A hall whose cordon was lifted by an overlapping request is skipped. */
+    private void lift(List<String> halls) {
+        for (String hall : halls) {
+            if (acknowledgedAt.remove(hall) != null) {
+                world.store.clear(World.CORDONS + hall);
+                boolean cold = random.nextBoolean();
+                world.history.add("cordon of " + hall + " lifted" + (cold ? ", cold" : ""));
+                if (cold) {
+                    world.fleet.chillHall(hall, SimWorker.ColdPhase.random(random));
+                }
+            }
+        }
+    }
+
+    private void disturb(Disturbance d) {
+        if (!world.fleet.workers().isEmpty()) {
+            d.inject(this);
+        }
+    }
+
+    private static Disturbance fault(Fault f) {
+        return c -> f.inject(c.world, c.random, c.world.history::add);
+    }
+
+    private void killOwner() {
+        String owner = randomOwner();
+        if (!owner.isEmpty()) {
+            long millis = 500 + random.nextInt(MAX_KILLED_MILLIS);
+            world.history.add("owner " + owner + " killed for " + millis + " ms");
+            world.entry(owner).kill(millis);
+        }
+    }
+
+    /** Lets an owner of a service receive no answer to reads and watches of the operators' records. */
+    private void hideOperatorRecordsFromOwner() {
+        String owner = randomOwner();
+        if (!owner.isEmpty()) {
+            long millis = MIN_SILENT_MILLIS + random.nextInt(SILENT_RANGE_MILLIS);
+            world.history.add("owner " + owner + " without operators' records for " + millis + " ms");
+            world.net.entriesWithoutOperatorRecords.add(owner);
+            world.time.schedule(millis, () -> world.net.entriesWithoutOperatorRecords.remove(owner));
+        }
+    }
+
+    private String randomOwner() {
+        return world.owner(world.service(random.nextInt(world.site.services().size())));
+    }
+}
--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -49,7 +49,13 @@
         Link out = new Link(world.time, kind.linkBytesPerMilli());
         Link in = new Link(world.time, kind.linkBytesPerMilli());
         JobSettings.Bounds bounds = new JobSettings.Bounds(
-                SimWorker.MAX_HOLD_MILLIS, SimWorker.STOP_MILLIS, 6, World.LEASE_MILLIS, World.UPKEEP_MILLIS, false, 0);
+                SimWorker.MAX_HOLD_MILLIS,
+                SimWorker.STOP_MILLIS,
+                6,
+                World.LEASE_MILLIS,
+                World.UPKEEP_MILLIS,
+                false,
+                world.cordons().isPresent() ? SimCordons.BOUND_MILLIS : 0);
         return new JobNode(
                 loop,
                 new JobNode.Parts(
@@ -57,7 +63,7 @@
                         kind.capacity(),
                         new SimStorePort(world, name, hall, out, in),
                         new SimRecords(world.sabotage),
-                        new SimWorkerPort(world, hall, out, in),
+                        new SimWorkerPort(world, name, hall, out, in),
                         order -> CompletableFuture.completedFuture(Optional.empty()),
                         new SimInstancePort(world, in),
                         bounds,
--- a/model/src/main/java/org/lupinpaddle/model/SimFleet.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimFleet.java
@@ -200,6 +200,33 @@
         });
     }
 
+    /** Crashes all workers of a hall. They return together after a while, cold and under new ids. */
+    void loseHall(String hall, long downMillis, SimWorker.ColdPhase cold) {
+        List<SimWorker> lost =
+                workers().stream().filter(w -> w.hall().equals(hall)).toList();
+        lost.forEach(w -> crash(w, downMillis, instance -> {
+            bringUp(instance);
+            if (instance.worker != null) {
+                chill(instance.worker, cold);
+            }
+        }));
+    }
+
+    /** Makes all running workers of a hall cold. */
+    void chillHall(String hall, SimWorker.ColdPhase cold) {
+        workers().stream().filter(w -> w.hall().equals(hall)).forEach(w -> chill(w, cold));
+    }
+
+    private void chill(SimWorker w, SimWorker.ColdPhase cold) {
+        w.chill(cold);
+        putRecord(w);
+        time.schedule(cold.millis(), () -> {
+            if (w.isUp()) {
+                putRecord(w);
+            }
+        });
+    }
+
     private void crash(SimWorker w, long downMillis, Consumer<SimInstance> onReturn) {
         SimInstance instance = findInstance(w);
         if (instance == null || !w.isUp()) {
--- a/model/src/main/java/org/lupinpaddle/model/SimStorePort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimStorePort.java
@@ -72,18 +72,35 @@
 
     @Override
     public CompletableFuture<StorePage> page(String prefix, String after) {
+        if (losesOperatorRecords(prefix)) {
+            CompletableFuture<StorePage> unanswered = new CompletableFuture<>();
+            scheduleTimeout(unanswered, CALL_TIMEOUT_MILLIS, CALL_TIMEOUT_MILLIS, SimStorePort::refusal);
+            return unanswered;
+        }
         Call<SimStore.Page> reading = Call.large(p -> WireBytes.of(p.items()));
         return call(reading, () -> store.page(prefix, after), SimStorePort::refusal)
                 .thenApply(p -> new StorePage(withoutSabotagedItems(p.items()), p.revision(), p.more()));
     }
 
     private List<StoreItem> withoutSabotagedItems(List<StoreItem> items) {
-        if (sabotage != Sabotage.RECENT_ORDERS_UNTOLD) {
-            return items;
-        }
-        return items.stream()
-                .filter(i -> !i.key().equals(SchedulerKeys.recentOrders()))
-                .toList();
+        return items.stream().filter(i -> !isHidden(i.key())).toList();
+    }
+
+    private StoreChanges withoutSabotagedItems(StoreChanges c) {
+        return new StoreChanges(
+                c.changes().stream().filter(change -> !isHidden(change.key())).toList(), c.revision());
+    }
+
+    private boolean isHidden(String key) {
+        return switch (sabotage) {
+            case RECENT_ORDERS_UNTOLD -> key.equals(SchedulerKeys.recentOrders());
+            case CORDONS_HIDDEN -> key.startsWith(World.CORDONS);
+            default -> false;
+        };
+    }
+
+    private boolean losesOperatorRecords(String prefix) {
+        return prefix.equals(World.OPERATORS) && net.entriesWithoutOperatorRecords.contains(entry);
     }
 
     @Override
@@ -237,15 +254,17 @@
     @Override
     public CompletableFuture<StoreChanges> watch(String prefix, long afterRevision, long waitMillis) {
         CompletableFuture<StoreChanges> future = new CompletableFuture<>();
-        CallFault fault = net.faultToStore(entry, hall, false);
-        if (fault == CallFault.REFUSED) {
+        CallFault fault = faultToWatch(prefix);
+        if (fault != CallFault.NONE && confirmsOldCordons(prefix)) {
+            time.schedule(waitMillis, () -> future.complete(new StoreChanges(List.of(), afterRevision)));
+        } else if (fault == CallFault.REFUSED) {
             net.deliver(net.latency(), () -> fail(future, fault, SimStorePort::refusal));
         } else if (fault == CallFault.NONE) {
             long end = time.now() + waitMillis;
             net.deliver(
                     net.latency() + net.storeDelay,
                     () -> pollChanges(future, prefix, afterRevision, afterRevision, end));
-            time.schedule(waitMillis, () -> answerEmpty(future, afterRevision));
+            time.schedule(waitMillis, () -> answerEmpty(future, prefix, afterRevision));
         }
         scheduleTimeout(
                 future, waitMillis + CALL_TIMEOUT_MILLIS, waitMillis + TRANSFER_TIMEOUT_MILLIS, SimStorePort::refusal);
@@ -263,24 +282,34 @@
             long upTo = store.revision();
             store.onNextChange(() -> pollChanges(future, prefix, after, upTo, end));
         } else {
-            answer(future, c);
+            answer(future, prefix, after, withoutSabotagedItems(c));
         }
     }
 
     /**
      * Ends a watch without changes, unless an answer with changes is already being transferred over a limited link.
      */
-    private void answerEmpty(CompletableFuture<StoreChanges> future, long after) {
+    private void answerEmpty(CompletableFuture<StoreChanges> future, String prefix, long after) {
         if (!down.isLimited() || !answersInTransit.contains(future)) {
-            answer(future, new StoreChanges(List.of(), after));
+            answer(future, prefix, after, new StoreChanges(List.of(), after));
         }
     }
 
     /** Answers a watch. A watch that was open when the entry lost contact gets no answer. */
-    private void answer(CompletableFuture<StoreChanges> future, StoreChanges c) {
-        if (net.faultToStore(entry, hall, false) == CallFault.NONE) {
+    private void answer(CompletableFuture<StoreChanges> future, String prefix, long after, StoreChanges c) {
+        if (faultToWatch(prefix) == CallFault.NONE) {
             answersInTransit.add(future);
             net.deliver(net.latency(), () -> transferAnswer(future, WireBytes.of(c), c));
+        } else if (confirmsOldCordons(prefix)) {
+            future.complete(new StoreChanges(List.of(), after));
         }
     }
+
+    private CallFault faultToWatch(String prefix) {
+        return losesOperatorRecords(prefix) ? CallFault.SILENT : net.faultToStore(entry, hall, false);
+    }
+
+    private boolean confirmsOldCordons(String prefix) {
+        return sabotage == Sabotage.OLD_CORDONS_CONFIRMED && prefix.equals(World.OPERATORS);
+    }
 }
--- a/model/src/main/java/org/lupinpaddle/model/SimWorker.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorker.java
@@ -48,6 +48,7 @@
     static final long STOP_MILLIS = 300;
     private static final long WARM_UP_MILLIS = 500;
     private static final double MIN_CLOCK_RATE = 0.98;
+    private static final ColdPhase WARM = new ColdPhase(1, 0);
 
     private final VirtualTime time;
     private final Rules rules;
@@ -72,6 +73,28 @@
     boolean failsAllTasks;
     boolean stalled;
     double slowness = 1;
+    private ColdPhase cold = WARM;
+    private long coldUntil;
+
+    /**
+     * How a worker behaves after it was idle or has been replaced.
+     *
+     * @param slowness the factor by which runs that begin in this phase take longer
+     * @param millis how long the phase lasts
+     */
+    record ColdPhase(double slowness, long millis) {
+
+        private static final int MIN_MILLIS = 2_000;
+        private static final int RANGE_MILLIS = 8_000;
+        private static final double MIN_SLOWNESS = 1.5;
+        private static final double SLOWNESS_RANGE = 4.5;
+
+        /** Returns a random phase of 2 to 10 s with a factor of 1.5 to 6. */
+        static ColdPhase random(Random random) {
+            return new ColdPhase(
+                    MIN_SLOWNESS + random.nextDouble() * SLOWNESS_RANGE, MIN_MILLIS + random.nextInt(RANGE_MILLIS));
+        }
+    }
 
     private record TaskKey(String job, TaskId task) {}
 
@@ -122,8 +145,32 @@
         return facts.service();
     }
 
+    /** Returns its properties as of now, with the remaining time for which it is cold. */
     WorkerFacts facts() {
-        return facts;
+        long coldMillis = Math.max(0, coldUntil - time.now());
+        return coldMillis == 0
+                ? facts
+                : new WorkerFacts(
+                        facts.id(),
+                        facts.startMillis(),
+                        facts.service(),
+                        facts.address(),
+                        facts.hall(),
+                        facts.draining(),
+                        facts.remainingMillis(),
+                        facts.capacity(),
+                        facts.labels(),
+                        coldMillis);
+    }
+
+    /** Makes the worker cold from now on. */
+    void chill(ColdPhase phase) {
+        cold = phase;
+        coldUntil = time.now() + phase.millis();
+    }
+
+    private double coldSlowness() {
+        return time.now() < coldUntil ? cold.slowness() : 1;
     }
 
     boolean isUp() {
@@ -180,7 +227,7 @@
         crash();
     }
 
-    OrderOutcome start(StartOrder o, long orderFence, boolean late) {
+    OrderOutcome start(StartOrder o, long orderFence, Rules.Sender sender) {
         if (orderFence < fence) {
             return OrderOutcome.FENCED;
         }
@@ -201,7 +248,7 @@
         if (step != null && !freeRoom().canHold(Resources.of(step))) {
             return OrderOutcome.NO_ROOM;
         }
-        rules.onStart(this, o, late);
+        rules.onStart(this, o, sender);
         beginRun(key, o.run(), step);
         return OrderOutcome.ACCEPTED;
     }
@@ -232,7 +279,7 @@
                 }
             });
         } else {
-            long millis = (long) (World.taskMillis(rules, key.job, key.task) * slowness);
+            long millis = (long) (World.taskMillis(rules, key.job, key.task) * slowness * coldSlowness());
             time.schedule(millis, () -> endRunIfActive(key, r, EndKind.DONE));
         }
     }
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -36,6 +36,7 @@
     private static final long REFUSABLE_AFTER_MILLIS = 1_000;
 
     private final World world;
+    private final String entry;
     private final String hall;
     private final Link out;
     private final Link in;
@@ -48,8 +49,9 @@
      */
     private record Execution(long fence, boolean late) {}
 
-    SimWorkerPort(World world, String hall, Link out, Link in) {
+    SimWorkerPort(World world, String entry, String hall, Link out, Link in) {
         this.world = world;
+        this.entry = entry;
         this.hall = hall;
         this.out = out;
         this.in = in;
@@ -80,7 +82,10 @@
             return CompletableFuture.completedFuture(OrderOutcome.UNHEALTHY);
         }
         return order(
-                o.worker(), WireBytes.of(o), (w, c) -> w.start(o, c.fence, c.late), effective(o.fence(), o.worker()));
+                o.worker(),
+                WireBytes.of(o),
+                (w, c) -> w.start(o, c.fence, new Rules.Sender(entry, c.late)),
+                effective(o.fence(), o.worker()));
     }
 
     private boolean isLimited(StartOrder o) {
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -57,6 +57,8 @@
     private static final long TRAFFIC_START = 5_000;
     private static final long TRAFFIC_MILLIS = 20_000;
     private static final long SETTLE_MILLIS = 40_000;
+    // Cordons end up to 5 s after the traffic, and the runs that begin on cold workers then take up to 14 s.
+    private static final long CORDON_SETTLE_MILLIS = 55_000;
     private static final long WAVE_AT = 7_000;
     private static final int MAX_WAVE_INSTANCES_DOWN = 2;
     private static final long MAX_NOT_SERVING_MILLIS = 6_000;
@@ -77,6 +79,9 @@
     private @Nullable WorkerRestarts restarts;
     private @Nullable SimWorkspaces workspaces;
     private @Nullable LateHolds lateHolds;
+    private @Nullable SimCordons cordons;
+    private final boolean hasFaults;
+    private long settleMillis = SETTLE_MILLIS;
 
     /** Creates the world of a seed with at most the given number of faults. */
     public World(long seed, int maxFaults) {
@@ -101,6 +106,7 @@
         store = new SimStore(time);
         rules = new Rules(time);
         fleet = new SimFleet(time, store, rules, random, site.room(), this::crashingTasks, this::keepsId);
+        hasFaults = maxFaults > 0;
         faults = new FaultPlan(this, history, maxFaults);
     }
 
@@ -137,6 +143,31 @@
         return Optional.ofNullable(lateHolds);
     }
 
+    /**
+     * Adds operators that cordon halls. In histories with faults, some cordons occur right beside further faults. All
+     * cordons are lifted before the history ends.
+     */
+    World withCordons(long seed) {
+        SimCordons c = new SimCordons(this, seed, hasFaults);
+        cordons = c;
+        rules.checkCordonsOf(c);
+        c.plan(TRAFFIC_START, TRAFFIC_MILLIS);
+        settleMillis = CORDON_SETTLE_MILLIS;
+        return this;
+    }
+
+    /** Returns the cordons, if this history has any. */
+    Optional<SimCordons> cordons() {
+        return Optional.ofNullable(cordons);
+    }
+
+    /** Adds halls whose workers are lost together and return cold under new ids. */
+    World withColdHalls(long seed) {
+        new HallOutages(this, seed).plan(TRAFFIC_START, TRAFFIC_MILLIS);
+        settleMillis = CORDON_SETTLE_MILLIS;
+        return this;
+    }
+
     /** Adds workspaces whose keys and quotas change. */
     World withWorkspaces(long seed) {
         SimWorkspaces w = new SimWorkspaces(this, seed);
@@ -184,7 +215,7 @@
      */
     public void run() {
         setUpScenario();
-        time.runUntil(TRAFFIC_START + TRAFFIC_MILLIS + SETTLE_MILLIS);
+        time.runUntil(TRAFFIC_START + TRAFFIC_MILLIS + settleMillis);
         checkFinalState();
     }
 
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -292,7 +292,13 @@
         private static boolean violatesRule(long seed, Sabotage sabotage) {
             try {
                 World w = new World(seed, 4, sabotage);
-                (sabotage.needsWorkspaces() ? w.withWorkspaces(seed) : w).run();
+                if (sabotage.needsWorkspaces()) {
+                    w.withWorkspaces(seed);
+                }
+                if (sabotage.needsCordons()) {
+                    w.withCordons(seed);
+                }
+                w.run();
                 return false;
             } catch (RuleViolationException e) {
                 return true;
