--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -62,6 +62,8 @@
     private final RestartTracker restarts;
     private final PlacementPass placement;
     private final Evacuator evacuator;
+    private final CordonPass cordons;
+    private final CordonWaits cordonWaits;
     private final StragglerPass stragglers;
     private final Advisor advisor;
     private final PacingPass pacing;
@@ -90,8 +92,10 @@
         runs = new RunTracker(state, faultyWorkers, advisor);
         restarts = new RestartTracker(state, runs, advisor);
         stragglers = new StragglerPass(state, faultyWorkers);
-        placement = new PlacementPass(state, advisor);
+        cordonWaits = new CordonWaits(state);
+        placement = new PlacementPass(state, advisor, cordonWaits);
         evacuator = new Evacuator(state);
+        cordons = new CordonPass(state, evacuator);
         startedAt = state.now();
     }
 
@@ -195,7 +199,7 @@
         state.workersConfirmedAt = Math.max(state.workersConfirmedAt, since);
     }
 
-    /** Sets the cordoned data halls. */
+    /** Sets the cordoned data halls. Nothing is placed or started while the view is not current. */
     public void onCordons(HallCordons cordons) {
         state.cordons = cordons;
     }
@@ -393,6 +397,7 @@
         }
         dropWorkers();
         evacuator.run();
+        cordons.run();
         stragglers.run();
         pacing.run();
         capacity.run();
@@ -462,7 +467,7 @@
 
     /** Returns a summary of the load, for the log. */
     public LoadSummary load() {
-        return LoadSummary.of(state, lastNeeded);
+        return LoadSummary.of(state, lastNeeded, cordonWaits.load());
     }
 
     /**
