Let cordons in the model meet owners with an old view more often

Change: this fault is twice as likely as the others beside a cordon, and lasts up to 15 s instead of 12 s. The entries of the model know the halls of their site.

--- a/model/src/main/java/org/lupinpaddle/model/SimCordons.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimCordons.java
@@ -45,7 +45,7 @@
     private static final int MAX_REPEAT_DELAY_MILLIS = 1_500;
     private static final int MAX_FAULT_OFFSET_MILLIS = 800;
     private static final int MIN_SILENT_MILLIS = 3_000;
-    private static final int SILENT_RANGE_MILLIS = 9_000;
+    private static final int SILENT_RANGE_MILLIS = 12_000;
     private static final int MAX_KILLED_MILLIS = 4_000;
     // The time that accepted jobs need after the last cordon is part of the settling time.
     private static final long LAST_LIFT_AFTER_TRAFFIC_MILLIS = 5_000;
@@ -60,6 +60,9 @@
             fault(Fault.HISTORY_DROPPED),
             fault(Fault.WORKER_LATE),
             SimCordons::killOwner,
+            // Twice as likely as the others, because only an owner that the store otherwise answers can start tasks on
+            // an old view.
+            SimCordons::hideOperatorRecordsFromOwner,
             SimCordons::hideOperatorRecordsFromOwner);
 
     private final World world;
--- a/model/src/main/java/org/lupinpaddle/model/SimEntry.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimEntry.java
@@ -68,7 +68,7 @@
                         order -> CompletableFuture.completedFuture(Optional.empty()),
                         new SimInstancePort(world, in),
                         bounds,
-                        Set.of(),
+                        Set.copyOf(world.site.halls()),
                         () -> World.EPOCH + world.time.now(),
                         new JobMetrics()));
     }
