Test the rule on cordons by itself, and settle for 40 s again

Cause: the tests showed that the rule is broken without cordons at the entries, but not where its bound lies, nor which faults extend it. The longer settling time of histories with cordons was a guess.

Change: CordonTest.RuleOnCordons checks the bound, the faults that extend it and those that do not, and what repeated requests count for. Histories with cordons or cold halls settle for 40 s like all others.

--- a/model/src/main/java/org/lupinpaddle/model/SimCordons.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimCordons.java
@@ -47,7 +47,7 @@
     private static final int MIN_SILENT_MILLIS = 3_000;
     private static final int SILENT_RANGE_MILLIS = 12_000;
     private static final int MAX_KILLED_MILLIS = 4_000;
-    // The time that accepted jobs need after the last cordon is part of the settling time.
+    // Leaves accepted jobs 35 s of the settling time.
     private static final long LAST_LIFT_AFTER_TRAFFIC_MILLIS = 5_000;
 
     private static final List<Disturbance> DISTURBANCES = List.of(
@@ -165,11 +165,7 @@
             return;
         }
         world.history.add("cordon of " + halls + " for " + millis + " ms");
-        for (String hall : halls) {
-            world.store.set(World.CORDONS + hall, "{}");
-            // A request for a hall that is already cordoned does not extend the time in which tasks may start there.
-            acknowledgedAt.putIfAbsent(hall, world.time.now());
-        }
+        halls.forEach(this::request);
         world.time.schedule(millis, () -> {
             lift(halls);
             if (repeated) {
@@ -178,24 +174,35 @@
         });
     }
 
+    /** Requests the cordon of a hall. A hall that is already cordoned has been cordoned since the first request. */
+    void request(String hall) {
+        world.store.set(World.CORDONS + hall, "{}");
+        acknowledgedAt.putIfAbsent(hall, world.time.now());
+    }
+
+    /** Lifts the cordon of a hall. Returns false if an overlapping request was lifted before. */
+    boolean lift(String hall) {
+        if (acknowledgedAt.remove(hall) == null) {
+            return false;
+        }
+        world.store.clear(World.CORDONS + hall);
+        return true;
+    }
+
     private long durationMillis() {
         return random.nextInt(4) == 0
                 ? MIN_SHORT_MILLIS + random.nextInt(SHORT_RANGE_MILLIS)
                 : MIN_LONG_MILLIS + random.nextInt(LONG_RANGE_MILLIS);
     }
 
-    /** Lifts the cordons of halls. A hall whose cordon was lifted by an overlapping request is skipped. */
     private void lift(List<String> halls) {
-        for (String hall : halls) {
-            if (acknowledgedAt.remove(hall) != null) {
-                world.store.clear(World.CORDONS + hall);
-                boolean cold = random.nextBoolean();
-                world.history.add("cordon of " + hall + " lifted" + (cold ? ", cold" : ""));
-                if (cold) {
-                    world.fleet.chillHall(hall, SimWorker.ColdPhase.random(random));
-                }
+        halls.stream().filter(this::lift).forEach(hall -> {
+            boolean cold = random.nextBoolean();
+            world.history.add("cordon of " + hall + " lifted" + (cold ? ", cold" : ""));
+            if (cold) {
+                world.fleet.chillHall(hall, SimWorker.ColdPhase.random(random));
             }
-        }
+        });
     }
 
     private void disturb(Disturbance d) {
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -57,8 +57,6 @@
     private static final long TRAFFIC_START = 5_000;
     private static final long TRAFFIC_MILLIS = 20_000;
     private static final long SETTLE_MILLIS = 40_000;
-    // Cordons end up to 5 s after the traffic, and the runs that begin on cold workers then take up to 14 s.
-    private static final long CORDON_SETTLE_MILLIS = 55_000;
     private static final long WAVE_AT = 7_000;
     private static final int MAX_WAVE_INSTANCES_DOWN = 2;
     private static final long MAX_NOT_SERVING_MILLIS = 6_000;
@@ -81,7 +79,6 @@
     private @Nullable LateHolds lateHolds;
     private @Nullable SimCordons cordons;
     private final boolean hasFaults;
-    private long settleMillis = SETTLE_MILLIS;
 
     /** Creates the world of a seed with at most the given number of faults. */
     public World(long seed, int maxFaults) {
@@ -152,7 +149,6 @@
         cordons = c;
         rules.checkCordonsOf(c);
         c.plan(TRAFFIC_START, TRAFFIC_MILLIS);
-        settleMillis = CORDON_SETTLE_MILLIS;
         return this;
     }
 
@@ -164,7 +160,6 @@
     /** Adds halls whose workers are lost together and return cold under new ids. */
     World withColdHalls(long seed) {
         new HallOutages(this, seed).plan(TRAFFIC_START, TRAFFIC_MILLIS);
-        settleMillis = CORDON_SETTLE_MILLIS;
         return this;
     }
 
@@ -215,7 +210,7 @@
      */
     public void run() {
         setUpScenario();
-        time.runUntil(TRAFFIC_START + TRAFFIC_MILLIS + settleMillis);
+        time.runUntil(TRAFFIC_START + TRAFFIC_MILLIS + SETTLE_MILLIS);
         checkFinalState();
     }
 
--- a/model/src/test/java/org/lupinpaddle/model/CordonTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/CordonTest.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.model;
 
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.junit.jupiter.api.Assertions.fail;
 
@@ -97,6 +98,169 @@
         }
     }
 
+    /** The rule itself, without the product: the entries of these histories know no cordons. */
+    @Nested
+    class RuleOnCordons {
+
+        private static final long CORDONED_AT = 2_000;
+        private static final long BOUND = 5_000;
+        private static final long EXTENDED_BOUND = 11_000;
+        private static final String ENTRY = "entry-0";
+        private static final String HALL = "north";
+
+        private final World world = new World(1, 0);
+        private final SimCordons cordons = new SimCordons(world, 1, false);
+
+        /** A condition that begins 1 s after the cordon. */
+        private enum Condition {
+            HISTORY_DROPPED(true) {
+                @Override
+                void begin(World w) {
+                    w.store.compact();
+                }
+            },
+            ENTRY_CUT_FROM_STORE(true) {
+                @Override
+                void begin(World w) {
+                    w.net.storeFaults.put(ENTRY, CallFault.SILENT);
+                }
+            },
+            ENTRY_REJECTED_BY_STORE(true) {
+                @Override
+                void begin(World w) {
+                    w.net.storeFaults.put(ENTRY, CallFault.REFUSED);
+                }
+            },
+            HALL_OF_ENTRY_CUT(true) {
+                @Override
+                void begin(World w) {
+                    w.net.isolatedHalls.add(w.entry(ENTRY).hall);
+                }
+            },
+            ENTRY_FROZEN(true) {
+                @Override
+                void begin(World w) {
+                    w.entry(ENTRY).freeze(500);
+                }
+            },
+            OTHER_ENTRY_CUT_FROM_STORE(false) {
+                @Override
+                void begin(World w) {
+                    w.net.storeFaults.put("entry-1", CallFault.SILENT);
+                }
+            },
+            STORE_DOWN(false) {
+                @Override
+                void begin(World w) {
+                    w.net.storeFault = CallFault.SILENT;
+                }
+            },
+            STORE_LOSES_ANSWERS(false) {
+                @Override
+                void begin(World w) {
+                    w.net.storeFault = CallFault.ANSWER_LOST;
+                }
+            },
+            STORE_SLOW(false) {
+                @Override
+                void begin(World w) {
+                    w.net.storeDelay = 240;
+                }
+            },
+            ENTRY_KILLED(false) {
+                @Override
+                void begin(World w) {
+                    w.entry(ENTRY).kill(500);
+                }
+            },
+            OPERATOR_RECORDS_SILENT(false) {
+                @Override
+                void begin(World w) {
+                    w.net.entriesWithoutOperatorRecords.add(ENTRY);
+                }
+            };
+
+            private final boolean extending;
+
+            Condition(boolean extending) {
+                this.extending = extending;
+            }
+
+            abstract void begin(World w);
+        }
+
+        private void cordon() {
+            world.runUntil(CORDONED_AT);
+            cordons.request(HALL);
+        }
+
+        private void startAfter(long millis) {
+            world.time.runUntil(CORDONED_AT + millis);
+            SimWorker w = world.fleet.workers().stream()
+                    .filter(worker -> worker.hall().equals(HALL))
+                    .findFirst()
+                    .orElseThrow();
+            cordons.checkStart(w, ENTRY, "a start");
+        }
+
+        private void assertNoStartAfter(long millis) {
+            RuleViolationException e = assertThrows(RuleViolationException.class, () -> startAfter(millis));
+            assertTrue(String.valueOf(e.getMessage()).startsWith("CORDON"), e.getMessage());
+        }
+
+        /** Guards against a bound other than the one that the entries are given. */
+        @Test
+        void allowsStartsUntilTheBound() {
+            cordon();
+            startAfter(BOUND);
+            assertNoStartAfter(BOUND + 1);
+        }
+
+        /** Guards against extending the bound for faults that the requirement excludes, or without an end. */
+        @ParameterizedTest
+        @EnumSource(Condition.class)
+        void extendsTheBoundForSomeFaults(Condition condition) {
+            cordon();
+            world.time.schedule(1_000, () -> condition.begin(world));
+            if (condition.extending) {
+                startAfter(EXTENDED_BOUND);
+                assertNoStartAfter(EXTENDED_BOUND + 1);
+            } else {
+                startAfter(BOUND);
+                assertNoStartAfter(BOUND + 1);
+            }
+        }
+
+        /** Guards against excusing a start by a fault that was over when the hall was cordoned. */
+        @Test
+        void isNotExtendedByEarlierFaults() {
+            world.time.schedule(CORDONED_AT - 1, world.store::compact);
+            cordon();
+            assertNoStartAfter(BOUND + 1);
+        }
+
+        /** Guards against counting the time before a cordon was lifted and requested again. */
+        @Test
+        void beginsAnewAfterTheCordonWasLifted() {
+            cordon();
+            world.time.runUntil(CORDONED_AT + 1_000);
+            assertTrue(cordons.lift(HALL));
+            startAfter(BOUND + 1);
+            cordons.request(HALL);
+            startAfter(2 * BOUND + 1);
+            assertNoStartAfter(2 * BOUND + 2);
+        }
+
+        /** Guards against extending the bound when operators repeat a request that is in force. */
+        @Test
+        void doesNotBeginAnewWithARepeatedRequest() {
+            cordon();
+            world.time.runUntil(CORDONED_AT + 1_000);
+            cordons.request(HALL);
+            assertNoStartAfter(BOUND + 1);
+        }
+    }
+
     @Nested
     class DisabledMechanisms {
 
