--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -77,6 +77,8 @@
     private @Nullable WorkerRestarts restarts;
     private @Nullable SimWorkspaces workspaces;
     private @Nullable LateHolds lateHolds;
+    private @Nullable SimCordons cordons;
+    private final boolean hasFaults;
 
     /** Creates the world of a seed with at most the given number of faults. */
     public World(long seed, int maxFaults) {
@@ -101,6 +103,7 @@
         store = new SimStore(time);
         rules = new Rules(time);
         fleet = new SimFleet(time, store, rules, random, site.room(), this::crashingTasks, this::keepsId);
+        hasFaults = maxFaults > 0;
         faults = new FaultPlan(this, history, maxFaults);
     }
 
@@ -137,6 +140,29 @@
         return Optional.ofNullable(lateHolds);
     }
 
+    /**
+     * Adds operators that cordon halls. In histories with faults, some cordons occur right beside further faults. All
+     * cordons are lifted before the history ends.
+     */
+    World withCordons(long seed) {
+        SimCordons c = new SimCordons(this, seed, hasFaults);
+        cordons = c;
+        rules.checkCordonsOf(c);
+        c.plan(TRAFFIC_START, TRAFFIC_MILLIS);
+        return this;
+    }
+
+    /** Returns the cordons, if this history has any. */
+    Optional<SimCordons> cordons() {
+        return Optional.ofNullable(cordons);
+    }
+
+    /** Adds halls whose workers are lost together and return cold under new ids. */
+    World withColdHalls(long seed) {
+        new HallOutages(this, seed).plan(TRAFFIC_START, TRAFFIC_MILLIS);
+        return this;
+    }
+
     /** Adds workspaces whose keys and quotas change. */
     World withWorkspaces(long seed) {
         SimWorkspaces w = new SimWorkspaces(this, seed);
