Treat cold workers as slow for a while, not as faulty

Cause: a worker that returns from a cordon or an outage is cold, and slow by an unknown factor. The scheduler placed finite tasks on it as on any other, moved them away as from a faulty worker, and learned run times from it.

Change: a worker is cold for the time that its record states, counted from when the owner first sees that value. Warm workers are preferred, after the avoidance of failures and before the rack of the data, and tasks are spread over cold workers. Where a rate is set, starts on a cold worker are at least one period apart; a placement takes the place of a start, so that tasks held back stay waiting. A new owner counts the period from the worker's first answer to it, because the worker accepts starts of the earlier owner until then. Runs during which the worker was cold are not compared, not learned and no evidence of slowness; a stall is tolerated for five times as long. TASK_PLACED says cold=true, and the load summary counts cold workers.

--- a/core/src/main/java/org/lupinpaddle/core/placement/Candidate.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Candidate.java
@@ -30,6 +30,9 @@
     /** Returns whether the worker runs a task during which another worker crashed. */
     boolean runsSuspectTask();
 
+    /** Returns whether the worker is cold, so that its runs are slow by an unknown factor. */
+    boolean isCold();
+
     /** Returns whether the worker runs no task. */
     boolean isIdle();
 
--- a/core/src/main/java/org/lupinpaddle/core/placement/Placer.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Placer.java
@@ -21,11 +21,15 @@
 
 /**
  * Chooses the worker for a task. Resources, label and the limit of tasks of a step per worker are hard
- * conditions. Earlier failures, the rack of the data and the load are preferences, in this order.
+ * conditions. Earlier failures, cold workers, the rack of the data and the load are preferences, in this order.
  *
  * <p>Long-running tasks of a step are spread over workers that already run such tasks: moving them is slow, so
  * the other workers stay free to leave. Finite tasks are packed: they do not slow one another down, and idle
  * workers can leave the pool. Suspect tasks are spread too, and other tasks avoid their workers.
+ *
+ * <p>A warm worker is preferred to a cold one on the rack of the data, because running away from the data costs a
+ * known factor of 1.5 to 3 and the slowness of a cold worker is unknown until a run on it has been seen. Tasks are
+ * spread over cold workers, so that workers that return together share the load.
  */
 public final class Placer {
 
@@ -54,19 +58,20 @@
                 .thenComparingInt(c -> request.avoidDomains().contains(c.facts().failureDomain()) ? 1 : 0)
                 .thenComparingInt(c -> request.colocation().allows(c) ? 0 : 1)
                 .thenComparingInt(c -> c.runsSuspectTask() ? 1 : 0)
+                .thenComparingInt(c -> c.isCold() ? 1 : 0)
                 .thenComparingInt(c -> c.facts().hasLabel(request.step().affinityRack()) ? 0 : 1)
                 .thenComparingInt(c -> request.step().longRunning() ? c.taskCount(request.repetition()) : 0)
                 .thenComparingInt(c -> request.step().longRunning() && !c.runsLongRunningTask() ? 1 : 0)
-                .thenComparingLong(c -> prefersLeastLoaded(request) ? loadPerMille(c) : -loadPerMille(c))
+                .thenComparingLong(c -> prefersLeastLoaded(c, request) ? loadPerMille(c) : -loadPerMille(c))
                 .thenComparing(c -> c.facts().id());
     }
 
     /**
      * Returns whether the least loaded worker is preferred, so that a suspect that crashes its worker takes down
-     * few other tasks.
+     * few other tasks. Load is compared only between workers that are both warm or both cold.
      */
-    private static boolean prefersLeastLoaded(PlacementRequest request) {
-        return request.step().longRunning() || request.colocation() != Colocation.ANY;
+    private static boolean prefersLeastLoaded(Candidate c, PlacementRequest request) {
+        return request.step().longRunning() || request.colocation() != Colocation.ANY || c.isCold();
     }
 
     private static long loadPerMille(Candidate c) {
--- a/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
@@ -61,6 +61,7 @@
     private boolean wasSlow(LiveTask t) {
         long durationMillis = state.now() - t.startedAt;
         return t.startedFromScratch
+                && !t.ranCold
                 && durationMillis > StragglerPass.slowFactor(t.liveStep) * state.expectedMillis(t.liveStep);
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -41,6 +41,7 @@
     private int completedRuns;
     private long completedRunsMillis;
     private long longestMillis;
+    private boolean hasColdRuns;
     /** When the last of its tasks was completed, by the owner's clock. */
     private long doneAt = Long.MIN_VALUE;
 
@@ -124,6 +125,16 @@
         longestMillis = Math.max(longestMillis, millis);
     }
 
+    /** Records that one of its tasks ran on a cold worker; its duration is not comparable with the others. */
+    void recordColdRun() {
+        hasColdRuns = true;
+    }
+
+    /** Returns whether some of its tasks ran on cold workers. */
+    boolean hasColdRuns() {
+        return hasColdRuns;
+    }
+
     /** Returns the ratio of the longest to the mean run time of its tasks; 1 with fewer than two runs. */
     double maxToMeanRatio() {
         return completedRuns < 2 ? 1 : (double) longestMillis / meanRunMillis();
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -146,6 +146,10 @@
     long startedAt = Long.MAX_VALUE;
 
     boolean startedFromScratch;
+    /** Whether its worker was cold at some time during this run, so that its run time is no measure of anything. */
+    boolean ranCold;
+    /** The newest run whose start has been sent. */
+    int startSentForRun;
     /** How long its previous run was known to be running. */
     long lastRunMillis;
     /** When its progress last increased. */
@@ -206,6 +210,7 @@
         inherited = false;
         percent = 0;
         startedAt = Long.MAX_VALUE;
+        ranCold = false;
         reportedLoad = -1;
         pacePercent = 100;
         paceConfirmed = true;
@@ -327,6 +332,21 @@
         return wholeMillis * (COMPLETE_PERCENT - percent) / COMPLETE_PERCENT;
     }
 
+    /**
+     * Returns the same, but projects a run on a cold worker from its own speed, since run times on other workers say
+     * little about it.
+     */
+    long remainingMillisOnWorker(long wholeMillis) {
+        boolean projects = ranCold && startedFromScratch && hasStarted() && percent > 0;
+        return projects && worker != null ? projectedRemainingMillis(worker) : remainingMillis(wholeMillis);
+    }
+
+    /** Returns the remaining time of its run on this worker, by the speed of the run so far. */
+    long projectedRemainingMillis(LiveWorker w) {
+        long observed = w.lastAnswerAt - startedAt;
+        return observed * (COMPLETE_PERCENT - percent) / Math.max(1, percent);
+    }
+
     /** Returns whether a worker has confirmed the run, including a run that is being stopped. */
     boolean hasStarted() {
         return startedAt != Long.MAX_VALUE;
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -114,6 +114,14 @@
      */
     boolean onProbation;
 
+    private ColdPeriod coldPeriod;
+    /** Whether it is cold, as of this tick or its newest record. */
+    private boolean cold;
+    /** Whether a rate limit on its starts applies, and whether it permits none in this tick. */
+    private boolean startsLimited;
+
+    private boolean startsHeldBack;
+
     private static final long NO_SUCCESS = Long.MIN_VALUE;
     /** When the last run that ended by itself under this owner ended, if it succeeded. */
     private long lastSuccessAt = NO_SUCCESS;
@@ -143,6 +151,7 @@
         this.facts = facts;
         this.incarnation = new WorkerIncarnation(facts.id(), WorkerIncarnation.UNKNOWN_START);
         this.inheritedUntil = inheritedUntil;
+        this.coldPeriod = new ColdPeriod(incarnation, 0, 0);
     }
 
     /** Returns the state of the next incarnation. The clock, results and health of this one do not apply to it. */
@@ -154,6 +163,8 @@
         successor.incarnationKnownAt = now;
         successor.listed = listed;
         successor.unlistedSince = unlistedSince;
+        successor.coldPeriod = coldPeriod.ofIncarnation(next, facts, now);
+        successor.cold = successor.coldPeriod.contains(now);
         return successor;
     }
 
@@ -237,6 +248,45 @@
         facts = f;
         listed = true;
         unlistedSince = Long.MAX_VALUE;
+        coldPeriod = coldPeriod.next(f, now);
+        cold = coldPeriod.contains(now);
+    }
+
+    /**
+     * Updates whether it is cold and whether it may be sent a start, and marks its runs.
+     *
+     * @param limiter the rate limit on starts on cold workers
+     * @param earlierOwnersUntil the latest time at which an earlier owner may have sent a start to any worker
+     */
+    void updateCold(ColdStartLimiter limiter, long earlierOwnersUntil, long now) {
+        cold = coldPeriod.contains(now);
+        startsLimited = cold && limiter.isEnabled();
+        // Once it has answered this owner, it rejects the starts of earlier ones.
+        long lastForeignStart = fencedAt <= earlierOwnersUntil ? fencedAt : Long.MIN_VALUE / 2;
+        startsHeldBack = startsLimited && !limiter.permits(facts.id(), lastForeignStart, now);
+        if (cold) {
+            tasks.stream().filter(t -> t.phase != LiveTask.Phase.PLACED).forEach(t -> t.ranCold = true);
+        }
+    }
+
+    @Override
+    public boolean isCold() {
+        return cold;
+    }
+
+    /** Returns whether the rate of its starts is limited because it is cold. */
+    boolean areStartsLimited() {
+        return startsLimited;
+    }
+
+    /** Returns whether the rate limit permits no start in this tick. */
+    boolean areStartsHeldBack() {
+        return startsHeldBack;
+    }
+
+    /** Returns whether the rate limit permits no further placement: each one takes the place of a start. */
+    private boolean hasNoStartLeft() {
+        return startsHeldBack || (startsLimited && tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.PLACED));
     }
 
     /** Returns whether it has announced that it drains; this is unknown for a worker without an address. */
@@ -278,7 +328,7 @@
     @Override
     public Resources free() {
         boolean reserved = isolatedCount > 0 && tasks.stream().anyMatch(this::isIsolated);
-        if (reserved || (onProbation && tasks.stream().anyMatch(this::isUnproven))) {
+        if (reserved || (onProbation && tasks.stream().anyMatch(this::isUnproven)) || hasNoStartLeft()) {
             return Resources.NONE;
         }
         return facts.capacity().minus(used);
@@ -503,6 +553,8 @@
         incarnationKnownAt = previous.incarnationKnownAt;
         foreignDeadlinesUntil = previous.foreignDeadlinesUntil;
         results = previous.results;
+        coldPeriod = previous.coldPeriod;
+        cold = previous.cold;
         pendingHold = previous.pendingHold;
         holdAnswerDueAt = previous.holdAnswerDueAt;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
@@ -23,9 +23,10 @@
  * @param running tasks on workers
  * @param workers workers that can take new tasks
  * @param silent listed workers whose last answer is overdue
+ * @param cold listed workers that are cold
  * @param needed the number of workers that the service requests
  */
-public record LoadSummary(int waiting, int hopeless, int running, int workers, int silent, int needed) {
+public record LoadSummary(int waiting, int hopeless, int running, int workers, int silent, int cold, int needed) {
 
     static LoadSummary of(ServiceState state, int needed) {
         long wallMillis = state.wallNow();
@@ -48,6 +49,9 @@
         int silent = (int) state.workers.values().stream()
                 .filter(w -> w.listed && state.now() - w.lastAnswerAt > state.timing.silentMillis())
                 .count();
-        return new LoadSummary(waiting, hopeless, running, usable, silent, needed);
+        int cold = (int) state.workers.values().stream()
+                .filter(w -> w.listed && w.isCold())
+                .count();
+        return new LoadSummary(waiting, hopeless, running, usable, silent, cold, needed);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -191,7 +191,8 @@
         }
         state.markChanged(job);
         t.placedVersion = job.version;
-        String detail = "attempts=" + t.failures + " version=" + t.placedVersion + " waited-millis=" + waitedMillis(t);
+        String detail = "attempts=" + t.failures + " version=" + t.placedVersion + " waited-millis=" + waitedMillis(t)
+                + (t.worker != null && t.worker.isCold() ? " cold=true" : "");
         state.note(SchedulerEvent.Kind.TASK_PLACED, t, "", detail);
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/RackSelector.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RackSelector.java
@@ -20,6 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import org.lupinpaddle.core.placement.Resources;
 
@@ -30,9 +31,15 @@
 
     /**
      * Returns the workers for the step's waiting tasks: those on the rack that has most of its tasks, or else on the
-     * rack with the most room; all workers if no rack has enough room.
+     * rack with the most room; all workers if no rack has enough room. Racks with enough warm workers come first.
      */
     static List<LiveWorker> selectWorkers(LiveStep step, List<LiveWorker> workers) {
+        List<LiveWorker> warm = workers.stream().filter(w -> !w.isCold()).toList();
+        Optional<List<LiveWorker>> warmRack = warm.size() < workers.size() ? selectRack(step, warm) : Optional.empty();
+        return warmRack.or(() -> selectRack(step, workers)).orElse(workers);
+    }
+
+    private static Optional<List<LiveWorker>> selectRack(LiveStep step, List<LiveWorker> workers) {
         Map<String, List<LiveWorker>> racks = workers.stream()
                 .collect(
                         Collectors.groupingBy(w -> w.facts().failureDomain(), LinkedHashMap::new, Collectors.toList()));
@@ -44,8 +51,7 @@
                 .filter(r -> capacityFor(taskRoom, r.getValue()) >= waiting)
                 .max(Comparator.<Map.Entry<String, List<LiveWorker>>>comparingLong(r -> placedOnRack(step, r.getKey()))
                         .thenComparingLong(r -> capacityFor(taskRoom, r.getValue())))
-                .map(Map.Entry::getValue)
-                .orElse(workers);
+                .map(Map.Entry::getValue);
     }
 
     private static long placedOnRack(LiveStep step, String rack) {
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -56,6 +56,7 @@
         long now = state.now();
         state.workers.values().stream().filter(LiveWorker::isDraining).forEach(this::withdrawStarts);
         state.workers.values().stream().filter(LiveWorker::isUnresponsive).forEach(this::withdrawUnsentPlacements);
+        state.workers.values().stream().filter(LiveWorker::areStartsLimited).forEach(this::withdrawExcessPlacements);
         // Order outcomes arrive later, so the tasks of a worker do not change during this loop.
         for (LiveWorker w : state.workers.values()) {
             for (LiveTask t : w.tasks) {
@@ -88,6 +89,20 @@
         }
     }
 
+    /**
+     * Withdraws placements beyond the one whose start the rate limit permits. There are some only if the worker has
+     * become cold, or the limit has been lowered, since they were made.
+     */
+    private void withdrawExcessPlacements(LiveWorker w) {
+        boolean permitted = !w.areStartsHeldBack();
+        for (LiveTask t : List.copyOf(w.tasks)) {
+            if (t.phase == Phase.PLACED && !permitted) {
+                withdrawPlacement(t, "worker-cold");
+            }
+            permitted &= t.phase != Phase.PLACED;
+        }
+    }
+
     private void sendDueOrder(LiveWorker w, LiveTask t, long now) {
         if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion && state.isWorkerListFresh()) {
             startOrProbe(w, t, now);
@@ -113,6 +128,11 @@
                     t.checkpoint,
                     t.ticket,
                     state.nextFence(w));
+            if (t.startSentForRun != t.run) {
+                t.startSentForRun = t.run;
+                state.coldStarts.startSent(w.facts().id(), now);
+            }
+            t.ranCold |= w.isCold();
             state.outstandingStarts.sent(order);
             state.port.start(order);
         } else if (t.phase == Phase.STOPPING && t.absenceConclusiveFrom == Long.MAX_VALUE) {
@@ -465,7 +485,7 @@
         }
         boolean taskDone = t.workDone || (e.kind().finishes() && !t.step.longRunning());
         release(t, taskDone ? Phase.DONE : Phase.WAITING);
-        if (t.liveStep.isDone()) {
+        if (t.liveStep.isDone() && !t.liveStep.hasColdRuns()) {
             state.runTimes.recordMaxToMeanRatio(t.job.spec.key().queue(), t.liveStep.maxToMeanRatio());
         }
         if (t.step.gang()) {
@@ -484,6 +504,10 @@
     }
 
     private void recordRunTime(LiveTask t, EndKind kind) {
+        if (t.ranCold) {
+            t.liveStep.recordColdRun();
+            return;
+        }
         if (kind.finishes() && t.startedFromScratch && t.startedAt != Long.MAX_VALUE) {
             long durationMillis = Math.max(1, state.now() - t.startedAt);
             state.runTimes.recordRunTime(t.job.spec.key().queue(), durationMillis);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
@@ -113,7 +113,10 @@
             if (s.spec.longRunning()) {
                 demand.addLongRunning(s.room);
             } else {
-                demand.addFinite(s.room, t.remainingMillis(expected), available, share, t.phase.occupiesWorker());
+                // The job's own remaining time stays the learned one: a cold worker becomes warm during the run, and a
+                // job that counted as late would no longer request workers for its other tasks.
+                long remaining = t.remainingMillisOnWorker(expected);
+                demand.addFinite(s.room, remaining, available, share, t.phase.occupiesWorker());
             }
         }
         if (s.spec.longRunning() && s.spec.perWorkerMost() > 0) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -200,6 +200,11 @@
         state.cordons = cordons;
     }
 
+    /** Sets the maximum number of starts per second on each cold worker; 0 for no limit. */
+    public void onColdStartsPerSecond(double rate) {
+        state.coldStarts.setRate(rate, state.now());
+    }
+
     /**
      * Returns whether a silent worker still has tasks, so that the platform's list of instances should be requested.
      */
@@ -392,6 +397,7 @@
             return;
         }
         dropWorkers();
+        state.updateColdWorkers();
         evacuator.run();
         stragglers.run();
         pacing.run();
@@ -478,6 +484,7 @@
         expired.forEach(state::remove);
         advisor.forgetEnded();
         state.outstandingStarts.forgetExpired(state.now());
+        state.coldStarts.forgetExpired(state.now());
         return expired.stream().map(j -> j.spec.key()).toList();
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -64,6 +64,8 @@
     final Set<String> urgentlyEvacuating = new HashSet<>();
     /** Caller ids of jobs whose records cannot be read. Their runs are left as they are. */
     final Set<String> unreadableJobs = new HashSet<>();
+    /** The rate limit on starts on cold workers. */
+    final ColdStartLimiter coldStarts = new ColdStartLimiter();
     /** The cordoned data halls. */
     HallCordons cordons = HallCordons.DISABLED;
     /** The time up to which the list of workers is confirmed. */
@@ -205,8 +207,22 @@
 
     /** Returns whether another worker has room for the task now. */
     boolean canMoveElsewhere(LiveTask t) {
-        return workers.values().stream()
-                .anyMatch(o -> o != t.worker && isUsable(o) && Placer.isEligible(o, t.placementRequirements(now())));
+        return workers.values().stream().anyMatch(o -> canMoveTo(o, t));
+    }
+
+    /** Returns whether another worker that is not cold has room for the task now. */
+    boolean canMoveToWarmWorker(LiveTask t) {
+        return workers.values().stream().anyMatch(o -> !o.isCold() && canMoveTo(o, t));
+    }
+
+    private boolean canMoveTo(LiveWorker o, LiveTask t) {
+        return o != t.worker && isUsable(o) && Placer.isEligible(o, t.placementRequirements(now()));
+    }
+
+    /** Updates which workers are cold, and which of them may be sent a start now. */
+    void updateColdWorkers() {
+        long earlierOwnersUntil = startedAt + timing.inheritedMillis();
+        workers.values().forEach(w -> w.updateCold(coldStarts, earlierOwnersUntil, now()));
     }
 
     /** Returns the expected run time of a task of the step: the mean of its completed siblings if there is one. */
--- a/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
@@ -40,6 +40,13 @@
     private static final long WARM_UP_MILLIS = 4_000;
     private static final int WARM_UP_FACTOR = 4;
 
+    // The slowdown of a cold worker is unknown. With this factor one percent may take half of the expected time, so
+    // that
+    // only a run that takes 50 times its estimate could be mistaken for a stalled one, while a stalled task of up to 4
+    // s
+    // is found as soon as on a warm worker.
+    private static final int COLD_STALL_FACTOR = 5;
+
     // Tasks of one step differ by about a third: three times the mean of its siblings is caused by the worker.
     private static final double SLOW_VERSUS_SIBLINGS = 3;
     // Estimates, including learned ones, are wrong by a factor of several, equally for all tasks of a job.
@@ -108,12 +115,17 @@
         if (t.step.longRunning()) {
             boolean atWork = t.percent >= COMPLETE_PERCENT;
             long elapsed = now - t.startedAt;
-            return !atWork && elapsed > WARM_UP_MILLIS && elapsed > WARM_UP_FACTOR * state.expectedMillis(t.liveStep);
+            return !atWork && elapsed > WARM_UP_MILLIS && elapsed > WARM_UP_FACTOR * toleratedMillis(t);
         }
         long elapsed = now - t.lastProgressAt;
         return elapsed > STALL_MILLIS
                 && t.answersWithoutProgress >= STALL_ANSWERS
-                && elapsed > state.expectedMillis(t.liveStep) / STALL_SHARE;
+                && elapsed > toleratedMillis(t) / STALL_SHARE;
+    }
+
+    /** Returns the expected run time of the task, longer on a cold worker. */
+    private long toleratedMillis(LiveTask t) {
+        return state.expectedMillis(t.liveStep) * (t.ranCold ? COLD_STALL_FACTOR : 1);
     }
 
     private void moveOffSlowWorker(LiveWorker w) {
@@ -136,10 +148,12 @@
         }
         faultyWorkers.onSlow(w, slow.size());
         for (LiveTask t : slow) {
-            if (remainingMillis(w, t) > MIN_MOVE_GAIN * state.expectedMillis(t.liveStep) + MOVE_COST_MILLIS
-                    && state.canMoveElsewhere(t)) {
+            long remaining = t.projectedRemainingMillis(w);
+            // How long the task would take on a cold worker is unknown.
+            if (remaining > MIN_MOVE_GAIN * state.expectedMillis(t.liveStep) + MOVE_COST_MILLIS
+                    && state.canMoveToWarmWorker(t)) {
                 t.avoid(w, state.now());
-                state.stop(t, "slow-worker percent=" + t.percent + " left-millis=" + remainingMillis(w, t));
+                state.stop(t, "slow-worker percent=" + t.percent + " left-millis=" + remaining);
             }
         }
     }
@@ -151,17 +165,15 @@
 
     /** Returns the ratio of the projected to the expected run time; 0 if it cannot be determined yet. */
     private double slowness(LiveWorker w, LiveTask t) {
-        boolean comparable =
-                t.phase == Phase.RUNNING && t.startedFromScratch && !t.step.longRunning() && !t.step.gang();
+        boolean comparable = t.phase == Phase.RUNNING
+                && t.startedFromScratch
+                && !t.ranCold
+                && !t.step.longRunning()
+                && !t.step.gang();
         long observed = w.lastAnswerAt - t.startedAt;
         if (!comparable || observed < MIN_OBSERVED_MILLIS) {
             return 0;
         }
         return (double) observed * COMPLETE_PERCENT / Math.max(1, t.percent) / state.expectedMillis(t.liveStep);
     }
-
-    private static long remainingMillis(LiveWorker w, LiveTask t) {
-        long observed = w.lastAnswerAt - t.startedAt;
-        return observed * (COMPLETE_PERCENT - t.percent) / Math.max(1, t.percent);
-    }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -58,6 +58,12 @@
         return new WorkerFacts(id, bornMillis, "clips", "at-" + id, "north", false, 0, ROOM, List.of("rack-" + id));
     }
 
+    /** Returns the entry of a worker that stays cold for this long. */
+    static WorkerFacts coldWorker(String id, long bornMillis, long coldMillis) {
+        List<String> labels = List.of("rack-" + id);
+        return new WorkerFacts(id, bornMillis, "clips", "at-" + id, "north", false, 0, ROOM, labels, coldMillis);
+    }
+
     void listWorkers(String... ids) {
         scheduler.onWorkers(Arrays.stream(ids).map(SchedulerDriver::worker).toList());
         tick();
