--- a/core/src/main/java/org/lupinpaddle/core/queue/JobConfiguration.java
+++ b/core/src/main/java/org/lupinpaddle/core/queue/JobConfiguration.java
@@ -64,6 +64,11 @@
                 .max(Comparator.comparingInt(q -> q.pathPrefix().length()));
     }
 
+    /** Returns the service with this name. */
+    public Optional<ServiceConfig> service(String name) {
+        return services.stream().filter(s -> s.name().equals(name)).findFirst();
+    }
+
     /** Returns the services whose workers may run jobs. */
     public List<String> runningServices() {
         return services.stream()
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -22,6 +22,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.queue.ServiceConfig;
 import org.lupinpaddle.core.workspace.Workspaces;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
@@ -87,6 +88,14 @@
         return new ActiveWorkspaces(records.configurationKey(), revision, isConfirmed(), known);
     }
 
+    /** Returns the maximum number of starts per second on a cold worker of the service; 0 for no limit. */
+    double coldStartsPerSecond(String service) {
+        return current()
+                .flatMap(c -> c.service(service))
+                .map(ServiceConfig::coldStartsPerSecond)
+                .orElse(0.0);
+    }
+
     /** Returns the cordoned data halls. */
     HallCordons cordons() {
         return HallCordons.DISABLED;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
@@ -15,6 +15,8 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.lupinpaddle.core.run.LoadSummary;
 import org.lupinpaddle.core.run.SchedulerEvent;
 import org.lupinpaddle.daemon.common.Log;
@@ -55,23 +57,18 @@
 
     /** Logs the load of a service and the workers available to it. */
     static void writeLoad(String service, long fence, LoadSummary l) {
-        Log.info(
-                "service-load",
-                "service",
-                service,
-                "fence",
-                fence,
-                "waiting",
-                l.waiting(),
-                "hopeless",
-                l.hopeless(),
-                "running",
-                l.running(),
-                "workers",
-                l.workers(),
-                "silent",
-                l.silent(),
-                "needed",
-                l.needed());
+        Log.info("service-load", loadFields(service, fence, l));
+    }
+
+    /** Returns keys and values in turn; the number of cold workers is left out where there are none. */
+    static Object[] loadFields(String service, long fence, LoadSummary l) {
+        List<Object> fields = new ArrayList<>(List.of("service", service, "fence", fence));
+        fields.addAll(List.of("waiting", l.waiting(), "hopeless", l.hopeless(), "running", l.running()));
+        fields.addAll(List.of("workers", l.workers(), "silent", l.silent()));
+        if (l.cold() > 0) {
+            fields.addAll(List.of("cold", l.cold()));
+        }
+        fields.addAll(List.of("needed", l.needed()));
+        return fields.toArray();
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -122,7 +122,8 @@
                 p.meters(),
                 unreadable,
                 configuration::workspaces,
-                configuration::cordons);
+                configuration::cordons,
+                configuration::coldStartsPerSecond);
         fleetContext = new FleetHost.Context(
                 p.name(),
                 p.store(),
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -26,6 +26,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
@@ -120,6 +121,7 @@
      * @param unreadable the unreadable entries of the store
      * @param workspaces supplies the workspaces of the current configuration
      * @param cordons supplies the current view of cordoned data halls
+     * @param coldStartsPerSecond returns a service's configured rate limit of starts on a cold worker; 0 for no limit
      */
     record Context(
             KeyValueStore store,
@@ -133,7 +135,8 @@
             JobMetrics meters,
             UnreadableEntries unreadable,
             Supplier<ActiveWorkspaces> workspaces,
-            Supplier<HallCordons> cordons) {}
+            Supplier<HallCordons> cordons,
+            ToDoubleFunction<String> coldStartsPerSecond) {}
 
     /**
      * Creates the host.
@@ -355,6 +358,7 @@
                 scheduler.onWorkersConfirmed(Math.min(workers.confirmedAt(), inputs.confirmedAt()));
             }
             scheduler.onCordons(context.cordons.get());
+            scheduler.onColdStartsPerSecond(context.coldStartsPerSecond.applyAsDouble(service));
             scheduler.tick();
             quotas.run();
             endHandOver();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -181,7 +181,8 @@
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
-                () -> HallCordons.DISABLED);
+                () -> HallCordons.DISABLED,
+                service -> 0);
         WorkerFeed workers =
                 new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMetrics()), () -> {});
         workers.start();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaManagerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaManagerTest.java
@@ -60,7 +60,8 @@
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(
                         FakeRecords.CONFIGURATION, revision, true, new Workspaces(List.copyOf(workspaces), List.of())),
-                () -> HallCordons.DISABLED);
+                () -> HallCordons.DISABLED,
+                service -> 0);
         return new QuotaManager(entry, "clips", fence, () -> {});
     }
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -81,7 +81,8 @@
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
-                () -> HallCordons.DISABLED);
+                () -> HallCordons.DISABLED,
+                service -> 0);
         WorkerFeed workers =
                 new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMetrics()), () -> {});
         SchedulerHost host = new SchedulerHost(context, "clips", fence, workers, () -> {}, () -> {});
