Join the treatment of cold workers

In a placement, `cordoned-millis` precedes `cold=true`.

The tests of cordons, cold workers, evacuations, stragglers and placement pass.

--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -203,6 +203,9 @@
         if (cordonedMillis > 0) {
             detail += " cordoned-millis=" + cordonedMillis;
         }
+        if (t.worker != null && t.worker.isCold()) {
+            detail += " cold=true";
+        }
         state.note(SchedulerEvent.Kind.TASK_PLACED, t, "", detail);
     }
 
