Skip the search for workers where no cordon or quota can matter

While a hall was cordoned, each update of the cordon waits looked at every worker for every waiting step, and each placement pass did so again, also for jobs without a quota.

An update now computes the maximum free room of the cordoned and of the usable workers once, and skips steps that need more. A placement pass asks for the cause of a wait only where the job's quota is limited.

--- a/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
@@ -21,6 +21,7 @@
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.placement.PlacementRequest;
 import org.lupinpaddle.core.placement.Placer;
+import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
 /**
@@ -130,9 +131,17 @@
         waits.values().forEach(w -> w.pause(now));
         if (!cordoned.isEmpty()) {
             long wallMillis = state.wallNow();
+            // Most of thousands of waiting steps need more than any worker has free, and thus no look at each worker.
+            Resources maxCordoned = LiveWorker.maxFree(cordoned);
+            Resources maxUsable = LiveWorker.maxFree(usable);
             for (LiveJob j : state.activeJobs.values()) {
                 for (LiveStep s : j.steps) {
-                    if (s.hasWaiting() && s.isReady(wallMillis) && state.hasUniqueId(j) && isCause(s, usable)) {
+                    List<LiveWorker> withRoom = maxUsable.canHold(s.room) ? usable : List.of();
+                    if (s.hasWaiting()
+                            && maxCordoned.canHold(s.room)
+                            && s.isReady(wallMillis)
+                            && state.hasUniqueId(j)
+                            && isCause(s, withRoom)) {
                         resume(s, now);
                     }
                 }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -17,6 +17,7 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.placement.Candidate;
@@ -334,6 +335,17 @@
         return facts.capacity().minus(used);
     }
 
+    /**
+     * Returns the maximum free amount of each resource on any one of the workers; a task that needs more of one
+     * resource fits nowhere.
+     */
+    static Resources maxFree(List<LiveWorker> workers) {
+        return workers.stream()
+                .map(LiveWorker::free)
+                .reduce(Resources::componentMax)
+                .orElse(Resources.NONE);
+    }
+
     /** Returns how many more tasks of the step fit, by their room and the step's limit per worker. */
     long roomFor(LiveStep s) {
         long fitting = free().countOf(s.room);
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -52,7 +52,7 @@
     }
 
     private void placeWaiting(List<LiveWorker> usable) {
-        Resources maxFree = maxFree(usable);
+        Resources maxFree = LiveWorker.maxFree(usable);
         for (StepUrgency u : waitingStepsByUrgency(maxFree)) {
             LiveStep s = u.step();
             // Free room only shrinks while steps are placed.
@@ -61,10 +61,10 @@
                 if (s.job.quota.mayPlace(s.minPlacement())) {
                     placeWithAdvice(s, usable);
                 }
-                if (s.hasWaiting() && !cordonWaits.isCause(s, usable)) {
+                if (s.hasWaiting() && !(s.job.quota.isLimited() && cordonWaits.isCause(s, usable))) {
                     s.job.quota.addWaiting(s.need.times(s.waiting()), s.minPlacement());
                 }
-                maxFree = s.waiting() < waiting ? maxFree(usable) : maxFree;
+                maxFree = s.waiting() < waiting ? LiveWorker.maxFree(usable) : maxFree;
             }
         }
         state.quotas.boundWaiting(totalFree(usable));
@@ -93,18 +93,6 @@
         return steps;
     }
 
-    /**
-     * Returns the maximum free amount of each resource on any one worker; a task that needs more of one resource fits
-     * nowhere.
-     */
-    private static Resources maxFree(List<LiveWorker> workers) {
-        Resources max = workers.get(0).free();
-        for (LiveWorker w : workers) {
-            max = max.componentMax(w.free());
-        }
-        return max;
-    }
-
     /** Places a step; if its queue requires advice, only on permitted workers. */
     private void placeWithAdvice(LiveStep step, List<LiveWorker> usable) {
         if (!step.job.spec.policy().advised()) {
