Keep the last task that no move is about to stop where its quota is contested

Two long-running tasks that were all a service had charged to a workspace could be stopped in one pass, because each saw the charge of the other. The last one to end then returned the whole grant to another service, and both waited, perhaps without limit.

The quota now counts the charges of tasks that are being stopped, and a task may move only if another one that is not being stopped is charged. The new test fails without this.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -79,6 +79,11 @@
         } else if (from.occupiesWorker() && !to.occupiesWorker()) {
             job.quota.remove(need);
         }
+        if (to == LiveTask.Phase.STOPPING && from != LiveTask.Phase.STOPPING) {
+            job.quota.addStopping(need);
+        } else if (from == LiveTask.Phase.STOPPING && to != LiveTask.Phase.STOPPING) {
+            job.quota.removeStopping(need);
+        }
     }
 
     /** Records when one of its tasks was completed. */
--- a/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
+++ b/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
@@ -51,6 +51,9 @@
     private @Nullable Resources unconfirmed;
 
     private Resources used = Resources.NONE;
+    /** The part of {@link #used} that is due to tasks that are being stopped. */
+    private Resources stopping = Resources.NONE;
+
     private Resources waiting = Resources.NONE;
     /** The minimum amount that a placement of waiting tasks requires; null if none are waiting. */
     private @Nullable Resources smallestPlacement;
@@ -133,6 +136,16 @@
         yielding |= used.equals(Resources.NONE) && isContested();
     }
 
+    /** Records that a charged task is being stopped, so that its charge will be released soon. */
+    public void addStopping(Resources need) {
+        stopping = stopping.plus(need);
+    }
+
+    /** Records that a task is no longer being stopped. */
+    public void removeStopping(Resources need) {
+        stopping = stopping.minus(need);
+    }
+
     /** Resets the waiting demand; called before each placement pass. */
     void clearWaiting() {
         waiting = Resources.NONE;
@@ -178,13 +191,15 @@
 
     /**
      * Returns whether a task that is charged already may be placed again after its run has been stopped. It may not where the
-     * grant or the maximum has been lowered below the usage, or where the service would return its grant to another service.
+     * grant or the maximum has been lowered below the usage, or where the service would return its grant to another service
+     * because no other task is charged, apart from those that are being stopped.
      */
     public boolean mayReplace(Resources need) {
         if (!isLimited()) {
             return true;
         }
-        if (!allocationKnown || !maximumConfirmed || yielding || (used.equals(need) && isContested())) {
+        boolean isLast = used.minus(stopping).equals(need);
+        if (!allocationKnown || !maximumConfirmed || yielding || (isLast && isContested())) {
             return false;
         }
         for (Resource r : Resource.values()) {
--- a/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.core.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.LinkedHashMap;
@@ -554,6 +555,28 @@
             assertEquals(Set.of("n1"), workersInUse());
         }
 
+        /**
+         * Guards against the same failure by two moves at once: each task is not the only one, but both are stopped, and
+         * the last one to end returns the whole grant.
+         */
+        @Test
+        void moveOneAtATimeIfAnotherServiceWaitsForTheirQuota() {
+            limit(4_000, 2_000);
+            list(N1);
+            d.submit("a", longRunning(1));
+            d.submit("b", longRunning(1));
+            carryOut(3);
+            assertEquals(2, running.size());
+            listAndReport(N1, S1, S2);
+            limit(4_000, 2_000, 2_000);
+            d.cordon("north");
+            d.advance(300);
+            assertEquals(1, d.port.stops.size());
+            carryOut(2 * ROUNDS_OF_A_MOVE);
+            assertEquals(2, running.size());
+            assertFalse(workersInUse().contains("n1"), "both have moved, one after the other");
+        }
+
         private void limit(long maximum, long granted) {
             limit(maximum, granted, 0);
         }
