Correct comments on cold workers, and on a step in a test of cordons

The formatter had broken one comment into fragments, and three were unclear. A comment in CordonPassTest claimed that the test guards against quota that a step takes while it waits for a cordon. The test cannot fail through that, since the grant is fixed and such a step is placed nowhere; CordonWaitsTest covers it. No check has changed.

--- a/core/src/main/java/org/lupinpaddle/core/run/ColdPeriod.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ColdPeriod.java
@@ -27,7 +27,7 @@
  */
 record ColdPeriod(WorkerIncarnation incarnation, long coldMillis, long since) {
 
-    /** Returns the period that a record states which is seen for the first time. */
+    /** Returns the period stated by a record that this owner sees for the first time. */
     static ColdPeriod of(WorkerFacts f, long now) {
         return new ColdPeriod(f.incarnation(), f.coldMillis(), now);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -146,7 +146,7 @@
     long startedAt = Long.MAX_VALUE;
 
     boolean startedFromScratch;
-    /** Whether its worker was cold at some time during this run, so that its run time is no measure of anything. */
+    /** Whether its worker was cold at some time during this run, so its run time is not compared with others or learned. */
     boolean ranCold;
     /** The newest run whose start has been sent. */
     int startSentForRun;
@@ -333,8 +333,7 @@
     }
 
     /**
-     * Returns the same, but projects a run on a cold worker from its own speed, since run times on other workers say
-     * little about it.
+     * Returns the remaining time of its run; for a run on a cold worker, projected from the run's own speed.
      */
     long remainingMillisOnWorker(long wholeMillis) {
         boolean projects = ranCold && startedFromScratch && hasStarted() && percent > 0;
--- a/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
@@ -600,8 +600,8 @@
 
         /**
          * Guards against a deadlock of quota, limit on unavailable tasks and cordon: the tasks use the whole quota, so
-         * each move depends on the quota that its own stop releases. A step that could run only in the cordoned hall
-         * must not take that quota.
+         * each move depends on the quota that its own stop releases. A step that can run only in the cordoned hall
+         * waits meanwhile.
          */
         @Test
         void thatUseTheWholeQuotaMoveAllTheSame() {
