Stop a gang that runs incompletely while the cordons are not known

While the view of the cordons is not current, no start is repeated, so the limit on unanswered starts is not reached. A gang with one member running and another whose start was not answered occupied its workers without progress until the view was current again.

Such a gang is now stopped after a start of a member has been held back for 1 s, about as long as starts are repeated otherwise. A gang of which no member runs is kept, like a single task. The new test fails without this.

--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -34,6 +34,8 @@
     // Delay before an unanswered order is repeated; workers usually answer within 10 ms.
     private static final long RESEND_MILLIS = 200;
     private static final int MAX_UNANSWERED_STARTS = 4;
+    // About as long as unanswered starts are repeated while the view of the cordons is current.
+    private static final long MAX_INCOMPLETE_GANG_MILLIS = 1_000;
     // A worker without room gains some as soon as one of its tasks ends.
     private static final long NO_ROOM_AVOID_MILLIS = 300;
     private static final long UNHEALTHY_AVOID_MILLIS = 1_000;
@@ -57,6 +59,9 @@
         state.workers.values().stream().filter(LiveWorker::isDraining).forEach(this::withdrawStarts);
         state.workers.values().stream().filter(LiveWorker::isUnresponsive).forEach(this::withdrawUnsentPlacements);
         state.workers.values().stream().filter(LiveWorker::areStartsLimited).forEach(this::withdrawExcessPlacements);
+        if (!state.cordons.isCurrent(now)) {
+            List.copyOf(state.workers.values()).forEach(this::stopIncompleteGangs);
+        }
         // Order outcomes arrive later, so the tasks of a worker do not change during this loop.
         for (LiveWorker w : state.workers.values()) {
             for (LiveTask t : w.tasks) {
@@ -103,6 +108,21 @@
         }
     }
 
+    /**
+     * Stops gangs that run without a member whose start has been held back for a while because the view of the cordons
+     * is not current. Otherwise the others would occupy their workers without progress until it is current again.
+     */
+    private void stopIncompleteGangs(LiveWorker w) {
+        for (LiveTask t : List.copyOf(w.tasks)) {
+            boolean isHeldBack = t.step.gang()
+                    && (t.phase == Phase.PLACED || (t.phase == Phase.STARTING && !t.orderInFlight))
+                    && state.now() - t.nextOrderAt > MAX_INCOMPLETE_GANG_MILLIS;
+            if (isHeldBack && t.liveStep.tasks.stream().anyMatch(m -> m.phase == Phase.RUNNING)) {
+                state.stopWithGang(t, "cordons-unconfirmed");
+            }
+        }
+    }
+
     private void sendDueOrder(LiveWorker w, LiveTask t, long now) {
         if (t.phase == Phase.PLACED && t.job.savedVersion >= t.placedVersion && mayStartNow(w)) {
             startOrProbe(w, t, now);
--- a/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
@@ -343,6 +343,36 @@
             assertEquals(List.of(), stoppedOn());
         }
 
+        /** Guards against members of a gang that occupy their workers without progress while another cannot start. */
+        @Test
+        void aGangThatRunsIncompletelyIsStopped() {
+            list(N1, S1);
+            d.submit("a", GANG);
+            save();
+            StartOrder n1 = startOn(N1);
+            d.scheduler.onStarted(n1, OrderOutcome.ACCEPTED);
+            d.cordons = null;
+            RunStatus running = new RunStatus(n1.jobId(), n1.task(), n1.run(), "", 1, -1);
+            for (int i = 0; i < 4; i++) {
+                d.advance(1_000);
+                d.answerHold("n1", List.of(running), List.of());
+                d.answerHold("s1", List.of(), List.of());
+            }
+            d.scheduler.onStarted(startOn(S1), OrderOutcome.UNKNOWN);
+            d.advance(1_200);
+            assertEquals(2, d.port.starts.size());
+            assertEquals(List.of(), stoppedOn());
+            d.advance(10);
+            assertEquals(Set.of("n1", "s1"), Set.copyOf(stoppedOn()));
+        }
+
+        private StartOrder startOn(WorkerFacts w) {
+            return d.port.starts.stream()
+                    .filter(s -> s.worker().equals(w))
+                    .findAny()
+                    .orElseThrow();
+        }
+
         @Test
         void aKnownCordonIsStillApplied() {
             list(N1);
