Count the room for waiting tasks alike in cordon waits, quota and moves

Several long-running tasks were stopped for a cold worker that takes one start per period, or for a worker on probation. A small task could take the room for which a large one had been stopped. One task that avoids the only usable worker kept its whole step from requesting quota. Quota was requested for steps that could run only on cordoned workers which were full, silent or avoided. An outage and the wait for the next start on a cold worker counted as waits for the cordon. Less urgent tasks took each start on cold workers while a gang needed several at once.

StepRoom now counts the room for all of these. A worker whose starts are limited, and one on probation, counts for one task at a time. Tasks with different needs or labels move in different rounds. A task that avoids no worker stands for its step. Where a hall is cordoned, quota is requested only if a placement fits on the usable workers. Waits for a cordon pause while nothing is placed at all, and the room elsewhere is counted without the limit on starts. After a gang that only lacks simultaneous starts, a placement pass uses no further cold workers with a limit.

--- a/core/src/main/java/org/lupinpaddle/core/placement/Placer.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/Placer.java
@@ -42,9 +42,13 @@
 
     /** Returns whether the worker may run one more task of this kind. */
     public static boolean isEligible(Candidate c, PlacementRequest request) {
+        return c.free().canHold(Resources.of(request.step())) && isSuitable(c, request);
+    }
+
+    /** Returns whether the worker may run one more task of this kind as soon as it has room. */
+    public static boolean isSuitable(Candidate c, PlacementRequest request) {
         int maxPerWorker = request.step().perWorkerMost();
-        return c.free().canHold(Resources.of(request.step()))
-                && c.facts().hasLabel(request.step().label())
+        return c.facts().hasLabel(request.step().label())
                 && !(request.excludeAvoidedWorkers()
                         && request.avoidWorkers().contains(c.facts().id()))
                 && (!request.requireProvenWorker() || c.lastRunSucceeded())
--- a/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
@@ -99,9 +99,13 @@
 
     /**
      * Returns whether usable workers have room for the task and for all tasks that are moving. Without this check a
-     * cordon of a large hall would stop one task of each step at once, although only a few of them find room.
+     * cordon of a large hall would stop one task of each step at once, although only a few of them find room. Tasks
+     * with other needs move in another round, since their room cannot be counted in units of this task's room.
      */
     private boolean hasRoomBesideMoving(LiveTask t) {
+        if (!moving.stream().allMatch(m -> hasSameNeeds(m, t))) {
+            return false;
+        }
         long required = moving.size() + 1L;
         PlacementRequest request = t.placementRequirements(state.now());
         long room = state.workers.values().stream()
@@ -110,4 +114,8 @@
                 .sum();
         return room >= required;
     }
+
+    private static boolean hasSameNeeds(LiveTask a, LiveTask b) {
+        return a.liveStep.room.equals(b.liveStep.room) && a.step.label().equals(b.step.label());
+    }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
@@ -19,8 +19,6 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
-import org.lupinpaddle.core.placement.PlacementRequest;
-import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
@@ -69,52 +67,36 @@
                 : List.of();
     }
 
-    /** Returns whether only a cordon keeps the step's waiting tasks from a worker, given the workers that are usable. */
-    boolean isCause(LiveStep s, List<LiveWorker> usable) {
-        if (cordoned.isEmpty()) {
+    /**
+     * Returns whether a hall is cordoned and none of the usable workers could run the step's waiting tasks, so that
+     * quota would be of no use to them.
+     */
+    boolean needsNoQuota(LiveStep s, List<LiveWorker> usable) {
+        if (!state.cordons.isAnyCordoned()) {
             return false;
         }
-        LiveTask first = firstPlaceable(s);
-        if (first == null) {
+        StepRoom room = StepRoom.of(s, state.now());
+        return room != null && !room.fits(usable, LiveWorker::roomPerStart);
+    }
+
+    /** Returns whether only a cordon keeps the step's waiting tasks from a worker, given the workers that are usable. */
+    private boolean isCause(LiveStep s, List<LiveWorker> usable) {
+        StepRoom room = StepRoom.of(s, state.now());
+        if (room == null) {
             return false;
         }
-        long required = s.spec.gang() ? s.tasks.size() : 1;
-        PlacementRequest request = first.placementRequirements(state.now());
-        long inCordonedHalls = countRoom(s, request, cordoned, required);
+        long inCordonedHalls = room.count(cordoned, LiveWorker::roomFor);
         if (inCordonedHalls == 0) {
             return false;
         }
-        long elsewhere = countRoom(s, request, usable, required);
-        return elsewhere < required && elsewhere + inCordonedHalls >= required;
-    }
-
-    /** Returns a waiting task that may be placed now; null if there is none. A gang is placed as a whole. */
-    private @Nullable LiveTask firstPlaceable(LiveStep s) {
-        LiveTask first = null;
-        for (LiveTask t : s.tasks) {
-            boolean placeable = t.phase == Phase.WAITING && state.now() >= t.nextOrderAt;
-            if (s.spec.gang() && !placeable) {
-                return null;
-            }
-            if (placeable && first == null) {
-                first = t;
-            }
-        }
-        return first;
+        // A wait for the next start on a cold worker is not due to the cordon.
+        long elsewhere = room.count(usable, LiveWorker::roomBetweenStarts);
+        return elsewhere < room.required() && elsewhere + inCordonedHalls >= room.required();
     }
 
-    /** Returns how many tasks of the step fit on the workers, at most {@code limit}. */
-    private static long countRoom(LiveStep s, PlacementRequest request, List<LiveWorker> workers, long limit) {
-        long room = 0;
-        for (LiveWorker w : workers) {
-            if (Placer.isEligible(w, request)) {
-                room += w.roomFor(s);
-                if (room >= limit) {
-                    return limit;
-                }
-            }
-        }
-        return room;
+    /** Pauses all waits while nothing is placed for another reason. */
+    void pause() {
+        waits.values().forEach(w -> w.pause(state.now()));
     }
 
     /** Updates the waits after a placement pass over the usable workers. */
@@ -128,12 +110,12 @@
         }
         nextUpdateAt = now + UPDATE_INTERVAL_MILLIS;
         waits.keySet().removeIf(t -> t.phase != Phase.WAITING || t.job.state.ended());
-        waits.values().forEach(w -> w.pause(now));
+        pause();
         if (!cordoned.isEmpty()) {
             long wallMillis = state.wallNow();
             // Most of thousands of waiting steps need more than any worker has free, and thus no look at each worker.
-            Resources maxCordoned = LiveWorker.maxFree(cordoned);
-            Resources maxUsable = LiveWorker.maxFree(usable);
+            Resources maxCordoned = LiveWorker.maxFree(cordoned, LiveWorker::free);
+            Resources maxUsable = LiveWorker.maxFree(usable, LiveWorker::freeBetweenStarts);
             for (LiveJob j : state.activeJobs.values()) {
                 for (LiveStep s : j.steps) {
                     List<LiveWorker> withRoom = maxUsable.canHold(s.room) ? usable : List.of();
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.placement.Candidate;
 import org.lupinpaddle.core.placement.Resources;
@@ -329,7 +330,7 @@
     @Override
     public Resources free() {
         boolean reserved = isolatedCount > 0 && tasks.stream().anyMatch(this::isIsolated);
-        if (reserved || (onProbation && tasks.stream().anyMatch(this::isUnproven)) || hasNoStartLeft()) {
+        if (reserved || (onProbation && tasks.stream().anyMatch(this::isUnproven))) {
             return Resources.NONE;
         }
         return facts.capacity().minus(used);
@@ -338,17 +339,34 @@
     /**
      * Returns the maximum free amount of each resource on any one of the workers; a task that needs more of one
      * resource fits nowhere.
+        return hasNoStartLeft() ? Resources.NONE : freeBetweenStarts();
+    }
+
+    /** Returns the free resources, also while the rate limit permits no start. */
+    Resources freeBetweenStarts() {
      */
-    static Resources maxFree(List<LiveWorker> workers) {
-        return workers.stream()
-                .map(LiveWorker::free)
-                .reduce(Resources::componentMax)
-                .orElse(Resources.NONE);
+    static Resources maxFree(List<LiveWorker> workers, Function<LiveWorker, Resources> free) {
+        return workers.stream().map(free).reduce(Resources::componentMax).orElse(Resources.NONE);
     }
 
-    /** Returns how many more tasks of the step fit, by their room and the step's limit per worker. */
+    /** Returns how many more tasks of the step may be placed now. */
     long roomFor(LiveStep s) {
-        long fitting = free().countOf(s.room);
+        return hasNoStartLeft() ? 0 : roomPerStart(s);
+    }
+
+    /**
+     * Returns how many more tasks of the step may be placed at once when the rate limit next permits a start: at most
+     * one if the limit applies or the worker is on probation.
+     */
+    long roomPerStart(LiveStep s) {
+        long fitting = roomBetweenStarts(s);
+        return startsLimited || onProbation ? Math.min(1, fitting) : fitting;
+    }
+
+    /** Returns how many more tasks of the step fit, by their room and the step's limit per worker. */
+    long roomBetweenStarts(LiveStep s) {
+        Resources free = freeBetweenStarts();
+        long fitting = free.canHold(s.room) ? free.countOf(s.room) : 0;
         int maxTasks = s.spec.perWorkerMost();
         StepRepetition repetition = s.tasks.get(0).stepTime;
         return maxTasks == 0 ? fitting : Math.min(fitting, Math.max(0, maxTasks - taskCount(repetition)));
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -40,6 +40,7 @@
     void run() {
         state.quotas.clearWaiting();
         if (!state.isWorkerListFresh() || !state.cordons.isCurrent(state.now())) {
+            cordonWaits.pause();
             return;
         }
         List<LiveWorker> usable =
@@ -51,8 +52,9 @@
         cordonWaits.update(usable);
     }
 
-    private void placeWaiting(List<LiveWorker> usable) {
-        Resources maxFree = LiveWorker.maxFree(usable);
+    private void placeWaiting(List<LiveWorker> allUsable) {
+        List<LiveWorker> usable = allUsable;
+        Resources maxFree = LiveWorker.maxFree(usable, LiveWorker::free);
         for (StepUrgency u : waitingStepsByUrgency(maxFree)) {
             LiveStep s = u.step();
             // Free room only shrinks while steps are placed.
@@ -60,14 +62,33 @@
                 int waiting = s.waiting();
                 if (s.job.quota.mayPlace(s.minPlacement())) {
                     placeWithAdvice(s, usable);
+                    if (waitsForColdStarts(s, usable)) {
+                        // Otherwise less urgent tasks would take each start as it becomes permitted.
+                        usable = usable.stream()
+                                .filter(w -> !w.areStartsLimited())
+                                .toList();
+                        maxFree = LiveWorker.maxFree(usable, LiveWorker::free);
+                    }
                 }
-                if (s.hasWaiting() && !(s.job.quota.isLimited() && cordonWaits.isCause(s, usable))) {
+                if (s.hasWaiting() && !(s.job.quota.isLimited() && cordonWaits.needsNoQuota(s, allUsable))) {
                     s.job.quota.addWaiting(s.need.times(s.waiting()), s.minPlacement());
                 }
-                maxFree = s.waiting() < waiting ? LiveWorker.maxFree(usable) : maxFree;
+                maxFree = s.waiting() < waiting ? LiveWorker.maxFree(usable, LiveWorker::free) : maxFree;
             }
         }
-        state.quotas.boundWaiting(totalFree(usable));
+        state.quotas.boundWaiting(totalFree(allUsable));
+    }
+
+    /** Returns whether a gang finds no room only because cold workers may not be sent a start at the same time. */
+    private boolean waitsForColdStarts(LiveStep s, List<LiveWorker> usable) {
+        if (!s.spec.gang() || !s.hasWaiting() || usable.stream().noneMatch(LiveWorker::areStartsLimited)) {
+            return false;
+        }
+        List<LiveWorker> permitted = s.job.spec.policy().advised() ? advisor.allowed(s, usable) : usable;
+        StepRoom room = StepRoom.of(s, state.now());
+        return room != null
+                && !room.fits(permitted, LiveWorker::roomFor)
+                && room.fits(permitted, LiveWorker::roomPerStart);
     }
 
     private static Resources totalFree(List<LiveWorker> workers) {
--- a/core/src/test/java/org/lupinpaddle/core/run/ColdWorkerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ColdWorkerTest.java
@@ -306,6 +306,27 @@
         void withdrawsPlacementsOnAWorkerThatHasBecomeCold() {
             listLimited(warm("w1"));
             pass(PERIOD_MILLIS, "w1");
+        /** Guards against less urgent tasks that take each start as it becomes permitted, while a gang needs several. */
+        @Test
+        void isNotUsedUpByLessUrgentTasksWhileAGangWaits() {
+            listLimited(cold("w1"), cold("w2"));
+            pass(PERIOD_MILLIS, "w1", "w2");
+            assertEquals(1, start("a", step(1, 60_000)).size());
+            d.submit(
+                    "b",
+                    StepSpec.builder(2, SchedulerDriver.NEED)
+                            .gang(true, false)
+                            .estimateMillis(60_000)
+                            .build());
+            d.submit("c", step(1, 60_000));
+            assertEquals(
+                    List.of(2 * PERIOD_MILLIS, 2 * PERIOD_MILLIS, 3 * PERIOD_MILLIS),
+                    startTimes(3 * PERIOD_MILLIS, "w1", "w2"));
+            assertEquals(
+                    List.of("b", "b", "c"),
+                    d.port.starts.stream().skip(1).map(StartOrder::jobId).toList());
+        }
+
             d.submit("a", step(4, 60_000));
             d.scheduler.onWorkers(List.of(cold("w1")));
             d.completeSaves();
--- a/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
@@ -519,6 +519,52 @@
             assertTrue(workersInUse().contains("s1"));
         }
 
+        /** Guards against a small task that takes the room for which a large one was stopped. */
+        @Test
+        void ofDifferentNeedsMoveOneAfterAnother() {
+            list(N1, N2);
+            d.submit(
+                    "large",
+                    StepSpec.builder(1, new StepSpec.Need(4_000, 100, 0))
+                            .longRunning(true, 1)
+                            .build());
+            d.submit(
+                    "small",
+                    StepSpec.builder(1, new StepSpec.Need(500, 100, 0))
+                            .longRunning(true, 1)
+                            .build());
+            carryOut(3);
+            listAndReport(N1, N2, S1);
+            d.cordon("north");
+            d.advance(300);
+            assertEquals(1, d.port.stops.size());
+            carryOut(2 * ROUNDS_OF_A_MOVE);
+            assertEquals(2, running.size());
+        }
+
+        /** Guards against tasks that wait, stopped, for one start after another on a cold worker. */
+        @Test
+        void stopOneAtATimeForAColdWorker() {
+            d.scheduler.onColdStartsPerSecond(1);
+            list(N1);
+            d.submit(
+                    "a",
+                    StepSpec.builder(3, SchedulerDriver.NEED)
+                            .longRunning(true, 3)
+                            .build());
+            carryOut(3);
+            assertEquals(3, running.size());
+            d.scheduler.onWorkers(List.of(N1, SchedulerDriver.coldWorkerInHall("s1", "south", 60_000)));
+            d.advance(10);
+            d.answerHold("s1", List.of(), List.of());
+            d.advance(1_000);
+            report();
+            d.answerHold("s1", List.of(), List.of());
+            d.cordon("north");
+            d.advance(300);
+            assertEquals(1, d.port.stops.size());
+        }
+
         /** Guards against the same failure by a step with at most one task on a worker. */
         @Test
         void ofOneStepDoNotMoveIntoTheSameRoom() {
--- a/core/src/test/java/org/lupinpaddle/core/run/CordonWaitsTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonWaitsTest.java
@@ -26,7 +26,9 @@
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.placement.WorkerFacts;
 import org.lupinpaddle.core.workspace.QuotaAllocation;
@@ -39,6 +41,7 @@
 
     private static final WorkerFacts N1 = SchedulerDriver.workerInHall("n1", "north", "gpu");
     private static final WorkerFacts S1 = SchedulerDriver.workerInHall("s1", "south");
+    private static final WorkerFacts COLD_S1 = SchedulerDriver.coldWorkerInHall("s1", "south", 60_000);
     private static final StepSpec ON_GPU =
             StepSpec.builder(1, SchedulerDriver.NEED).place("gpu", "").build();
     private static final StepSpec WHOLE_WORKER =
@@ -103,6 +106,32 @@
             assertTrue(detailOfPlacement().matches(".* cordoned-millis=(9|10|11)..$"), detailOfPlacement());
         }
 
+        /** Guards against counting an outage, during which nothing is placed anywhere, as a wait for the cordon. */
+        @Test
+        void doesNotWaitForTheCordonWhileTheViewIsNotCurrent() {
+            cordonTheNorth();
+            d.submit("a", ON_GPU);
+            d.cordons = null;
+            advance(100);
+            d.cordon("north");
+            advance(5);
+            d.cordon();
+            // The view remains current for 3.3 s.
+            assertTrue(detailOfPlacement().matches(".* cordoned-millis=3[6-9]..$"), detailOfPlacement());
+        }
+
+        /** Guards against attributing the wait for the next start on a cold worker to the cordon. */
+        @Test
+        void doesNotWaitForTheCordonWhileTheRateOfStartsElsewhereHoldsItBack() {
+            d.scheduler.onColdStartsPerSecond(0.2);
+            d.listAndAnswer(N1, COLD_S1);
+            d.cordon("north");
+            d.now += 100;
+            d.submit("a", WHOLE_WORKER);
+            assertEquals(0, load().waiting());
+            assertTrue(d.port.events(SchedulerEvent.Kind.TASK_PLACED).isEmpty());
+        }
+
         @Test
         void doesNotWaitForTheCordonIfItFitsNowhere() {
             cordonTheNorth();
@@ -156,13 +185,56 @@
 
         private static final Resources MAXIMUM = new Resources(1_000, 0, 0);
 
-        private void submitLimited(StepSpec step) {
-            d.workspace = "team";
+        private void limit() {
             quotas.configure(Workspaces.of(List.of(new Workspace("team", List.of(), 0, MAXIMUM)), List.of()));
             quotas.of("team").onNoAllocation(0);
+        }
+
+        private void submitLimited(StepSpec step) {
+            d.workspace = "team";
+            limit();
             d.submit("a", step);
         }
 
+        /** Guards against quota that is held for a task which cannot start anywhere, for whatever reason. */
+        @Test
+        void requestsNoneWhileTheCordonedWorkerIsNotUsableEither() {
+            cordonTheNorth();
+            d.scheduler.onEvacuations(Set.of("n1"), Set.of());
+            submitLimited(ON_GPU);
+            assertTrue(quotas.of("team").next(d.now).isEmpty());
+        }
+
+        /** Guards against one task that has failed on the only usable worker and stands for all tasks of its step. */
+        @Test
+        void requestsSomeForOtherTasksThanOneThatAvoidsTheWorker() {
+            cordonTheNorth();
+            d.workspace = "team";
+            d.submit(
+                    "a",
+                    StepSpec.builder(2, SchedulerDriver.NEED).perWorkerMost(1).build());
+            d.advance(50);
+            d.completeSaves();
+            d.scheduler.onStarted(d.lastStart(), OrderOutcome.ACCEPTED);
+            limit();
+            RunResult failed = new RunResult(1, "a", new TaskId(0, 0, 0), 1, EndKind.FAILED, "");
+            d.answerHold("s1", List.of(), List.of(failed));
+            assertTrue(quotas.of("team").next(d.now).isPresent());
+        }
+
+        /** Guards against quota that is held for a gang as long as its only worker is cold. */
+        @Test
+        void requestsNoneForAGangWithMoreMembersThanColdWorkersTakeAtOnce() {
+            d.scheduler.onColdStartsPerSecond(1);
+            d.listAndAnswer(N1, COLD_S1);
+            d.cordon("north");
+            advance(11);
+            submitLimited(StepSpec.builder(2, new StepSpec.Need(500, 100, 0))
+                    .gang(true, false)
+                    .build());
+            assertTrue(quotas.of("team").next(d.now).isEmpty());
+        }
+
         @Test
         void requestsNoneForATaskThatWaitsForTheCordon() {
             cordonTheNorth();
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -110,6 +110,10 @@
         return new WorkerFacts(id, "clips", "at-" + id, hall, false, 0, ROOM, List.of(labels));
     }
 
+    static WorkerFacts coldWorkerInHall(String id, String hall, long coldMillis) {
+        return new WorkerFacts(id, 1, "clips", "at-" + id, hall, false, 0, ROOM, List.of(), coldMillis);
+    }
+
     /** Replaces the cordons; the watch works from now on. */
     void cordon(String... halls) {
         cordons = Arrays.stream(halls).map(h -> new Cordon(h, now + 1)).toList();
