Apply the rate limit on cold workers to repeated starts as well

Only the first copy of a start counted for the rate. If it was lost, another start could be sent one period later, and the repetition of the first next to it, so that the worker carried out two starts at once.

A start that will be repeated now keeps the worker from further placements, and each copy counts as a start.

--- a/core/src/main/java/org/lupinpaddle/core/run/ColdStartLimiter.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ColdStartLimiter.java
@@ -43,7 +43,7 @@
         return periodMillis > 0;
     }
 
-    /** Records that the start of a run was sent for the first time. */
+    /** Records that a start was sent. A repeated start counts too, since the worker may have received only that one. */
     void startSent(String worker, long now) {
         if (isEnabled()) {
             sentAt.put(worker, now);
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -148,8 +148,6 @@
     boolean startedFromScratch;
     /** Whether its worker was cold at some time during this run, so its run time is not compared with others or learned. */
     boolean ranCold;
-    /** The newest run whose start has been sent. */
-    int startSentForRun;
     /** How long its previous run was known to be running. */
     long lastRunMillis;
     /** When its progress last increased. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -286,9 +286,19 @@
         return startsHeldBack;
     }
 
-    /** Returns whether the rate limit permits no further placement: each one takes the place of a start. */
+    /** Returns whether a start to it was not answered and will be repeated. */
+    boolean hasStartToRepeat() {
+        return tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.STARTING && !t.orderInFlight);
+    }
+
+    /**
+     * Returns whether the rate limit permits no further placement: each placement, and each start that will be
+     * repeated, takes the place of a start.
+     */
     private boolean hasNoStartLeft() {
-        return startsHeldBack || (startsLimited && tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.PLACED));
+        return startsHeldBack
+                || (startsLimited
+                        && (hasStartToRepeat() || tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.PLACED)));
     }
 
     /** Returns whether it has announced that it drains; this is unknown for a worker without an address. */
@@ -329,6 +339,11 @@
 
     @Override
     public Resources free() {
+        return hasNoStartLeft() ? Resources.NONE : freeBetweenStarts();
+    }
+
+    /** Returns the free resources, also while the rate limit permits no start. */
+    Resources freeBetweenStarts() {
         boolean reserved = isolatedCount > 0 && tasks.stream().anyMatch(this::isIsolated);
         if (reserved || (onProbation && tasks.stream().anyMatch(this::isUnproven))) {
             return Resources.NONE;
@@ -339,11 +354,6 @@
     /**
      * Returns the maximum free amount of each resource on any one of the workers; a task that needs more of one
      * resource fits nowhere.
-        return hasNoStartLeft() ? Resources.NONE : freeBetweenStarts();
-    }
-
-    /** Returns the free resources, also while the rate limit permits no start. */
-    Resources freeBetweenStarts() {
      */
     static Resources maxFree(List<LiveWorker> workers, Function<LiveWorker, Resources> free) {
         return workers.stream().map(free).reduce(Resources::componentMax).orElse(Resources.NONE);
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -99,7 +99,7 @@
      * become cold, or the limit has been lowered, since they were made.
      */
     private void withdrawExcessPlacements(LiveWorker w) {
-        boolean permitted = !w.areStartsHeldBack();
+        boolean permitted = !w.areStartsHeldBack() && !w.hasStartToRepeat();
         for (LiveTask t : List.copyOf(w.tasks)) {
             if (t.phase == Phase.PLACED && !permitted) {
                 withdrawPlacement(t, "worker-cold");
@@ -151,10 +151,7 @@
                     t.checkpoint,
                     t.ticket,
                     state.nextFence(w));
-            if (t.startSentForRun != t.run) {
-                t.startSentForRun = t.run;
-                state.coldStarts.startSent(w.facts().id(), now);
-            }
+            state.coldStarts.startSent(w.facts().id(), now);
             t.ranCold |= w.isCold();
             state.outstandingStarts.sent(order);
             state.port.start(order);
