--- a/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StragglerPass.java
@@ -40,11 +40,9 @@
     private static final long WARM_UP_MILLIS = 4_000;
     private static final int WARM_UP_FACTOR = 4;
 
-    // The slowdown of a cold worker is unknown. With this factor one percent may take half of the expected time, so
-    // that
-    // only a run that takes 50 times its estimate could be mistaken for a stalled one, while a stalled task of up to 4
-    // s
-    // is found as soon as on a warm worker.
+    // The slowdown of a cold worker is unknown. With this factor one percent may take half of the expected time: only a
+    // run that takes 50 times its estimate could be mistaken for a stalled one, and a stall of a task of up to 4 s is
+    // found as soon as on a warm worker.
     private static final int COLD_STALL_FACTOR = 5;
 
     // Tasks of one step differ by about a third: three times the mean of its siblings is caused by the worker.
