--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -17,7 +17,9 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.placement.Candidate;
 import org.lupinpaddle.core.placement.Resources;
@@ -114,6 +116,14 @@
      */
     boolean onProbation;
 
+    private ColdPeriod coldPeriod;
+    /** Whether it is cold, as of this tick or its newest record. */
+    private boolean cold;
+    /** Whether a rate limit on its starts applies, and whether it permits none in this tick. */
+    private boolean startsLimited;
+
+    private boolean startsHeldBack;
+
     private static final long NO_SUCCESS = Long.MIN_VALUE;
     /** When the last run that ended by itself under this owner ended, if it succeeded. */
     private long lastSuccessAt = NO_SUCCESS;
@@ -143,6 +153,7 @@
         this.facts = facts;
         this.incarnation = new WorkerIncarnation(facts.id(), WorkerIncarnation.UNKNOWN_START);
         this.inheritedUntil = inheritedUntil;
+        this.coldPeriod = new ColdPeriod(incarnation, 0, 0);
     }
 
     /** Returns the state of the next incarnation. The clock, results and health of this one do not apply to it. */
@@ -154,6 +165,8 @@
         successor.incarnationKnownAt = now;
         successor.listed = listed;
         successor.unlistedSince = unlistedSince;
+        successor.coldPeriod = coldPeriod.ofIncarnation(next, facts, now);
+        successor.cold = successor.coldPeriod.contains(now);
         return successor;
     }
 
@@ -237,6 +250,55 @@
         facts = f;
         listed = true;
         unlistedSince = Long.MAX_VALUE;
+        coldPeriod = coldPeriod.next(f, now);
+        cold = coldPeriod.contains(now);
+    }
+
+    /**
+     * Updates whether it is cold and whether it may be sent a start, and marks its runs.
+     *
+     * @param limiter the rate limit on starts on cold workers
+     * @param earlierOwnersUntil the latest time at which an earlier owner may have sent a start to any worker
+     */
+    void updateCold(ColdStartLimiter limiter, long earlierOwnersUntil, long now) {
+        cold = coldPeriod.contains(now);
+        startsLimited = cold && limiter.isEnabled();
+        // Once it has answered this owner, it rejects the starts of earlier ones.
+        long lastForeignStart = fencedAt <= earlierOwnersUntil ? fencedAt : Long.MIN_VALUE / 2;
+        startsHeldBack = startsLimited && !limiter.permits(facts.id(), lastForeignStart, now);
+        if (cold) {
+            tasks.stream().filter(t -> t.phase != LiveTask.Phase.PLACED).forEach(t -> t.ranCold = true);
+        }
+    }
+
+    @Override
+    public boolean isCold() {
+        return cold;
+    }
+
+    /** Returns whether the rate of its starts is limited because it is cold. */
+    boolean areStartsLimited() {
+        return startsLimited;
+    }
+
+    /** Returns whether the rate limit permits no start in this tick. */
+    boolean areStartsHeldBack() {
+        return startsHeldBack;
+    }
+
+    /** Returns whether a start to it was not answered and will be repeated. */
+    boolean hasStartToRepeat() {
+        return tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.STARTING && !t.orderInFlight);
+    }
+
+    /**
+     * Returns whether the rate limit permits no further placement: each placement, and each start that will be
+     * repeated, takes the place of a start.
+     */
+    private boolean hasNoStartLeft() {
+        return startsHeldBack
+                || (startsLimited
+                        && (hasStartToRepeat() || tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.PLACED)));
     }
 
     /** Returns whether it has announced that it drains; this is unknown for a worker without an address. */
@@ -277,6 +339,11 @@
 
     @Override
     public Resources free() {
+        return hasNoStartLeft() ? Resources.NONE : freeBetweenStarts();
+    }
+
+    /** Returns the free resources, also while the rate limit permits no start. */
+    Resources freeBetweenStarts() {
         boolean reserved = isolatedCount > 0 && tasks.stream().anyMatch(this::isIsolated);
         if (reserved || (onProbation && tasks.stream().anyMatch(this::isUnproven))) {
             return Resources.NONE;
@@ -284,9 +351,32 @@
         return facts.capacity().minus(used);
     }
 
-    /** Returns how many more tasks of the step fit, by their room and the step's limit per worker. */
+    /**
+     * Returns the maximum free amount of each resource on any one of the workers; a task that needs more of one
+     * resource fits nowhere.
+     */
+    static Resources maxFree(List<LiveWorker> workers, Function<LiveWorker, Resources> free) {
+        return workers.stream().map(free).reduce(Resources::componentMax).orElse(Resources.NONE);
+    }
+
+    /** Returns how many more tasks of the step may be placed now. */
     long roomFor(LiveStep s) {
-        long fitting = free().countOf(s.room);
+        return hasNoStartLeft() ? 0 : roomPerStart(s);
+    }
+
+    /**
+     * Returns how many more tasks of the step may be placed at once when the rate limit next permits a start: at most
+     * one if the limit applies or the worker is on probation.
+     */
+    long roomPerStart(LiveStep s) {
+        long fitting = roomBetweenStarts(s);
+        return startsLimited || onProbation ? Math.min(1, fitting) : fitting;
+    }
+
+    /** Returns how many more tasks of the step fit, by their room and the step's limit per worker. */
+    long roomBetweenStarts(LiveStep s) {
+        Resources free = freeBetweenStarts();
+        long fitting = free.canHold(s.room) ? free.countOf(s.room) : 0;
         int maxTasks = s.spec.perWorkerMost();
         StepRepetition repetition = s.tasks.get(0).stepTime;
         return maxTasks == 0 ? fitting : Math.min(fitting, Math.max(0, maxTasks - taskCount(repetition)));
@@ -511,6 +601,8 @@
         incarnationKnownAt = previous.incarnationKnownAt;
         foreignDeadlinesUntil = previous.foreignDeadlinesUntil;
         results = previous.results;
+        coldPeriod = previous.coldPeriod;
+        cold = previous.cold;
         pendingHold = previous.pendingHold;
         holdAnswerDueAt = previous.holdAnswerDueAt;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
@@ -25,6 +25,7 @@
  * @param running tasks on workers
  * @param workers workers that can take new tasks
  * @param silent listed workers whose last answer is overdue
+ * @param cold listed workers that are cold
  * @param needed the number of workers that the service requests
  * @param cordon the load due to cordons; null while no hall is cordoned
  */
@@ -34,6 +35,7 @@
         int running,
         int workers,
         int silent,
+        int cold,
         int needed,
         @Nullable CordonLoad cordon) {
 
@@ -66,6 +68,9 @@
         int silent = (int) state.workers.values().stream()
                 .filter(w -> w.listed && state.now() - w.lastAnswerAt > state.timing.silentMillis())
                 .count();
-        return new LoadSummary(waiting, hopeless, running, usable, silent, needed, cordon);
+        int cold = (int) state.workers.values().stream()
+                .filter(w -> w.listed && w.isCold())
+                .count();
+        return new LoadSummary(waiting, hopeless, running, usable, silent, cold, needed, cordon);
     }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.core.run;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.LinkedHashMap;
@@ -342,6 +343,36 @@
             assertEquals(List.of(), stoppedOn());
         }
 
+        /** Guards against members of a gang that occupy their workers without progress while another cannot start. */
+        @Test
+        void aGangThatRunsIncompletelyIsStopped() {
+            list(N1, S1);
+            d.submit("a", GANG);
+            save();
+            StartOrder n1 = startOn(N1);
+            d.scheduler.onStarted(n1, OrderOutcome.ACCEPTED);
+            d.cordons = null;
+            RunStatus running = new RunStatus(n1.jobId(), n1.task(), n1.run(), "", 1, -1);
+            for (int i = 0; i < 4; i++) {
+                d.advance(1_000);
+                d.answerHold("n1", List.of(running), List.of());
+                d.answerHold("s1", List.of(), List.of());
+            }
+            d.scheduler.onStarted(startOn(S1), OrderOutcome.UNKNOWN);
+            d.advance(1_200);
+            assertEquals(2, d.port.starts.size());
+            assertEquals(List.of(), stoppedOn());
+            d.advance(10);
+            assertEquals(Set.of("n1", "s1"), Set.copyOf(stoppedOn()));
+        }
+
+        private StartOrder startOn(WorkerFacts w) {
+            return d.port.starts.stream()
+                    .filter(s -> s.worker().equals(w))
+                    .findAny()
+                    .orElseThrow();
+        }
+
         @Test
         void aKnownCordonIsStillApplied() {
             list(N1);
@@ -488,6 +519,52 @@
             assertTrue(workersInUse().contains("s1"));
         }
 
+        /** Guards against a small task that takes the room for which a large one was stopped. */
+        @Test
+        void ofDifferentNeedsMoveOneAfterAnother() {
+            list(N1, N2);
+            d.submit(
+                    "large",
+                    StepSpec.builder(1, new StepSpec.Need(4_000, 100, 0))
+                            .longRunning(true, 1)
+                            .build());
+            d.submit(
+                    "small",
+                    StepSpec.builder(1, new StepSpec.Need(500, 100, 0))
+                            .longRunning(true, 1)
+                            .build());
+            carryOut(3);
+            listAndReport(N1, N2, S1);
+            d.cordon("north");
+            d.advance(300);
+            assertEquals(1, d.port.stops.size());
+            carryOut(2 * ROUNDS_OF_A_MOVE);
+            assertEquals(2, running.size());
+        }
+
+        /** Guards against tasks that wait, stopped, for one start after another on a cold worker. */
+        @Test
+        void stopOneAtATimeForAColdWorker() {
+            d.scheduler.onColdStartsPerSecond(1);
+            list(N1);
+            d.submit(
+                    "a",
+                    StepSpec.builder(3, SchedulerDriver.NEED)
+                            .longRunning(true, 3)
+                            .build());
+            carryOut(3);
+            assertEquals(3, running.size());
+            d.scheduler.onWorkers(List.of(N1, SchedulerDriver.coldWorkerInHall("s1", "south", 60_000)));
+            d.advance(10);
+            d.answerHold("s1", List.of(), List.of());
+            d.advance(1_000);
+            report();
+            d.answerHold("s1", List.of(), List.of());
+            d.cordon("north");
+            d.advance(300);
+            assertEquals(1, d.port.stops.size());
+        }
+
         /** Guards against the same failure by a step with at most one task on a worker. */
         @Test
         void ofOneStepDoNotMoveIntoTheSameRoom() {
@@ -554,6 +631,28 @@
             assertEquals(Set.of("n1"), workersInUse());
         }
 
+        /**
+         * Guards against the same failure by two moves at once: each task is not the only one, but both are stopped, and
+         * the last one to end returns the whole grant.
+         */
+        @Test
+        void moveOneAtATimeIfAnotherServiceWaitsForTheirQuota() {
+            limit(4_000, 2_000);
+            list(N1);
+            d.submit("a", longRunning(1));
+            d.submit("b", longRunning(1));
+            carryOut(3);
+            assertEquals(2, running.size());
+            listAndReport(N1, S1, S2);
+            limit(4_000, 2_000, 2_000);
+            d.cordon("north");
+            d.advance(300);
+            assertEquals(1, d.port.stops.size());
+            carryOut(2 * ROUNDS_OF_A_MOVE);
+            assertEquals(2, running.size());
+            assertFalse(workersInUse().contains("n1"), "both have moved, one after the other");
+        }
+
         private void limit(long maximum, long granted) {
             limit(maximum, granted, 0);
         }
@@ -577,8 +676,8 @@
 
         /**
          * Guards against a deadlock of quota, limit on unavailable tasks and cordon: the tasks use the whole quota, so
-         * each move depends on the quota that its own stop releases. A step that could run only in the cordoned hall
-         * must not take that quota.
+         * each move depends on the quota that its own stop releases. A step that can run only in the cordoned hall
+         * waits meanwhile.
          */
         @Test
         void thatUseTheWholeQuotaMoveAllTheSame() {
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -74,6 +74,12 @@
         return new WorkerFacts(id, bornMillis, "clips", "at-" + id, "north", false, 0, ROOM, List.of("rack-" + id));
     }
 
+    /** Returns the entry of a worker that stays cold for this long. */
+    static WorkerFacts coldWorker(String id, long bornMillis, long coldMillis) {
+        List<String> labels = List.of("rack-" + id);
+        return new WorkerFacts(id, bornMillis, "clips", "at-" + id, "north", false, 0, ROOM, labels, coldMillis);
+    }
+
     void listWorkers(String... ids) {
         scheduler.onWorkers(Arrays.stream(ids).map(SchedulerDriver::worker).toList());
         tick();
@@ -104,6 +110,10 @@
         return new WorkerFacts(id, "clips", "at-" + id, hall, false, 0, ROOM, List.of(labels));
     }
 
+    static WorkerFacts coldWorkerInHall(String id, String hall, long coldMillis) {
+        return new WorkerFacts(id, 1, "clips", "at-" + id, hall, false, 0, ROOM, List.of(), coldMillis);
+    }
+
     /** Replaces the cordons; the watch works from now on. */
     void cordon(String... halls) {
         cordons = Arrays.stream(halls).map(h -> new Cordon(h, now + 1)).toList();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/DecisionLog.java
@@ -57,27 +57,22 @@
 
     /** Logs the load of a service and the workers available to it. */
     static void writeLoad(String service, long fence, LoadSummary l) {
-        List<Object> fields = new ArrayList<>(List.of(
-                "service",
-                service,
-                "fence",
-                fence,
-                "waiting",
-                l.waiting(),
-                "hopeless",
-                l.hopeless(),
-                "running",
-                l.running(),
-                "workers",
-                l.workers(),
-                "silent",
-                l.silent(),
-                "needed",
-                l.needed()));
+        Log.info("service-load", loadFields(service, fence, l));
+    }
+
+    /** Returns keys and values in turn; fields about cold workers and cordons are left out where there are none. */
+    static Object[] loadFields(String service, long fence, LoadSummary l) {
+        List<Object> fields = new ArrayList<>(List.of("service", service, "fence", fence));
+        fields.addAll(List.of("waiting", l.waiting(), "hopeless", l.hopeless(), "running", l.running()));
+        fields.addAll(List.of("workers", l.workers(), "silent", l.silent()));
+        if (l.cold() > 0) {
+            fields.addAll(List.of("cold", l.cold()));
+        }
+        fields.addAll(List.of("needed", l.needed()));
         LoadSummary.CordonLoad cordon = l.cordon();
         if (cordon != null) {
             fields.addAll(List.of("cordoned-running", cordon.running(), "cordoned-waiting", cordon.waiting()));
         }
-        Log.info("service-load", fields.toArray());
+        return fields.toArray();
     }
 }
