Revert the rule on moves by unconfirmed reports

Cause: the rule changes decisions in every deployment, and its gain is not shown. What was seen first (ten moves out of a pool by an old report while the store was away) is real, so the question stays open. This reverts.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -22,7 +22,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.cordon.HallCordons;
@@ -49,8 +48,6 @@
 
     /** The reason of a move that is dropped because of a cordon. */
     private static final String HALL_CORDONED = "hall-cordoned";
-    /** The reason of a move out of a service's pool that is dropped because reports cannot be read. */
-    private static final String REPORTS_UNCONFIRMED = "reports-unconfirmed";
 
     private final FleetState state;
     private final PoolSizer sizer;
@@ -108,15 +105,6 @@
         state.cordons = cordons;
     }
 
-    /**
-     * Sets the time up to which the records of the fleet, with the reports of the services, are known to be complete,
-     * in milliseconds of the monotonic clock. While it is too long ago, no instance is moved out of the pool of a
-     * service. Reports count as confirmed until this is called.
-     */
-    public void onReportsConfirmed(long confirmedAt) {
-        state.reportsConfirmedAt = confirmedAt;
-    }
-
     /** Handles a report from the owner of a service. */
     public void onReport(String service, ServiceReport report) {
         state.onReport(service, report);
@@ -228,7 +216,7 @@
         if (!listReceived || state.predecessorOrders == null) {
             return;
         }
-        dropUnorderedMoves();
+        dropMovesOfCordonedHalls();
         new ArrayList<>(state.ongoingOperations.values()).forEach(this::advance);
         upkeepScheduler.run();
         sizer.run();
@@ -240,19 +228,17 @@
     }
 
     /**
-     * Ends the moves that have lost their reason and have not been ordered. The order of a predecessor may still be
-     * carried out, or may have been carried out without being listed yet, so such a move remains until both are
-     * excluded; it is not ordered again meanwhile.
+     * Ends the moves of cordoned halls that have not been ordered. The order of a predecessor may still be carried out,
+     * or may have been carried out without being listed yet, so such a move remains until both are excluded; it is not
+     * ordered again meanwhile.
      */
-    private void dropUnorderedMoves() {
-        for (OngoingOperation ongoing : List.copyOf(state.ongoingOperations.values())) {
-            String reason = dropReason(ongoing);
-            boolean mayDrop = state.mayOrder(ongoing.instance)
-                    && !(HALL_CORDONED.equals(reason) && mayBeOrderedUnlisted(ongoing));
-            if (reason != null && mayDrop) {
-                state.endOperation(ongoing, reason);
-            }
-        }
+    private void dropMovesOfCordonedHalls() {
+        state.ongoingOperations.values().stream()
+                .filter(ongoing -> isUnorderedMoveOfCordonedHall(ongoing)
+                        && state.mayOrder(ongoing.instance)
+                        && !mayBeOrderedUnlisted(ongoing))
+                .toList()
+                .forEach(ongoing -> state.endOperation(ongoing, HALL_CORDONED));
     }
 
     /**
@@ -263,15 +249,8 @@
         return ongoing.resumed && state.now() - ongoing.begunAt < MAX_LIST_LAG_MILLIS;
     }
 
-    /** Returns why an operation must not be ordered any more, or null if it may. */
-    private @Nullable String dropReason(OngoingOperation ongoing) {
-        if (!ongoing.isMove() || ongoing.mayBeOrdered()) {
-            return null;
-        }
-        if (state.cordons.isCordoned(ongoing.hall)) {
-            return HALL_CORDONED;
-        }
-        return state.areReportsConfirmed() || state.isHeadroom(ongoing.service) ? null : REPORTS_UNCONFIRMED;
+    private boolean isUnorderedMoveOfCordonedHall(OngoingOperation ongoing) {
+        return ongoing.isMove() && !ongoing.mayBeOrdered() && state.cordons.isCordoned(ongoing.hall);
     }
 
     private void advance(OngoingOperation ongoing) {
@@ -325,7 +304,7 @@
         }
         boolean unknown = i != null && i.state() == PlatformInstance.State.UNKNOWN;
         if (!unknown
-                && dropReason(ongoing) == null
+                && !isUnorderedMoveOfCordonedHall(ongoing)
                 && state.mayOrder(ongoing.instance)
                 && !ongoing.orderInFlight
                 && state.now() >= ongoing.orderDueAt) {
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -42,9 +42,6 @@
     // A loaded worker is evacuated 0.6 to 2 s after the request. Evacuation overlaps with the wait for a
     // predecessor's order.
     private static final long EXPECTED_EVACUATION_MILLIS = 1_200;
-    // An idle watch answers every 1,500 ms, so the age of confirmed records reaches 3,000 ms and the duration of a
-    // call.
-    private static final long MAX_REPORT_AGE_MILLIS = 3_300;
 
     final FleetTiming timing;
     final FleetPort port;
@@ -73,8 +70,6 @@
     List<ServiceConfig> services = List.of();
     /** The cordoned data halls. */
     HallCordons cordons = HallCordons.DISABLED;
-    /** The time up to which the records of the fleet are known to be complete. */
-    long reportsConfirmedAt = Long.MAX_VALUE;
     /** Whether the latest instance list was complete. */
     boolean listComplete = true;
     /**
@@ -170,14 +165,6 @@
                 .toList();
     }
 
-    /**
-     * Returns whether the reports of the services are recent enough to take instances out of their pools. A service
-     * whose demand rises while its report cannot be read would lose the instances that it is about to need.
-     */
-    boolean areReportsConfirmed() {
-        return now() - reportsConfirmedAt <= MAX_REPORT_AGE_MILLIS;
-    }
-
     /** Returns whether the data hall of an instance is cordoned. */
     boolean isCordoned(PlatformInstance i) {
         return cordons.isCordoned(i.hall());
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -28,8 +28,7 @@
 /**
  * Sizes each pool to its demand plus a reserve, or to its share of the fleet while total demand exceeds the
  * number of instances. Pools grow from the headroom pool first, then from pools with a surplus. A surplus that
- * persists moves to the headroom pool. Instances of cordoned halls count in no pool and are not moved. While reports
- * are unconfirmed, no instance leaves the pool of a service.
+ * persists moves to the headroom pool. Instances of cordoned halls count in no pool and are not moved.
  */
 final class PoolSizer {
 
@@ -149,7 +148,7 @@
                 .flatMap(h -> state.availableInstances(h).stream())
                 .filter(i -> mayMove(i, pool))
                 .min(Comparator.comparing(this::awaitsUpkeep).thenComparing(i -> countInHall(pool, i.hall())));
-        if (spare.isPresent() || !state.areReportsConfirmed()) {
+        if (spare.isPresent()) {
             return spare;
         }
         return state.servicePools().stream()
@@ -190,8 +189,7 @@
         // Work that is too late to count is still completed, on instances that no other pool requests.
         int surplus = supply(pool) - Math.max(share(pool), requested(pool));
         Optional<String> headroom = state.headroomPool();
-        boolean mayShrink = state.areReportsConfirmed() && state.incomingCount(pool) == 0;
-        if (surplus <= 0 || headroom.isEmpty() || !mayShrink) {
+        if (surplus <= 0 || headroom.isEmpty() || state.incomingCount(pool) > 0) {
             oversizedSince.remove(pool);
             return;
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -232,7 +232,6 @@
         }
         if (!isHandingOver()) {
             planner.onCordons(context.cordons.get());
-            planner.onReportsConfirmed(records.confirmedAt());
             planner.tick();
         }
         context.loop.after(TICK_MILLIS, this::tick);
