--- a/core/src/main/java/org/lupinpaddle/core/placement/WorkerFacts.java
+++ b/core/src/main/java/org/lupinpaddle/core/placement/WorkerFacts.java
@@ -29,7 +29,8 @@
  * @param remainingMillis the minimum time until it ends while draining; 0 if not reported
  * @param capacity its total resources
  * @param labels its kind and its rack
- * @param coldMillis how long after this record was written the worker stays slow because it is cold; 0 if it is warm
+ * @param coldMillis how long the worker stays slow because it is cold, in milliseconds from when its owner
+ *     first sees this value; 0 if it is warm
  */
 public record WorkerFacts(
         String id,
