Make the model's rule on cordons stricter

Cause: review of the model. The extension of the bound lasted 11 s after any cut, freeze or dropped history since the cordon, which is longer than these faults, so the rule could not fail for an entry that had one. Late orders were not checked at all. Change: no extension, and a late order counts from when it was sent.

--- a/model/src/main/java/org/lupinpaddle/model/HallOutages.java
+++ b/model/src/main/java/org/lupinpaddle/model/HallOutages.java
@@ -19,8 +19,8 @@
 import java.util.Random;
 
 /**
- * Adds outages of whole halls: all workers of a hall crash at once and return together under new ids, cold. Uses its own
- * random generator, so that histories without these outages do not change.
+ * Adds outages of whole halls: all workers of a hall crash at once and return together under new ids, cold. Uses its
+ * own random generator, so that histories without these outages do not change.
  */
 final class HallOutages {
 
--- a/model/src/main/java/org/lupinpaddle/model/Network.java
+++ b/model/src/main/java/org/lupinpaddle/model/Network.java
@@ -37,8 +37,6 @@
     final Set<String> entriesLosingPages = new HashSet<>();
     /** Entries that receive no answer to reads and watches of the operators' records; their other calls work. */
     final Set<String> entriesWithoutOperatorRecords = new HashSet<>();
-    /** When a call of an entry last failed because of the connection between that entry and the store. */
-    private final Map<String, Long> lastConnectionFault = new HashMap<>();
     /** Ids of workers that answer nobody. */
     final Set<String> unreachableWorkers = new HashSet<>();
     /** Ids of workers for which some orders get no answer and take effect late. */
@@ -67,7 +65,6 @@
         CallFault entryFault =
                 isolatedHalls.contains(hall) ? CallFault.SILENT : storeFaults.getOrDefault(entry, CallFault.NONE);
         if (entryFault != CallFault.NONE) {
-            lastConnectionFault.put(entry, time.now());
             return entryFault;
         }
         boolean writesOnly = storeFault == CallFault.ANSWER_LOST || storeFault == CallFault.LATE;
@@ -77,11 +74,6 @@
         return storeFault;
     }
 
-    /** Returns whether a call of the entry has failed since the given time because of its connection to the store. */
-    boolean hasLostConnectionSince(String entry, long sinceMillis) {
-        return lastConnectionFault.getOrDefault(entry, Long.MIN_VALUE) >= sinceMillis;
-    }
-
     CallFault faultToWorker(String entryHall, SimWorker w, boolean order) {
         boolean crossesIsolation =
                 !entryHall.equals(w.hall()) && (isolatedHalls.contains(entryHall) || isolatedHalls.contains(w.hall()));
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -72,8 +72,8 @@
         /** Keys are accepted or refused according to a configuration that may be in force. */
         CONFIG,
         /**
-         * No task starts on a worker of a hall that has been cordoned for longer than the bound, unless the worker
-         * carries the order out late.
+         * No task starts on a worker of a hall that has been cordoned for longer than the bound. An order that the
+         * worker carries out late counts from when it was sent.
          */
         CORDON,
         /** Service recovers after all entries lose power. */
@@ -99,9 +99,10 @@
      * The sender of an order.
      *
      * @param entry the name of the entry
+     * @param sentAt when the order was sent
      * @param late whether the worker carries the order out seconds after it was sent
      */
-    record Sender(String entry, boolean late) {}
+    record Sender(String entry, long sentAt, boolean late) {}
 
     /** The actual state of a job, independent of what any entry knows. */
     static final class TrackedJob {
@@ -285,8 +286,9 @@
         require(Rule.ROUTE, job.service.equals(w.service()), what + ": worker of " + w.service());
         require(Rule.ROUTE, w.facts().hasLabel(job.step(o.task()).label()), what + ": label missing");
         require(Rule.DRAIN, late || time.now() <= w.drainingSince() + World.DRAIN_MILLIS, what + ": draining");
-        if (cordons != null && !late) {
-            cordons.checkStart(w, sender.entry(), what);
+        if (cordons != null) {
+            // The delay of a late order is not caused by the entry, so such an order counts from when it was sent.
+            cordons.checkStart(w, sender.entry(), late ? sender.sentAt() : time.now(), what);
         }
         checkOrder(job, o.task(), what);
         checkPerWorkerLimit(job, o.task(), w, what);
--- a/model/src/main/java/org/lupinpaddle/model/Sabotage.java
+++ b/model/src/main/java/org/lupinpaddle/model/Sabotage.java
@@ -36,8 +36,8 @@
     /** Entries receive neither the operators' cordons nor changes of them. */
     CORDONS_HIDDEN,
     /**
-     * A watch of the operators' records that meets a fault is answered as if nothing had changed, so that an old view of
-     * the cordons seems current.
+     * A watch of the operators' records that meets a fault is answered as if nothing had changed, so that an old view
+     * of the cordons seems current.
      */
     OLD_CORDONS_CONFIRMED;
 
--- a/model/src/main/java/org/lupinpaddle/model/SimCordons.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimCordons.java
@@ -23,23 +23,20 @@
 import java.util.Random;
 
 /**
- * The operators' cordons of a history: of one, two or all halls, of different lengths, overlapping, requested again while
- * in force or soon after they were lifted, and beside other faults. The workers of a hall may be cold when its cordon is
- * lifted. Uses its own random generator, so that histories without cordons do not change.
+ * The operators' cordons of a history: of one, two or all halls, of different lengths, overlapping, requested again
+ * while in force or soon after they were lifted, and beside other faults. The workers of a hall may be cold when its
+ * cordon is lifted. Uses its own random generator, so that histories without cordons do not change.
  */
 final class SimCordons {
 
     /** How long after the store has acknowledged a cordon tasks may still start in the hall. */
     static final long BOUND_MILLIS = 5_000;
 
-    // What the requirement allows in addition when the store is unstable.
-    private static final long EXTENSION_MILLIS = 6_000;
-
     private static final long SEED = 0xc0_4d0;
     private static final int MAX_EVENTS = 3;
     private static final int MIN_SHORT_MILLIS = 50;
     private static final int SHORT_RANGE_MILLIS = 3_000;
-    // Long enough for starts beyond the bound and its extension.
+    // Long enough for starts beyond the bound.
     private static final int MIN_LONG_MILLIS = 5_500;
     private static final int LONG_RANGE_MILLIS = 9_500;
     private static final int MAX_REPEAT_DELAY_MILLIS = 1_500;
@@ -93,45 +90,28 @@
         }
     }
 
-    /** Returns the longest time between a cordon and a start in its hall that was not carried out late. */
+    /** Returns the longest time between a cordon and a start in its hall. */
     long latestStartMillis() {
         return latestStartMillis;
     }
 
-    /** Checks the start of a run that the worker does not carry out late. */
-    void checkStart(SimWorker w, String entry, String what) {
+    /**
+     * Checks the start of a run. The requirement extends the bound for some faults of the store and of the entry's link.
+     * No fault extends it here: an entry without a current view starts nothing, so its starts stay within the bound.
+     *
+     * @param at when the start counts, in milliseconds of virtual time
+     */
+    void checkStart(SimWorker w, String entry, long at, String what) {
         Long since = acknowledgedAt.get(w.hall());
-        if (since == null) {
+        if (since == null || at < since) {
             return;
         }
-        long millis = world.time.now() - since;
+        long millis = at - since;
         latestStartMillis = Math.max(latestStartMillis, millis);
-        long bound = isExtended(entry, since) ? BOUND_MILLIS + EXTENSION_MILLIS : BOUND_MILLIS;
         world.rules.require(
                 Rules.Rule.CORDON,
-                millis <= bound,
-                what + " by " + entry + ": " + w.hall() + " was cordoned " + millis + " ms ago, allowed are " + bound);
-    }
-
-    /**
-     * Returns whether a fault since the cordon extends the bound for an entry.
-     *
-     * <ul>
-     *   <li>A dropped history does, because it is an instability of the store that ends watches.
-     *   <li>A cut of the entry or its hall does, as does a rejection by the store, because the entry's own link is down
-     *       and the requirement applies to entries whose link is up.
-     *   <li>A frozen entry is extended, because the requirement applies to entries that otherwise work.
-     *   <li>A store that is down, slow or loses answers does not, because the requirement excludes these.
-     *   <li>A killed entry or a change of the owner does not, because a new process starts nothing before its first
-     *       read.
-     *   <li>Unanswered reads of the operators' records do not, because the entry's link is up and its view ages.
-     *   <li>Faults of workers do not, because a late order is exempt and all other orders arrive within milliseconds.
-     * </ul>
-     */
-    private boolean isExtended(String entry, long since) {
-        return world.store.wasCompactedSince(since)
-                || world.net.hasLostConnectionSince(entry, since)
-                || world.entry(entry).loop().wasFrozenSince(since);
+                millis <= BOUND_MILLIS,
+                what + " by " + entry + ": " + w.hall() + " was cordoned " + millis + " ms ago");
     }
 
     private void begin() {
--- a/model/src/main/java/org/lupinpaddle/model/SimStore.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimStore.java
@@ -43,7 +43,6 @@
     private final List<Runnable> watchers = new ArrayList<>();
     private long revision = 1;
     private long compactedUpTo;
-    private long compactedAt = Long.MIN_VALUE;
     private long nextLease = 1;
     /** While set, no lease expires. */
     private boolean leasesPaused;
@@ -133,13 +132,7 @@
         watchers.add(r);
     }
 
-    /** Returns whether the change history was dropped since the given time. */
-    boolean wasCompactedSince(long sinceMillis) {
-        return compactedAt >= sinceMillis;
-    }
-
     void compact() {
-        compactedAt = time.now();
         compactedUpTo = revision;
         history.clear();
         notifyWatchers();
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -81,10 +81,11 @@
         if (world.sabotage == Sabotage.LIMITED_TASKS_REFUSED && isLimited(o)) {
             return CompletableFuture.completedFuture(OrderOutcome.UNHEALTHY);
         }
+        long sentAt = world.time.now();
         return order(
                 o.worker(),
                 WireBytes.of(o),
-                (w, c) -> w.start(o, c.fence, new Rules.Sender(entry, c.late)),
+                (w, c) -> w.start(o, c.fence, new Rules.Sender(entry, sentAt, c.late)),
                 effective(o.fence(), o.worker()));
     }
 
--- a/model/src/main/java/org/lupinpaddle/model/VirtualLoop.java
+++ b/model/src/main/java/org/lupinpaddle/model/VirtualLoop.java
@@ -27,7 +27,6 @@
     private final Deque<Runnable> deferred = new ArrayDeque<>();
     private boolean frozen;
     private boolean dead;
-    private long thawedAt = Long.MIN_VALUE;
 
     VirtualLoop(VirtualTime time) {
         this.time = time;
@@ -95,14 +94,8 @@
         frozen = true;
     }
 
-    /** Returns whether the process was frozen at any moment since the given time. */
-    boolean wasFrozenSince(long sinceMillis) {
-        return frozen || thawedAt >= sinceMillis;
-    }
-
     void thaw() {
         frozen = false;
-        thawedAt = time.now();
         while (!deferred.isEmpty() && !frozen && !dead) {
             deferred.poll().run();
         }
--- a/model/src/test/java/org/lupinpaddle/model/CordonTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/CordonTest.java
@@ -104,7 +104,6 @@
 
         private static final long CORDONED_AT = 2_000;
         private static final long BOUND = 5_000;
-        private static final long EXTENDED_BOUND = 11_000;
         private static final String ENTRY = "entry-0";
         private static final String HALL = "north";
 
@@ -113,79 +112,73 @@
 
         /** A condition that begins 1 s after the cordon. */
         private enum Condition {
-            HISTORY_DROPPED(true) {
+            HISTORY_DROPPED {
                 @Override
                 void begin(World w) {
                     w.store.compact();
                 }
             },
-            ENTRY_CUT_FROM_STORE(true) {
+            ENTRY_CUT_FROM_STORE {
                 @Override
                 void begin(World w) {
                     w.net.storeFaults.put(ENTRY, CallFault.SILENT);
                 }
             },
-            ENTRY_REJECTED_BY_STORE(true) {
+            ENTRY_REJECTED_BY_STORE {
                 @Override
                 void begin(World w) {
                     w.net.storeFaults.put(ENTRY, CallFault.REFUSED);
                 }
             },
-            HALL_OF_ENTRY_CUT(true) {
+            HALL_OF_ENTRY_CUT {
                 @Override
                 void begin(World w) {
                     w.net.isolatedHalls.add(w.entry(ENTRY).hall);
                 }
             },
-            ENTRY_FROZEN(true) {
+            ENTRY_FROZEN {
                 @Override
                 void begin(World w) {
                     w.entry(ENTRY).freeze(500);
                 }
             },
-            OTHER_ENTRY_CUT_FROM_STORE(false) {
+            OTHER_ENTRY_CUT_FROM_STORE {
                 @Override
                 void begin(World w) {
                     w.net.storeFaults.put("entry-1", CallFault.SILENT);
                 }
             },
-            STORE_DOWN(false) {
+            STORE_DOWN {
                 @Override
                 void begin(World w) {
                     w.net.storeFault = CallFault.SILENT;
                 }
             },
-            STORE_LOSES_ANSWERS(false) {
+            STORE_LOSES_ANSWERS {
                 @Override
                 void begin(World w) {
                     w.net.storeFault = CallFault.ANSWER_LOST;
                 }
             },
-            STORE_SLOW(false) {
+            STORE_SLOW {
                 @Override
                 void begin(World w) {
                     w.net.storeDelay = 240;
                 }
             },
-            ENTRY_KILLED(false) {
+            ENTRY_KILLED {
                 @Override
                 void begin(World w) {
                     w.entry(ENTRY).kill(500);
                 }
             },
-            OPERATOR_RECORDS_SILENT(false) {
+            OPERATOR_RECORDS_SILENT {
                 @Override
                 void begin(World w) {
                     w.net.entriesWithoutOperatorRecords.add(ENTRY);
                 }
             };
 
-            private final boolean extending;
-
-            Condition(boolean extending) {
-                this.extending = extending;
-            }
-
             abstract void begin(World w);
         }
 
@@ -196,11 +189,15 @@
 
         private void startAfter(long millis) {
             world.time.runUntil(CORDONED_AT + millis);
+            startSentAt(world.time.now());
+        }
+
+        private void startSentAt(long at) {
             SimWorker w = world.fleet.workers().stream()
                     .filter(worker -> worker.hall().equals(HALL))
                     .findFirst()
                     .orElseThrow();
-            cordons.checkStart(w, ENTRY, "a start");
+            cordons.checkStart(w, ENTRY, at, "a start");
         }
 
         private void assertNoStartAfter(long millis) {
@@ -216,27 +213,24 @@
             assertNoStartAfter(BOUND + 1);
         }
 
-        /** Guards against extending the bound for faults that the requirement excludes, or without an end. */
+        /** Guards against excusing an entry by a fault, after which its view could be wrong without notice. */
         @ParameterizedTest
         @EnumSource(Condition.class)
-        void extendsTheBoundForSomeFaults(Condition condition) {
+        void isNotExtendedByFaults(Condition condition) {
             cordon();
             world.time.schedule(1_000, () -> condition.begin(world));
-            if (condition.extending) {
-                startAfter(EXTENDED_BOUND);
-                assertNoStartAfter(EXTENDED_BOUND + 1);
-            } else {
-                startAfter(BOUND);
-                assertNoStartAfter(BOUND + 1);
-            }
+            startAfter(BOUND);
+            assertNoStartAfter(BOUND + 1);
         }
 
-        /** Guards against excusing a start by a fault that was over when the hall was cordoned. */
+        /** Guards against excusing an order that was sent too late because its worker also carries it out late. */
         @Test
-        void isNotExtendedByEarlierFaults() {
-            world.time.schedule(CORDONED_AT - 1, world.store::compact);
+        void countsALateOrderFromWhenItWasSent() {
             cordon();
-            assertNoStartAfter(BOUND + 1);
+            world.time.runUntil(CORDONED_AT + 3 * BOUND);
+            startSentAt(CORDONED_AT - 1);
+            startSentAt(CORDONED_AT + BOUND);
+            assertThrows(RuleViolationException.class, () -> startSentAt(CORDONED_AT + BOUND + 1));
         }
 
         /** Guards against counting the time before a cordon was lifted and requested again. */
