Keep tasks in place that use more than the fair share of a contested quota

A long-running task could be stopped to leave a cordoned hall although another service waited for the same quota. If the service used more than its fair share, it would return the released part, and the task would wait.

Such a task now stays, like the last task of a contested quota. The new test failed before the change; the tests of cordons and quotas pass.

--- a/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
+++ b/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
@@ -191,8 +191,8 @@
 
     /**
      * Returns whether a task that is charged already may be placed again after its run has been stopped. It may not where the
-     * grant or the maximum has been lowered below the usage, or where the service would return its grant to another service
-     * because no other task is charged, apart from those that are being stopped.
+     * grant or the maximum has been lowered below the usage, or where another service would get the released quota: because
+     * the usage exceeds the fair share, or because no other task is charged apart from those that are being stopped.
      */
     public boolean mayReplace(Resources need) {
         if (!isLimited()) {
@@ -203,13 +203,19 @@
             return false;
         }
         for (Resource r : Resource.values()) {
-            if (r.of(maximum) > 0 && r.of(need) > 0 && !mayPlace(r, r.of(need), r.of(used) - r.of(need))) {
+            boolean isLimited = r.of(maximum) > 0 && r.of(need) > 0;
+            if (isLimited && (exceedsFairShare(r, need) || !mayPlace(r, r.of(need), r.of(used) - r.of(need)))) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Returns whether another service would get a part of the usage as soon as it is released. */
+    private boolean exceedsFairShare(Resource r, Resources need) {
+        return isContested() && r.of(used) > fairShare(r, r.of(used), r.of(need));
+    }
+
     private boolean mayPlace(Resource r, long need, long inUse) {
         long granted = granted(r);
         Resources pending = unconfirmed;
--- a/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CordonPassTest.java
@@ -653,6 +653,18 @@
             assertFalse(workersInUse().contains("n1"), "both have moved, one after the other");
         }
 
+        /** Guards against a stop after which the other service gets the quota, because this one uses more than its share. */
+        @Test
+        void stayIfTheyUseMoreThanTheFairShareOfAContestedQuota() {
+            limit(2_000, 2_000);
+            startInTheNorth("a", 2);
+            listAndReport(N1, N2, S1, S2);
+            limit(2_000, 2_000, 2_000);
+            d.cordon("north");
+            carryOut(ROUNDS_OF_A_MOVE);
+            assertEquals(Set.of("n1", "n2"), workersInUse());
+        }
+
         private void limit(long maximum, long granted) {
             limit(maximum, granted, 0);
         }
