Cordon the hall in a test of gauges after its task has started

CordonFeedTest.gaugesShowTheView fails on main since the scheduler applies cordons: the fixture waits for the start of a task on a worker of the north, which the test had cordoned before. It now cordons the hall afterwards, and checks the gauge before and after. The tests of cordons, cold workers, hosts and quotas in daemon, and those of model, pass.

--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonFeedTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonFeedTest.java
@@ -331,8 +331,11 @@
     @Test
     void gaugesShowTheView() {
         NodeFixture entry = new NodeFixture(BOUND_MILLIS, HALLS);
-        entry.store.set(FakeRecords.CORDONS + "north", "{}");
+        // The worker is in the north, so its task has to start before the hall is cordoned.
         entry.startServing("w1");
+        assertEquals(0, gauge(entry, "cordons.halls"));
+        entry.store.set(FakeRecords.CORDONS + "north", "{}");
+        entry.advance(100);
         assertEquals(1, gauge(entry, "cordons.halls"));
         entry.store.mutedPrefix = records.operatorPrefix();
         entry.advance(1_000);
