--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonFeedTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonFeedTest.java
@@ -344,6 +344,9 @@
         NodeFixture entry = new NodeFixture(BOUND_MILLIS, HALLS);
         entry.store.set(FakeRecords.CORDONS + "south", "{}");
         entry.startServing("w1");
+        assertEquals(0, gauge(entry, "cordons.halls"));
+        entry.store.set(FakeRecords.CORDONS + "north", "{}");
+        entry.advance(100);
         assertEquals(1, gauge(entry, "cordons.halls"));
         entry.store.mutedPrefix = records.operatorPrefix();
         entry.advance(1_000);
