--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonFeedTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonFeedTest.java
@@ -342,7 +342,6 @@
     @Test
     void gaugesShowTheView() {
         NodeFixture entry = new NodeFixture(BOUND_MILLIS, HALLS);
-        entry.store.set(FakeRecords.CORDONS + "south", "{}");
         entry.startServing("w1");
         assertEquals(0, gauge(entry, "cordons.halls"));
         entry.store.set(FakeRecords.CORDONS + "north", "{}");
