--- a/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
@@ -23,9 +23,9 @@
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
 /**
- * Takes work off the workers of cordoned halls. Placements whose starts have not been sent are withdrawn, and unanswered
- * starts are stopped, in both cases with the whole gang. Long-running tasks move to other halls; finite tasks end in
- * place.
+ * Takes work off the workers of cordoned halls. Placements whose starts have not been sent are withdrawn, and
+ * unanswered starts are stopped, in both cases with the whole gang. Long-running tasks move to other halls; finite
+ * tasks end in place.
  */
 final class CordonPass {
 
--- a/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
@@ -79,7 +79,7 @@
         return room != null && !room.fits(usable, LiveWorker::roomPerStart);
     }
 
-    /** Returns whether only a cordon keeps the step's waiting tasks from a worker, given the workers that are usable. */
+    /** Returns whether only a cordon keeps the step's waiting tasks from a worker, given the usable workers. */
     private boolean isCause(LiveStep s, List<LiveWorker> usable) {
         StepRoom room = StepRoom.of(s, state.now());
         if (room == null) {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -146,7 +146,9 @@
     long startedAt = Long.MAX_VALUE;
 
     boolean startedFromScratch;
-    /** Whether its worker was cold at some time during this run, so its run time is not compared with others or learned. */
+    /**
+     * Whether its worker was cold at some time during this run, so its run time is not compared with others or learned.
+     */
     boolean ranCold;
     /** How long its previous run was known to be running. */
     long lastRunMillis;
--- a/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
+++ b/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
@@ -190,9 +190,10 @@
     }
 
     /**
-     * Returns whether a task that is charged already may be placed again after its run has been stopped. It may not where the
-     * grant or the maximum has been lowered below the usage, or where another service would get the released quota: because
-     * the usage exceeds the fair share, or because no other task is charged apart from those that are being stopped.
+     * Returns whether a task that is charged already may be placed again after its run has been stopped. It may not
+     * where the grant or the maximum has been lowered below the usage, or where another service would get the released
+     * quota: because the usage exceeds the fair share, or because no other task is charged apart from those that are
+     * being stopped.
      */
     public boolean mayReplace(Resources need) {
         if (!isLimited()) {
