Share the loops and checks that cordons had written again

Cause: a read of the whole change. Change, without a change of behaviour: the loop over waiting steps of PlacementPass and CordonWaits is ServiceState.waitingSteps; CordonPass counts room with StepRoom; "its start is to be sent" is LiveTask.hasStartToSend in place of four copies; the fleet's instances are filtered in one pass, and busy instances of cordoned halls are looked up only where a pool lacks some; the age of 3,300 ms that a watch may reach stands once. Three long comment lines are wrapped.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -24,6 +24,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.capacity.WorkerLoad;
@@ -158,11 +159,18 @@
 
     /** Returns the instances of a pool that are up and have no ongoing operation. */
     List<PlatformInstance> remainingInstances(String pool) {
+        return remaining(pool).toList();
+    }
+
+    private Stream<PlatformInstance> remaining(String pool) {
         return instances.values().stream()
                 .filter(i -> i.pool().equals(pool)
                         && i.state() == PlatformInstance.State.UP
-                        && !ongoingOperations.containsKey(i.id()))
-                .toList();
+                        && !ongoingOperations.containsKey(i.id()));
+    }
+
+    private Stream<PlatformInstance> available(String pool) {
+        return remaining(pool).filter(i -> !isCordoned(i));
     }
 
     /** Returns whether the data hall of an instance is cordoned. */
@@ -172,14 +180,12 @@
 
     /** Returns the remaining instances of a pool that can be given new work: those whose hall is not cordoned. */
     List<PlatformInstance> availableInstances(String pool) {
-        return remainingInstances(pool).stream().filter(i -> !isCordoned(i)).toList();
+        return available(pool).toList();
     }
 
     /** Returns the number of remaining instances of a pool that run tasks in a cordoned hall. */
     int busyCordonedCount(String pool) {
-        return (int) remainingInstances(pool).stream()
-                .filter(i -> isCordoned(i) && load(i) > 0)
-                .count();
+        return (int) remaining(pool).filter(i -> isCordoned(i) && load(i) > 0).count();
     }
 
     /** Handles a report from the owner of a service. */
@@ -195,7 +201,7 @@
 
     /** Returns the available instances of a pool whose worker is not reported as unreachable. */
     List<PlatformInstance> usableInstances(String pool) {
-        return availableInstances(pool).stream().filter(this::isReachable).toList();
+        return available(pool).filter(this::isReachable).toList();
     }
 
     private boolean isReachable(PlatformInstance i) {
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -125,7 +125,8 @@
      */
     private boolean lacksRequiredInstances(String pool) {
         ServiceReport r = state.reports.get(pool);
-        return r != null && supply(pool) + state.busyCordonedCount(pool) < r.firm();
+        int lacking = r == null ? 0 : r.firm() - supply(pool);
+        return lacking > 0 && lacking > state.busyCordonedCount(pool);
     }
 
     private int supply(String pool) {
--- a/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonPass.java
@@ -18,8 +18,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.lupinpaddle.core.placement.PlacementRequest;
-import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
 /**
@@ -61,7 +59,7 @@
     /** A start in flight is left until its answer is due: it may have been carried out before the cordon. */
     private void withdrawStarts(LiveWorker w) {
         for (LiveTask t : List.copyOf(w.tasks)) {
-            if (t.phase == Phase.PLACED || (t.phase == Phase.STARTING && !t.orderInFlight)) {
+            if (t.phase == Phase.PLACED || t.hasStartToSend()) {
                 state.stopWithGang(t, "hall-cordoned");
             }
         }
@@ -107,12 +105,9 @@
             return false;
         }
         long required = moving.size() + 1L;
-        PlacementRequest request = t.placementRequirements(state.now());
-        long room = state.workers.values().stream()
-                .filter(w -> state.isUsable(w) && Placer.isEligible(w, request))
-                .mapToLong(w -> Math.min(required, w.roomFor(t.liveStep)))
-                .sum();
-        return room >= required;
+        List<LiveWorker> usable =
+                state.workers.values().stream().filter(state::isUsable).toList();
+        return StepRoom.of(t, state.now()).count(usable, LiveWorker::roomFor, required) == required;
     }
 
     private static boolean hasSameNeeds(LiveTask a, LiveTask b) {
--- a/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
@@ -85,12 +85,12 @@
         if (room == null) {
             return false;
         }
-        long inCordonedHalls = room.count(cordoned, LiveWorker::roomFor);
+        long inCordonedHalls = room.count(cordoned, LiveWorker::roomFor, room.required());
         if (inCordonedHalls == 0) {
             return false;
         }
         // A wait for the next start on a cold worker is not due to the cordon.
-        long elsewhere = room.count(usable, LiveWorker::roomBetweenStarts);
+        long elsewhere = room.count(usable, LiveWorker::roomBetweenStarts, room.required());
         return elsewhere < room.required() && elsewhere + inCordonedHalls >= room.required();
     }
 
@@ -102,31 +102,24 @@
     /** Updates the waits after a placement pass over the usable workers. */
     void update(List<LiveWorker> usable) {
         long now = state.now();
-        if (cordoned.isEmpty() && waits.isEmpty()) {
-            return;
-        }
-        if (!cordoned.isEmpty() && now < nextUpdateAt) {
+        if (cordoned.isEmpty() ? waits.isEmpty() : now < nextUpdateAt) {
             return;
         }
         nextUpdateAt = now + UPDATE_INTERVAL_MILLIS;
         waits.keySet().removeIf(t -> t.phase != Phase.WAITING || t.job.state.ended());
         pause();
         if (!cordoned.isEmpty()) {
-            long wallMillis = state.wallNow();
-            // Most of thousands of waiting steps need more than any worker has free, and thus no look at each worker.
-            Resources maxCordoned = LiveWorker.maxFree(cordoned, LiveWorker::free);
-            Resources maxUsable = LiveWorker.maxFree(usable, LiveWorker::freeBetweenStarts);
-            for (LiveJob j : state.activeJobs.values()) {
-                for (LiveStep s : j.steps) {
-                    List<LiveWorker> withRoom = maxUsable.canHold(s.room) ? usable : List.of();
-                    if (s.hasWaiting()
-                            && maxCordoned.canHold(s.room)
-                            && s.isReady(wallMillis)
-                            && state.hasUniqueId(j)
-                            && isCause(s, withRoom)) {
-                        resume(s, now);
-                    }
-                }
+            resumeAll(usable, now);
+        }
+    }
+
+    private void resumeAll(List<LiveWorker> usable, long now) {
+        // Most of thousands of waiting steps need more than any worker has free, and thus no look at each worker.
+        Resources maxCordoned = LiveWorker.maxFree(cordoned, LiveWorker::free);
+        Resources maxUsable = LiveWorker.maxFree(usable, LiveWorker::freeBetweenStarts);
+        for (LiveStep s : state.waitingSteps(maxCordoned)) {
+            if (isCause(s, maxUsable.canHold(s.room) ? usable : List.of())) {
+                resume(s, now);
             }
         }
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -346,6 +346,11 @@
         return observed * (COMPLETE_PERCENT - percent) / Math.max(1, percent);
     }
 
+    /** Returns whether its start has to be sent again, or for the first time, and is not in flight. */
+    boolean hasStartToSend() {
+        return phase == Phase.STARTING && !orderInFlight;
+    }
+
     /** Returns whether a worker has confirmed the run, including a run that is being stopped. */
     boolean hasStarted() {
         return startedAt != Long.MAX_VALUE;
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -288,7 +288,7 @@
 
     /** Returns whether a start to it was not answered and will be repeated. */
     boolean hasStartToRepeat() {
-        return tasks.stream().anyMatch(t -> t.phase == LiveTask.Phase.STARTING && !t.orderInFlight);
+        return tasks.stream().anyMatch(LiveTask::hasStartToSend);
     }
 
     /**
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -103,13 +103,7 @@
     private List<StepUrgency> waitingStepsByUrgency(Resources maxFree) {
         long wallMillis = state.wallNow();
         List<StepUrgency> steps = new ArrayList<>();
-        for (LiveJob j : state.activeJobs.values()) {
-            for (LiveStep s : j.steps) {
-                if (s.hasWaiting() && maxFree.canHold(s.room) && s.isReady(wallMillis) && state.hasUniqueId(j)) {
-                    steps.add(StepUrgency.of(s, wallMillis));
-                }
-            }
-        }
+        state.waitingSteps(maxFree).forEach(s -> steps.add(StepUrgency.of(s, wallMillis)));
         steps.sort(StepUrgency.MOST_URGENT_FIRST);
         return steps;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -79,7 +79,7 @@
     private void withdrawStarts(LiveWorker w) {
         for (LiveTask t : List.copyOf(w.tasks)) {
             boolean isPlacedGang = t.phase == Phase.PLACED && t.step.gang();
-            if (isPlacedGang || (t.phase == Phase.STARTING && !t.orderInFlight)) {
+            if (isPlacedGang || t.hasStartToSend()) {
                 state.stopWithGang(t, "worker-drains");
             }
         }
@@ -115,7 +115,7 @@
     private void stopIncompleteGangs(LiveWorker w) {
         for (LiveTask t : List.copyOf(w.tasks)) {
             boolean isHeldBack = t.step.gang()
-                    && (t.phase == Phase.PLACED || (t.phase == Phase.STARTING && !t.orderInFlight))
+                    && (t.phase == Phase.PLACED || t.hasStartToSend())
                     && state.now() - t.nextOrderAt > MAX_INCOMPLETE_GANG_MILLIS;
             if (isHeldBack && t.liveStep.tasks.stream().anyMatch(m -> m.phase == Phase.RUNNING)) {
                 state.stopWithGang(t, "cordons-unconfirmed");
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.core.run;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -125,6 +126,23 @@
         return byCallerId.get(job.spec.key().id()) == job;
     }
 
+    /**
+     * Returns the steps that have waiting tasks, may begin, and need no more of each resource than {@code maxFree}, the
+     * most that any one worker has free.
+     */
+    List<LiveStep> waitingSteps(Resources maxFree) {
+        long wallMillis = wallNow();
+        List<LiveStep> steps = new ArrayList<>();
+        for (LiveJob j : activeJobs.values()) {
+            for (LiveStep s : j.steps) {
+                if (s.hasWaiting() && maxFree.canHold(s.room) && s.isReady(wallMillis) && hasUniqueId(j)) {
+                    steps.add(s);
+                }
+            }
+        }
+        return steps;
+    }
+
     /** Returns the worker with this id, created without an address if it is unknown. */
     LiveWorker workerOrUnknown(String id, long inheritedUntil) {
         return workers.computeIfAbsent(id, i -> {
--- a/core/src/main/java/org/lupinpaddle/core/run/StepRoom.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StepRoom.java
@@ -22,7 +22,7 @@
 import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
-/** Counts the room of workers for the waiting tasks of a step that may be placed now. */
+/** Counts the room of workers for tasks of a step. */
 final class StepRoom {
 
     private final LiveStep step;
@@ -33,10 +33,15 @@
         this.request = request;
     }
 
-    /** Returns the counter for the step; null if none of its tasks may be placed now. */
+    /** Returns the counter for tasks with the requirements of the given one. */
+    static StepRoom of(LiveTask t, long now) {
+        return new StepRoom(t.liveStep, t.placementRequirements(now));
+    }
+
+    /** Returns the counter for the step's waiting tasks; null if none of them may be placed now. */
     static @Nullable StepRoom of(LiveStep s, long now) {
         LiveTask t = representative(s, now);
-        return t == null ? null : new StepRoom(s, t.placementRequirements(now));
+        return t == null ? null : of(t, now);
     }
 
     /**
@@ -64,12 +69,11 @@
 
     /** Returns whether one placement fits on the workers, each of which has room for the given number of tasks. */
     boolean fits(List<LiveWorker> workers, ToLongBiFunction<LiveWorker, LiveStep> room) {
-        return count(workers, room) >= required();
+        return count(workers, room, required()) == required();
     }
 
-    /** Returns the sum of the rooms of suitable workers, at most {@link #required}. */
-    long count(List<LiveWorker> workers, ToLongBiFunction<LiveWorker, LiveStep> room) {
-        long limit = required();
+    /** Returns the sum of the rooms of suitable workers, at most {@code limit}. */
+    long count(List<LiveWorker> workers, ToLongBiFunction<LiveWorker, LiveStep> room, long limit) {
         long sum = 0;
         for (LiveWorker w : workers) {
             if (Placer.isSuitable(w, request)) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -39,7 +39,7 @@
 final class ConfigurationFeed implements PrefixWatch.Listener, AutoCloseable {
 
     // Must exceed the age that the latest answer of an idle watch reaches, which is twice the watch timeout.
-    private static final long CONFIRMED_MILLIS = 3_300;
+    static final long CONFIRMED_MILLIS = 3_300;
     // Identifies workspaces in reports of unreadable entries; they have no store keys of their own.
     private static final String WORKSPACE_PREFIX = "configuration/workspace/";
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/CordonFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/CordonFeed.java
@@ -29,9 +29,6 @@
 /** Maintains this entry's view of the cordoned data halls, and logs its changes. */
 final class CordonFeed {
 
-    // Must exceed the age that the latest answer of an idle watch reaches: twice the waiting time of the watch, and the
-    // duration of its calls.
-    private static final long MAX_AGE_MILLIS = 3_300;
     // Part of the bound: a start that is sent at the greatest age of the view may reach its worker this much later.
     private static final long START_CALL_MILLIS = 1_200;
     // A slow store takes 250 ms to answer; with less, an idle view was not current for part of each period.
@@ -67,7 +64,7 @@
     }
 
     private long maxAgeMillis() {
-        return Math.min(MAX_AGE_MILLIS, boundMillis - START_CALL_MILLIS);
+        return Math.min(ConfigurationFeed.CONFIRMED_MILLIS, boundMillis - START_CALL_MILLIS);
     }
 
     /** Replaces the view by the cordons among all items of the operators. */
--- a/model/src/main/java/org/lupinpaddle/model/SimCordons.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimCordons.java
@@ -96,8 +96,9 @@
     }
 
     /**
-     * Checks the start of a run. The requirement extends the bound for some faults of the store and of the entry's link.
-     * No fault extends it here: an entry without a current view starts nothing, so its starts stay within the bound.
+     * Checks the start of a run. The requirement extends the bound for some faults of the store and of the entry's
+     * link. No fault extends it here: an entry without a current view starts nothing, so its starts stay within the
+     * bound.
      *
      * @param at when the start counts, in milliseconds of virtual time
      */
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobPlatformStandIn.java
@@ -36,8 +36,9 @@
 
 /**
  * A stand-in for the operators' platform: the store, the list of instances with moves and maintenance, and advice that
- * accepts every worker. Tests write operators' keys below {@code op/} with {@code POST /standin/put}
- * and remove them with {@code POST /standin/remove}; {@code POST /standin/restart} with a {@code machine} makes its worker crash and restart under its id.
+ * accepts every worker. Tests write operators' keys below {@code op/} with {@code POST /standin/put} and remove them
+ * with {@code POST /standin/remove}; {@code POST /standin/restart} with a {@code machine} makes its worker crash and
+ * restart under its id.
  */
 public final class JobPlatformStandIn implements AutoCloseable {
 
--- a/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerStandIn.java
+++ b/standins/src/main/java/org/lupinpaddle/standins/jobs/JobWorkerStandIn.java
@@ -154,7 +154,7 @@
         return startCount;
     }
 
-    /** Returns when the latest run was started, in milliseconds of the monotonic clock; a negative value if none was. */
+    /** Returns when the latest run was started, in milliseconds of the monotonic clock; negative if none was. */
     public synchronized long lastStartAt() {
         return lastStartAt;
     }
