Take back a crash as soon as another loss explains it

Cause: workers that are lost together are detected one after the other. The first loss was counted as a certain crash and reviewed only when the same task lost another worker, under the same owner. The record kept the certain crash, so the next owner counted on, and a third loss ended the job before the losses beside it were detected.

Evidence: in the second crash of task 0.1.3 is w-7, in a restart of w-5, w-7 and w-16. The owner learns of w-5 88 ms later, takes nothing back, and hands the service over 2.2 s later with crashes=2 in the record; w-5, in a second restart of the same three, is the third.

Change: counted crashes are reviewed with each tick. One that another loss explains is discounted and saved at once. Until every other worker has answered, or been silent for longer than a healthy worker is, a crash is saved as doubtful and no task is given up for it; the task waits meanwhile.

Why it works: the next owner never inherits a certain crash that may still turn out to be shared, and a job is not ended on one.

--- a/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
@@ -126,7 +126,7 @@
 
     private void resume(LiveStep s, long now) {
         for (LiveTask t : s.tasks) {
-            if (t.phase == Phase.WAITING && now >= t.nextOrderAt) {
+            if (t.isPlaceable(now)) {
                 waits.computeIfAbsent(t, k -> new Wait()).since = now;
             }
         }
--- a/core/src/main/java/org/lupinpaddle/core/run/CrashTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CrashTracker.java
@@ -15,8 +15,11 @@
  */
 package org.lupinpaddle.core.run;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 
@@ -24,6 +27,10 @@
  * Counts the workers that crash while running a task, and gives up tasks that keep crashing their workers. Such a
  * task would take down one worker after another, together with the other tasks there. The count must survive a change
  * of owner, so it is saved with the next placement, before the start is sent.
+ *
+ * <p>Workers that are lost together are detected one after the other. Until no further loss can turn up, a crash is
+ * saved as doubtful and no task is given up for it, since neither the next owner nor the caller would learn that it
+ * had another cause.
  */
 final class CrashTracker {
 
@@ -40,6 +47,10 @@
     private static final long CRASH_RESET_MILLIS = 600_000;
 
     private final ServiceState state;
+    /** The certain crashes that a loss detected later may still explain, in the order of counting. */
+    private final List<CertainCrash> certainCrashes = new ArrayList<>();
+    /** The tasks that will be given up unless one of their crashes turns out to have another cause. */
+    private final Set<LiveTask> pendingVerdicts = new LinkedHashSet<>();
 
     CrashTracker(ServiceState state) {
         this.state = state;
@@ -48,6 +59,20 @@
     /** A task that may have crashed its worker, and whether it was running when the worker was lost. */
     record Suspect(LiveTask task, boolean wasRunning) {}
 
+    /** A crash that counts as caused by a task. */
+    private static final class CertainCrash {
+
+        final LiveTask task;
+        final RecentLosses.Loss loss;
+        /** Whether no further loss at the same time can turn up. */
+        boolean settled;
+
+        CertainCrash(LiveTask task, RecentLosses.Loss loss) {
+            this.task = task;
+            this.loss = loss;
+        }
+    }
+
     /** Returns the suspects among the tasks of a lost worker, before they are removed from it. */
     List<Suspect> suspects(Collection<LiveTask> tasks, RecentLosses.Loss loss) {
         // Tasks that were not sent there, or whose work was done before, did not crash it.
@@ -86,28 +111,84 @@
     private void countCrash(LiveTask t, boolean wasRunning, RecentLosses.Loss loss) {
         if (t.step.longRunning() && t.lastRunMillis >= CRASH_RESET_MILLIS) {
             t.resetCrashes();
+            certainCrashes.removeIf(c -> c.task == t);
         }
-        if (wasRunning) {
-            t.certainLosses.add(loss);
+        boolean certain = wasRunning && !mayHaveOtherCause(t, loss);
+        t.recordCrashes(t.crashes + (certain ? 1 : 0), t.doubtfulCrashes + (certain ? 0 : 1), state.now());
+        if (certain) {
+            t.unsettledCrashes++;
+            certainCrashes.add(new CertainCrash(t, loss));
         }
-        int total = t.crashes + t.doubtfulCrashes + 1;
-        // Another worker may have been declared lost since the earlier loss was counted.
-        int discounted = t.discountLosses(
-                l -> state.losses.mayHaveOtherCause(l, t.liveStep, state.workers.values(), state.now()));
-        int certain = t.crashes + (wasRunning ? 1 : 0) - discounted;
-        int doubtful = total - certain;
-        t.recordCrashes(certain, doubtful, state.now());
         state.markChanged(t.job);
-        String counts = "crashes=" + certain + " doubtful=" + doubtful + " lost=" + loss.worker();
-        state.note(SchedulerEvent.Kind.CRASH_COUNTED, t, t.suspicion.name(), counts);
-        if (exceedsCrashLimit(certain, total)) {
-            giveUp(t, total + " workers crashed under task " + t.id + ", the last was " + loss.worker());
+        t.lastCrashedWorker = loss.worker();
+        note(SchedulerEvent.Kind.CRASH_COUNTED, t, loss);
+        if (exceedsCrashLimit(t)) {
+            t.crashVerdictPending = true;
+            pendingVerdicts.add(t);
+        }
+    }
+
+    /**
+     * Reviews the counted crashes: discounts those that losses detected since may explain, settles those that no
+     * further loss can explain, and gives up the tasks that have caused too many.
+     */
+    void review() {
+        long now = state.now();
+        certainCrashes.removeIf(c -> c.task.job.state.ended() || discountIfExplained(c));
+        certainCrashes.stream().filter(c -> !c.settled && isSettled(c.loss)).forEach(this::settle);
+        certainCrashes.removeIf(c -> now - c.loss.to() > RecentLosses.RETENTION_MILLIS);
+        for (LiveTask t : List.copyOf(pendingVerdicts)) {
+            decide(t);
         }
     }
 
-    private static boolean exceedsCrashLimit(int certain, int total) {
-        return certain >= CRASHES_TO_GIVE_UP
-                || (certain >= MIN_CERTAIN_WITH_DOUBTFUL && total >= TOTAL_WITH_CERTAIN)
+    private boolean mayHaveOtherCause(LiveTask t, RecentLosses.Loss loss) {
+        return state.losses.mayHaveOtherCause(loss, t.liveStep, state.workers.values(), state.now());
+    }
+
+    private boolean isSettled(RecentLosses.Loss loss) {
+        return RecentLosses.isSettled(loss, state.workers.values(), state.timing.silentMillis(), state.now());
+    }
+
+    private boolean discountIfExplained(CertainCrash c) {
+        LiveTask t = c.task;
+        boolean explained = mayHaveOtherCause(t, c.loss);
+        if (explained) {
+            t.unsettledCrashes -= c.settled ? 0 : 1;
+            t.reduceCrashes(t.crashes - 1, t.doubtfulCrashes + 1);
+            state.markChanged(t.job);
+            note(SchedulerEvent.Kind.CRASH_DISCOUNTED, t, c.loss);
+        }
+        return explained;
+    }
+
+    private void settle(CertainCrash c) {
+        c.settled = true;
+        c.task.unsettledCrashes--;
+        state.markChanged(c.task.job);
+    }
+
+    private void decide(LiveTask t) {
+        boolean isNeeded = !t.job.state.ended() && t.phase != Phase.DONE && !t.workDone;
+        if (isNeeded && exceedsCrashLimit(t) && t.unsettledCrashes > 0) {
+            return;
+        }
+        pendingVerdicts.remove(t);
+        t.crashVerdictPending = false;
+        if (isNeeded && exceedsCrashLimit(t)) {
+            giveUp(t);
+        }
+    }
+
+    private void note(SchedulerEvent.Kind kind, LiveTask t, RecentLosses.Loss loss) {
+        String counts = "crashes=" + t.crashes + " doubtful=" + t.doubtfulCrashes + " lost=" + loss.worker();
+        state.note(kind, t, t.suspicion.name(), counts);
+    }
+
+    private static boolean exceedsCrashLimit(LiveTask t) {
+        int total = t.crashes + t.doubtfulCrashes;
+        return t.crashes >= CRASHES_TO_GIVE_UP
+                || (t.crashes >= MIN_CERTAIN_WITH_DOUBTFUL && total >= TOTAL_WITH_CERTAIN)
                 || total >= TOTAL_DOUBTFUL;
     }
 
@@ -115,7 +196,9 @@
      * Gives up the task. In a long-running step the other tasks continue: users depend on them, and the caller's
      * limit on unavailable tasks does not allow stopping them. Any other job cannot complete without the task.
      */
-    private void giveUp(LiveTask t, String reason) {
+    private void giveUp(LiveTask t) {
+        int total = t.crashes + t.doubtfulCrashes;
+        String reason = total + " workers crashed under task " + t.id + ", the last was " + t.lastCrashedWorker;
         state.note(SchedulerEvent.Kind.TASK_GIVEN_UP, t, "", "reason=" + reason);
         boolean keepOthers = t.step.longRunning() && !t.step.gang();
         if (keepOthers) {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -15,13 +15,10 @@
  */
 package org.lupinpaddle.core.run;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.job.StepSpec;
@@ -94,8 +91,12 @@
     int crashes;
 
     int doubtfulCrashes;
-    /** The worker losses that this owner counts as crashes caused by the task. */
-    final List<RecentLosses.Loss> certainLosses = new ArrayList<>();
+    /** How many of {@link #crashes} may still turn out to have another cause. */
+    int unsettledCrashes;
+    /** The id of the worker lost last while it ran the task; empty if there is none under this owner. */
+    String lastCrashedWorker = "";
+    /** Whether it will be given up unless one of its crashes turns out to have another cause. */
+    boolean crashVerdictPending;
     /** The longest time for which one of its runs had been running when its worker crashed. */
     private long longestRunBeforeCrashMillis;
 
@@ -266,18 +267,25 @@
         longestRunBeforeCrashMillis = Math.max(longestRunBeforeCrashMillis, lastRunMillis);
     }
 
-    /** Removes losses that have another cause and returns how many there were. */
-    int discountLosses(Predicate<RecentLosses.Loss> hasOtherCause) {
-        int before = certainLosses.size();
-        certainLosses.removeIf(hasOtherCause);
-        return before - certainLosses.size();
+    /** Lowers the crash counts; the task may be on a worker. */
+    void reduceCrashes(int certain, int doubtful) {
+        LiveWorker on = worker;
+        if (on != null) {
+            on.remove(this);
+        }
+        crashes = certain;
+        doubtfulCrashes = doubtful;
+        suspicion = Suspicion.of(certain + doubtful);
+        if (on != null) {
+            on.add(this);
+        }
     }
 
     /** Resets the crash counts. */
     void resetCrashes() {
         crashes = 0;
         doubtfulCrashes = 0;
-        certainLosses.clear();
+        unsettledCrashes = 0;
     }
 
     /** Returns how long one of its runs must last before other tasks may share its worker. */
@@ -346,6 +354,11 @@
         return observed * (COMPLETE_PERCENT - percent) / Math.max(1, percent);
     }
 
+    /** Returns whether it may be placed now. */
+    boolean isPlaceable(long now) {
+        return phase == Phase.WAITING && now >= nextOrderAt && !crashVerdictPending;
+    }
+
     /** Returns whether its start has to be sent again, or for the first time, and is not in flight. */
     boolean hasStartToSend() {
         return phase == Phase.STARTING && !orderInFlight;
@@ -390,8 +403,8 @@
                 done,
                 workerId,
                 resumeFrom,
-                crashes,
-                doubtfulCrashes,
+                crashes - unsettledCrashes,
+                doubtfulCrashes + unsettledCrashes,
                 bornMillis);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -518,6 +518,11 @@
         return now - lastResponseAt() <= RECENT_RESPONSE_MILLIS;
     }
 
+    /** Returns whether it has answered a hold after this time, or so shortly before that a failure is unlikely. */
+    boolean hasAnsweredAround(long time) {
+        return lastAnswerAt >= time - RECENT_RESPONSE_MILLIS;
+    }
+
     /** Returns the time of its last response. */
     long lastResponseAt() {
         return Math.max(lastRespondedAt, lastAnswerAt);
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -128,7 +128,7 @@
             return;
         }
         for (LiveTask t : step.tasks) {
-            if (t.phase != Phase.WAITING || now < t.nextOrderAt) {
+            if (!t.isPlaceable(now)) {
                 continue;
             }
             if (!step.job.quota.mayPlace(step.need)) {
@@ -146,7 +146,7 @@
 
     private void placeGang(LiveStep step, List<LiveWorker> usable, long now) {
         List<LiveTask> members = step.tasks;
-        if (members.stream().anyMatch(m -> m.phase != Phase.WAITING || now < m.nextOrderAt)) {
+        if (members.stream().anyMatch(m -> !m.isPlaceable(now))) {
             return;
         }
         int run = members.stream().mapToInt(m -> m.run).max().orElse(0) + 1;
--- a/core/src/main/java/org/lupinpaddle/core/run/RecentLosses.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RecentLosses.java
@@ -28,7 +28,7 @@
  */
 final class RecentLosses {
 
-    private static final long RETENTION_MILLIS = 20_000;
+    static final long RETENTION_MILLIS = 20_000;
 
     private final Deque<Loss> recent = new ArrayDeque<>();
 
@@ -60,6 +60,19 @@
         recent.addLast(loss);
     }
 
+    /**
+     * Returns whether no further worker can turn out to have been lost at the same time: each has answered since, or
+     * shortly before, or is known to be silent by now.
+     *
+     * @param silentMillis how long a healthy worker may be silent
+     */
+    static boolean isSettled(Loss loss, Collection<LiveWorker> workers, long silentMillis, long now) {
+        return now - loss.to > silentMillis
+                || workers.stream()
+                        .filter(w -> w.fenced && w.listed && !w.facts().id().equals(loss.worker))
+                        .allMatch(w -> w.hasAnsweredAround(loss.to));
+    }
+
     /**
      * Returns whether another worker that ran no task of the step may have been lost by the same cause.
      *
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -54,6 +54,11 @@
         this.advisor = advisor;
     }
 
+    /** Reviews the crashes counted so far in the light of the workers lost since. */
+    void reviewCrashes() {
+        crashes.review();
+    }
+
     void sendDueOrders() {
         long now = state.now();
         state.workers.values().stream().filter(LiveWorker::isDraining).forEach(this::withdrawStarts);
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -73,6 +73,8 @@
         WORKER_GONE,
         /** A worker has crashed while running a task. */
         CRASH_COUNTED,
+        /** A crash counts less than before, since another worker was lost at the same time. */
+        CRASH_DISCOUNTED,
         /** A task that keeps crashing workers gets no further run. */
         TASK_GIVEN_UP,
         /** A worker has become unreachable or reachable. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -401,6 +401,7 @@
             return;
         }
         dropWorkers();
+        runs.reviewCrashes();
         state.updateColdWorkers();
         evacuator.run();
         cordons.run();
--- a/core/src/main/java/org/lupinpaddle/core/run/StepRoom.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StepRoom.java
@@ -20,7 +20,6 @@
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.placement.PlacementRequest;
 import org.lupinpaddle.core.placement.Placer;
-import org.lupinpaddle.core.run.LiveTask.Phase;
 
 /** Counts the room of workers for tasks of a step. */
 final class StepRoom {
@@ -51,7 +50,7 @@
     private static @Nullable LiveTask representative(LiveStep s, long now) {
         LiveTask first = null;
         for (LiveTask t : s.tasks) {
-            boolean placeable = t.phase == Phase.WAITING && now >= t.nextOrderAt;
+            boolean placeable = t.isPlaceable(now);
             if (s.spec.gang() && !placeable) {
                 return null;
             }
--- a/core/src/test/java/org/lupinpaddle/core/run/CrashTrackerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CrashTrackerTest.java
@@ -19,6 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
@@ -183,6 +184,8 @@
             d.advance(100);
             d.answerHold(again.worker().id(), List.of(new RunStatus("a", FIRST, again.run(), "", 10, -1)), List.of());
             d.answerAsOtherIncarnation(again.worker().id());
+            // The discounted crash has been written before.
+            d.completeSaves();
             assertEquals(1, lastRecord().knownCrashes());
             assertEquals(1, lastRecord().knownDoubtfulCrashes());
         }
@@ -230,6 +233,106 @@
         }
     }
 
+    /**
+     * Guards against giving up a job for workers that were lost together. They are detected one after the other, and
+     * the service may change hands, or the job be reported as failed, before all of them are.
+     */
+    @Nested
+    class ACrashThatALaterLossMayExplain {
+
+        private static final int SILENT_FOR_MILLIS = 300;
+
+        private String onWorker = "";
+        private String other = "";
+
+        /** Starts the task on one worker and another job on the other worker, which is silent since. */
+        private void startBeside(JobProgress progress) {
+            workers("w1", "w2");
+            d.submit("other", WHOLE_WORKER);
+            other = startAccepted().worker().id();
+            d.submit("a", progress, WHOLE_WORKER);
+            onWorker = startAccepted().worker().id();
+            d.advance(SILENT_FOR_MILLIS);
+            RunStatus running = new RunStatus("a", FIRST, lastStartOf("a").run(), "", 10, -1);
+            d.answerHold(onWorker, List.of(running), List.of());
+        }
+
+        /** Returns the newest record of the job after all pending writes. */
+        private JobProgress lastProgressOfTask() {
+            d.advance(50);
+            List<SchedulerPort.ProgressWrite> writes = new ArrayList<>();
+            for (int i = 0; i < 2; i++) {
+                d.port.saves.forEach(writes::addAll);
+                d.completeSaves();
+                d.advance(50);
+            }
+            d.port.saves.forEach(writes::addAll);
+            return writes.stream()
+                    .filter(w -> w.job().id().equals("a"))
+                    .reduce((x, y) -> y)
+                    .orElseThrow()
+                    .progress();
+        }
+
+        private void assertSaved(int certain, int doubtful) {
+            TaskRecord r = lastProgressOfTask().tasks().get(0);
+            assertEquals(List.of(certain, doubtful), List.of(r.knownCrashes(), r.knownDoubtfulCrashes()));
+        }
+
+        @Test
+        void isSavedAsDoubtfulUntilTheOtherWorkersHaveAnswered() {
+            startBeside(progressWithCrashes(0, 0, false));
+            d.answerAsOtherIncarnation(onWorker);
+            assertSaved(0, 1);
+            answer(other);
+            assertSaved(1, 0);
+        }
+
+        @Test
+        void isSavedAsCertainIfTheOtherWorkersStaySilent() {
+            startBeside(progressWithCrashes(0, 0, false));
+            d.answerAsOtherIncarnation(onWorker);
+            d.advance(2_800);
+            assertSaved(1, 0);
+        }
+
+        /** The owner may change before the task crashes another worker. */
+        @Test
+        void isDiscountedAsSoonAsAnotherLossIsDetected() {
+            startBeside(progressWithCrashes(0, 0, false));
+            d.answerAsOtherIncarnation(onWorker);
+            d.advance(100);
+            d.answerAsOtherIncarnation(other);
+            d.advance(2_800);
+            assertSaved(0, 1);
+            assertEquals(1, d.port.events(SchedulerEvent.Kind.CRASH_DISCOUNTED).size());
+        }
+
+        @Test
+        void doesNotEndTheJobBeforeAnotherLossIsDetected() {
+            startBeside(progressWithCrashes(2, 0, false));
+            d.answerAsOtherIncarnation(onWorker);
+            assertEquals(JobState.RUNNING, lastProgressOfTask().state());
+            d.answerAsOtherIncarnation(other);
+            int run = lastStartOf("a").run();
+            workers("w3", "w4");
+            saveAll();
+            saveAll();
+            assertEquals(run + 1, lastStartOf("a").run(), "the task runs again");
+        }
+
+        /** The caller should learn soon that a task crashes its workers. */
+        @Test
+        void endsTheJobOnceTheOtherWorkersHaveAnswered() {
+            startBeside(progressWithCrashes(2, 0, false));
+            d.answerAsOtherIncarnation(onWorker);
+            int starts = d.port.starts.size();
+            answer(other);
+            assertEquals(JobState.FAILED, lastProgressOfTask().state());
+            assertEquals(starts, d.port.starts.size(), "the task is not started meanwhile");
+        }
+    }
+
     @Nested
     class ASuspectTask {
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
@@ -73,6 +73,7 @@
                     BIRTH_UNREADABLE,
                     WORKER_GONE,
                     CRASH_COUNTED,
+                    CRASH_DISCOUNTED,
                     TASK_GIVEN_UP,
                     WORKER_REACH,
                     WORKER_AVOIDED -> count("decisions", e.kind());
