Do not count a shared loss of workers as a doubtful crash

Callers saw jobs reported as failed, "4 workers crashed under task", although no task of them crashes a worker and most of the workers were lost in restarts of a rack or a service (model, without a change of owner, a workspace or another fault).

Cause: a loss in which workers with other tasks went at the same time counted as a doubtful crash, as much as a loss of which nothing is known; two of them and two unrelated ones gave a job up. Losses of idle workers explained nothing, so a rack with one busy worker looked like one crash. Tasks that had merely been on such workers counted as suspects, and the loss of a suspect's worker explains nothing either.

Change: a loss is explained if workers that ran none of the step's tasks were lost at the same time: with other tasks, idle in the same failure domain, or two idle ones anywhere. Workers that were being evacuated or were draining do not count. Explained losses count only towards the limit of five lost workers, which holds whatever the reasons seem to be, and a task with no other losses is no suspect that hides the reason of others. The record is as before: an explained loss is saved as doubtful.

Why it works: a job needs three losses without another apparent reason, or five in all.

--- a/core/src/main/java/org/lupinpaddle/core/run/CrashTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CrashTracker.java
@@ -40,15 +40,16 @@
     // at once leaves its start unanswered as well. Such doubtful crashes count less, but are limited too.
     private static final int MIN_CERTAIN_WITH_DOUBTFUL = 2;
     private static final int TOTAL_WITH_CERTAIN = 4;
-    private static final int TOTAL_DOUBTFUL = 5;
+    // Whatever the reasons seem to be: a task that crashes its workers must not be started on ever more of them.
+    private static final int MAX_WORKERS_LOST = 5;
     // Tasks of a step take about the same time; the margin covers their differences.
     private static final double NEARLY_DONE_SHARE = 0.9;
     // A long-running task sees occasional unrelated crashes; one that has run this long did not cause this one.
     private static final long CRASH_RESET_MILLIS = 600_000;
 
     private final ServiceState state;
-    /** The certain crashes that a loss detected later may still explain, in the order of counting. */
-    private final List<CertainCrash> certainCrashes = new ArrayList<>();
+    /** The counted crashes that a loss detected later may still explain. */
+    private final List<CountedCrash> countedCrashes = new ArrayList<>();
     /** The tasks that will be given up unless one of their crashes turns out to have another cause. */
     private final Set<LiveTask> pendingVerdicts = new LinkedHashSet<>();
 
@@ -59,17 +60,71 @@
     /** A task that may have crashed its worker, and whether it was running when the worker was lost. */
     record Suspect(LiveTask task, boolean wasRunning) {}
 
+    /** How much the loss of a worker counts against a task. */
+    private enum Weight {
+        CERTAIN {
+            @Override
+            void add(LiveTask t, int n) {
+                t.crashes += n;
+            }
+        },
+        DOUBTFUL {
+            @Override
+            void add(LiveTask t, int n) {
+                t.doubtfulCrashes += n;
+            }
+        },
+        /** Counts only towards the limit that holds whatever the reasons seem to be. */
+        EXPLAINED {
+            @Override
+            void add(LiveTask t, int n) {
+                t.explainedLosses += n;
+            }
+        };
+
+        abstract void add(LiveTask t, int n);
+
+        static Weight of(boolean wasRunning, boolean mayHaveOtherCause) {
+            if (mayHaveOtherCause) {
+                return EXPLAINED;
+            }
+            return wasRunning ? CERTAIN : DOUBTFUL;
+        }
+
+        boolean isLessThan(Weight other) {
+            return ordinal() > other.ordinal();
+        }
+    }
+
     /** A crash that counts as caused by a task. */
-    private static final class CertainCrash {
+    private static final class CountedCrash {
 
         final LiveTask task;
         final RecentLosses.Loss loss;
+        final boolean wasRunning;
+        Weight weight;
         /** Whether no further loss at the same time can turn up. */
         boolean settled;
 
-        CertainCrash(LiveTask task, RecentLosses.Loss loss) {
+        CountedCrash(LiveTask task, RecentLosses.Loss loss, boolean wasRunning, Weight weight) {
             this.task = task;
             this.loss = loss;
+            this.wasRunning = wasRunning;
+            this.weight = weight;
+        }
+
+        void count() {
+            weight.add(task, 1);
+            task.unsettledCrashes += isUnsettledCertain() ? 1 : 0;
+        }
+
+        void uncount() {
+            weight.add(task, -1);
+            task.unsettledCrashes -= isUnsettledCertain() ? 1 : 0;
+        }
+
+        private boolean isUnsettledCertain() {
+            return weight == Weight.CERTAIN && !settled;
         }
     }
 
@@ -111,17 +166,15 @@
     private void countCrash(LiveTask t, boolean wasRunning, RecentLosses.Loss loss) {
         if (t.step.longRunning() && t.lastRunMillis >= CRASH_RESET_MILLIS) {
             t.resetCrashes();
-            certainCrashes.removeIf(c -> c.task == t);
-        }
-        boolean certain = wasRunning && !mayHaveOtherCause(t, loss);
-        t.recordCrashes(t.crashes + (certain ? 1 : 0), t.doubtfulCrashes + (certain ? 0 : 1), state.now());
-        if (certain) {
-            t.unsettledCrashes++;
-            certainCrashes.add(new CertainCrash(t, loss));
+            countedCrashes.removeIf(c -> c.task == t);
         }
-        state.markChanged(t.job);
+        CountedCrash c = new CountedCrash(t, loss, wasRunning, Weight.of(wasRunning, mayHaveOtherCause(t, loss)));
+        countedCrashes.add(c);
+        c.count();
+        t.updateSuspicion(state.now());
         t.lastCrashedWorker = loss.worker();
-        note(SchedulerEvent.Kind.CRASH_COUNTED, t, loss);
+        state.markChanged(t.job);
+        note(SchedulerEvent.Kind.CRASH_COUNTED, c);
         if (exceedsCrashLimit(t)) {
             t.crashVerdictPending = true;
             pendingVerdicts.add(t);
@@ -134,9 +187,10 @@
      */
     void review() {
         long now = state.now();
-        certainCrashes.removeIf(c -> c.task.job.state.ended() || discountIfExplained(c));
-        certainCrashes.stream().filter(c -> !c.settled && isSettled(c.loss)).forEach(this::settle);
-        certainCrashes.removeIf(c -> now - c.loss.to() > RecentLosses.RETENTION_MILLIS);
+        countedCrashes.removeIf(c -> c.task.job.state.ended());
+        countedCrashes.forEach(this::discountIfExplained);
+        countedCrashes.stream().filter(c -> !c.settled && isSettled(c.loss)).forEach(this::settle);
+        countedCrashes.removeIf(c -> c.settled && now - c.loss.to() > RecentLosses.RETENTION_MILLIS);
         for (LiveTask t : List.copyOf(pendingVerdicts)) {
             decide(t);
         }
@@ -150,27 +204,30 @@
         return RecentLosses.isSettled(loss, state.workers.values(), state.timing.silentMillis(), state.now());
     }
 
-    private boolean discountIfExplained(CertainCrash c) {
-        LiveTask t = c.task;
-        boolean explained = mayHaveOtherCause(t, c.loss);
-        if (explained) {
-            t.unsettledCrashes -= c.settled ? 0 : 1;
-            t.reduceCrashes(t.crashes - 1, t.doubtfulCrashes + 1);
-            state.markChanged(t.job);
-            note(SchedulerEvent.Kind.CRASH_DISCOUNTED, t, c.loss);
+    private void discountIfExplained(CountedCrash c) {
+        Weight weight = Weight.of(c.wasRunning, mayHaveOtherCause(c.task, c.loss));
+        if (weight.isLessThan(c.weight)) {
+            c.uncount();
+            c.weight = weight;
+            c.count();
+            state.markChanged(c.task.job);
+            note(SchedulerEvent.Kind.CRASH_DISCOUNTED, c);
         }
-        return explained;
     }
 
-    private void settle(CertainCrash c) {
+    private void settle(CountedCrash c) {
+        c.uncount();
         c.settled = true;
-        c.task.unsettledCrashes--;
-        state.markChanged(c.task.job);
+        c.count();
+        if (c.weight == Weight.CERTAIN) {
+            state.markChanged(c.task.job);
+        }
     }
 
     private void decide(LiveTask t) {
         boolean isNeeded = !t.job.state.ended() && t.phase != Phase.DONE && !t.workDone;
-        if (isNeeded && exceedsCrashLimit(t) && t.unsettledCrashes > 0) {
+        boolean isSettled = countedCrashes.stream().allMatch(c -> c.task != t || c.settled);
+        if (isNeeded && exceedsCrashLimit(t) && !isSettled && t.workersLost() < MAX_WORKERS_LOST) {
             return;
         }
         pendingVerdicts.remove(t);
@@ -180,16 +237,17 @@
         }
     }
 
-    private void note(SchedulerEvent.Kind kind, LiveTask t, RecentLosses.Loss loss) {
-        String counts = "crashes=" + t.crashes + " doubtful=" + t.doubtfulCrashes + " lost=" + loss.worker();
+    private void note(SchedulerEvent.Kind kind, CountedCrash c) {
+        LiveTask t = c.task;
+        String counts = "crashes=" + t.crashes + " doubtful=" + t.doubtfulCrashes + " explained=" + t.explainedLosses
+                + " lost=" + c.loss.worker();
         state.note(kind, t, t.suspicion.name(), counts);
     }
 
     private static boolean exceedsCrashLimit(LiveTask t) {
-        int total = t.crashes + t.doubtfulCrashes;
         return t.crashes >= CRASHES_TO_GIVE_UP
-                || (t.crashes >= MIN_CERTAIN_WITH_DOUBTFUL && total >= TOTAL_WITH_CERTAIN)
-                || total >= TOTAL_DOUBTFUL;
+                || (t.crashes >= MIN_CERTAIN_WITH_DOUBTFUL && t.crashes + t.doubtfulCrashes >= TOTAL_WITH_CERTAIN)
+                || t.workersLost() >= MAX_WORKERS_LOST;
     }
 
     /**
@@ -197,8 +255,8 @@
      * limit on unavailable tasks does not allow stopping them. Any other job cannot complete without the task.
      */
     private void giveUp(LiveTask t) {
-        int total = t.crashes + t.doubtfulCrashes;
-        String reason = total + " workers crashed under task " + t.id + ", the last was " + t.lastCrashedWorker;
+        String reason =
+                t.workersLost() + " workers crashed under task " + t.id + ", the last was " + t.lastCrashedWorker;
         state.note(SchedulerEvent.Kind.TASK_GIVEN_UP, t, "", "reason=" + reason);
         boolean keepOthers = t.step.longRunning() && !t.step.gang();
         if (keepOthers) {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -91,6 +91,8 @@
     int crashes;
 
     int doubtfulCrashes;
+    /** How many further workers were lost while they ran it, together with workers that did not. */
+    int explainedLosses;
     /** How many of {@link #crashes} may still turn out to have another cause. */
     int unsettledCrashes;
     /** The id of the worker lost last while it ran the task; empty if there is none under this owner. */
@@ -232,7 +234,9 @@
     void restore(TaskRecord r, long now) {
         run = r.run();
         failures = r.failures();
-        recordCrashes(r.knownCrashes(), r.knownDoubtfulCrashes(), now);
+        crashes = r.knownCrashes();
+        doubtfulCrashes = r.knownDoubtfulCrashes();
+        updateSuspicion(now);
         checkpoint = r.checkpoint();
         incarnation = new WorkerIncarnation(r.worker(), r.knownWorkerStartMillis());
         workDone = r.done() && !r.worker().isEmpty();
@@ -258,33 +262,28 @@
         return isAtLastAttempt() ? now + PROVEN_WORKER_WAIT_MILLIS : Long.MIN_VALUE;
     }
 
-    /** Sets the crash counts while the task is not on a worker. */
-    void recordCrashes(int certain, int doubtful, long now) {
-        crashes = certain;
-        doubtfulCrashes = doubtful;
-        suspicion = Suspicion.of(certain + doubtful);
+    /** Updates the suspicion after a worker was lost, while the task is not on a worker. */
+    void updateSuspicion(long now) {
+        suspicion = Suspicion.of(workersLost());
         separationUntil = now + SEPARATION_WAIT_MILLIS;
         longestRunBeforeCrashMillis = Math.max(longestRunBeforeCrashMillis, lastRunMillis);
     }
 
-    /** Lowers the crash counts; the task may be on a worker. */
-    void reduceCrashes(int certain, int doubtful) {
-        LiveWorker on = worker;
-        if (on != null) {
-            on.remove(this);
-        }
-        crashes = certain;
-        doubtfulCrashes = doubtful;
-        suspicion = Suspicion.of(certain + doubtful);
-        if (on != null) {
-            on.add(this);
-        }
+    /** Returns how many workers were lost while they ran it, or might have, whatever the reason. */
+    int workersLost() {
+        return crashes + doubtfulCrashes + explainedLosses;
+    }
+
+    /** Returns whether a worker that ran it was lost for no other apparent reason. */
+    boolean mayHaveCrashedWorkers() {
+        return crashes + doubtfulCrashes > 0;
     }
 
     /** Resets the crash counts. */
     void resetCrashes() {
         crashes = 0;
         doubtfulCrashes = 0;
+        explainedLosses = 0;
         unsettledCrashes = 0;
     }
 
@@ -404,7 +403,7 @@
                 workerId,
                 resumeFrom,
                 crashes - unsettledCrashes,
-                doubtfulCrashes + unsettledCrashes,
+                doubtfulCrashes + explainedLosses + unsettledCrashes,
                 bornMillis);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -68,6 +68,9 @@
     boolean ended;
 
     private long drainEndsAt = Long.MAX_VALUE;
+    /** Whether it has been evacuated, unless it has answered since the end of the evacuation. */
+    private boolean removalExpected;
+
     final Set<LiveTask> tasks = new LinkedHashSet<>();
     private Resources used = Resources.NONE;
     private int longRunningCount;
@@ -82,8 +85,11 @@
     /** Whether it has answered a hold with this owner's fence, so that orders of earlier owners are rejected. */
     boolean fenced;
 
+    /** The time of events that have not happened. */
+    static final long NEVER = Long.MIN_VALUE / 2;
+
     /** When the last response to any order or hold arrived. */
-    private long lastRespondedAt = Long.MIN_VALUE / 2;
+    private long lastRespondedAt = NEVER;
     /** When the answer to the latest unanswered call was due. */
     private long lastMissedAt = Long.MIN_VALUE;
     /** Whether only an answer to a hold proves that the worker still exists. */
@@ -107,7 +113,7 @@
     /** Whether the next hold waits until results are durable, so that it can acknowledge them. */
     boolean holdAwaitsRecords;
 
-    long lastAnswerAt = Long.MIN_VALUE / 2;
+    long lastAnswerAt = NEVER;
     long avoidUntil = Long.MIN_VALUE;
     /** No task of the worker can count as stalled before this time, unless another answer arrives. */
     long nextStallCheckAt = Long.MIN_VALUE;
@@ -306,6 +312,16 @@
         return facts.draining() && !facts.address().isEmpty();
     }
 
+    /** Sets whether the worker may be taken away at any time because it is being evacuated. */
+    void expectRemoval(boolean expected) {
+        removalExpected = expected;
+    }
+
+    /** Returns whether its end would be no failure. */
+    boolean isRemovalExpected() {
+        return removalExpected || isDraining();
+    }
+
     /** Returns the minimum time that a draining worker still has. */
     long remainingMillis(long now) {
         return drainEndsAt - now;
@@ -555,7 +571,7 @@
      */
     RecentLosses.Loss previousLossOrUnknown(long now) {
         RecentLosses.Loss known = previousLoss;
-        return known != null ? known : new RecentLosses.Loss(facts.id(), Long.MIN_VALUE, now, Set.of(), false);
+        return known != null ? known : RecentLosses.Loss.unobserved(facts.id(), now);
     }
 
     /** Returns the time by which a lost worker had failed: a call due then was not answered. */
