Judge a worker's health only by runs of the same time

Cause: a worker counted as healthy by successes that say nothing about the runs that it is given now. There are two orders of events. In the first, a worker that fails all new runs completes one that it began before; the last attempt then goes there, although the task has failed on it twice, the first time under an earlier owner. In the second, the worker succeeded long before the task failed on it; the failure was then attributed to the task, and its last attempt was made at once on any worker.

Change: after two failures of a task on a worker, of which an earlier owner may have counted one anywhere, only the success of a run that began after the last of them proves the worker healthy. A failure is attributed to the task only if a run that began less than two seconds before the failed one, or later, has succeeded there. One failure is still outweighed by any later success, as LastAttemptTest requires.

The record is unchanged, so a new owner still does not know where earlier failures occurred.

--- a/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
@@ -30,6 +30,9 @@
     // Slowness may be temporary; one task then shows whether it persists.
     private static final long SLOW_MILLIS = 1_500;
 
+    // A success says little about a worker that was given the failed run later than this.
+    private static final long HEALTH_EVIDENCE_MILLIS = 2_000;
+
     private final ServiceState state;
 
     FaultyWorkerDetector(ServiceState state) {
@@ -38,7 +41,7 @@
 
     void onRunEnded(LiveWorker w, LiveTask t, EndKind kind) {
         if (kind.finishes()) {
-            w.recordSuccess(state.now());
+            w.recordSuccess(t.begunAt(), state.now());
             if (wasSlow(t)) {
                 return;
             }
@@ -50,7 +53,7 @@
         if (!kind.countsAsAttempt()) {
             return;
         }
-        t.failedOnProvenWorker |= w.lastRunSucceeded();
+        t.failedOnProvenWorker |= w.isProvenByRunBegunAfter(t.begunAt() - HEALTH_EVIDENCE_MILLIS);
         w.recordFailure();
         boolean succeededElsewhere = t.job.tasks.stream().anyMatch(o -> o.phase == LiveTask.Phase.DONE);
         w.failureEvidence.add(t.job.spec.key() + (succeededElsewhere ? "." + t.id : ""));
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -61,6 +61,8 @@
     // From the third attempt on, another rack is preferred: two failures on one rack may be caused by the rack.
     private static final int ATTEMPTS_BEFORE_OTHER_RACK = 2;
 
+    // Two failures of a task on one worker point to the worker or the task, whatever else the worker completes.
+    private static final int FAILURES_AGAINST_WORKER = 2;
     // A task waits this long, and longer with each failure, for a worker on which it has not failed: an instance joins
     // a pool within 2 s, and the last attempt should not go to a worker that fails everything.
     private static final long AVOID_MILLIS = 4_000;
@@ -179,7 +181,10 @@
 
     private final Set<String> failedDomains = new HashSet<>();
 
-    private record Avoided(LiveWorker worker, long since) {}
+    /** How many of {@link #failures} an earlier owner counted, on workers that are not recorded. */
+    private int inheritedFailures;
+
+    private record Avoided(LiveWorker worker, long since, int failures) {}
 
     LiveTask(LiveStep liveStep, TaskId id) {
         this.liveStep = liveStep;
@@ -234,6 +239,7 @@
     void restore(TaskRecord r, long now) {
         run = r.run();
         failures = r.failures();
+        inheritedFailures = failures;
         crashes = r.knownCrashes();
         doubtfulCrashes = r.knownDoubtfulCrashes();
         updateSuspicion(now);
@@ -253,7 +259,7 @@
 
     void recordFailureOn(LiveWorker w, long now) {
         failedDomains.add(w.facts().failureDomain());
-        avoid(w, now);
+        avoid(w, failuresOn(w) + 1, now);
         provenOnlyUntil = provenOnlyDeadline(now);
     }
 
@@ -301,7 +307,16 @@
 
     /** Makes the next runs avoid the worker: strictly for a while, then only where there is an alternative. */
     void avoid(LiveWorker w, long now) {
-        avoidedWorkers.put(w.facts().id(), new Avoided(w, now));
+        avoid(w, failuresOn(w), now);
+    }
+
+    private int failuresOn(LiveWorker w) {
+        Avoided known = avoidedWorkers.get(w.facts().id());
+        return known == null ? 0 : known.failures;
+    }
+
+    private void avoid(LiveWorker w, int failuresThere, long now) {
+        avoidedWorkers.put(w.facts().id(), new Avoided(w, now, failuresThere));
         avoidUntil = now + AVOID_MILLIS * Math.max(1, failures);
     }
 
@@ -326,14 +341,25 @@
         return worker != null && worker.incarnation().isKnownToDifferFrom(incarnation);
     }
 
-    /** Returns the workers on which it has failed and no run has succeeded since. */
+    /** Returns the workers on which it has failed and that have not been proven healthy since. */
     private Set<String> unprovenWorkers() {
         return avoidedWorkers.entrySet().stream()
-                .filter(e -> !e.getValue().worker().isProvenSince(e.getValue().since()))
+                .filter(e -> !isProven(e.getValue()))
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toSet());
     }
 
+    /**
+     * Returns whether a worker has been proven healthy since the task failed there. One failure may be a coincidence,
+     * so any later success is enough. After several, which may include those counted by an earlier owner, only the
+     * success of a run that began later is.
+     */
+    private boolean isProven(Avoided a) {
+        return a.failures > 0 && a.failures + inheritedFailures >= FAILURES_AGAINST_WORKER
+                ? a.worker.isProvenByRunBegunAfter(a.since)
+                : a.worker.isProvenSince(a.since);
+    }
+
     /** Returns the remaining part of a full run, by the reported progress. */
     long remainingMillis(long wholeMillis) {
         return wholeMillis * (COMPLETE_PERCENT - percent) / COMPLETE_PERCENT;
@@ -363,6 +389,11 @@
         return phase == Phase.STARTING && !orderInFlight;
     }
 
+    /** Returns when its run began, or later; {@link LiveWorker#NEVER} if this owner has not started it. */
+    long begunAt() {
+        return hasStarted() && !inherited ? startedAt : LiveWorker.NEVER;
+    }
+
     /** Returns whether a worker has confirmed the run, including a run that is being stopped. */
     boolean hasStarted() {
         return startedAt != Long.MAX_VALUE;
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -133,6 +133,8 @@
     private static final long NO_SUCCESS = Long.MIN_VALUE;
     /** When the last run that ended by itself under this owner ended, if it succeeded. */
     private long lastSuccessAt = NO_SUCCESS;
+    /** When that run began; {@link #NEVER} if it is unknown. */
+    private long lastSuccessBegunAt = NEVER;
     /** Distinct evidence of failures since the last successful run. */
     final Set<String> failureEvidence = new HashSet<>();
 
@@ -453,8 +455,18 @@
         return lastRunSucceeded() && lastSuccessAt > then;
     }
 
-    void recordSuccess(long now) {
+    /**
+     * Returns whether a run that began after this time has succeeded on the worker and none has failed afterwards. A
+     * worker that fails all new runs may still complete those that it began before.
+     */
+    boolean isProvenByRunBegunAfter(long then) {
+        return lastRunSucceeded() && lastSuccessBegunAt > then;
+    }
+
+    /** Records a successful run that began at {@code begunAt}. */
+    void recordSuccess(long begunAt, long now) {
         lastSuccessAt = now;
+        lastSuccessBegunAt = begunAt;
     }
 
     void recordFailure() {
