Move the weight of a counted crash into a class of its own

During a hand-over no crash was reviewed, so a task that reached the limit of five lost workers then was left to the next owner, which would have started it again.

Change: CountedCrash holds a loss, its weight and whether it is settled. The scheduler reviews crashes during a hand-over as well, before the last records are written. Comments say what happens to losses at unknown times.

Conclusion: one file counts, the other decides.

--- a/core/src/main/java/org/lupinpaddle/core/run/CrashTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CrashTracker.java
@@ -60,74 +60,6 @@
     /** A task that may have crashed its worker, and whether it was running when the worker was lost. */
     record Suspect(LiveTask task, boolean wasRunning) {}
 
-    /** How much the loss of a worker counts against a task. */
-    private enum Weight {
-        CERTAIN {
-            @Override
-            void add(LiveTask t, int n) {
-                t.crashes += n;
-            }
-        },
-        DOUBTFUL {
-            @Override
-            void add(LiveTask t, int n) {
-                t.doubtfulCrashes += n;
-            }
-        },
-        /** Counts only towards the limit that holds whatever the reasons seem to be. */
-        EXPLAINED {
-            @Override
-            void add(LiveTask t, int n) {
-                t.explainedLosses += n;
-            }
-        };
-
-        abstract void add(LiveTask t, int n);
-
-        static Weight of(boolean wasRunning, boolean mayHaveOtherCause) {
-            if (mayHaveOtherCause) {
-                return EXPLAINED;
-            }
-            return wasRunning ? CERTAIN : DOUBTFUL;
-        }
-
-        boolean isLessThan(Weight other) {
-            return ordinal() > other.ordinal();
-        }
-    }
-
-    /** A crash that counts as caused by a task. */
-    private static final class CountedCrash {
-
-        final LiveTask task;
-        final RecentLosses.Loss loss;
-        final boolean wasRunning;
-        Weight weight;
-        /** Whether no further loss at the same time can turn up. */
-        boolean settled;
-
-        CountedCrash(LiveTask task, RecentLosses.Loss loss, boolean wasRunning, Weight weight) {
-            this.task = task;
-            this.loss = loss;
-            this.wasRunning = wasRunning;
-            this.weight = weight;
-        }
-
-        void count() {
-            weight.add(task, 1);
-            task.unsettledCrashes += isUnsettledCertain() ? 1 : 0;
-        }
-
-        void uncount() {
-            weight.add(task, -1);
-            task.unsettledCrashes -= isUnsettledCertain() ? 1 : 0;
-        }
-
-        private boolean isUnsettledCertain() {
-            return weight == Weight.CERTAIN && !settled;
-        }
-    }
-
     /** Returns the suspects among the tasks of a lost worker, before they are removed from it. */
     List<Suspect> suspects(Collection<LiveTask> tasks, RecentLosses.Loss loss) {
         // Tasks that were not sent there, or whose work was done before, did not crash it.
@@ -168,7 +100,7 @@
             t.resetCrashes();
             countedCrashes.removeIf(c -> c.task == t);
         }
-        CountedCrash c = new CountedCrash(t, loss, wasRunning, Weight.of(wasRunning, mayHaveOtherCause(t, loss)));
+        CountedCrash c = new CountedCrash(t, loss, wasRunning, mayHaveOtherCause(t, loss));
         countedCrashes.add(c);
         c.count();
         t.updateSuspicion(state.now());
@@ -189,8 +121,8 @@
         long now = state.now();
         countedCrashes.removeIf(c -> c.task.job.state.ended());
         countedCrashes.forEach(this::discountIfExplained);
-        countedCrashes.stream().filter(c -> !c.settled && isSettled(c.loss)).forEach(this::settle);
-        countedCrashes.removeIf(c -> c.settled && now - c.loss.to() > RecentLosses.RETENTION_MILLIS);
+        countedCrashes.stream().filter(c -> !c.isSettled() && isSettled(c.loss)).forEach(this::settle);
+        countedCrashes.removeIf(c -> c.isSettled() && now - c.loss.to() > RecentLosses.RETENTION_MILLIS);
         for (LiveTask t : List.copyOf(pendingVerdicts)) {
             decide(t);
         }
@@ -205,38 +137,39 @@
     }
 
     private void discountIfExplained(CountedCrash c) {
-        Weight weight = Weight.of(c.wasRunning, mayHaveOtherCause(c.task, c.loss));
-        if (weight.isLessThan(c.weight)) {
-            c.uncount();
-            c.weight = weight;
-            c.count();
+        if (c.isExplainable() && mayHaveOtherCause(c.task, c.loss)) {
+            c.explain();
             state.markChanged(c.task.job);
             note(SchedulerEvent.Kind.CRASH_DISCOUNTED, c);
         }
     }
 
     private void settle(CountedCrash c) {
-        c.uncount();
-        c.settled = true;
-        c.count();
-        if (c.weight == Weight.CERTAIN) {
+        c.settle();
+        if (c.isCertain()) {
             state.markChanged(c.task.job);
         }
     }
 
     private void decide(LiveTask t) {
         boolean isNeeded = !t.job.state.ended() && t.phase != Phase.DONE && !t.workDone;
-        boolean isSettled = countedCrashes.stream().allMatch(c -> c.task != t || c.settled);
-        if (isNeeded && exceedsCrashLimit(t) && !isSettled && t.workersLost() < MAX_WORKERS_LOST) {
+        boolean isDue = isNeeded && exceedsCrashLimit(t);
+        if (isDue && mayStillBeExplained(t)) {
             return;
         }
         pendingVerdicts.remove(t);
         t.crashVerdictPending = false;
-        if (isNeeded && exceedsCrashLimit(t)) {
+        if (isDue) {
             giveUp(t);
         }
     }
 
+    /** Returns whether a loss detected later may bring the task below the limits again. */
+    private boolean mayStillBeExplained(LiveTask t) {
+        return t.workersLost() < MAX_WORKERS_LOST
+                && countedCrashes.stream().anyMatch(c -> c.task == t && !c.isSettled());
+    }
+
     private void note(SchedulerEvent.Kind kind, CountedCrash c) {
         LiveTask t = c.task;
         String counts = "crashes=" + t.crashes + " doubtful=" + t.doubtfulCrashes + " explained=" + t.explainedLosses
--- a/core/src/main/java/org/lupinpaddle/core/run/RecentLosses.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RecentLosses.java
@@ -109,7 +109,7 @@
 
     /**
      * Returns whether no further worker can turn out to have been lost at the same time: each has answered since, or
-     * shortly before, or is known to be silent by now.
+     * shortly before, or has been silent for so long that it counts as unreachable.
      *
      * @param silentMillis how long a healthy worker may be silent
      */
@@ -122,7 +122,7 @@
 
     /**
      * Returns whether workers that ran no task of the step were lost at the same time, so that all of them may have
-     * been lost by the same cause.
+     * been lost by the same cause. A loss at an unknown time may have occurred together with any other.
      *
      * @param workers all known workers; one that has become unreachable counts even before it is declared lost
      */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -398,6 +398,7 @@
     /** Performs all work that is due. Call this after each event and every few dozen milliseconds. */
     public void tick() {
         if (handingOver) {
+            runs.reviewCrashes();
             persistence.run();
             sendHolds();
             return;
