Compare the begin of a success with that of the failed run

Change: whatever the number of failures, a worker on which the task has failed is proven healthy only by the later success of a run that began no earlier than the failed one. Failures of earlier owners need no special case.

Why it works: a worker that fails all runs from some moment on completes only runs that began before. LastAttemptTest is unchanged; the sibling that proves the worker there began with the failed run.

--- a/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
@@ -53,7 +53,7 @@
         if (!kind.countsAsAttempt()) {
             return;
         }
-        t.failedOnProvenWorker |= w.isProvenByRunBegunAfter(t.begunAt() - HEALTH_EVIDENCE_MILLIS);
+        t.failedOnProvenWorker |= w.isProvenByRunBegunSince(t.begunAt() - HEALTH_EVIDENCE_MILLIS);
         w.recordFailure();
         boolean succeededElsewhere = t.job.tasks.stream().anyMatch(o -> o.phase == LiveTask.Phase.DONE);
         w.failureEvidence.add(t.job.spec.key() + (succeededElsewhere ? "." + t.id : ""));
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -61,8 +61,6 @@
     // From the third attempt on, another rack is preferred: two failures on one rack may be caused by the rack.
     private static final int ATTEMPTS_BEFORE_OTHER_RACK = 2;
 
-    // Two failures of a task on one worker point to the worker or the task, whatever else the worker completes.
-    private static final int FAILURES_AGAINST_WORKER = 2;
     // A task waits this long, and longer with each failure, for a worker on which it has not failed: an instance joins
     // a pool within 2 s, and the last attempt should not go to a worker that fails everything.
     private static final long AVOID_MILLIS = 4_000;
@@ -181,10 +179,22 @@
 
     private final Set<String> failedDomains = new HashSet<>();
 
-    /** How many of {@link #failures} an earlier owner counted, on workers that are not recorded. */
-    private int inheritedFailures;
-
-    private record Avoided(LiveWorker worker, long since, int failures) {}
+    /**
+     * A worker that the next runs avoid.
+     *
+     * @param since when the newest reason occurred
+     * @param runBegunAt when the run began that failed there; {@link LiveWorker#NEVER} if it is unknown or did not fail
+     */
+    private record Avoided(LiveWorker worker, long since, long runBegunAt) {
+
+        /**
+         * Returns whether a run has succeeded there since. A worker that fails all new runs may still complete those
+         * that it began before the failed one.
+         */
+        boolean isProven() {
+            return worker.isProvenSince(since) && worker.isProvenByRunBegunSince(runBegunAt);
+        }
+    }
 
     LiveTask(LiveStep liveStep, TaskId id) {
         this.liveStep = liveStep;
@@ -239,7 +249,6 @@
     void restore(TaskRecord r, long now) {
         run = r.run();
         failures = r.failures();
-        inheritedFailures = failures;
         crashes = r.knownCrashes();
         doubtfulCrashes = r.knownDoubtfulCrashes();
         updateSuspicion(now);
@@ -259,7 +268,7 @@
 
     void recordFailureOn(LiveWorker w, long now) {
         failedDomains.add(w.facts().failureDomain());
-        avoid(w, failuresOn(w) + 1, now);
+        avoid(w, begunAt(), now);
         provenOnlyUntil = provenOnlyDeadline(now);
     }
 
@@ -307,16 +316,11 @@
 
     /** Makes the next runs avoid the worker: strictly for a while, then only where there is an alternative. */
     void avoid(LiveWorker w, long now) {
-        avoid(w, failuresOn(w), now);
+        avoid(w, LiveWorker.NEVER, now);
     }
 
-    private int failuresOn(LiveWorker w) {
-        Avoided known = avoidedWorkers.get(w.facts().id());
-        return known == null ? 0 : known.failures;
-    }
-
-    private void avoid(LiveWorker w, int failuresThere, long now) {
-        avoidedWorkers.put(w.facts().id(), new Avoided(w, now, failuresThere));
+    private void avoid(LiveWorker w, long runBegunAt, long now) {
+        avoidedWorkers.put(w.facts().id(), new Avoided(w, now, runBegunAt));
         avoidUntil = now + AVOID_MILLIS * Math.max(1, failures);
     }
 
@@ -344,22 +348,11 @@
     /** Returns the workers on which it has failed and that have not been proven healthy since. */
     private Set<String> unprovenWorkers() {
         return avoidedWorkers.entrySet().stream()
-                .filter(e -> !isProven(e.getValue()))
+                .filter(e -> !e.getValue().isProven())
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toSet());
     }
 
-    /**
-     * Returns whether a worker has been proven healthy since the task failed there. One failure may be a coincidence,
-     * so any later success is enough. After several, which may include those counted by an earlier owner, only the
-     * success of a run that began later is.
-     */
-    private boolean isProven(Avoided a) {
-        return a.failures > 0 && a.failures + inheritedFailures >= FAILURES_AGAINST_WORKER
-                ? a.worker.isProvenByRunBegunAfter(a.since)
-                : a.worker.isProvenSince(a.since);
-    }
-
     /** Returns the remaining part of a full run, by the reported progress. */
     long remainingMillis(long wholeMillis) {
         return wholeMillis * (COMPLETE_PERCENT - percent) / COMPLETE_PERCENT;
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -455,12 +455,9 @@
         return lastRunSucceeded() && lastSuccessAt > then;
     }
 
-    /**
-     * Returns whether a run that began after this time has succeeded on the worker and none has failed afterwards. A
-     * worker that fails all new runs may still complete those that it began before.
-     */
-    boolean isProvenByRunBegunAfter(long then) {
-        return lastRunSucceeded() && lastSuccessBegunAt > then;
+    /** Returns whether a run that began then or later has succeeded on the worker and none has failed afterwards. */
+    boolean isProvenByRunBegunSince(long then) {
+        return lastRunSucceeded() && lastSuccessBegunAt >= then;
     }
 
     /** Records a successful run that began at {@code begunAt}. */
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerHealthEvidenceTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerHealthEvidenceTest.java
@@ -17,7 +17,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
@@ -79,44 +78,37 @@
         return new RunStatus(job, task, startOf(job, task).run(), "", 50, -1);
     }
 
-    /** The task fails twice on one worker, the first time under an earlier owner. */
+    /** The worker begins a run, then fails the task that it is given next, and completes the earlier run. */
     @Nested
-    class OfAWorkerThatFailsATaskTwice {
+    class OfAWorkerThatCompletesAnEarlierRun {
 
         private String failing = "";
 
+        /** Fails the first task twice on the worker: under an earlier owner, and after another job began there. */
         private void failTwiceThere() {
-            TaskRecord failedOnce = new TaskRecord(0, 0, 0, 1, 1, false, "", "");
             d.listWorkers("w1");
             answer("w1");
+            d.submit("earlier", ONE);
+            start();
+            TaskRecord failedOnce = new TaskRecord(0, 0, 0, 1, 1, false, "", "");
             d.submit("a", new JobProgress(JobState.RUNNING, List.of(failedOnce), "", 0), TWO);
             start();
-            failing = end("a", FIRST, EndKind.FAILED, running("a", SECOND));
+            failing = end("a", FIRST, EndKind.FAILED, running("a", SECOND), running("earlier", FIRST));
             d.listWorkers("w1", "w2");
             answer("w2");
         }
 
         @Test
-        void isNoSuccessOfARunThatBeganBefore() {
+        void isNotTheSuccessOfThatRun() {
             failTwiceThere();
-            end("a", SECOND, EndKind.DONE);
+            end("earlier", FIRST, EndKind.DONE, running("a", SECOND));
             assertEquals(2, startOf("a", FIRST).run(), "the last attempt waits for a healthy worker");
         }
 
         @Test
-        void isTheSuccessOfARunThatBeganAfterwards() {
+        void isTheSuccessOfARunThatBeganAtTheSameTime() {
             failTwiceThere();
-            d.submit("b", StepSpec.builder(8, SchedulerDriver.NEED).build());
-            start();
-            StartOrder later = d.port.starts.stream()
-                    .filter(s -> s.jobId().equals("b") && s.worker().id().equals(failing))
-                    .findFirst()
-                    .orElseThrow();
-            List<RunStatus> others = new ArrayList<>(List.of(running("a", SECOND)));
-            d.port.starts.stream()
-                    .filter(s -> s.jobId().equals("b") && s.worker().id().equals(failing) && s != later)
-                    .forEach(s -> others.add(running("b", s.task())));
-            end("b", later.task(), EndKind.DONE, others.toArray(RunStatus[]::new));
+            end("a", SECOND, EndKind.DONE, running("earlier", FIRST));
             assertEquals(3, startOf("a", FIRST).run());
             assertEquals(failing, startOf("a", FIRST).worker().id());
         }
@@ -125,10 +117,11 @@
         @Test
         void keepsTheLastAttemptAwayFromIt() {
             failTwiceThere();
-            end("a", SECOND, EndKind.DONE);
+            end("earlier", FIRST, EndKind.DONE, running("a", SECOND));
             for (int i = 0; i < 12; i++) {
                 d.advance(250);
-                answer("w1", "w2");
+                d.answerHold("w1", List.of(running("a", SECOND)), List.of());
+                answer("w2");
             }
             start();
             assertEquals("w2", startOf("a", FIRST).worker().id());
