--- a/model/src/test/java/org/lupinpaddle/model/JobsGivenUpTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/JobsGivenUpTest.java
@@ -66,9 +66,9 @@
             assertRulesHold(new World(seed, FAULTS).withWorkspaces(seed));
         }
 
-        @Test
-        void withRestarts() {
-            long seed = SEED_WITH_CHANGE_OF_OWNER;
+        @ParameterizedTest
+        @ValueSource(longs = {SEED_WITH_CHANGE_OF_OWNER, 8_613_354})
+        void withRestarts(long seed) {
             assertRulesHold(new World(seed, FAULTS).withRestarts(seed).withWorkspaces(seed));
         }
     }
