Keep the failed run when a worker is avoided again

Cause: a worker that is avoided for slowness after a task has failed there lost the begin of the failed run, so any later success proved it healthy. Found by reading the change.

Change: the newest begin of a failed run is kept.

Conclusion: the two reasons to avoid a worker no longer overwrite each other.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -183,7 +183,7 @@
      * A worker that the next runs avoid.
      *
      * @param since when the newest reason occurred
-     * @param runBegunAt when the run began that failed there; {@link LiveWorker#NEVER} if it is unknown or did not fail
+     * @param runBegunAt when the newest run that failed there began; {@link LiveWorker#NEVER} if none is known
      */
     private record Avoided(LiveWorker worker, long since, long runBegunAt) {
 
@@ -320,7 +320,9 @@
     }
 
     private void avoid(LiveWorker w, long runBegunAt, long now) {
-        avoidedWorkers.put(w.facts().id(), new Avoided(w, now, runBegunAt));
+        Avoided earlier = avoidedWorkers.get(w.facts().id());
+        long newestRunBegunAt = earlier == null ? runBegunAt : Math.max(earlier.runBegunAt, runBegunAt);
+        avoidedWorkers.put(w.facts().id(), new Avoided(w, now, newestRunBegunAt));
         avoidUntil = now + AVOID_MILLIS * Math.max(1, failures);
     }
 
