Review case 3: a tenant's jobs in two services block each other

What was tried: a tenant with a lasting work item of 1,500 in each of two services, and 9,000 as its maximum, hands in a job of 3,500 to each while a third job keeps both from beginning; then that job ends.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,8 +4,8 @@
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 root=$(cd "$here/../.." && pwd)
 standins=$root/standins/target/lupinpaddle-standins-0.1.0-SNAPSHOT-all.jar
-if [ ! -f "$standins" ] || [ ! -f "$root/review/target/GangCase.class" ]; then
+if [ ! -f "$standins" ] || [ ! -f "$root/review/target/QuotaCase.class" ]; then
   echo "run the build of the deploy file and review/build.sh first"
   exit 2
 fi
-exec java -Xmx128m -XX:+UseSerialGC -cp "$standins:$root/review/target" GangCase "$root" "$here"
+exec java -Xmx128m -XX:+UseSerialGC -cp "$standins:$root/review/target" QuotaCase "$root" "$here"
--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -68,6 +68,8 @@
     private final List<String> lines = Collections.synchronizedList(new ArrayList<>());
     private final long begunAt = System.currentTimeMillis();
     private String platform = "";
+    /** The key that the client's requests bear; empty for none. */
+    String key = "";
 
     Harness(String root, String folder) throws IOException {
         this.root = Path.of(root).toAbsolutePath();
@@ -162,29 +164,23 @@
                 machine,
                 List.of(
                         java(), "-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", classes, "ReviewWorker",
-                        machine, service, hall, rack, platform, gangs().toString()),
+                        machine, service, hall, rack, platform),
                 Map.of());
         workers.add(p);
         return p;
     }
 
-    /** Starts a worker that the entries reach through a relay. */
-    Relay startWorkerBehindRelay(String machine, String service, String hall, String rack) throws Exception {
-        Relay relay = new Relay();
+    /** Starts a worker that is cold for a while: its entry in the store changes with each beat. */
+    Part startColdWorker(String machine, String service, String hall, String rack, long coldMillis) throws Exception {
         String classes = standIns() + ":" + root.resolve("review/target");
         Part p = launch(
                 machine,
                 List.of(
                         java(), "-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", classes, "ReviewWorker",
-                        machine, service, hall, rack, platform, gangs().toString(), "127.0.0.1:" + relay.port()),
+                        machine, service, hall, rack, platform, Long.toString(coldMillis)),
                 Map.of());
-        relay.target(Integer.parseInt(await(p, "listens on port (\\d+)", 10_000)));
         workers.add(p);
-        return relay;
-    }
-
-    private Path gangs() throws IOException {
-        return Files.createDirectories(work.resolve("gangs"));
+        return p;
     }
 
     /** Starts an entry with the command of deploy/system.toml and settings in the form of deploy/entry.toml. */
@@ -278,11 +274,12 @@
 
     /** Sends a request as a client does and records it with its answer. */
     Answer ask(Part entry, String method, String path, String body) {
-        Answer a = send(method, "http://" + entry.callers + path, body, 3_000);
+        return ask(entry, method, path, body, key);
+    }
+
+    Answer ask(Part entry, String method, String path, String body, String bearer) {
+        Answer a = send(method, "http://" + entry.callers + path, body, bearer, 3_000);
         String sent = body.isEmpty() ? "" : " " + body;
-        if (sent.length() > 160) {
-            sent = sent.substring(0, 160) + "... (" + body.length() + " bytes)";
-        }
         record(a.answeredAt, "client " + method + " " + path + " at " + entry.name + sent + " -> "
                 + (a.status == 0 ? "no answer within 3 s" : a.status + " " + a.body) + " after "
                 + (a.answeredAt - a.sentAt) + " ms");
@@ -290,6 +287,10 @@
     }
 
     private Answer send(String method, String url, String body, long timeoutMillis) {
+        return send(method, url, body, "", timeoutMillis);
+    }
+
+    private Answer send(String method, String url, String body, String bearer, long timeoutMillis) {
         long sentAt = now();
         // A channel of its own for each request, with the host name 127.0.0.1.
         HttpClient client = HttpClient.newBuilder()
@@ -297,13 +298,15 @@
                 .connectTimeout(Duration.ofMillis(timeoutMillis))
                 .build();
         try {
-            HttpRequest request = HttpRequest.newBuilder(URI.create(url))
+            HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(url))
                     .timeout(Duration.ofMillis(timeoutMillis))
                     .header("Content-Type", "application/json")
                     .header("Deadline-Ms", Long.toString(timeoutMillis))
-                    .method(method, HttpRequest.BodyPublishers.ofString(body))
-                    .build();
-            HttpResponse<String> r = client.send(request, HttpResponse.BodyHandlers.ofString());
+                    .method(method, HttpRequest.BodyPublishers.ofString(body));
+            if (!bearer.isEmpty()) {
+                request.header("Authorization", "Bearer " + bearer);
+            }
+            HttpResponse<String> r = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
             return new Answer(r.statusCode(), r.body(), sentAt, now());
         } catch (IOException e) {
             return new Answer(0, e.toString(), sentAt, now());
--- a/review/harness/ReviewWorker.java
+++ b/review/harness/ReviewWorker.java
@@ -11,9 +11,6 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -27,14 +24,14 @@
  * A worker as PROTOCOL.md, "Running work items", describes it: it guards its room, keeps the highest fence number, ends
  * what its deadline does not cover, lists ends until they are acknowledged, and refuses runs that are not above one that
  * was stopped or has ended. It reports to the project's stand-in of the platform, which keeps its entry in the store.
- * A work item whose spec holds "millis=N" takes N ms, one whose spec holds "lasts" runs until it is stopped. Each start
- * and end is written to standard output.
+ * A work item whose spec holds "millis=N" takes N ms; without that it runs until it is stopped. Its spec may hold "cpu=N",
+ * else it counts as 1,000 thousandths of a core. Each start and end is written to standard output.
  */
 final class ReviewWorker {
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long HOLD_MAX_MILLIS = 6_000;
-    private static final long GANG_MILLIS = 3_000;
+    private static final long BEAT_MILLIS = 1_500;
     private static final int CPU = 4_000;
     private static final int MEM_MB = 8_192;
 
@@ -45,14 +42,13 @@
     private final String machine;
     private final ObjectNode description;
     private final String platform;
-    /** The members of gangs see each other here, as if they were connected: a file for each that is present. */
-    private final Path gangs;
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(2))
             .build();
 
     private String life = "";
+    private volatile long coldUntil;
     private long fence;
     private long deadline;
     private long nextEnd = 1;
@@ -60,8 +56,7 @@
     private final Map<String, Integer> closed = new HashMap<>();
     private final List<End> ends = new ArrayList<>();
 
-    private ReviewWorker(String machine, ObjectNode description, String platform, Path gangs) {
-        this.gangs = gangs;
+    private ReviewWorker(String machine, ObjectNode description, String platform) {
         this.machine = machine;
         this.description = description;
         this.platform = platform;
@@ -73,18 +68,49 @@
                 .put("machine", a[0])
                 .put("pool", a[1])
                 .put("zone", a[2])
-                .put("address", a.length > 6 ? a[6] : "127.0.0.1:" + server.getAddress().getPort())
+                .put("address", "127.0.0.1:" + server.getAddress().getPort())
                 .put("statesBirth", false);
         d.putObject("room").put("cpu", CPU).put("memMb", MEM_MB).put("gpu", 0);
         d.putArray("labels").add("a").add(a[3]);
-        System.out.println("listens on port " + server.getAddress().getPort());
-        ReviewWorker w = new ReviewWorker(a[0], d, a[4], Path.of(a[5]));
+        ReviewWorker w = new ReviewWorker(a[0], d, a[4]);
         server.setExecutor(Executors.newCachedThreadPool());
         server.createContext("/", w::handle);
         server.start();
         var timer = Executors.newScheduledThreadPool(2);
         timer.scheduleWithFixedDelay(w::report, 0, 300, TimeUnit.MILLISECONDS);
         timer.scheduleWithFixedDelay(w::tick, 10, 10, TimeUnit.MILLISECONDS);
+        if (a.length > 5) {
+            w.coldUntil = clock() + Long.parseLong(a[5]);
+            timer.scheduleAtFixedRate(w::writeEntry, BEAT_MILLIS, BEAT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Writes its entry in the store, as a worker does at each beat; the entry of a cold one changes each time. */
+    private void writeEntry() {
+        try {
+            ObjectNode put = JSON.createObjectNode();
+            synchronized (this) {
+                if (life.isEmpty()) {
+                    return;
+                }
+                ObjectNode entry = put.put("key", "servers/" + life).putObject("value");
+                entry.put("service", description.path("pool").asText())
+                        .put("address", description.path("address").asText())
+                        .put("zone", description.path("zone").asText())
+                        .put("state", "ready")
+                        .put("coldLeftMs", Math.max(0, coldUntil - clock()));
+                entry.set("room", description.path("room"));
+                entry.set("labels", description.path("labels"));
+            }
+            client.send(
+                    HttpRequest.newBuilder(URI.create("http://" + platform + "/standin/put"))
+                            .timeout(Duration.ofSeconds(2))
+                            .POST(HttpRequest.BodyPublishers.ofString(put.toString()))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            System.out.println("entry not written: " + e);
+        }
     }
 
     private static long clock() {
@@ -138,63 +164,18 @@
             Run r = e.getValue();
             if (now > deadline) {
                 end(e.getKey(), "lapsed");
-            } else if (gangSize(r.spec) > 1) {
-                tickGang(e.getKey(), r, now);
             } else if (now - r.startedAt >= millis(r.spec)) {
                 end(e.getKey(), "done");
             }
         }
     }
 
-    /** The members work from the moment at which all of a run are present, and end together. */
-    private void tickGang(String task, Run r, long now) {
-        long begunAt = r.startedAt;
-        int present = 0;
-        String prefix = task.substring(0, task.lastIndexOf('.') + 1);
-        boolean left = false;
-        for (int i = 0; i < gangSize(r.spec); i++) {
-            Path member = gangs.resolve(prefix + i + "-" + r.number);
-            try {
-                begunAt = Math.max(begunAt, Long.parseLong(Files.readString(member)));
-                present++;
-            } catch (IOException | NumberFormatException e) {
-                left |= Files.exists(gangs.resolve(prefix + i + "-" + r.number + "-left"));
-            }
-        }
-        if (present == gangSize(r.spec)) {
-            if (now - begunAt >= millis(r.spec)) {
-                end(task, "done");
-            }
-        } else if (left) {
-            end(task, "broken");
-        } else if (now - r.startedAt > GANG_MILLIS) {
-            end(task, "alone");
-        }
-    }
-
     /** What a work item asks for, in thousandths of a core: the cases say it in the spec as well. */
     private static int cpu(String spec) {
         int at = spec.indexOf("cpu=");
         return at < 0 ? 1_000 : Integer.parseInt(spec.substring(at + 4).split("\\D")[0]);
     }
 
-    private static int gangSize(String spec) {
-        int at = spec.indexOf("gang=");
-        return at < 0 ? 1 : Integer.parseInt(spec.substring(at + 5).split("\\D")[0]);
-    }
-
-    private void markGang(String task, Run r, String suffix) {
-        if (gangSize(r.spec) > 1) {
-            try {
-                Path part = gangs.resolve(task + "-" + r.number + "-" + machine + ".new");
-                Files.writeString(part, Long.toString(r.startedAt));
-                Files.move(part, gangs.resolve(task + "-" + r.number + suffix), StandardCopyOption.ATOMIC_MOVE);
-            } catch (IOException e) {
-                System.out.println("gang: " + e);
-            }
-        }
-    }
-
     private static long millis(String spec) {
         int at = spec.indexOf("millis=");
         return at < 0 ? Long.MAX_VALUE : Long.parseLong(spec.substring(at + 7).split("\\D")[0]);
@@ -208,15 +189,6 @@
 
     private void end(String task, String how) {
         Run r = running.remove(task);
-        if (!how.equals("done")) {
-            // The file of a member that is done stays, so that the others end done as well, at the same moment.
-            try {
-                Files.deleteIfExists(gangs.resolve(task + "-" + r.number));
-            } catch (IOException e) {
-                System.out.println("gang: " + e);
-            }
-            markGang(task, r, "-left");
-        }
         closed.merge(task, r.number, Math::max);
         ends.add(new End(nextEnd++, task, r.number, how));
         write("end", task, r.number, how);
@@ -295,7 +267,6 @@
             return "room";
         }
         running.put(task, new Run(run, spec, clock()));
-        markGang(task, running.get(task), "");
         write("start", task, run, "fence=" + o.path("fencingToken").asLong() + " spec=" + spec);
         return "";
     }
