Store a location with each job, so that an id names one job whatever service its queue has

The count of pending jobs was 0 for jobs that waited at the earlier service.

Cause: JobIntake.accept required only that the job's key is absent, and the key contains the service that the queue has in the configuration in force. Evidence: with the test, a second record appears at in/promos/job/q/a while the first stays as it was; one record read by two owners, or one owner that places at both services, would not write it.

Change: the commit that stores a job also writes its location, which names the service, on condition that there is none; JobLocator finds jobs by it for submissions, their repetition after a lost answer, states and cancellations. Jobs of releases without locations are found by conditions on the configured services in the same commit, as far as 32 rows go. The count of pending jobs adds up the reports of all owners. The owner removes the location with the job.

Why it works: the location's key does not depend on the configuration, and the store makes the condition and both values one change.

Store calls of an accepted submission: 1 before, 1 after (JobIntakeTest.SubmittedJob .costsOneStoreCall); rows 3 before, 4 and one for each configured service after.

Open: a service that leaves the configuration while it has jobs has no owner once the present one ends; its jobs are found and cancelled, but not run.

--- a/core/src/main/java/org/lupinpaddle/core/job/SchedulerKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/SchedulerKeys.java
@@ -35,6 +35,7 @@
     private static final String CAPACITIES = MEMBERS + "capacity/";
     private static final String INPUTS = "lupinpaddle/in/";
     private static final String PROGRESS = "lupinpaddle/progress/";
+    private static final String LOCATIONS = "lupinpaddle/location/";
     private static final String REPORTS = FLEET + "report/";
     private static final String QUOTAS = "lupinpaddle/quota/";
     // Store keys are limited to 200 bytes; a longer workspace name is replaced by its digest.
@@ -71,6 +72,11 @@
         return withoutPrefix(CAPACITIES, key);
     }
 
+    /** Returns the prefix of the keys that owners of duties hold. */
+    public static String owners() {
+        return OWNERS;
+    }
+
     /** Returns the key that the owner of a duty holds, bound to its lease. */
     public static String owner(String duty) {
         return OWNERS + duty;
@@ -113,6 +119,14 @@
         return withoutPrefix(inputs(service) + JOB, key).map(SchedulerKeys::jobKey);
     }
 
+    /**
+     * Returns the key of a job's location: the name of the service that the job belongs to, as plain text. It is written
+     * and removed together with the job's record.
+     */
+    public static String location(JobKey job) {
+        return LOCATIONS + job;
+    }
+
     /** Returns the key that marks a job as cancelled by its caller. */
     public static String cancel(String service, JobKey job) {
         return inputs(service) + CANCEL + job;
@@ -165,6 +179,11 @@
         return progress(service) + job;
     }
 
+    /** Returns the prefix of the reports of all services' owners. */
+    public static String reports() {
+        return REPORTS;
+    }
+
     /** Returns the key of the report of a service's owner. */
     public static String report(String service) {
         return REPORTS + service;
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -16,19 +16,12 @@
 package org.lupinpaddle.daemon.jobs;
 
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
-import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.common.Unreadable;
@@ -42,9 +35,9 @@
 import org.lupinpaddle.core.queue.CallerRequest;
 import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.queue.QueueConfig;
-import org.lupinpaddle.core.queue.ServiceConfig;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
+import org.lupinpaddle.daemon.jobs.JobLocator.LocatedJob;
 import org.lupinpaddle.daemon.port.CommitResult;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
@@ -64,8 +57,6 @@
     private static final long ACCEPT_TIMEOUT_MILLIS = 1_200;
     // The greatest age of the configuration at which a request is refused without reading the store.
     private static final long FRESH_MILLIS = 200;
-    // A reported count may be 2 s old; reading a large queue takes part of that time.
-    private static final long COUNT_CACHE_MILLIS = 800;
 
     private final KeyValueStore store;
     private final EventLoop loop;
@@ -73,10 +64,8 @@
     private final ConfigurationFeed configuration;
     private final Clock wall;
     private final BooleanSupplier storeReached;
-    /** Counts by queue, for as long as they may be reported. */
-    private final Map<String, CachedCount> cachedCounts = new HashMap<>();
-
-    private record CachedCount(long startedAt, CompletableFuture<OptionalInt> count) {}
+    private final JobLocator locator;
+    private final PendingJobCounter pendingJobs;
 
     JobIntake(
             KeyValueStore store,
@@ -91,6 +80,8 @@
         this.configuration = configuration;
         this.wall = wall;
         this.storeReached = storeReached;
+        locator = new JobLocator(store, loop, configuration);
+        pendingJobs = new PendingJobCounter(store, loop, configuration);
     }
 
     /** Returns the maximum body size; empty until a configuration is in force. */
@@ -145,7 +136,8 @@
         PendingSubmission h = new PendingSubmission(request, id, s, loop.clock().millis() + ACCEPT_TIMEOUT_MILLIS);
         // Cordons are checked only here, before the first write: a job that may be stored is never rejected.
         return admit(request)
-                .thenCompose(a -> configuration.areAllHallsCordoned() ? outcomeIfStored(h, a) : accept(h, a, 1, false))
+                .thenCompose(
+                        a -> configuration.areAllHallsCordoned() ? outcomeIfStored(h, a) : accept(h, a, Attempt.FIRST))
                 .exceptionally(why -> {
                     Log.info("accept-refused", "job", id, "why", StoreFailure.text(why));
                     return SubmitOutcome.NOT_TAKEN;
@@ -161,8 +153,7 @@
         if (q == null) {
             return CompletableFuture.completedFuture(refusal(a));
         }
-        JobKey key = new JobKey(q.name(), h.id);
-        return store.read(SchedulerKeys.job(q.service(), key))
+        return locator.find(q, new JobKey(q.name(), h.id))
                 .thenComposeAsync(
                         job -> job.map(j -> outcomeOfStored(h, a, q, j)).orElseGet(() -> {
                             Log.info("accept-refused", "job", h.id, "why", "all halls are cordoned");
@@ -172,12 +163,12 @@
     }
 
     private CompletableFuture<SubmitOutcome> outcomeOfStored(
-            PendingSubmission h, Admission a, QueueConfig q, StoreItem job) {
+            PendingSubmission h, Admission a, QueueConfig q, LocatedJob job) {
         // No commit checks the configuration here, so a key is checked against the newest one.
         CompletableFuture<Admission> newest =
                 a.usesKey() ? refreshAndAdmit(h.request) : CompletableFuture.completedFuture(a);
         return newest.thenCompose(n -> n.isAdmitted()
-                ? jobAccess(n, q.service(), new JobKey(q.name(), h.id), job).thenApply(access -> access.submitOutcome)
+                ? jobAccess(n, new JobKey(q.name(), h.id), job).thenApply(access -> access.submitOutcome)
                 : CompletableFuture.completedFuture(refusal(n)));
     }
 
@@ -188,108 +179,130 @@
     /** A submission whose outcome is not yet known. */
     private record PendingSubmission(CallerRequest request, String id, Submission job, long deadlineMillis) {}
 
-    private CompletableFuture<SubmitOutcome> accept(
-            PendingSubmission h, Admission a, int attempt, boolean mayBeWritten) {
+    /**
+     * An attempt to store a submitted job.
+     *
+     * @param number the number of the attempt, from 1
+     * @param mayBeWritten whether an earlier attempt may have stored the job
+     * @param unusedLocation the revision of a location without a job, which the attempt replaces; 0 for none
+     */
+    private record Attempt(int number, boolean mayBeWritten, long unusedLocation) {
+
+        static final Attempt FIRST = new Attempt(1, false, 0);
+
+        Attempt next(boolean orWritten) {
+            return new Attempt(number + 1, orWritten, unusedLocation);
+        }
+
+        Attempt replacing(StoreItem location) {
+            return new Attempt(number, mayBeWritten, location.revision());
+        }
+
+        SubmitOutcome outcomeOrUnknown(SubmitOutcome unlessWritten) {
+            return mayBeWritten ? SubmitOutcome.UNKNOWN : unlessWritten;
+        }
+    }
+
+    private CompletableFuture<SubmitOutcome> accept(PendingSubmission h, Admission a, Attempt attempt) {
         QueueConfig q = a.queue();
         if (q == null) {
-            return CompletableFuture.completedFuture(mayBeWritten ? SubmitOutcome.UNKNOWN : refusal(a));
+            return CompletableFuture.completedFuture(attempt.outcomeOrUnknown(refusal(a)));
         }
         JobKey key = new JobKey(q.name(), h.id);
-        String at = SchedulerKeys.job(q.service(), key);
         Submission s = h.job;
         JobSpec spec = new JobSpec(
                 key, q.service(), s.text(), s.steps(), s.repeat(), q.policy(), wall.millis(), a.workspace());
         // The commit requires the configuration that was checked, so no entry accepts a job under an outdated one.
-        StoreCommit commit = StoreCommit.builder()
-                .when(records.configurationKey(), configuration.revision())
-                .when(at, 0)
-                .put(at, RecordCodec.write(spec))
-                .build();
         long admittedRevision = configuration.revision();
-        return store.commit(commit)
+        StoreCommit.Builder commit = StoreCommit.builder().when(records.configurationKey(), admittedRevision);
+        locator.reserve(commit, q, key, attempt.unusedLocation);
+        commit.put(SchedulerKeys.job(q.service(), key), RecordCodec.write(spec));
+        return store.commit(commit.build())
                 .thenComposeAsync(
                         r -> {
-                            StoreItem existing = itemAt(at, r);
                             boolean keyMustBeRechecked =
                                     a.usesKey() && r.revisionOf(records.configurationKey()) != admittedRevision;
-                            return existing == null || keyMustBeRechecked
-                                    ? onCommitted(h, r, attempt, mayBeWritten)
-                                    : jobAccess(a, q.service(), key, existing)
-                                            .thenApply(access -> access.submitOutcome);
+                            return r.outcome() != CommitResult.Outcome.CONFLICT || keyMustBeRechecked
+                                    ? onCommitted(h, r, attempt)
+                                    : onConflict(h, a, q, r, attempt);
                         },
                         loop::execute);
     }
 
-    private static @Nullable StoreItem itemAt(String key, CommitResult r) {
-        return r.current().stream().filter(i -> i.key().equals(key)).findFirst().orElse(null);
+    /** Returns the outcome for a job that is stored already, at whichever service; otherwise tries again. */
+    private CompletableFuture<SubmitOutcome> onConflict(
+            PendingSubmission h, Admission a, QueueConfig q, CommitResult r, Attempt attempt) {
+        JobKey key = new JobKey(q.name(), h.id);
+        Optional<LocatedJob> conflicting = locator.conflictingJob(r, q, key);
+        if (conflicting.isPresent()) {
+            return outcomeOfRepeated(a, q, key, conflicting.get());
+        }
+        StoreItem location = r.itemOf(SchedulerKeys.location(key)).orElse(null);
+        if (location == null || location.revision() == attempt.unusedLocation) {
+            return onCommitted(h, r, attempt);
+        }
+        return locator.jobAt(location, key)
+                .thenComposeAsync(
+                        job -> job.map(j -> outcomeOfRepeated(a, q, key, j))
+                                .orElseGet(() -> onCommitted(h, r, attempt.replacing(location))),
+                        loop::execute)
+                .exceptionally(why -> {
+                    Log.info("accept-undecided", "job", h.id, "why", StoreFailure.text(why));
+                    return SubmitOutcome.UNKNOWN;
+                });
+    }
+
+    private CompletableFuture<SubmitOutcome> outcomeOfRepeated(Admission a, QueueConfig q, JobKey key, LocatedJob job) {
+        if (!job.service().equals(q.service())) {
+            Log.info("accepted-before", "job", key.id(), "service", job.service(), "queue-service", q.service());
+        }
+        return jobAccess(a, key, job).thenApply(access -> access.submitOutcome);
     }
 
-    private CompletableFuture<SubmitOutcome> onCommitted(
-            PendingSubmission h, CommitResult r, int attempt, boolean mayBeWritten) {
-        boolean unknown = mayBeWritten || r.outcome() == CommitResult.Outcome.UNKNOWN;
+    private CompletableFuture<SubmitOutcome> onCommitted(PendingSubmission h, CommitResult r, Attempt attempt) {
         if (r.outcome() == CommitResult.Outcome.MADE) {
             return CompletableFuture.completedFuture(SubmitOutcome.ACCEPTED);
         }
+        Attempt next = attempt.next(attempt.mayBeWritten || r.outcome() == CommitResult.Outcome.UNKNOWN);
         boolean tooLong = loop.clock().millis() >= h.deadlineMillis;
-        if (tooLong || attempt >= MAX_ATTEMPTS || (r.outcome() == CommitResult.Outcome.REFUSED && !unknown)) {
-            Log.info("accept-undecided", "job", h.id, "outcome", r.outcome(), "attempt", attempt);
-            return CompletableFuture.completedFuture(unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN);
+        boolean refused = r.outcome() == CommitResult.Outcome.REFUSED && !next.mayBeWritten;
+        if (tooLong || next.number > MAX_ATTEMPTS || refused) {
+            Log.info("accept-undecided", "job", h.id, "outcome", r.outcome(), "attempt", attempt.number);
+            return CompletableFuture.completedFuture(next.outcomeOrUnknown(SubmitOutcome.NOT_TAKEN));
         }
         CompletableFuture<Optional<JobConfiguration>> newest = r.outcome() == CommitResult.Outcome.CONFLICT
                 ? configuration.refresh()
                 : CompletableFuture.completedFuture(configuration.current());
         return newest.thenComposeAsync(
-                        c -> c.map(f -> accept(h, f.admit(h.request), attempt + 1, unknown))
+                        c -> c.map(f -> accept(h, f.admit(h.request), next))
                                 .orElseGet(() -> CompletableFuture.completedFuture(
-                                        unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NO_QUEUE)),
+                                        next.outcomeOrUnknown(SubmitOutcome.NO_QUEUE))),
                         loop::execute)
                 .exceptionally(why -> {
-                    Log.info("accept-undecided", "job", h.id, "why", StoreFailure.text(why), "attempt", attempt);
-                    return unknown ? SubmitOutcome.UNKNOWN : SubmitOutcome.NOT_TAKEN;
+                    Log.info("accept-undecided", "job", h.id, "why", StoreFailure.text(why), "attempt", attempt.number);
+                    return next.outcomeOrUnknown(SubmitOutcome.NOT_TAKEN);
                 });
     }
 
     /** Returns the state of a job; a job of another workspace is reported as nonexistent. */
     public CompletableFuture<JobAnswer> state(Admission a, String id) {
         QueueConfig q = Objects.requireNonNull(a.queue(), "the request was not admitted");
-        return stateIn(a, services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
-            Log.info("state-unknown", "job", id, "why", StoreFailure.text(why));
-            return JobAnswer.UNKNOWN;
-        });
-    }
-
-    /**
-     * Lists the queue's current service first. A job stays with the service that its queue had when the job was
-     * accepted.
-     */
-    private List<String> services(QueueConfig q) {
-        Set<String> all = new LinkedHashSet<>();
-        all.add(q.service());
-        configuration
-                .current()
-                .ifPresent(c -> c.services().stream().map(ServiceConfig::name).forEach(all::add));
-        return new ArrayList<>(all);
+        JobKey key = new JobKey(q.name(), id);
+        return locator.search(q, key, service -> stateAt(a, service, key))
+                .thenApply(found -> found.orElse(JobAnswer.NO_JOB))
+                .exceptionally(why -> {
+                    Log.info("state-unknown", "job", id, "why", StoreFailure.text(why));
+                    return JobAnswer.UNKNOWN;
+                });
     }
 
-    private CompletableFuture<JobAnswer> stateIn(Admission a, List<String> services, int index, JobKey key) {
-        if (index == services.size()) {
-            return CompletableFuture.completedFuture(JobAnswer.NO_JOB);
-        }
-        String service = services.get(index);
+    private CompletableFuture<Optional<JobAnswer>> stateAt(Admission a, String service, JobKey key) {
         return store.read(SchedulerKeys.progress(service, key))
                 .thenComposeAsync(
                         p -> p.isPresent()
-                                ? CompletableFuture.completedFuture(stateOf(a, p.get()))
-                                : queuedIn(a, services, index, key),
-                        loop::execute);
-    }
-
-    private CompletableFuture<JobAnswer> queuedIn(Admission a, List<String> services, int index, JobKey key) {
-        return store.read(SchedulerKeys.job(services.get(index), key))
-                .thenComposeAsync(
-                        j -> j.isPresent()
-                                ? CompletableFuture.completedFuture(stateWithoutProgress(a, j.get()))
-                                : stateIn(a, services, index + 1, key),
+                                ? CompletableFuture.completedFuture(Optional.of(stateOf(a, p.get())))
+                                : store.read(SchedulerKeys.job(service, key))
+                                        .thenApply(job -> job.map(j -> stateWithoutProgress(a, j))),
                         loop::execute);
     }
 
@@ -313,28 +326,21 @@
     /** Cancels a job. The answer tells whether the job exists, and is known only once the cancellation is durable. */
     public CompletableFuture<JobAnswer> cancel(Admission a, String id) {
         QueueConfig q = Objects.requireNonNull(a.queue(), "the request was not admitted");
-        return cancelIn(a, services(q), 0, new JobKey(q.name(), id)).exceptionally(why -> {
-            Log.info("cancel-unknown", "job", id, "why", StoreFailure.text(why));
-            return JobAnswer.UNKNOWN;
-        });
-    }
-
-    private CompletableFuture<JobAnswer> cancelIn(Admission a, List<String> services, int index, JobKey key) {
-        if (index == services.size()) {
-            return CompletableFuture.completedFuture(JobAnswer.NO_JOB);
-        }
-        String service = services.get(index);
-        return store.read(SchedulerKeys.job(service, key))
+        JobKey key = new JobKey(q.name(), id);
+        return locator.find(q, key)
                 .thenComposeAsync(
-                        j -> j.isPresent()
-                                ? cancelIfAccessible(a, service, key, j.get())
-                                : cancelIn(a, services, index + 1, key),
-                        loop::execute);
+                        job -> job.map(j -> cancelIfAccessible(a, key, j))
+                                .orElseGet(() -> CompletableFuture.completedFuture(JobAnswer.NO_JOB)),
+                        loop::execute)
+                .exceptionally(why -> {
+                    Log.info("cancel-unknown", "job", id, "why", StoreFailure.text(why));
+                    return JobAnswer.UNKNOWN;
+                });
     }
 
-    private CompletableFuture<JobAnswer> cancelIfAccessible(Admission a, String service, JobKey key, StoreItem job) {
-        return jobAccess(a, service, key, job)
-                .thenComposeAsync(access -> access.cancel(this, service, key), loop::execute);
+    private CompletableFuture<JobAnswer> cancelIfAccessible(Admission a, JobKey key, LocatedJob job) {
+        return jobAccess(a, key, job)
+                .thenComposeAsync(access -> access.cancel(this, job.service(), key), loop::execute);
     }
 
     /** Whether a caller may access an existing job, and the resulting answers. */
@@ -374,15 +380,15 @@
     }
 
     /** Reads the workspace from the job's progress if its record, which is reduced after its end, does not name it. */
-    private CompletableFuture<JobAccess> jobAccess(Admission a, String service, JobKey key, StoreItem job) {
+    private CompletableFuture<JobAccess> jobAccess(Admission a, JobKey key, LocatedJob job) {
         if (!a.usesKey()) {
             return CompletableFuture.completedFuture(JobAccess.ACCESSIBLE);
         }
-        Either<Unreadable, JobSpec> spec = job.read(JobSpec.class);
+        Either<Unreadable, JobSpec> spec = job.item().read(JobSpec.class);
         if (spec.isRight()) {
             return CompletableFuture.completedFuture(JobAccess.of(a, spec.get().workspace()));
         }
-        return store.read(SchedulerKeys.progress(service, key))
+        return store.read(SchedulerKeys.progress(job.service(), key))
                 .thenApply(p -> p.map(i -> i.read(JobProgress.class)
                                 .fold(
                                         unreadable -> JobAccess.UNKNOWN,
@@ -409,62 +415,9 @@
 
     /** Counts the accepted jobs of a queue that have not started; empty if the store cannot be read. */
     public CompletableFuture<OptionalInt> pending(QueueConfig q) {
-        return store.read(SchedulerKeys.owner(q.service()))
-                .thenComposeAsync(
-                        owner -> owner.map(o -> pendingFromReport(q, o)).orElseGet(() -> pendingFromStore(q)),
-                        loop::execute)
-                .exceptionally(why -> {
-                    Log.info("pending-unknown", "queue", q.name(), "why", StoreFailure.text(why));
-                    return OptionalInt.empty();
-                });
-    }
-
-    /**
-     * Uses the owner's report unless it is older than the ownership: such a report is an earlier owner's, and the new
-     * owner is still reading the stored jobs.
-     */
-    private CompletableFuture<OptionalInt> pendingFromReport(QueueConfig q, StoreItem owner) {
-        return store.read(SchedulerKeys.report(q.service()))
-                .thenComposeAsync(
-                        item -> item.filter(i -> i.revision() > owner.revision())
-                                .flatMap(i -> i.read(ServiceReport.class).toJavaOptional())
-                                .map(r -> CompletableFuture.completedFuture(pendingIn(q, r)))
-                                .orElseGet(() -> pendingFromStore(q)),
-                        loop::execute);
-    }
-
-    private static OptionalInt pendingIn(QueueConfig q, ServiceReport report) {
-        return OptionalInt.of(report.pendingByQueue().getOrDefault(q.name(), 0));
-    }
-
-    /**
-     * Counts from the store. Concurrent callers share a read while it is in progress and its result for some time
-     * afterwards.
-     */
-    private CompletableFuture<OptionalInt> pendingFromStore(QueueConfig q) {
-        CachedCount known = cachedCounts.get(q.name());
-        boolean fresh = known != null
-                && (!known.count.isDone() || loop.clock().millis() - known.startedAt <= COUNT_CACHE_MILLIS);
-        if (known != null && fresh) {
-            return known.count;
-        }
-        CachedCount next = new CachedCount(loop.clock().millis(), readCount(q));
-        cachedCounts.put(q.name(), next);
-        return next.count;
-    }
-
-    /** Counts the jobs without progress; these are the pending ones, since no job starts without an owner. */
-    private CompletableFuture<OptionalInt> readCount(QueueConfig q) {
-        String jobPrefix = SchedulerKeys.job(q.service(), new JobKey(q.name(), ""));
-        String progressPrefix = SchedulerKeys.progress(q.service(), new JobKey(q.name(), ""));
-        return store.range(jobPrefix).thenCombine(store.range(progressPrefix), (j, p) -> {
-            Map<String, Boolean> known = new HashMap<>();
-            p.items().forEach(i -> known.put(i.key().substring(progressPrefix.length()), true));
-            long waiting = j.items().stream()
-                    .filter(i -> !i.value().equals(JobSpec.FINISHED_MARKER))
-                    .filter(i -> !known.containsKey(i.key().substring(jobPrefix.length())))
-                    .count();
-            return OptionalInt.of((int) waiting);
+        return pendingJobs.count(q).thenApply(OptionalInt::of).exceptionally(why -> {
+            Log.info("pending-unknown", "queue", q.name(), "why", StoreFailure.text(why));
+            return OptionalInt.empty();
         });
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobLocator.java
@@ -0,0 +1,159 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.daemon.jobs;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.SchedulerKeys;
+import org.lupinpaddle.core.queue.QueueConfig;
+import org.lupinpaddle.core.queue.ServiceConfig;
+import org.lupinpaddle.daemon.common.EventLoop;
+import org.lupinpaddle.daemon.port.CommitResult;
+import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.StoreCommit;
+import org.lupinpaddle.daemon.port.StoreItem;
+
+/**
+ * Finds jobs in the store whatever the current configuration says. A job stays with the service that its queue had when
+ * the job was accepted. The commit that stores a job also writes its location, which names that service, on condition
+ * that the id has none yet. Jobs stored by a release without locations are found at the configured services.
+ */
+final class JobLocator {
+
+    // A store call accepts 32 rows: conditions on the configuration, the location and the job at each service, and the
+    // values of the location and the job.
+    private static final int MAX_SERVICES_PER_COMMIT = 28;
+
+    private final KeyValueStore store;
+    private final EventLoop loop;
+    private final ConfigurationFeed configuration;
+
+    /**
+     * A job's stored record.
+     *
+     * @param service the service that the job belongs to
+     * @param item the record
+     */
+    record LocatedJob(String service, StoreItem item) {}
+
+    JobLocator(KeyValueStore store, EventLoop loop, ConfigurationFeed configuration) {
+        this.store = store;
+        this.loop = loop;
+        this.configuration = configuration;
+    }
+
+    /**
+     * Adds the location of a new job to the commit that stores it, with the conditions that the id is not in use. The
+     * commit must also require the configuration that assigns the queue to its service: under one configuration, jobs
+     * of a queue are added at a single service only.
+     *
+     * @param unusedLocation the revision of a location without a job, which is replaced; 0 if there is none
+     */
+    void reserve(StoreCommit.Builder commit, QueueConfig q, JobKey key, long unusedLocation) {
+        commit.when(SchedulerKeys.location(key), unusedLocation);
+        services(q).stream().limit(MAX_SERVICES_PER_COMMIT).forEach(s -> commit.when(SchedulerKeys.job(s, key), 0));
+        commit.put(SchedulerKeys.location(key), q.service());
+    }
+
+    /** Returns the job whose record violated a condition of {@link #reserve}; empty if none did. */
+    Optional<LocatedJob> conflictingJob(CommitResult r, QueueConfig q, JobKey key) {
+        return services(q).stream()
+                .flatMap(s -> r.itemOf(SchedulerKeys.job(s, key)).map(i -> new LocatedJob(s, i)).stream())
+                .findFirst();
+    }
+
+    /**
+     * Reads the job that a location refers to. There is none if a release without locations removed the ended job.
+     * The future fails if the location is unreadable.
+     */
+    CompletableFuture<Optional<LocatedJob>> jobAt(StoreItem location, JobKey key) {
+        return location.isText() ? readJob(location.value(), key) : unreadable(location);
+    }
+
+    /** Finds the record of a job. The future fails if a record that might show where it is cannot be read. */
+    CompletableFuture<Optional<LocatedJob>> find(QueueConfig q, JobKey key) {
+        return search(q, key, s -> readJob(s, key));
+    }
+
+    private CompletableFuture<Optional<LocatedJob>> readJob(String service, JobKey key) {
+        return store.read(SchedulerKeys.job(service, key)).thenApply(job -> job.map(i -> new LocatedJob(service, i)));
+    }
+
+    /**
+     * Searches one service after the other until {@code lookup} has a result: the queue's current service, the one
+     * that the job's location names, and then all other configured ones.
+     */
+    <T> CompletableFuture<Optional<T>> search(
+            QueueConfig q, JobKey key, Function<String, CompletableFuture<Optional<T>>> lookup) {
+        return lookup.apply(q.service())
+                .thenComposeAsync(
+                        found -> found.isPresent()
+                                ? CompletableFuture.completedFuture(found)
+                                : searchElsewhere(q, key, lookup),
+                        loop::execute);
+    }
+
+    private <T> CompletableFuture<Optional<T>> searchElsewhere(
+            QueueConfig q, JobKey key, Function<String, CompletableFuture<Optional<T>>> lookup) {
+        return store.read(SchedulerKeys.location(key))
+                .thenComposeAsync(
+                        location -> {
+                            if (location.isPresent() && !location.get().isText()) {
+                                return unreadable(location.get());
+                            }
+                            Set<String> others = new LinkedHashSet<>();
+                            location.ifPresent(l -> others.add(l.value()));
+                            others.addAll(services(q));
+                            others.remove(q.service());
+                            return searchNext(List.copyOf(others), 0, lookup);
+                        },
+                        loop::execute);
+    }
+
+    private <T> CompletableFuture<Optional<T>> searchNext(
+            List<String> services, int index, Function<String, CompletableFuture<Optional<T>>> lookup) {
+        if (index == services.size()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return lookup.apply(services.get(index))
+                .thenComposeAsync(
+                        found -> found.isPresent()
+                                ? CompletableFuture.completedFuture(found)
+                                : searchNext(services, index + 1, lookup),
+                        loop::execute);
+    }
+
+    /** Returns the configured services, the queue's current one first. */
+    private List<String> services(QueueConfig q) {
+        Set<String> all = new LinkedHashSet<>();
+        all.add(q.service());
+        configuration
+                .current()
+                .ifPresent(c -> c.services().stream().map(ServiceConfig::name).forEach(all::add));
+        return new ArrayList<>(all);
+    }
+
+    private static <T> CompletableFuture<T> unreadable(StoreItem location) {
+        return CompletableFuture.failedFuture(
+                new IllegalStateException("the job's location is unreadable: " + location.key()));
+    }
+}
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/RecoveredJobs.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/RecoveredJobs.java
@@ -40,8 +40,8 @@
     // Callers may ask for a job until 120 s after its end.
     /** How long the records of a finished job are kept, in milliseconds. */
     static final long RETENTION_MILLIS = 130_000;
-    // Each job has three keys, and a store call accepts 32 rows.
-    private static final int JOBS_PER_REMOVAL = 10;
+    // Each job has four keys, and a store call accepts 32 rows, one of them for the ownership.
+    private static final int JOBS_PER_REMOVAL = 7;
 
     private final FencedRecordWriter records;
     private final EventLoop loop;
@@ -134,6 +134,7 @@
 
     private Stream<String> keysOf(JobKey job) {
         return Stream.of(
+                SchedulerKeys.location(job),
                 SchedulerKeys.job(service, job),
                 SchedulerKeys.cancel(service, job),
                 SchedulerKeys.progress(service, job));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/CommitResult.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/CommitResult.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.daemon.port;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The result of a {@link StoreCommit}.
@@ -45,12 +46,13 @@
         UNKNOWN
     }
 
+    /** Returns the current item of a condition's key; empty if the key is absent. */
+    public Optional<StoreItem> itemOf(String key) {
+        return current.stream().filter(i -> i.key().equals(key)).findFirst();
+    }
+
     /** Returns the current revision of a key; 0 if the key is absent. */
     public long revisionOf(String key) {
-        return current.stream()
-                .filter(i -> i.key().equals(key))
-                .mapToLong(StoreItem::revision)
-                .findFirst()
-                .orElse(0);
+        return itemOf(key).map(StoreItem::revision).orElse(0L);
     }
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -19,7 +19,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -85,6 +88,17 @@
             assertEquals(false, store.value(JOB).isEmpty());
         }
 
+        /** Guards against additional store calls for each accepted job. */
+        @Test
+        void costsOneStoreCall() {
+            long reads = store.reads;
+            long calls = store.calls.size();
+            submit();
+            assertEquals(1, store.commits);
+            assertEquals(reads, store.reads);
+            assertEquals(calls, store.calls.size());
+        }
+
         @Test
         void isStoredOnceDespiteRepeatedSubmissions() {
             submit();
@@ -376,4 +390,159 @@
             assertEquals(1, intake.pending(queue).join().orElseThrow());
         }
     }
+
+    /**
+     * Guards against a second job under an id in use: after a configuration change gave the queue another service, a
+     * repeated submission was stored there too, and all tasks ran twice.
+     */
+    @Nested
+    class QueueWithAnotherService {
+
+        private static final String MOVED_JOB = SchedulerKeys.job("promos", new JobKey("q", "a"));
+        private static final String LOCATION = SchedulerKeys.location(new JobKey("q", "a"));
+
+        private void moveTo(long version, String service, String... services) {
+            QueueConfig q = new QueueConfig("q", "host", "/clips/", service, queue.policy());
+            List<ServiceConfig> configured = Stream.of(services)
+                    .map(s -> new ServiceConfig(s, false, true))
+                    .toList();
+            JobConfiguration c = new JobConfiguration(version, List.of(q), configured, 1 << 18);
+            store.set(FakeRecords.CONFIGURATION, RecordCodec.write(c));
+            store.notifyWatches();
+        }
+
+        private Admission admission() {
+            return intake.admit(new CallerRequest("host", "/clips/a", null)).join();
+        }
+
+        private void assertStoredOnlyAtTheFirstService() {
+            assertFalse(store.value(JOB).isEmpty());
+            assertEquals("", store.value(MOVED_JOB), "the job is stored at a second service");
+        }
+
+        @Test
+        void doesNotStoreARepeatedSubmissionAgain() {
+            submit();
+            moveTo(2, "promos", "clips", "promos");
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertStoredOnlyAtTheFirstService();
+        }
+
+        @Test
+        void doesNotStoreARepeatedSubmissionAgainAfterASecondChange() {
+            submit();
+            moveTo(2, "promos", "clips", "promos");
+            moveTo(3, "clips", "clips", "promos");
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertStoredOnlyAtTheFirstService();
+        }
+
+        @Test
+        void doesNotStoreAgainWhatAnUnansweredCommitStored() {
+            store.dropsCommitAnswers = true;
+            assertEquals(SubmitOutcome.UNKNOWN, submit());
+            store.applyDroppedCommits();
+            store.dropsCommitAnswers = false;
+            moveTo(2, "promos", "clips", "promos");
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertStoredOnlyAtTheFirstService();
+        }
+
+        @Test
+        void doesNotStoreAFinishedJobAgain() {
+            submit();
+            store.set(JOB, JobSpec.FINISHED_MARKER);
+            moveTo(2, "promos", "clips", "promos");
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertStoredOnlyAtTheFirstService();
+        }
+
+        @Test
+        void doesNotStoreAJobAgainWhoseServiceIsNoLongerConfigured() {
+            submit();
+            moveTo(2, "promos", "promos");
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertStoredOnlyAtTheFirstService();
+        }
+
+        @Test
+        void doesNotStoreAJobOfAnEarlierReleaseAgain() {
+            submit();
+            store.remove(LOCATION);
+            moveTo(2, "promos", "clips", "promos");
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertStoredOnlyAtTheFirstService();
+        }
+
+        @Test
+        void storesASubmissionWhoseIdIsFreeAgain() {
+            submit();
+            store.remove(JOB);
+            moveTo(2, "promos", "clips", "promos");
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertFalse(store.value(MOVED_JOB).isEmpty(), "an acknowledged job is not stored");
+            assertEquals("promos", store.value(LOCATION));
+        }
+
+        @Test
+        void storesNothingWhileALocationIsUnreadable() {
+            store.setNonText(LOCATION);
+            assertEquals(SubmitOutcome.UNKNOWN, submit());
+            assertEquals("", store.value(JOB));
+            assertEquals(JobAnswer.UNKNOWN, intake.state(admitted, "a").join());
+            assertEquals(JobAnswer.UNKNOWN, intake.cancel(admitted, "a").join());
+        }
+
+        /** Guards against a commit with more rows than the store accepts. */
+        @Test
+        void acceptsJobsInAConfigurationWithManyServices() {
+            String[] services =
+                    IntStream.range(0, 140).mapToObj(i -> "service-" + i).toArray(String[]::new);
+            moveTo(2, "service-7", services);
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            moveTo(3, "service-139", services);
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+            assertEquals("", store.value(SchedulerKeys.job("service-139", new JobKey("q", "a"))));
+        }
+
+        @Test
+        void reportsTheStateOfItsEarlierJobs() {
+            submit();
+            moveTo(2, "promos", "promos");
+            assertEquals(
+                    JobAnswer.of(JobState.QUEUED),
+                    intake.state(admission(), "a").join());
+            JobProgress running = new JobProgress(JobState.RUNNING, List.of(), "", 0);
+            store.set(SchedulerKeys.progress("clips", new JobKey("q", "a")), RecordCodec.write(running));
+            assertEquals(
+                    JobAnswer.of(JobState.RUNNING),
+                    intake.state(admission(), "a").join());
+            assertEquals(JobAnswer.NO_JOB, intake.state(admission(), "b").join());
+        }
+
+        @Test
+        void cancelsItsEarlierJobsWhereTheyRun() {
+            submit();
+            moveTo(2, "promos", "promos");
+            assertEquals(
+                    JobAnswer.of(JobState.CANCELLED),
+                    intake.cancel(admission(), "a").join());
+            assertFalse(store.value(SchedulerKeys.cancel("clips", new JobKey("q", "a")))
+                    .isEmpty());
+            assertEquals(JobAnswer.NO_JOB, intake.cancel(admission(), "b").join());
+        }
+
+        /** Guards against a count without the jobs that wait at the queue's earlier service. */
+        @Test
+        void countsItsEarlierJobsAsPending() {
+            store.set(SchedulerKeys.owner("clips"), "entry-1");
+            store.set(SchedulerKeys.report("clips"), PendingJobCounts.REPORT);
+            moveTo(2, "promos", "clips", "promos");
+            store.set(SchedulerKeys.job("promos", new JobKey("q", "c")), "a job that waits");
+            QueueConfig moved = Objects.requireNonNull(admission().queue());
+            assertEquals(8, intake.pending(moved).join().orElseThrow());
+            moveTo(3, "promos", "promos");
+            assertEquals(8, intake.pending(moved).join().orElseThrow(), "its earlier service has left");
+        }
+    }
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/RecoveredJobsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/RecoveredJobsTest.java
@@ -21,6 +21,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -76,6 +77,17 @@
             assertFalse(jobs.isFinished(OVER));
             assertEquals("", store.value(SchedulerKeys.job("clips", OVER)));
         }
+
+        /** Guards against an id that stays in use after its job has been removed, so that it is never accepted again. */
+        @Test
+        void isRemovedWithItsLocation() {
+            List<JobKey> all = IntStream.range(0, 40)
+                    .mapToObj(i -> new JobKey("q", "over-" + i))
+                    .toList();
+            all.forEach(k -> store.set(SchedulerKeys.location(k), "clips"));
+            jobs.removeExpired(all);
+            all.forEach(k -> assertEquals("", store.value(SchedulerKeys.location(k))));
+        }
     }
 
     @Nested
