Draw changes of queues' services and repeated submissions in the model

The rule ROUTE allows the services that any configuration has sent the queue to, as the platform's rule does ("a worker of a service that no configuration sends the queue to"), in these histories only; all others check the one service as before.

--- a/core/src/main/java/org/lupinpaddle/core/job/SchedulerKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/SchedulerKeys.java
@@ -119,6 +119,11 @@
         return withoutPrefix(inputs(service) + JOB, key).map(SchedulerKeys::jobKey);
     }
 
+    /** Returns the prefix of the locations of all jobs. */
+    public static String locations() {
+        return LOCATIONS;
+    }
+
     /**
      * Returns the key of a job's location: the name of the service that the job belongs to, as plain text. It is written
      * and removed together with the job's record.
--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -65,6 +65,9 @@
     @Option(name = "--held-orders", description = "Partitions hold up orders for instances and deliver them later")
     private boolean heldOrders;
 
+    @Option(name = "--reroutes", description = "Queues get other services, and accepted jobs are submitted again")
+    private boolean reroutes;
+
     /** Runs the histories that the arguments select. */
     public static void main(String[] args) {
         System.exit(run(args));
@@ -127,6 +130,9 @@
         if (workspaces) {
             w.withWorkspaces(s);
         }
+        if (reroutes) {
+            w.withReroutes(s);
+        }
         return w;
     }
 
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -94,6 +94,7 @@
     private final Map<String, TrackedJob> jobs = new HashMap<>();
     private @Nullable SimWorkspaces workspaces;
     private @Nullable SimCordons cordons;
+    private @Nullable SimReroutes reroutes;
 
     /**
      * The sender of an order.
@@ -245,6 +246,11 @@
         cordons = simulatedCordons;
     }
 
+    /** Allows tasks on workers of all services that their queue has had. */
+    void checkRoutesOf(SimReroutes simulatedReroutes) {
+        reroutes = simulatedReroutes;
+    }
+
     TrackedJob track(String id, String service, int maxAttempts, Submission s) {
         return jobs.computeIfAbsent(id, i -> new TrackedJob(i, service, maxAttempts, s));
     }
@@ -283,7 +289,7 @@
                 Rule.UNASKED,
                 late || time.now() <= job.cancelAnsweredAt + CANCEL_GRACE_MILLIS,
                 what + ": cancelled at " + job.cancelAnsweredAt);
-        require(Rule.ROUTE, job.service.equals(w.service()), what + ": worker of " + w.service());
+        require(Rule.ROUTE, isRoutedTo(job, w.service()), what + ": worker of " + w.service());
         require(Rule.ROUTE, w.facts().hasLabel(job.step(o.task()).label()), what + ": label missing");
         require(Rule.DRAIN, late || time.now() <= w.drainingSince() + World.DRAIN_MILLIS, what + ": draining");
         if (cordons != null) {
@@ -320,6 +326,12 @@
         checkQuota(job, o.task(), what);
     }
 
+    /** Returns whether a configuration has sent the job's queue, named after its first service, to the given service. */
+    private boolean isRoutedTo(TrackedJob job, String service) {
+        SimReroutes r = reroutes;
+        return r == null ? job.service.equals(service) : r.hasAssigned(job.service, service);
+    }
+
     private void checkQuota(TrackedJob job, TaskId started, String what) {
         SimWorkspaces limitedWorkspaces = workspaces;
         if (limitedWorkspaces == null || job.workspace.isEmpty()) {
--- a/model/src/main/java/org/lupinpaddle/model/Sabotage.java
+++ b/model/src/main/java/org/lupinpaddle/model/Sabotage.java
@@ -29,6 +29,8 @@
     RECENT_ORDERS_UNTOLD,
     /** Quota allocations are not written to the store, so owners do not see each other's grants. */
     QUOTAS_NOT_SHARED,
+    /** A commit that stores a job does not require that its id is not in use at another service. */
+    LOCATIONS_IGNORED,
     /** Workers refuse the tasks of finite jobs that count against a quota. */
     LIMITED_TASKS_REFUSED,
     /** Entries keep using the first configuration that they have read. */
@@ -57,6 +59,11 @@
         return this == ORDERS_NOT_WITHDRAWN || this == ENDED_ORDERS_NOT_WITHDRAWN || this == SEND_PERMIT_IGNORED;
     }
 
+    /** Returns whether this switch only has an effect in histories in which queues get other services. */
+    boolean needsReroutes() {
+        return this == LOCATIONS_IGNORED;
+    }
+
     /** Returns whether this switch only has an effect in histories with workspaces. */
     boolean needsWorkspaces() {
         return this == QUOTAS_NOT_SHARED || this == LIMITED_TASKS_REFUSED || this == CONFIGURATION_NOT_UPDATED;
--- a/model/src/main/java/org/lupinpaddle/model/SimCaller.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimCaller.java
@@ -105,6 +105,18 @@
         world.time.schedule(CALL_TIMEOUT_MILLIS, () -> answerOnce.accept(SubmitOutcome.UNKNOWN));
     }
 
+    /** Repeats the submission of the accepted job, as a caller does whose answer was lost on the way. */
+    private void submitAgain() {
+        SimEntry e = pickEntry();
+        if (e != null) {
+            CallerRequest request = request();
+            callEntry(
+                    e,
+                    i -> i.submit(request, id, submission)
+                            .thenAccept(o -> history.add("submit " + id + " again: " + o)));
+        }
+    }
+
     private void checkKey(SubmitOutcome o, @Nullable KeyDigest key, long sentAt) {
         world.workspaces().ifPresent(w -> {
             if (o == SubmitOutcome.ACCEPTED) {
@@ -141,6 +153,7 @@
             job.accepted = true;
             job.acceptedAt = world.time.now();
             world.time.schedule(POLL_MILLIS, this::poll);
+            world.reroutes().ifPresent(r -> r.planRepeats(this::submitAgain));
             if (mayCancel && world.random.nextInt(CANCEL_ONE_IN) == 0) {
                 world.time.schedule(world.random.nextInt(4_000), this::cancel);
             }
--- a/model/src/main/java/org/lupinpaddle/model/SimStorePort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimStorePort.java
@@ -123,7 +123,12 @@
 
     @Override
     public CompletableFuture<CommitResult> commit(StoreCommit commit) {
-        StoreCommit c = sabotage == Sabotage.QUOTAS_NOT_SHARED ? withoutQuotas(commit) : commit;
+        StoreCommit c =
+                switch (sabotage) {
+                    case QUOTAS_NOT_SHARED -> withoutQuotas(commit);
+                    case LOCATIONS_IGNORED -> withoutConditionsOnOtherKeys(commit);
+                    default -> commit;
+                };
         return call(
                 new Call<>(true, WireBytes.of(c), WireBytes::of, CALL_TIMEOUT_MILLIS, CALL_TIMEOUT_MILLIS),
                 () -> store.commit(c),
@@ -133,6 +138,26 @@
                         List.of()));
     }
 
+    /** Keeps, of the conditions of a commit that stores a new job, those on keys that it writes and on the configuration. */
+    private static StoreCommit withoutConditionsOnOtherKeys(StoreCommit c) {
+        boolean storesJob = c.puts().stream().anyMatch(p -> isLocation(p.key()));
+        return !storesJob
+                ? c
+                : new StoreCommit(
+                        c.conditions().stream()
+                                .filter(w -> !isLocation(w.key()))
+                                .filter(w -> w.key().equals(World.CONFIGURATION)
+                                        || c.puts().stream()
+                                                .anyMatch(p -> p.key().equals(w.key())))
+                                .toList(),
+                        c.puts(),
+                        c.removals());
+    }
+
+    private static boolean isLocation(String key) {
+        return key.startsWith(SchedulerKeys.locations());
+    }
+
     private static StoreCommit withoutQuotas(StoreCommit c) {
         return new StoreCommit(
                 c.conditions().stream()
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -79,6 +79,7 @@
     private @Nullable LateHolds lateHolds;
     private @Nullable SimCordons cordons;
     private @Nullable HeldOrders heldOrders;
+    private @Nullable SimReroutes reroutes;
     private final boolean hasFaults;
 
     /** Creates the world of a seed with at most the given number of faults. */
@@ -186,6 +187,20 @@
         return this;
     }
 
+    /** Adds configuration changes that give queues other services, and repeated submissions of accepted jobs. */
+    World withReroutes(long seed) {
+        SimReroutes r = new SimReroutes(this, seed);
+        reroutes = r;
+        rules.checkRoutesOf(r);
+        r.plan(TRAFFIC_START, TRAFFIC_MILLIS);
+        return this;
+    }
+
+    /** Returns the changes of queues' services, if this history has any. */
+    Optional<SimReroutes> reroutes() {
+        return Optional.ofNullable(reroutes);
+    }
+
     /** Returns the workspaces, if this history has any. */
     Optional<SimWorkspaces> workspaces() {
         return Optional.ofNullable(workspaces);
@@ -292,13 +307,14 @@
         entries.forEach(e -> time.schedule(random.nextInt(300), e::start));
     }
 
-    /** Writes the configuration with a new version; its queues and services stay the same. */
+    /** Writes the configuration with a new version; the names of its queues and services stay the same. */
     void writeConfiguration() {
         configurationVersion++;
         List<QueueConfig> queues = new ArrayList<>();
         for (String s : site.services()) {
             Policy policy = new Policy(queues.size(), MAX_ATTEMPTS, 1.5, 500, false);
-            queues.add(new QueueConfig("q-" + s, "host", "/" + s + "/", s, policy, workspaces != null));
+            String service = reroutes().map(r -> r.configuredService(s)).orElse(s);
+            queues.add(new QueueConfig("q-" + s, "host", "/" + s + "/", service, policy, workspaces != null));
         }
         List<ServiceConfig> services = new ArrayList<>();
         site.services().forEach(s -> services.add(new ServiceConfig(s, false, true)));
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -288,6 +288,9 @@
                 if (sabotage.needsHeldOrders()) {
                     w.withHeldOrders(seed);
                 }
+                if (sabotage.needsReroutes()) {
+                    w.withReroutes(seed);
+                }
                 w.run();
                 return false;
             } catch (RuleViolationException e) {
