Bound what a job costs its owner by its steps, dependencies, tasks and repetitions

Callers saw: after one valid job of 32 steps, each after all earlier ones, no entry answers any more.

Cause: LiveJob.criticalPathMillis walked down every path of the graph and kept no results, 2^n calls for n steps that name all earlier ones.

Change: StepOrder orders the steps once (Kahn), in time proportional to steps and dependencies; the validator's search for cycles and the critical paths use it. Repeated indexes in "after", of which one body can hold 100,000, are dropped. A report costs each repetition its own steps only, not those of all repetitions.

The other half of the class: a job whose handling fails is treated as an unreadable one and told in log and metrics, where it ended the handling of all records behind it and the watch; periodic steps are scheduled before they run; an entry whose event loop has not advanced for 1.5 s is not ready and logs the calls in which it is.

Why it works: each step and dependency is looked at once, so there is no graph within the limits of a submission that takes long.

--- a/core/src/main/java/org/lupinpaddle/core/common/Unreadable.java
+++ b/core/src/main/java/org/lupinpaddle/core/common/Unreadable.java
@@ -51,7 +51,9 @@
         /** The record does not match the key under which it is stored. */
         NOT_OF_ITS_KEY,
         /** Another entry has the same value, although it must be unique. */
-        NOT_UNIQUE;
+        NOT_UNIQUE,
+        /** An unexpected error occurred while the record was processed. */
+        NOT_PROCESSED;
 
         /** Returns this fault for a record as a whole. */
         public Unreadable whole() {
--- a/core/src/main/java/org/lupinpaddle/core/job/StepSpec.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/StepSpec.java
@@ -55,6 +55,11 @@
         boolean fills,
         int mayMiss) {
 
+    /** Creates a step; repeated indexes in {@code after} are dropped, so that it has at most one for each step. */
+    public StepSpec {
+        after = after.stream().distinct().toList();
+    }
+
     /**
      * The resources that one task requires.
      *
--- a/core/src/main/java/org/lupinpaddle/core/job/SubmissionValidator.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/SubmissionValidator.java
@@ -16,10 +16,8 @@
 package org.lupinpaddle.core.job;
 
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.regex.Pattern;
 
 /** Validates submissions, so that no invalid job reaches the store. Errors name the invalid field. */
@@ -64,9 +62,9 @@
         if (tasks > MAX_TASKS) {
             return Optional.of("the job has " + tasks + " tasks; at most " + MAX_TASKS + " are taken");
         }
-        return hasCycle(s.steps())
-                ? Optional.of("after: the steps wait for one another in a circle")
-                : Optional.empty();
+        return StepOrder.of(s.steps()).isPresent()
+                ? Optional.empty()
+                : Optional.of("after: the steps wait for one another in a circle");
     }
 
     private static Optional<String> findRepeatError(Repeat r) {
@@ -96,19 +94,4 @@
         }
         return Optional.empty();
     }
-
-    private static boolean hasCycle(List<StepSpec> steps) {
-        Set<Integer> done = new HashSet<>();
-        boolean changed = true;
-        while (changed) {
-            changed = false;
-            for (int i = 0; i < steps.size(); i++) {
-                if (!done.contains(i) && done.containsAll(steps.get(i).after())) {
-                    done.add(i);
-                    changed = true;
-                }
-            }
-        }
-        return done.size() < steps.size();
-    }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -16,13 +16,16 @@
 package org.lupinpaddle.core.run;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.StepOrder;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.job.TaskRecord;
@@ -72,24 +75,37 @@
                 step.tasks.forEach(t -> byId.put(t.id, t));
             }
         }
-        long criticalPath = 0;
+        long[] stepMillis = IntStream.range(0, spec.steps().size())
+                .mapToLong(s -> ownMillis(s, times))
+                .toArray();
+        long[] criticalPaths = criticalPaths(stepMillis);
         for (LiveStep s : steps) {
-            s.expectedStepMillis = ownMillis(s.number, times);
-            s.criticalPathMillis = criticalPathMillis(s.number, times);
-            criticalPath = Math.max(criticalPath, s.criticalPathMillis);
+            s.expectedStepMillis = stepMillis[s.number];
+            s.criticalPathMillis = criticalPaths[s.number];
         }
+        long criticalPath = Arrays.stream(criticalPaths).max().orElse(0);
         objectiveMillis = Math.round(spec.policy().extension() * criticalPath)
                 + spec.policy().sloMillis();
     }
 
-    private long criticalPathMillis(int step, RunTimeEstimator times) {
-        long longestSuccessor = 0;
-        for (int s = 0; s < spec.steps().size(); s++) {
-            if (spec.steps().get(s).after().contains(step)) {
-                longestSuccessor = Math.max(longestSuccessor, criticalPathMillis(s, times));
+    /**
+     * Returns for each step the expected duration of the longest chain of steps that begins with it. Takes time
+     * proportional to the number of steps and dependencies.
+     */
+    private long[] criticalPaths(long[] stepMillis) {
+        List<Integer> order = StepOrder.of(spec.steps())
+                .orElseThrow(
+                        () -> new IllegalArgumentException("steps depend on each other in a cycle: " + spec.key()));
+        long[] longestSuccessor = new long[stepMillis.length];
+        long[] paths = new long[stepMillis.length];
+        for (int i = order.size() - 1; i >= 0; i--) {
+            int step = order.get(i);
+            paths[step] = longestSuccessor[step] + stepMillis[step];
+            for (int dependency : spec.steps().get(step).after()) {
+                longestSuccessor[dependency] = Math.max(longestSuccessor[dependency], paths[step]);
             }
         }
-        return longestSuccessor + ownMillis(step, times);
+        return paths;
     }
 
     /** The duration of a step is that of its longest task. */
@@ -109,6 +125,12 @@
         return steps.get(time * spec.steps().size() + number);
     }
 
+    /** Returns the steps of one iteration. */
+    List<LiveStep> steps(int time) {
+        int count = spec.steps().size();
+        return steps.subList(time * count, (time + 1) * count);
+    }
+
     /** Returns when an iteration of the job is due, in milliseconds since 1970. */
     long dueMillis(int time) {
         return Math.max(spec.acceptedMillis(), spec.repeat().dueMillis(time));
@@ -117,8 +139,8 @@
     /** Returns the expected remaining duration of an iteration, with its steps in sequence. */
     long remainingMillis(int time) {
         long longest = 0;
-        for (LiveStep s : steps) {
-            if (s.time == time && !s.isDone()) {
+        for (LiveStep s : steps(time)) {
+            if (!s.isDone()) {
                 longest = Math.max(longest, s.remainingMillis());
             }
         }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
@@ -70,8 +70,7 @@
     }
 
     private void addIteration(LiveJob job, int time, long wallMillis, Demands demands) {
-        List<LiveStep> steps =
-                job.steps.stream().filter(s -> s.time == time && !s.isDone()).toList();
+        List<LiveStep> steps = job.steps(time).stream().filter(s -> !s.isDone()).toList();
         long remaining = job.remainingMillis(time);
         // The remaining work should end by the objective or, failing that, before late completion loses its value.
         long onTime = Math.max(remaining, StepUrgency.Tier.ON_TIME.deadlineMillis(job, time) - wallMillis);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -99,20 +99,22 @@
         startedAt = state.now();
     }
 
-    /** Adds a job and the progress that an earlier owner saved, if any. A known job is ignored. */
+    /**
+     * Adds a job and the progress that an earlier owner saved, if any. A known job is ignored. If the records cannot be
+     * handled, the exception leaves the scheduler as it was.
+     */
     public void onJob(JobSpec spec, @Nullable JobProgress progress) {
         if (state.jobs.containsKey(spec.key())) {
             return;
         }
+        LiveJob job = new LiveJob(spec, state.quotas.of(spec.workspace()), state.runTimes);
+        List<TaskRecord> assigned = progress == null ? List.of() : job.restore(progress, state.now());
+        recordArrival(job);
         if (state.unreadableJobs.remove(spec.key().id())) {
             state.workers.values().forEach(w -> w.results().reprocessRetained());
         }
-        LiveJob job = new LiveJob(spec, state.quotas.of(spec.workspace()), state.runTimes);
         state.add(job);
-        recordArrival(job);
-        if (progress != null) {
-            job.restore(progress, state.now()).forEach(r -> restoreRun(job, r));
-        }
+        assigned.forEach(r -> restoreRun(job, r));
         if (job.state.ended()) {
             state.markEnded(job);
         }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/EventLoop.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/EventLoop.java
@@ -35,6 +35,11 @@
     /** Runs a step on the loop again and again, with a time between the end of one run and the next. */
     Timer every(long millis, Runnable step);
 
+    /** Returns the innermost calls of the step that is running, for the log; empty if not known. Thread-safe. */
+    default String position() {
+        return "";
+    }
+
     @Override
     void close();
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/ThreadEventLoop.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/ThreadEventLoop.java
@@ -15,8 +15,11 @@
  */
 package org.lupinpaddle.daemon.common;
 
+import java.util.Arrays;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Clock;
 
 /**
@@ -25,8 +28,11 @@
  */
 public final class ThreadEventLoop implements EventLoop {
 
+    private static final int POSITION_FRAMES = 6;
+
     private final ScheduledThreadPoolExecutor executor;
     private final Clock clock;
+    private volatile @Nullable Thread thread;
 
     /** Makes the loop and starts its thread. */
     public ThreadEventLoop() {
@@ -35,6 +41,7 @@
         executor = new ScheduledThreadPoolExecutor(1, r -> {
             Thread t = new Thread(r, "decisions");
             t.setDaemon(true);
+            thread = t;
             return t;
         });
         executor.setRemoveOnCancelPolicy(true);
@@ -74,6 +81,18 @@
         }
     }
 
+    @Override
+    public String position() {
+        Thread t = thread;
+        return t == null
+                ? ""
+                : Arrays.stream(t.getStackTrace())
+                        .limit(POSITION_FRAMES)
+                        .map(f -> f.getClassName().substring(f.getClassName().lastIndexOf('.') + 1) + "."
+                                + f.getMethodName() + ":" + f.getLineNumber())
+                        .collect(Collectors.joining(" "));
+    }
+
     @Override
     public void close() {
         executor.shutdownNow();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -68,6 +68,7 @@
     private final FleetHost.Context fleetContext;
     private final Map<String, SchedulerHost> hosts = new HashMap<>();
     private @Nullable FleetHost fleet;
+    private final EventLoopMonitor monitor;
     private volatile boolean ready;
     private volatile long unstartedDuties;
     private boolean stopping;
@@ -103,6 +104,7 @@
     /** Creates a node, which is inactive until {@link #start}. */
     public JobNode(EventLoop loop, Parts p) {
         this.loop = loop;
+        monitor = new EventLoopMonitor(loop);
         meters = p.meters();
         unreadable = new UnreadableEntries(meters);
         CordonRecords cordonRecords = new CordonRecords(p.records(), p.halls());
@@ -164,7 +166,8 @@
     }
 
     private void addGauges() {
-        meters.gauge("ready", () -> ready ? 1 : 0);
+        meters.gauge("ready", () -> isReady() ? 1 : 0);
+        meters.gauge("event.loop.age.millis", monitor::ageMillis);
         meters.gauge("owned.duties", () -> ownership.owned().size());
         meters.gauge("unbegun.duties", () -> unstartedDuties);
         meters.gauge("store.lease.age.millis", () -> loop.clock().millis() - ownership.confirmedAt());
@@ -191,9 +194,9 @@
         return commandExecutor;
     }
 
-    /** Returns whether callers should use this entry. Thread-safe. */
+    /** Returns whether callers should use this entry; not if its event loop has stalled. Thread-safe. */
     public boolean isReady() {
-        return ready;
+        return ready && !monitor.isStalled();
     }
 
     private boolean reachesStore() {
@@ -201,6 +204,7 @@
     }
 
     private void check() {
+        monitor.onAdvanced();
         long now = loop.clock().millis();
         unstartedDuties = hosts.values().stream().filter(h -> !h.isStarted()).count();
         configuration.logCordonConfirmation(!hosts.isEmpty());
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
@@ -130,7 +130,7 @@
         items.clear();
         r.items().forEach(i -> items.put(i.key(), i));
         revision = r.revision();
-        listener.onRead();
+        notifyListener(listener::onRead);
         watch();
     }
 
@@ -176,7 +176,7 @@
             watch();
             return;
         }
-        listener.onChanges(c.changes());
+        notifyListener(() -> listener.onChanges(c.changes()));
         if (batchMillis == 0) {
             watch();
         } else {
@@ -184,6 +184,15 @@
         }
     }
 
+    /** Calls the listener. If it fails, the watch continues, so that later changes are not missed. */
+    private void notifyListener(Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            Log.error("watch-listener-failed", e);
+        }
+    }
+
     private void onAnswered(long sentAt) {
         confirmedAt = sentAt;
         if (!reachable) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -17,6 +17,7 @@
 
 import io.vavr.control.Either;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -93,6 +94,9 @@
     private final RecoveredJobs recovered;
     private final QuotaManager quotas;
 
+    /** Jobs whose records caused an unexpected error in this owner. */
+    private final Set<JobKey> unprocessable = new HashSet<>();
+
     private @Nullable ServiceScheduler scheduler;
     private final WorkerFeed workers;
     private @Nullable ServiceReport reported;
@@ -248,8 +252,9 @@
     private void repeat(long millis, Runnable step) {
         context.loop.after(millis, () -> {
             if (!closed) {
-                step.run();
+                // Scheduled first, so that a step which fails is repeated as well.
                 repeat(millis, step);
+                step.run();
             }
         });
     }
@@ -275,12 +280,25 @@
 
     private void processJob(StoreItem i) {
         ServiceScheduler s = scheduler;
-        if (s == null) {
+        JobKey key = SchedulerKeys.jobOf(service, i.key()).orElse(null);
+        if (s == null || key == null || unprocessable.contains(key)) {
             return;
         }
-        JobKey key = SchedulerKeys.jobOf(service, i.key()).orElse(null);
+        try {
+            processJob(s, key, i);
+        } catch (RuntimeException | StackOverflowError e) {
+            // The other jobs are served. This one is not started, since parts of it may have run already.
+            unprocessable.add(key);
+            Log.error("job-not-processed", e);
+            context.unreadable.markUnreadable(new UnreadableEntries.Entry(
+                    Kind.JOB, i.key(), i.revision(), Unreadable.Reason.NOT_PROCESSED.whole()));
+            s.onUnreadableJob(key);
+        }
+    }
+
+    private void processJob(ServiceScheduler s, JobKey key, StoreItem i) {
         // A reduced record never starts a job, even if no progress is known for it.
-        if (key != null && !recovered.isFinished(key) && !i.value().equals(JobSpec.FINISHED_MARKER)) {
+        if (!recovered.isFinished(key) && !i.value().equals(JobSpec.FINISHED_MARKER)) {
             JobSpec spec = context.unreadable.recordOrNull(Kind.JOB, i, read(i, key));
             if (spec == null || recovered.isUnreadable(key)) {
                 s.onUnreadableJob(key);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -28,6 +28,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
 import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.fleet.InstanceList;
@@ -68,6 +69,10 @@
     private final TimedLoop loop = new TimedLoop();
 
     private SchedulerHost owner() {
+        return owner(loop.clock());
+    }
+
+    private SchedulerHost owner(Clock wall) {
         long fence = store.set(SchedulerKeys.owner("clips"), "entry");
         SchedulerTiming timing = new SchedulerTiming(5_000, 1_000, 2_000, 2_700, INHERITED_MILLIS, 2_000, 10_000);
         SchedulerHost.Context context = new SchedulerHost.Context(
@@ -77,7 +82,7 @@
                 new NoInstances(),
                 loop,
                 () -> true,
-                loop.clock(),
+                wall,
                 timing,
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
@@ -195,6 +200,56 @@
         }
     }
 
+    /** Guards against a record whose handling fails: no job behind it was served, by any owner in turn. */
+    @Nested
+    class UnprocessableRecord {
+
+        private boolean fails;
+
+        private long failOnce() {
+            if (fails) {
+                fails = false;
+                throw new IllegalStateException("unexpected");
+            }
+            return loop.clock().millis();
+        }
+
+        /** Stores jobs whose first handling fails. */
+        private void acceptFailing(String... ids) {
+            owner(this::failOnce);
+            advance(SOON_MILLIS);
+            loop.advance(0);
+            Stream.of(ids).forEach(SchedulerHostTest.this::accept);
+            store.notifyWatches();
+            fails = true;
+            loop.advance(0);
+            assertFalse(fails, "no job was handled");
+        }
+
+        @Test
+        void doesNotBlockOtherJobs() {
+            acceptFailing("a", "b");
+            accept("c");
+            List.of("a", "b", "c").forEach(SchedulerHostTest.this::cancel);
+            advance(SOON_MILLIS);
+            List<String> served = Stream.of("a", "b", "c")
+                    .filter(id -> !store.value(SchedulerKeys.progress("clips", key(id)))
+                            .isEmpty())
+                    .toList();
+            assertEquals(2, served.size(), "served: " + served);
+            assertTrue(served.contains("c"), "a later change was missed");
+        }
+
+        @Test
+        void isNotStartedWhenItIsReadAgain() {
+            acceptFailing("a");
+            store.set(SchedulerKeys.job("clips", key("a")), record("a"));
+            cancel("a");
+            advance(SOON_MILLIS);
+            assertEquals("", store.value(SchedulerKeys.progress("clips", key("a"))));
+        }
+    }
+
     @Nested
     class UnreadableRecord {
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/TimedLoop.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/TimedLoop.java
@@ -35,12 +35,17 @@
         long until = now + millis;
         while (!steps.isEmpty() && steps.peek().at <= until) {
             Step next = steps.remove();
-            now = next.at;
+            now = Math.max(now, next.at);
             next.what.run();
         }
         now = until;
     }
 
+    /** Advances the clock while the loop is busy: steps that become due run with the next {@link #advance}. */
+    void stall(long millis) {
+        now += millis;
+    }
+
     @Override
     public Clock clock() {
         return () -> now;
