Grant free quota beyond the fair share when nobody else uses it

Cause: while another service requests more than its grant, each takes at most its fair share. A placement that is larger than the rest of the share then waits, at both services, and both go on requesting. Evidence: WorkspaceQuotaTest.FreeQuota shows it with the quotas of three owners alone, without rooms, lists of workers or conflicting writes.

Change: quota that has been free for 150 ms and suffices for a waiting placement may be acquired beyond the share, for one placement; after 300 ms by a service that has lately exceeded its share, and it has to be acquired anew for each run, so that services take turns. An excess that is not used for 1 s is returned. Of several resources, the needs of waiting placements are kept as they are instead of the minimum of each resource, which may be no task's need.

Why it works: the wait rests on the owner's own clock and the stored grants, so it ends whatever the others do; the write requires the record's revision, so one of several gets the quota. Grants add up to the maximum at most, as before.

--- a/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
+++ b/core/src/main/java/org/lupinpaddle/core/workspace/WorkspaceQuota.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.workspace.QuotaAllocation.Grant;
@@ -40,6 +41,14 @@
     private static final long REQUEST_RETENTION_MILLIS = 500;
     // Requests that differ by at most a quarter are not rewritten.
     private static final long REQUEST_CHANGE_DIVISOR = 4;
+    // Gives services below their fair shares time to acquire free quota before another one exceeds its share.
+    private static final long EXCESS_DELAY_MILLIS = 150;
+    private static final long REPEATED_EXCESS_DELAY_MILLIS = 2 * EXCESS_DELAY_MILLIS;
+    // A service that cannot use a grant beyond its share for this long returns it.
+    private static final long EXCESS_USE_MILLIS = 1_000;
+    // Each pass compares a placement with all that are kept, and the most urgent ones come first.
+    private static final int MAX_PLACEMENTS = 16;
+    private static final long NEVER = Long.MAX_VALUE;
 
     private final String service;
     private Resources maximum = Resources.NONE;
@@ -55,8 +64,19 @@
     private Resources stopping = Resources.NONE;
 
     private Resources waiting = Resources.NONE;
-    /** The minimum amount that a placement of waiting tasks requires; null if none are waiting. */
-    private @Nullable Resources smallestPlacement;
+    /** The amounts that placements of waiting tasks require, except those that cover another one; most urgent first. */
+    private final List<Resources> placements = new ArrayList<>();
+
+    /** Since when free quota has sufficed for a placement that exceeds the fair share; {@link #NEVER} if it does not. */
+    private long idleSince = NEVER;
+    /** Since when the grant has covered such a placement; {@link #NEVER} if it does not. */
+    private long excessGrantedAt = NEVER;
+    /** When the service last used more than its fair share, or returned a grant that it could not use. */
+    private long exceededAt = Long.MIN_VALUE / 2;
+
+    private long waitingAt = Long.MIN_VALUE / 2;
+    /** Whether a run that exceeded the fair share has ended and the grant still covers it; it must be acquired anew. */
+    private boolean excessReleased;
 
     private long loweredAt = Long.MIN_VALUE / 2;
     private long lastInsufficientAt = Long.MIN_VALUE / 2;
@@ -132,8 +152,11 @@
 
     /** Releases the charge of a task whose run is over. */
     public void remove(Resources need) {
+        boolean exceeded = exceedsFairShare(used);
         used = used.minus(need);
-        yielding |= used.equals(Resources.NONE) && isContested();
+        boolean isUnused = used.equals(Resources.NONE);
+        excessReleased = !isUnused && (exceeded || excessReleased);
+        yielding |= isUnused && isContested();
     }
 
     /** Records that a charged task is being stopped, so that its charge will be released soon. */
@@ -149,7 +172,7 @@
     /** Resets the waiting demand; called before each placement pass. */
     void clearWaiting() {
         waiting = Resources.NONE;
-        smallestPlacement = null;
+        placements.clear();
     }
 
     /**
@@ -160,8 +183,12 @@
      */
     public void addWaiting(Resources total, Resources placement) {
         waiting = waiting.plus(total);
-        Resources previous = smallestPlacement;
-        smallestPlacement = previous == null ? placement : minimum(previous, placement);
+        if (placements.stream().noneMatch(placement::canHold)) {
+            placements.removeIf(p -> p.canHold(placement));
+            if (placements.size() < MAX_PLACEMENTS) {
+                placements.add(placement);
+            }
+        }
     }
 
     /** Limits the waiting demand to the free capacity of the service's workers. */
@@ -186,7 +213,7 @@
                 return false;
             }
         }
-        return true;
+        return !excessReleased || !exceedsFairShare(used.plus(need));
     }
 
     /**
@@ -212,6 +239,13 @@
         return true;
     }
 
+    /** Returns whether another service would get a part of the amount as soon as it is released. */
+    private boolean exceedsFairShare(Resources amount) {
+        return isContested()
+                && Stream.of(Resource.values())
+                        .anyMatch(r -> r.of(maximum) > 0 && r.of(amount) > fairShare(r, r.of(amount), 0));
+    }
+
     /** Returns whether another service would get a part of the usage as soon as it is released. */
     private boolean exceedsFairShare(Resource r, Resources need) {
         return isContested() && r.of(used) > fairShare(r, r.of(used), r.of(need));
@@ -267,7 +301,10 @@
         }
         yielding = yielding && now < yieldingUntil;
         Grant current = allocation.grant(service);
-        Resources target = yielding ? Resources.NONE : target();
+        exceededAt = exceedsFairShare(used) ? now : exceededAt;
+        excessReleased =
+                excessReleased && exceedsFairShare(allocation.grant(service).granted());
+        Resources target = yielding ? Resources.NONE : target(now);
         Resources need = used.plus(waiting);
         boolean insufficient = exceeds(need, target);
         lastInsufficientAt = insufficient ? now : lastInsufficientAt;
@@ -310,23 +347,74 @@
         return true;
     }
 
-    private Resources target() {
-        Resources desired = Resource.room(r -> r.of(maximum) == 0 ? 0 : target(r));
-        Resources placement = smallestPlacement;
-        boolean sufficient = placement == null || !exceeds(used.plus(placement), desired);
-        if (sufficient) {
-            return desired;
+    private Resources target(long now) {
+        if (placements.isEmpty()) {
+            idleSince = now - waitingAt < REQUEST_RETENTION_MILLIS ? idleSince : NEVER;
+            return desired(Resources.NONE);
+        }
+        waitingAt = now;
+        for (Resources placement : placements) {
+            Resources desired = desired(placement);
+            if (!exceeds(used.plus(placement), desired)) {
+                idleSince = NEVER;
+                return desired;
+            }
+        }
+        Optional<Resources> excess =
+                placements.stream().filter(this::isFree).map(used::plus).findFirst();
+        idleSince = excess.isEmpty() ? NEVER : Math.min(idleSince, now);
+        if (excess.isPresent() && mayExceedShare(excess.get(), now)) {
+            return limited(excess.get());
         }
         // Acquires nothing that is too small for a placement, and returns the unused part if others request it.
         Resources current = allocation.grant(service).granted();
-        return isContested() ? Resource.room(r -> Math.min(r.of(used), r.of(current))) : minimum(current, desired);
+        return isContested() ? limited(minimum(used, current)) : minimum(current, desired(placements.get(0)));
+    }
+
+    /** Returns whether the quota that no service uses or holds suffices for a placement, and workers may have room. */
+    private boolean isFree(Resources placement) {
+        if (exceeds(placement, waiting)) {
+            return false;
+        }
+        for (Resource r : Resource.values()) {
+            long limit = Math.max(r.of(maximum), r.of(placement));
+            if (r.of(maximum) > 0 && r.of(placement) > 0 && r.of(used) + othersGranted(r) + r.of(placement) > limit) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Returns whether the service may use free quota beyond its fair share for one placement. It may if the others have left
+     * it unused for some time: each of them may be waiting for a placement that exceeds its own share, and none of them
+     * could ever begin. A service that has lately exceeded its share waits longer, so that the others come before it.
+     */
+    private boolean mayExceedShare(Resources excess, long now) {
+        boolean granted = !exceeds(excess, allocation.grant(service).granted());
+        excessGrantedAt = granted ? Math.min(excessGrantedAt, now) : NEVER;
+        if (granted && now - excessGrantedAt > EXCESS_USE_MILLIS) {
+            excessGrantedAt = NEVER;
+            exceededAt = now;
+            idleSince = now;
+        }
+        boolean exceededLately = now - exceededAt < REPEATED_EXCESS_DELAY_MILLIS;
+        return now - idleSince >= (exceededLately ? REPEATED_EXCESS_DELAY_MILLIS : EXCESS_DELAY_MILLIS);
+    }
+
+    private Resources limited(Resources amount) {
+        return Resource.room(r -> r.of(maximum) == 0 ? 0 : r.of(amount));
+    }
+
+    /** Returns the grant within the fair share, given the placement that it should suffice for. */
+    private Resources desired(Resources placement) {
+        return Resource.room(r -> r.of(maximum) == 0 ? 0 : desired(r, r.of(placement)));
     }
 
-    private long target(Resource r) {
+    private long desired(Resource r, long placement) {
         long granted = granted(r);
         long others = othersGranted(r);
         long inUse = r.of(used);
-        long placement = smallestPlacement == null ? 0 : r.of(smallestPlacement);
         // A placement larger than the maximum is allowed if no other service holds a grant.
         long limit = Math.max(r.of(maximum), placement);
         if (granted + others > limit) {
--- a/core/src/test/java/org/lupinpaddle/core/workspace/WorkspaceQuotaTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/workspace/WorkspaceQuotaTest.java
@@ -46,6 +46,10 @@
         int waiting;
         int running;
         int placed;
+        /** The amount that a lasting task needs, and whether it has been placed. */
+        Resources lasting = Resources.NONE;
+
+        boolean lastingPlaced;
 
         Owner(String service, long maximum, long task) {
             this.task = cpu(task);
@@ -56,6 +60,12 @@
 
         void place() {
             quota.clearWaiting();
+            if (!lastingPlaced && quota.mayPlace(lasting)) {
+                lastingPlaced = true;
+                quota.add(lasting);
+            } else if (!lastingPlaced) {
+                quota.addWaiting(lasting, lasting);
+            }
             while (waiting > 0 && quota.mayPlace(task)) {
                 waiting--;
                 running++;
@@ -94,7 +104,7 @@
         }
 
         long used() {
-            return running * task.cpuMillis();
+            return running * task.cpuMillis() + (lastingPlaced ? lasting.cpuMillis() : 0);
         }
     }
 
@@ -258,6 +268,96 @@
         }
     }
 
+    /** Guards against quota that stays unused while each of several services waits for more than its fair share. */
+    @Nested
+    class FreeQuota {
+
+        private static final int SECOND = (int) (1_000 / STEP_MILLIS);
+
+        private Owner owner(String service, long maximum, long lasting, long task) {
+            Owner o = new Owner(service, maximum, task);
+            o.lasting = cpu(lasting);
+            return o;
+        }
+
+        private static int running(List<Owner> owners) {
+            return owners.stream().mapToInt(o -> o.running).sum();
+        }
+
+        /** Lets tasks wait at all services while another one holds the quota that they need, until its task has ended. */
+        private void waitForBusyService(int waiting, List<Owner> owners) {
+            Owner busy = owner("busy", 9_000, 0, 3_500);
+            busy.waiting = 1;
+            List<Owner> all = new ArrayList<>(owners);
+            all.add(busy);
+            passes(SECOND, all);
+            assertEquals(1, busy.running);
+            owners.forEach(o -> o.waiting = waiting);
+            passes(SECOND, all);
+            assertEquals(0, running(owners));
+            busy.endOne();
+            passes(SECOND, all);
+        }
+
+        @Test
+        void isGrantedToOneOfTwoServices() {
+            List<Owner> owners = List.of(owner("a", 9_000, 1_500, 3_500), owner("b", 9_000, 1_500, 3_500));
+            waitForBusyService(1, owners);
+            assertEquals(1, running(owners), "4,500 is the share of each, of which 1,500 is in use");
+        }
+
+        @Test
+        void isGrantedToOneOfThreeServices() {
+            List<Owner> owners = List.of(
+                    owner("a", 9_000, 1_500, 3_000), owner("b", 9_000, 1_500, 3_000), owner("c", 9_000, 1_500, 3_000));
+            waitForBusyService(1, owners);
+            assertEquals(1, running(owners));
+        }
+
+        /** Guards against a service that uses the quota beyond its share again and again while another one waits. */
+        @Test
+        void isGrantedInTurn() {
+            List<Owner> owners = List.of(owner("a", 9_000, 1_500, 3_500), owner("b", 9_000, 1_500, 3_500));
+            waitForBusyService(100, owners);
+            for (int i = 1; i < 20; i++) {
+                owners.forEach(Owner::endOne);
+                passes(SECOND, owners);
+                assertEquals(1, running(owners));
+            }
+            owners.forEach(o -> assertEquals(10, o.placed));
+        }
+
+        @Test
+        void isUsedBeyondTheShareOfAServiceWhileTheOtherCannotUseIt() {
+            Owner a = owner("a", 10, 2, 5);
+            Owner b = owner("b", 10, 0, 1);
+            List<Owner> owners = List.of(a, b);
+            passes(SECOND, owners);
+            a.waiting = 1;
+            b.waiting = 30;
+            passes(3 * SECOND, owners);
+            assertEquals(10, used(owners));
+        }
+
+        /** Guards against a service that keeps quota beyond its share while a task below another one's share waits. */
+        @Test
+        void isLeftToAServiceBelowItsShare() {
+            Owner a = owner("a", 10, 2, 5);
+            Owner b = owner("b", 10, 0, 1);
+            List<Owner> owners = List.of(a, b);
+            passes(SECOND, owners);
+            b.waiting = 4;
+            passes(5, owners);
+            assertEquals(4, b.running, "its share is granted at once");
+            a.waiting = 1;
+            passes(SECOND, owners);
+            assertEquals(0, a.running, "only 4 are left");
+            b.endOne();
+            passes(SECOND, owners);
+            assertEquals(1, a.running);
+        }
+    }
+
     @Nested
     class Owners {
 
