--- a/review/harness-2/StandWorker.java
+++ b/review/harness-2/StandWorker.java
@@ -24,13 +24,16 @@
  * entry in the store. Every start and every end is printed as one line with the time of day.
  *
  * <p>The text of a job says how long its work items take: {@code millis=N}; with {@code lasts} they run until they are
- * stopped. With {@code advised} a start needs a ticket of the service for advice.
+ * stopped. With {@code failruns=R failmillis=N}, the runs up to R end {@code failed} by themselves after N milliseconds. With
+ * {@code advised} a start needs a ticket of the service for advice.
  *
  * <pre>StandWorker MACHINE POOL HALL RACK PLATFORM</pre>
  */
 public final class StandWorker {
 
     private static final Pattern MILLIS = Pattern.compile("\\bmillis=(\\d+)");
+    private static final Pattern FAIL_RUNS = Pattern.compile("failruns=(\\d+)");
+    private static final Pattern FAIL_MILLIS = Pattern.compile("failmillis=(\\d+)");
     private static final long HOLD_MAX_MILLIS = 6_000;
 
     private final String machine;
@@ -55,8 +58,16 @@
 
     private record Run(int number, String spec, long startedAt) {
         long millis() {
-            Matcher m = MILLIS.matcher(spec);
-            return m.find() ? Long.parseLong(m.group(1)) : 1_000;
+            return number(MILLIS, 1_000);
+        }
+
+        boolean failsBy(long now) {
+            return number <= number(FAIL_RUNS, 0) && now - startedAt >= number(FAIL_MILLIS, 0);
+        }
+
+        private long number(Pattern p, long otherwise) {
+            Matcher m = p.matcher(spec);
+            return m.find() ? Long.parseLong(m.group(1)) : otherwise;
         }
 
         boolean lasts() {
@@ -230,6 +241,8 @@
         for (Map.Entry<String, Run> e : List.copyOf(running.entrySet())) {
             if (now > deadline) {
                 end(e.getKey(), "lapsed");
+            } else if (e.getValue().failsBy(now)) {
+                end(e.getKey(), "failed");
             } else if (!e.getValue().lasts() && now - e.getValue().startedAt >= e.getValue().millis()) {
                 end(e.getKey(), "done");
             }
