Log which incarnation received a start, and how long ago a lost worker answered

Callers saw a work item at work on two workers after restarts and cuts. Nothing in the logs distinguished the hypotheses of the incident: the clock in the answer to a start was dropped, and the end of a lost run did not say when its start was accepted.

The answer's clock is now passed to the scheduler. WORKER_GONE tells how long ago the worker answered, RUN_ENDED how long ago the run was accepted and how many copies of its start had no answer. No decision depends on any of it yet.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -41,6 +41,9 @@
     // The longest regular interval between two answers, plus the call.
     private static final long EXTENSION_WINDOW_MILLIS = 2_600;
 
+    // The longest time that an answer is under way: the wait of a hold, plus the call.
+    private static final long MAX_ANSWER_DELAY_MILLIS = 2_500;
+
     // No worker can crash, restart, receive a task and end it within this time.
     private static final long MIN_RESTART_MILLIS = 100;
 
@@ -193,6 +196,16 @@
         return fenced && sentAt >= clockReadAt && clock < clockMillis;
     }
 
+    /**
+     * Returns whether an answer with this clock value to an order sent at {@code sentAt} comes from another
+     * incarnation, since the value does not continue this one's clock. The clock of a new incarnation may be ahead or
+     * behind.
+     */
+    boolean isClockOfOtherIncarnation(long clock, long sentAt, long now) {
+        boolean ahead = clock > clockMillis + (now - clockReadAt) + MAX_ANSWER_DELAY_MILLIS;
+        return fenced && sentAt >= clockReadAt && (clock < clockMillis || ahead);
+    }
+
     /**
      * Returns whether an answer with this clock value to a hold sent at {@code sentAt} is older than the last one
      * processed: two holds may be in flight, and answers on different connections may overtake each other.
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -18,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.lupinpaddle.core.job.EndKind;
@@ -194,7 +195,7 @@
         }
     }
 
-    void onStarted(StartOrder order, OrderOutcome outcome) {
+    void onStarted(StartOrder order, OrderOutcome outcome, OptionalLong clockMillis) {
         LiveTask t = state.task(order.jobId(), order.task());
         boolean current = t != null && t.worker != null && t.run == order.run();
         if (outcome == OrderOutcome.UNKNOWN) {
@@ -208,6 +209,7 @@
             return;
         }
         t.orderInFlight = false;
+        logRestartIndicated(t, t.worker, clockMillis);
         if (outcome.isSilence()) {
             t.worker.recordMissedResponse(t.orderSentAt);
         } else {
@@ -221,7 +223,16 @@
         } else if (outcome == OrderOutcome.OTHER_LIFE) {
             startReachedOtherIncarnation(t, t.worker);
         } else if (t.phase == Phase.STARTING) {
-            startAnswered(t, t.worker, outcome);
+            startAnswered(t, t.worker, outcome, clockMillis);
+        }
+    }
+
+    /** Logs an answer whose clock shows that a later incarnation than the known one has received the order. */
+    private void logRestartIndicated(LiveTask t, LiveWorker w, OptionalLong clockMillis) {
+        if (clockMillis.isPresent()
+                && w.isClockOfOtherIncarnation(clockMillis.getAsLong(), t.orderSentAt, state.now())) {
+            String detail = "clock=" + clockMillis.getAsLong() + " before: " + w.describe();
+            state.note(SchedulerEvent.Kind.RESTART_INDICATED, t, "", detail);
         }
     }
 
@@ -247,9 +258,10 @@
         workerLost(w, LossEvidence.OTHER_LIFE);
     }
 
-    private void startAnswered(LiveTask t, LiveWorker w, OrderOutcome outcome) {
+    private void startAnswered(LiveTask t, LiveWorker w, OrderOutcome outcome, OptionalLong clockMillis) {
         long now = state.now();
-        state.note(SchedulerEvent.Kind.START_ANSWERED, t, outcome.name(), "unanswered=" + t.unansweredStarts);
+        String clock = clockMillis.isPresent() ? " clock=" + clockMillis.getAsLong() : "";
+        state.note(SchedulerEvent.Kind.START_ANSWERED, t, outcome.name(), "unanswered=" + t.unansweredStarts + clock);
         if (outcome == OrderOutcome.ACCEPTED) {
             runStarted(t, now);
         } else if (outcome == OrderOutcome.UNKNOWN) {
@@ -601,7 +613,8 @@
 
     /** Releases all tasks of a worker on which nothing can be running any more. */
     void workerLost(LiveWorker w, LossEvidence evidence) {
-        String detail = "tasks=" + w.tasks.size() + " evidence=" + evidence + " " + w.describe();
+        String answered = w.fenced ? " answered-millis-ago=" + (state.now() - w.lastAnswerAt) : "";
+        String detail = "tasks=" + w.tasks.size() + " evidence=" + evidence + answered + " " + w.describe();
         state.note(SchedulerEvent.Kind.WORKER_GONE, w, detail);
         state.workers.remove(w.facts().id());
         state.fences.supersedeAll(w.facts().id());
@@ -616,7 +629,9 @@
     }
 
     private void runLost(LiveTask t, LossEvidence evidence) {
-        state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.WORKER_LOST.name(), "evidence=" + evidence);
+        String started = t.hasStarted() ? " started-millis-ago=" + (state.now() - t.startedAt) : "";
+        String detail = "evidence=" + evidence + started + " unanswered=" + t.unansweredStarts;
+        state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.WORKER_LOST.name(), detail);
         release(t, t.workDone ? Phase.DONE : Phase.WAITING);
         stopOthersOfGang(t);
         completeIfDone(t.job);
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -65,6 +65,8 @@
         TASK_PACED,
         /** A worker has restarted under its id. */
         WORKER_RESTARTED,
+        /** The answer to a start states a clock that does not continue the worker's last one: it has restarted. */
+        RESTART_INDICATED,
         /** Orders to a worker carry a higher fencing token, since an earlier order may arrive late. */
         FENCE_RAISED,
         /** A worker states an unreadable birth. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -262,9 +263,14 @@
         state.urgentlyEvacuating.addAll(urgent);
     }
 
-    /** Handles the outcome of a start. */
+    /** Handles the outcome of a start that has no answer, or whose answer states no clock. */
     public void onStarted(StartOrder order, OrderOutcome outcome) {
-        runs.onStarted(order, outcome);
+        onStarted(order, outcome, OptionalLong.empty());
+    }
+
+    /** Handles the outcome of a start, with the worker's clock as stated by the answer. */
+    public void onStarted(StartOrder order, OrderOutcome outcome, OptionalLong clockMillis) {
+        runs.onStarted(order, outcome, clockMillis);
     }
 
     /** Handles the outcome of a stop. */
--- a/core/src/test/java/org/lupinpaddle/core/run/ScriptedFleet.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ScriptedFleet.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
@@ -76,6 +77,8 @@
 
         @Nullable
         OrderOutcome outcome;
+        /** The worker's clock when it carried out the order. */
+        OptionalLong clock = OptionalLong.empty();
 
         Call(Owner owner, Object order, ScriptedWorker worker, long sentAt, long waitMillis) {
             this.owner = owner;
@@ -248,6 +251,7 @@
 
     private void execute(Call c) {
         long token = fenceOf(c.order);
+        c.clock = OptionalLong.of(c.worker.clock());
         if (c.order instanceof StartOrder s) {
             c.outcome = c.worker.start(s, token);
         } else if (c.order instanceof StopOrder s) {
@@ -272,7 +276,7 @@
         c.open = false;
         ServiceScheduler scheduler = c.owner.driver.scheduler;
         if (c.order instanceof StartOrder s) {
-            scheduler.onStarted(s, outcome);
+            scheduler.onStarted(s, outcome, outcome.isSilence() ? OptionalLong.empty() : c.clock);
         } else if (c.order instanceof StopOrder s) {
             scheduler.onStopped(s, outcome);
         } else if (c.order instanceof HoldOrder h) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
@@ -71,6 +71,7 @@
                     RUN_FOUND,
                     OTHER_ENDS_TOLD,
                     WORKER_RESTARTED,
+                    RESTART_INDICATED,
                     FENCE_RAISED,
                     BIRTH_UNREADABLE,
                     WORKER_GONE,
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -417,7 +417,9 @@
     public void start(StartOrder order) {
         context.orders
                 .start(order)
-                .thenAcceptAsync(o -> notifyScheduler(s -> s.onStarted(order, o)), context.loop::execute);
+                .thenAcceptAsync(
+                        r -> notifyScheduler(s -> s.onStarted(order, r.outcome(), r.clockMillis())),
+                        context.loop::execute);
     }
 
     @Override
--- a/daemon/src/main/java/org/lupinpaddle/daemon/port/WorkerOrders.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/port/WorkerOrders.java
@@ -29,7 +29,7 @@
 public interface WorkerOrders {
 
     /** Starts a run. */
-    CompletableFuture<OrderOutcome> start(StartOrder order);
+    CompletableFuture<StartResult> start(StartOrder order);
 
     /** Stops a run. */
     CompletableFuture<OrderOutcome> stop(StopOrder order);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
@@ -55,6 +56,7 @@
 import org.lupinpaddle.daemon.port.HoldResult;
 import org.lupinpaddle.daemon.port.InstanceOrders;
 import org.lupinpaddle.daemon.port.KeyValueStore;
+import org.lupinpaddle.daemon.port.StartResult;
 import org.lupinpaddle.daemon.port.StoreChanges;
 import org.lupinpaddle.daemon.port.StoreCommit;
 import org.lupinpaddle.daemon.port.StoreItem;
@@ -75,9 +77,11 @@
         private List<RunResult> ended = List.of();
 
         @Override
-        public CompletableFuture<OrderOutcome> start(StartOrder order) {
+        public CompletableFuture<StartResult> start(StartOrder order) {
             startedOn.add(order.worker().id());
-            return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+            return CompletableFuture.completedFuture(new StartResult(
+                    OrderOutcome.ACCEPTED,
+                    OptionalLong.of(100_000 + loop.clock().millis())));
         }
 
         @Override
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/NodeFixture.java
@@ -21,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -55,6 +56,7 @@
 import org.lupinpaddle.daemon.port.AdviceService;
 import org.lupinpaddle.daemon.port.HoldResult;
 import org.lupinpaddle.daemon.port.InstanceOrders;
+import org.lupinpaddle.daemon.port.StartResult;
 import org.lupinpaddle.daemon.port.WorkerOrders;
 import org.lupinpaddle.daemon.settings.JobSettings;
 
@@ -99,11 +101,13 @@
         private final Map<String, List<RunResult>> ended = new HashMap<>();
 
         @Override
-        public CompletableFuture<OrderOutcome> start(StartOrder order) {
+        public CompletableFuture<StartResult> start(StartOrder order) {
             starts.add(order);
             running.put(
                     order.worker().id(), List.of(new RunStatus(order.jobId(), order.task(), order.run(), "", 50, -1)));
-            return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
+            return CompletableFuture.completedFuture(new StartResult(
+                    OrderOutcome.ACCEPTED,
+                    OptionalLong.of(100_000 + loop.clock().millis())));
         }
 
         @Override
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -51,6 +51,7 @@
 import org.lupinpaddle.core.workspace.Workspaces;
 import org.lupinpaddle.daemon.port.HoldResult;
 import org.lupinpaddle.daemon.port.InstanceOrders;
+import org.lupinpaddle.daemon.port.StartResult;
 import org.lupinpaddle.daemon.port.StoreItem;
 import org.lupinpaddle.daemon.port.WorkerOrders;
 
@@ -383,8 +384,8 @@
                 CompletableFuture.completedFuture(OrderOutcome.UNKNOWN);
 
         @Override
-        public CompletableFuture<OrderOutcome> start(StartOrder order) {
-            return SILENCE;
+        public CompletableFuture<StartResult> start(StartOrder order) {
+            return SILENCE.thenApply(StartResult::withoutClock);
         }
 
         @Override
--- a/model/src/main/java/org/lupinpaddle/model/SimWorker.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorker.java
@@ -185,7 +185,8 @@
         return running.isEmpty();
     }
 
-    private long clock() {
+    /** Returns its clock in milliseconds. */
+    long clock() {
         return (long) ((time.now() - startedAt) * clockRate);
     }
 
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.model;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import org.lupinpaddle.core.placement.WorkerFacts;
@@ -24,6 +25,7 @@
 import org.lupinpaddle.core.run.StartOrder;
 import org.lupinpaddle.core.run.StopOrder;
 import org.lupinpaddle.daemon.port.HoldResult;
+import org.lupinpaddle.daemon.port.StartResult;
 import org.lupinpaddle.daemon.port.WorkerOrders;
 
 /** An entry's client for the workers. */
@@ -77,18 +79,19 @@
     }
 
     @Override
-    public CompletableFuture<OrderOutcome> start(StartOrder o) {
+    public CompletableFuture<StartResult> start(StartOrder o) {
         if (world.sabotage == Sabotage.LIMITED_TASKS_REFUSED && isLimited(o)) {
-            return CompletableFuture.completedFuture(OrderOutcome.UNHEALTHY);
+            return CompletableFuture.completedFuture(StartResult.withoutClock(OrderOutcome.UNHEALTHY));
         }
         long sentAt = world.time.now();
-        return order(
-                o.worker(),
-                WireBytes.of(o),
-                (w, c) -> mayStart(o)
-                        ? w.start(o, c.fence, new Rules.Sender(entry, sentAt, c.late))
-                        : OrderOutcome.NO_TICKET,
-                effective(o.fence(), o.worker()));
+        OptionalLong[] clock = {OptionalLong.empty()};
+        BiFunction<SimWorker, Execution, OrderOutcome> action = (w, c) -> {
+            clock[0] = OptionalLong.of(w.clock());
+            return mayStart(o) ? w.start(o, c.fence, new Rules.Sender(entry, sentAt, c.late)) : OrderOutcome.NO_TICKET;
+        };
+        return order(o.worker(), WireBytes.of(o), action, effective(o.fence(), o.worker()))
+                .thenApply(outcome ->
+                        outcome.isSilence() ? StartResult.withoutClock(outcome) : new StartResult(outcome, clock[0]));
     }
 
     private boolean mayStart(StartOrder o) {
