Show runs that overlap when a restarted worker is cut off before it answers

Callers saw a work item at work on two workers at once. The test forces the order of events: a worker restarts under its id, its new incarnation receives a start before it has answered a hold, and is cut off. Its run is given up while it is still at work, and the task begins elsewhere.

--- /dev/null
+++ b/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
@@ -0,0 +1,195 @@
+/*
+ * Copyright 2026 The lupinpaddle authors
+ *
+ * Licensed under the Apache License, Version 2.0 (the "License");
+ * you may not use this file except in compliance with the License.
+ * You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ * Unless required by applicable law or agreed to in writing, software
+ * distributed under the License is distributed on an "AS IS" BASIS,
+ * WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ * See the License for the specific language governing permissions and
+ * limitations under the License.
+ */
+package org.lupinpaddle.core.run;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.run.ScriptedFleet.Call;
+import org.lupinpaddle.core.run.ScriptedFleet.Fate;
+
+/**
+ * Forces orders of events in which a worker restarts under its id, accepts a start before its new incarnation has
+ * answered a hold, and is cut off.
+ */
+class StartBeforeFirstAnswerTest {
+
+    private static final long FIRST_BIRTH = 1_000_000;
+    private static final long SECOND_BIRTH = 1_060_000;
+    /** Runs on the other worker as soon as there is one. */
+    private static final StepSpec ONE =
+            StepSpec.builder(1, SchedulerDriver.NEED).place("", "rack-w2").build();
+    // The last copy of a start may be executed 15 s after its call has failed, and keeps a run for 10 s.
+    private static final long MAX_WAIT_MILLIS = 30_000;
+
+    private final ScriptedFleet f = new ScriptedFleet();
+    private final ScriptedWorker w1 = f.add("w1", FIRST_BIRTH, 600_000);
+
+    /** When the platform's list shows the entry of the new incarnation. */
+    private enum NewEntry {
+        NEVER,
+        AFTER_THE_CUT
+    }
+
+    /** What becomes of the copies of the start. */
+    private enum Copies {
+        ANSWERED,
+        ANSWER_LOST,
+        FIRST_LOST;
+
+        void prepare(ScriptedFleet f) {
+            switch (this) {
+                case ANSWERED -> {}
+                case ANSWER_LOST -> f.starts.add(Fate.ANSWER_LOST);
+                case FIRST_LOST -> f.starts.add(Fate.LOST);
+            }
+        }
+    }
+
+    /** Returns all orders of events in which the copies of the start fare like this. */
+    private static Stream<Arguments> orders(Copies... all) {
+        return Stream.of(0L, 300L, 900L)
+                .flatMap(start -> Stream.of(5L, 20L, 100L, 1_000L)
+                        .flatMap(cut -> Stream.of(all)
+                                .flatMap(copies -> Stream.of(NewEntry.values())
+                                        .map(entry -> Arguments.of(start, cut, copies, entry)))));
+    }
+
+    /** Restarts the worker, lets its new incarnation receive a start, and cuts it off. */
+    private void startAndCutOff(long startDelay, long cutDelay, Copies copies, NewEntry entry) {
+        listAndAnswer();
+        w1.restart(SECOND_BIRTH);
+        f.run(startDelay);
+        copies.prepare(f);
+        f.driver().submit("a", ONE);
+        f.run(cutDelay);
+        cutOff();
+        if (entry == NewEntry.AFTER_THE_CUT) {
+            f.list();
+        } else {
+            listOtherWorker();
+        }
+    }
+
+    private void listAndAnswer() {
+        f.list();
+        f.run(50);
+    }
+
+    private void cutOff() {
+        w1.cut = true;
+        f.add("w2", FIRST_BIRTH, 60_000);
+    }
+
+    private void listOtherWorker() {
+        f.driver()
+                .scheduler
+                .onWorkers(List.of(
+                        SchedulerDriver.workerBornAt("w1", FIRST_BIRTH),
+                        SchedulerDriver.workerBornAt("w2", FIRST_BIRTH)));
+    }
+
+    /** Waits until the task is at work on the other worker, and for a while longer. */
+    private void assertMovesOnceTheRunHasEnded() {
+        ScriptedWorker w2 = f.workers.get(1);
+        long until = f.now + MAX_WAIT_MILLIS;
+        while (f.now < until && !w2.runs("a")) {
+            f.run(5);
+        }
+        assertTrue(w2.runs("a"), "the task must go on elsewhere");
+        f.run(12_000);
+        assertEquals(List.of(), f.judge.broken);
+    }
+
+    /** Guards against giving up a run that a silent incarnation keeps for longer than a deadline by the former clock says. */
+    @Nested
+    @Tag("known-red")
+    class Accepted {
+
+        private static Stream<Arguments> acceptedStarts() {
+            return orders(Copies.ANSWERED, Copies.FIRST_LOST);
+        }
+
+        @ParameterizedTest
+        @MethodSource("acceptedStarts")
+        void byAnUnheardIncarnation(long startDelay, long cutDelay, Copies copies, NewEntry entry) {
+            startAndCutOff(startDelay, cutDelay, copies, entry);
+            assertMovesOnceTheRunHasEnded();
+        }
+    }
+
+    /** Guards against giving up a task while a copy of its start may be executed, or still reach a later incarnation. */
+    @Nested
+    @Tag("known-red")
+    class Unanswered {
+
+        private static Stream<Arguments> unansweredStarts() {
+            return orders(Copies.ANSWER_LOST);
+        }
+
+        @ParameterizedTest
+        @MethodSource("unansweredStarts")
+        void byAnUnheardIncarnation(long startDelay, long cutDelay, Copies copies, NewEntry entry) {
+            startAndCutOff(startDelay, cutDelay, copies, entry);
+            assertMovesOnceTheRunHasEnded();
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {1_000, 5_000, 8_000, 12_000, 14_000})
+        void executedLateAsTheFirstOrder(long lateMillis) {
+            f.starts.add(Fate.LATE);
+            listAndAnswer();
+            f.driver().submit("a", ONE);
+            f.runUntil(() -> !f.lateStarts.isEmpty());
+            cutOff();
+            listOtherWorker();
+            f.run(600);
+            w1.restart(SECOND_BIRTH);
+            f.run(lateMillis - 600);
+            f.carryOut(f.lateStarts.get(0));
+            assertMovesOnceTheRunHasEnded();
+        }
+
+        /** The first copy is executed late although a later one was accepted and its run is known to be at work. */
+        @Test
+        void executedLateAfterASecondCopyWasAccepted() {
+            f.starts.add(Fate.LATE);
+            listAndAnswer();
+            f.driver().submit("a", ONE);
+            f.runUntil(() -> w1.runs("a"));
+            f.run(1_500);
+            cutOff();
+            listOtherWorker();
+            f.run(500);
+            w1.restart(SECOND_BIRTH);
+            f.run(5_000);
+            for (Call c : List.copyOf(f.lateStarts)) {
+                f.carryOut(c);
+            }
+            assertMovesOnceTheRunHasEnded();
+        }
+    }
+}
