Let a new owner assume the longest hold for runs that it inherits

Callers would see a work item at work on two workers at once.

Cause: a worker restarts and accepts a start with a deadline by its former clock; its owner hears and records the new incarnation, and is succeeded. The record does not show the restart, so the new owner counted with its own deadlines from its first answer on, 5 s, while the worker keeps the run for up to the longest hold. A cut within seconds of the take-over then let the task begin elsewhere while it was at work.

Change: at the first answer of a worker that an earlier owner may have sent orders to, runs count as kept for the longest hold from then on. A worker that this owner has known for longer than an earlier owner's orders last is not affected.

InheritedDeadlineTest failed before.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -548,6 +548,11 @@
         return confirmedFence;
     }
 
+    /** Returns whether orders of an earlier owner may have reached the worker until now. */
+    boolean mayFollowInheritedOrders(long now) {
+        return now < inheritedUntil;
+    }
+
     /** Returns whether the worker may still be executing an order that an earlier owner sent in time. */
     boolean mayFollowEarlierOwner(long now, long stopMillis) {
         return !fenced || now - fencedAt <= stopMillis;
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -72,9 +72,11 @@
         long lateStartsUntil = state.latestArrival(w);
         if (restarted
                 || lateStartsUntil > now
+                || w.mayFollowInheritedOrders(now)
                 || state.fences.isRaised(w.facts().id())) {
             // A deadline by an earlier incarnation's clock is meaningless to this one, which may then keep a run for
-            // the maximum time. An order with such a deadline may have arrived before the raised token.
+            // the maximum time. An order with such a deadline may have arrived before the raised token, or from an
+            // earlier owner.
             state.expectForeignDeadlines(w, lateStartsUntil);
         }
     }
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -36,9 +36,13 @@
 final class SchedulerDriver {
 
     static final long HOLD_MILLIS = 5_000;
-    static final long INHERITED_MILLIS = 15_000;
     static final long STOP_MILLIS = 300;
     static final long CORDON_AGE_MILLIS = 3_300;
+    private static final long LONGEST_HOLD_MILLIS = 10_000;
+    private static final long MAX_STORE_SILENCE_MILLIS = 12_000;
+    static final long INHERITED_MILLIS = SchedulerTiming.usual(
+                    LONGEST_HOLD_MILLIS, STOP_MILLIS, MAX_STORE_SILENCE_MILLIS)
+            .inheritedMillis();
     static final StepSpec.Need NEED = new StepSpec.Need(1_000, 100, 0);
     private static final Resources ROOM = new Resources(4_000, 8_000, 0);
 
@@ -60,8 +64,8 @@
     }
 
     SchedulerDriver(QuotaTable quotas) {
-        SchedulerTiming timing =
-                new SchedulerTiming(HOLD_MILLIS, 1_000, 2_000, 2_700, INHERITED_MILLIS, STOP_MILLIS, 10_000);
+        SchedulerTiming timing = new SchedulerTiming(
+                HOLD_MILLIS, 1_000, 2_000, 2_700, INHERITED_MILLIS, STOP_MILLIS, LONGEST_HOLD_MILLIS);
         scheduler = new ServiceScheduler("clips", timing, port, quotas, () -> now, () -> now);
     }
 
