Wait for late starts of a former owner before giving up a worker never heard

Callers would see a work item at work on two workers at once.

Cause: a new owner waits for workers that it can't reach for as long as a former owner without the store keeps runs alive (12 s and a hold, 17.25 s in all). A start of that owner which has no answer may be executed by a restarted worker up to 15 s after it was sent, and keeps its run for the longest hold; the new owner knows of no such start.

Change: the wait also covers that: 5.5 s for which an owner that has lost the store still sends starts, 15 s and the longest hold, 30.9 s where that is 10 s, 26.8 s where it is 6 s. It only applies to workers that have not answered the new owner, and ends as before with an answer or the platform's list of instances.

--- a/core/src/main/java/org/lupinpaddle/core/run/OutstandingStarts.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/OutstandingStarts.java
@@ -30,7 +30,7 @@
 final class OutstandingStarts {
 
     /** An unanswered order is executed within this time, if at all. */
-    private static final long MAX_ORDER_DELAY_MILLIS = 15_000;
+    static final long MAX_ORDER_DELAY_MILLIS = 15_000;
 
     private static final long IN_FLIGHT = Long.MAX_VALUE;
 
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerTiming.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerTiming.java
@@ -42,6 +42,9 @@
     private static final long IDLE_WAIT_MILLIS = 2_000;
     // An idle worker answers every 2 s; the rest covers the call.
     private static final long SILENT_MILLIS = 2_700;
+    // An owner without contact to the store places nothing after 2.5 s, when its list of workers is stale, and sends
+    // the last copy of a start 2.8 s later.
+    private static final long LAST_START_MILLIS = 5_500;
 
     /**
      * Returns the usual timing for a platform with the given limits on hold deadlines and stop times, and for owners
@@ -54,8 +57,15 @@
                 BUSY_WAIT_MILLIS,
                 IDLE_WAIT_MILLIS,
                 SILENT_MILLIS,
-                blindMillis + hold + hold / 20,
+                Math.max(blindMillis + hold + hold / 20, lateStartMillis(longestHoldMillis)),
                 stopMillis,
                 longestHoldMillis);
     }
+
+    /** Returns for how long a late start of an owner that has lost contact to the store may keep its run alive. */
+    private static long lateStartMillis(long longestHoldMillis) {
+        return LAST_START_MILLIS
+                + OutstandingStarts.MAX_ORDER_DELAY_MILLIS
+                + LiveWorker.maxElapsedMillis(longestHoldMillis);
+    }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/InheritedDeadlineTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/InheritedDeadlineTest.java
@@ -23,8 +23,11 @@
 import java.util.Objects;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.StepSpec;
+import org.lupinpaddle.core.run.ScriptedFleet.Fate;
 import org.lupinpaddle.core.run.ScriptedFleet.Owner;
 
 /** Forces orders of events in which a new owner inherits runs whose deadlines its predecessor has given. */
@@ -87,4 +90,29 @@
             assertMovesWithoutOverlap(other);
         }
     }
+
+    /** Guards against giving up a worker that nobody reaches while the former owner's last orders are still executed. */
+    @Nested
+    class OfAnUnreachableWorker {
+
+        private static final StepSpec ONE =
+                StepSpec.builder(1, SchedulerDriver.NEED).place("", "rack-w2").build();
+
+        @ParameterizedTest
+        @ValueSource(longs = {2_000, 8_000, 14_000})
+        void maySetByALateStart(long lateMillis) {
+            f.starts.add(Fate.LATE);
+            listAndAnswer();
+            f.driver().submit("a", ONE);
+            f.runUntil(() -> !f.lateStarts.isEmpty());
+            w1.cut = true;
+            ScriptedWorker other = f.add("w2", FIRST_BIRTH, 60_000);
+            f.run(600);
+            w1.restart(SECOND_BIRTH);
+            takeOver(ONE);
+            f.run(lateMillis);
+            f.carryOut(f.lateStarts.get(0));
+            assertMovesWithoutOverlap(other);
+        }
+    }
 }
