Raise the fencing token when a pending hold is abandoned

Callers would see a work item at work on two workers at once.

Cause: a restart that is indicated by the store's entry, or by the clock in a start's answer, abandons the pending hold and sends another one with the same token. If the abandoned one, which sets a deadline by the former clock, is executed after that, it extends all runs of the new incarnation by the longest hold. Once that is cut off, its runs are given up while they are at work. A hold without an answer had raised the token only once its call had failed.

Change: abandoning a hold raises the token, so that the next hold keeps the abandoned one out. An unanswered hold that sets a deadline also counts among the orders that may arrive after an incarnation's first answer.

StartBeforeFirstAnswerTest.HoldExecutedLate forces it and holds; the other tests of restarts and late starts pass.

--- a/core/src/main/java/org/lupinpaddle/core/run/OutstandingStarts.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/OutstandingStarts.java
@@ -36,8 +36,8 @@
 
     private final long longestRunMillis;
     private final Map<String, List<Start>> byWorker = new HashMap<>();
-    /** The time after which the latest unanswered hold that sets a deadline can no longer be executed, by worker. */
-    private final Map<String, Long> holdExpiresAt = new HashMap<>();
+    /** The latest unanswered hold that sets a deadline, by worker. */
+    private final Map<String, LateHold> lateHolds = new HashMap<>();
 
     /**
      * Creates an empty collection.
@@ -48,6 +48,14 @@
         this.longestRunMillis = longestRunMillis;
     }
 
+    /**
+     * A hold without an answer.
+     *
+     * @param fence its fencing token
+     * @param expiresAt the time after which it can no longer be executed
+     */
+    private record LateHold(long fence, long expiresAt) {}
+
     /** One copy of a start. */
     private static final class Start {
         final StartOrder order;
@@ -93,8 +101,8 @@
     }
 
     /** Records that a hold which sets a deadline was not answered in time. */
-    void holdUnanswered(String worker, long now) {
-        holdExpiresAt.put(worker, now + MAX_ORDER_DELAY_MILLIS);
+    void holdUnanswered(HoldOrder o, long now) {
+        lateHolds.put(o.worker().id(), new LateHold(o.fence(), now + MAX_ORDER_DELAY_MILLIS));
     }
 
     /**
@@ -109,7 +117,8 @@
     /** Returns until when unanswered orders may keep runs alive in an incarnation that this owner does not know. */
     long runsUntil(String worker) {
         long startsUntil = startsOf(worker).stream().mapToLong(s -> s.expiresAt).reduce(Long.MIN_VALUE, Math::max);
-        long ordersUntil = Math.max(startsUntil, holdExpiresAt.getOrDefault(worker, Long.MIN_VALUE));
+        LateHold hold = lateHolds.get(worker);
+        long ordersUntil = hold == null ? startsUntil : Math.max(startsUntil, hold.expiresAt);
         return ordersUntil == Long.MIN_VALUE || ordersUntil == IN_FLIGHT ? ordersUntil : ordersUntil + longestRunMillis;
     }
 
@@ -119,14 +128,16 @@
     }
 
     /**
-     * Returns until when an unanswered start may take effect on a worker that rejects lower fencing tokens than
+     * Returns until when an unanswered order may take effect on a worker that rejects lower fencing tokens than
      * {@code fence}; {@code now} if there is none.
      */
     long latestArrival(String worker, long fence, long now) {
+        LateHold hold = lateHolds.get(worker);
+        long holdUntil = hold != null && hold.fence >= fence ? Math.max(now, hold.expiresAt) : now;
         return startsOf(worker).stream()
                 .filter(s -> s.expiresAt != IN_FLIGHT && s.mayTakeEffect(fence, now))
                 .mapToLong(s -> s.expiresAt)
-                .reduce(now, Math::max);
+                .reduce(holdUntil, Math::max);
     }
 
     private List<Start> startsOf(String worker) {
@@ -139,14 +150,12 @@
      */
     void incarnationConfirmed(String worker, long sentAt) {
         startsOf(worker).removeIf(s -> s.expiresAt < sentAt);
-        if (holdExpiresAt.getOrDefault(worker, Long.MAX_VALUE) < sentAt) {
-            holdExpiresAt.remove(worker);
-        }
+        lateHolds.computeIfPresent(worker, (w, h) -> h.expiresAt < sentAt ? null : h);
     }
 
     /** Removes the orders that can no longer be executed, once the runs that they may have kept alive have ended. */
     void forgetExpired(long now) {
         byWorker.keySet().removeIf(w -> runsUntil(w) < now);
-        holdExpiresAt.values().removeIf(expiresAt -> expiresAt + longestRunMillis < now);
+        lateHolds.values().removeIf(h -> h.expiresAt + longestRunMillis < now);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -46,6 +46,8 @@
         w.update(f, state.now());
         if (restarted) {
             w.onRestartIndicated(state.now());
+            // The abandoned hold may be executed after the next one.
+            state.fences.supersedeAll(w.facts().id());
         }
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -238,6 +238,8 @@
             String detail = "clock=" + clockMillis.getAsLong() + " before: " + w.describe();
             state.note(SchedulerEvent.Kind.RESTART_INDICATED, t, "", detail);
             w.onOtherClock(state.now());
+            // The abandoned hold may be executed after the next one.
+            state.fences.supersedeAll(w.facts().id());
         }
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -338,7 +338,7 @@
             state.fences.supersede(order.worker().id(), order.fence());
         }
         if (outcome == OrderOutcome.UNKNOWN && order.deadlineMillis() > 0) {
-            state.outstandingStarts.holdUnanswered(order.worker().id(), state.now());
+            state.outstandingStarts.holdUnanswered(order, state.now());
         }
         LiveWorker w = state.workers.get(order.worker().id());
         if (w == null) {
--- a/core/src/test/java/org/lupinpaddle/core/run/OutstandingStartsTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/OutstandingStartsTest.java
@@ -120,7 +120,7 @@
         void isKeptAliveByOtherOrders() {
             starts.unanswered(send("a", FENCE), 1_000);
             starts.unanswered(send("b", FENCE), 2_000);
-            starts.holdUnanswered(WORKER, 3_000);
+            starts.holdUnanswered(new HoldOrder(SchedulerDriver.worker(WORKER), 5_000, 0, 0, FENCE), 3_000);
             assertTrue(mayRun("a", 3_000 + MAX_DELAY_MILLIS + LONGEST_RUN_MILLIS));
             assertFalse(mayRun("a", 3_001 + MAX_DELAY_MILLIS + LONGEST_RUN_MILLIS));
         }
--- a/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
@@ -189,4 +189,29 @@
             assertMovesOnceTheRunHasEnded();
         }
     }
+
+    /** Guards against a hold for the former incarnation that extends the deadline of a later one's runs. */
+    @Nested
+    class HoldExecutedLate {
+
+        @ParameterizedTest
+        @ValueSource(longs = {2_000, 5_000, 9_000})
+        void afterTheHoldThatReplacesIt(long lateMillis) {
+            listAndAnswer();
+            f.driver().submit("x", ONE);
+            f.runUntil(() -> w1.runs("x"));
+            f.run(50);
+            f.holds.add(Fate.LATE);
+            f.runUntil(() -> !f.lateHolds.isEmpty());
+            w1.restart(SECOND_BIRTH);
+            f.driver().submit("a", ONE);
+            f.runUntil(() -> w1.runs("a"));
+            f.runUntil(() -> w1.firstAnswerAt >= 0);
+            cutOff();
+            listOtherWorker();
+            f.run(lateMillis);
+            f.carryOut(f.lateHolds.get(0));
+            assertMovesOnceTheRunHasEnded();
+        }
+    }
 }
