Recognize a restart by any clock that does not continue the known one

Callers would see a task run again although it was done, or at work twice, where a worker's births are not stated or not readable; and a restart that a start's answer shows went unnoticed if a hold's answer had arrived after the start was sent.

Cause: answers to holds were only checked for a clock that went back, and only while births are unknown. A new incarnation's clock starts anywhere: if it is ahead, or has caught up, its answer was taken for the known one, and the holds that followed acknowledged results that nobody had read. A birth stated for the first time was always taken for the known one's. The check of a start's answer was off whenever a hold had been answered since.

Change: one check for both, with the earliest and the latest value that the known clock can have (2% slow, the delay of an answer). It decides for answers to holds wherever one of the births is not known.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -38,6 +38,8 @@
     // Covers the rounding for short periods.
     private static final long CLOCK_SLACK_MILLIS = 100;
 
+    private static final long CLOCK_ROUNDING_MILLIS = 2;
+
     // The longest regular interval between two answers, plus the call.
     private static final long EXTENSION_WINDOW_MILLIS = 2_600;
 
@@ -190,22 +192,25 @@
         return incarnation;
     }
 
-    /**
-     * Returns whether an answer with this clock value to a hold sent at {@code sentAt} comes from a later
-     * incarnation. Worker clocks do not go back, but answers to concurrent holds may overtake each other.
-     */
-    boolean clockWentBack(long clock, long sentAt) {
-        return fenced && sentAt >= clockReadAt && clock < clockMillis;
-    }
-
     /**
      * Returns whether an answer with this clock value to an order sent at {@code sentAt} comes from another
      * incarnation, since the value does not continue this one's clock. The clock of a new incarnation may be ahead or
      * behind.
      */
     boolean isClockOfOtherIncarnation(long clock, long sentAt, long now) {
-        boolean ahead = clock > clockMillis + (now - clockReadAt) + MAX_ANSWER_DELAY_MILLIS;
-        return fenced && sentAt >= clockReadAt && (clock < clockMillis || ahead);
+        long latest = clockMillis + (now - clockReadAt) + MAX_ANSWER_DELAY_MILLIS;
+        return fenced && (clock < earliestClockAt(sentAt) || clock > latest);
+    }
+
+    /** Returns the earliest value that this incarnation's clock can have had at that time. */
+    private long earliestClockAt(long time) {
+        long elapsed = time - clockReadAt;
+        return clockMillis + (long) (elapsed > 0 ? elapsed / MAX_CLOCK_STRETCH : elapsed) - CLOCK_ROUNDING_MILLIS;
+    }
+
+    /** Returns whether a hold sent at {@code sentAt} was sent after the last answer was read. */
+    boolean wasReadBefore(long sentAt) {
+        return sentAt >= clockReadAt;
     }
 
     /**
--- a/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RestartTracker.java
@@ -86,9 +86,14 @@
     private @Nullable LiveWorker resolveIncarnation(LiveWorker w, long sentAt, HoldResponse answer) {
         WorkerIncarnation stated = new WorkerIncarnation(w.facts().id(), answer.bornMillis());
         if (!stated.isKnownToDifferFrom(w.incarnation())) {
-            boolean restarted = !stated.hasStartTime() && w.clockWentBack(answer.clockMillis(), sentAt);
+            boolean restarted = !(stated.hasStartTime() && w.incarnation().hasStartTime())
+                    && w.wasReadBefore(sentAt)
+                    && w.isClockOfOtherIncarnation(answer.clockMillis(), sentAt, state.now());
+            if (restarted) {
+                return replaceIncarnation(w, stated, answer);
+            }
             w.learnBirth(stated, state.now());
-            return restarted ? replaceIncarnation(w, stated, answer) : w;
+            return w;
         }
         // Host clocks may step back between two births: an incarnation that answers a hold sent to the known one is
         // not an earlier one.
