Keep what is known of a silent worker when its state is replaced

Seen in review: a worker that has left the list, and of which one task is kept while an unanswered start may run, counted as listed again after its state was replaced. It was polled without end (7 polls in 5 s, over 40 s after its last task had left), until the next delivery of the list. Its time of failure was lost as well, so that the loss of its kept tasks seemed to span up to 27 s, and could explain crashes of other workers.

The replacement now takes over whether and since when the worker is listed, when its first answer was missed, and when it will have drained.

StartBeforeFirstAnswerTest.Unlisted guards against it; the review's form of the test failed before and held with this change.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -672,6 +672,10 @@
         foreignDeadlinesUntil = previous.foreignDeadlinesUntil;
         otherClockSeenAt = previous.otherClockSeenAt;
         lastRespondedAt = previous.lastResponseAt();
+        firstMissedAt = previous.firstMissedAt;
+        listed = previous.listed;
+        unlistedSince = previous.unlistedSince;
+        drainEndsAt = previous.drainEndsAt;
         results = previous.results;
         coldPeriod = previous.coldPeriod;
         cold = previous.cold;
--- a/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
@@ -214,4 +214,33 @@
             assertMovesOnceTheRunHasEnded();
         }
     }
+
+    /** Guards against polling a worker for ever that has left the list while one of its tasks was kept. */
+    @Nested
+    class Unlisted {
+
+        @Test
+        void isForgottenOnceItsLastTaskHasLeft() {
+            listAndAnswer();
+            f.driver().submit("x", ONE);
+            f.runUntil(() -> w1.runs("x"));
+            f.run(50);
+            f.starts.add(Fate.LATE);
+            f.driver().submit("a", ONE);
+            f.runUntil(() -> !f.lateStarts.isEmpty());
+            cutOff();
+            f.driver().scheduler.onWorkers(List.of(SchedulerDriver.workerBornAt("w2", FIRST_BIRTH)));
+            assertMovesOnceTheRunHasEnded();
+            f.run(10_000);
+            long polls = pollsOf("w1");
+            f.run(5_000);
+            assertEquals(polls, pollsOf("w1"));
+        }
+
+        private long pollsOf(String worker) {
+            return f.driver().port.holds.stream()
+                    .filter(h -> h.worker().id().equals(worker))
+                    .count();
+        }
+    }
 }
