Don't take a list of instances for proof against a start that is as new

Callers would see a work item at work on two workers at once.

Cause: the platform's list of instances lags by up to the 2.7 s after which a worker counts as silent. A list that shows the instance down may therefore be older than a start that the next incarnation has executed at once, and whose answer was lost with the cut that followed. Only starts still in flight kept a worker from being declared lost by the list.

The worker's other tasks are released as before. A task whose start was unanswered at a crash waits up to 2.7 s longer.

StartBeforeFirstAnswerTest.ListOfInstances failed before. The test WorkerRestartTest.endsNoRunWhoseStartIsInFlight expected the loss by a list requested 0.3 s after the start's call had failed. Such a list may be older than the start; it now demands that this one is no proof, and that one requested 2.7 s later is.

A start that is executed seconds late by an incarnation that has started after the list was made is still not covered.

--- a/core/src/main/java/org/lupinpaddle/core/run/OutstandingStarts.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/OutstandingStarts.java
@@ -114,6 +114,13 @@
         return startsOf(worker).stream().anyMatch(s -> s.isFor(jobId, task, run)) && now <= runsUntil(worker);
     }
 
+    /** Returns whether the call of a copy of the run's start had not ended by then, so that it may have begun since. */
+    boolean mayHaveBegunSince(String worker, String jobId, TaskId task, int run, long time) {
+        return startsOf(worker).stream()
+                .anyMatch(s -> s.isFor(jobId, task, run)
+                        && (s.expiresAt == IN_FLIGHT || s.expiresAt - MAX_ORDER_DELAY_MILLIS >= time));
+    }
+
     /** Returns until when unanswered orders may keep runs alive in an incarnation that this owner does not know. */
     long runsUntil(String worker) {
         long startsUntil = startsOf(worker).stream().mapToLong(s -> s.expiresAt).reduce(Long.MIN_VALUE, Math::max);
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.JobState;
@@ -636,12 +637,14 @@
     }
 
     /**
-     * Releases the tasks of a silent worker whose runs have ended. Those that may be running in an incarnation which
-     * this owner does not know stay on its replacement, as does all that is known of the worker.
+     * Releases the tasks of a silent worker except those that may still be running. These stay on its replacement, as
+     * does all that is known of the worker.
      */
-    void deadlinesPassed(LiveWorker w) {
-        List<LiveTask> kept =
-                w.tasks.stream().filter(t -> state.mayRunUnknown(w, t)).toList();
+    void release(LiveWorker w, LossEvidence evidence, Predicate<LiveTask> mayBeRunning) {
+        List<LiveTask> kept = w.tasks.stream().filter(mayBeRunning).toList();
+        if (kept.size() == w.tasks.size()) {
+            return;
+        }
         LiveWorker replacement = new LiveWorker(w.facts(), state.now());
         replacement.resumeIncarnation(w);
         kept.forEach(t -> {
@@ -649,8 +652,9 @@
             t.worker = replacement;
             replacement.add(t);
         });
-        workerLost(w, LossEvidence.PAST_DEADLINES);
-        if (w.listed || !kept.isEmpty()) {
+        workerLost(w, evidence);
+        boolean mayReturn = w.listed && !evidence.provesEnd();
+        if (mayReturn || !kept.isEmpty()) {
             state.workers.put(w.facts().id(), replacement);
         }
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -227,7 +227,8 @@
     /**
      * Handles the platform's list of workers on instances that are up, requested at {@code askedAt}. A worker that
      * was silent by then and is not on the list has ended, whatever its deadline. The list lags by less than the time
-     * after which a worker counts as silent.
+     * after which a worker counts as silent; within that time, a start without an answer may have reached the next
+     * incarnation, so that its task waits for a later list.
      */
     public void onRunningWorkers(Set<String> workers, long askedAt) {
         for (LiveWorker w : List.copyOf(state.workers.values())) {
@@ -235,7 +236,8 @@
                     && state.wasSilentAt(w, askedAt)
                     && !workers.contains(w.facts().id())
                     && !mayHaveRestarted(w)) {
-                runs.workerLost(w, LossEvidence.NOT_LIVING);
+                long listedAt = askedAt - state.timing.silentMillis();
+                runs.release(w, LossEvidence.NOT_LIVING, t -> state.mayHaveBegunSince(w, t, listedAt));
             }
         }
     }
@@ -436,8 +438,11 @@
         long now = state.now();
         for (LiveWorker w : List.copyOf(state.workers.values())) {
             boolean isSilent = now - w.lastAnswerAt > state.timing.silentMillis();
-            if (isSilent && now > w.allRunsEndedAt() && hasEndedRuns(w)) {
-                runs.deadlinesPassed(w);
+            boolean isPastDeadlines = isSilent && now > w.allRunsEndedAt();
+            if (isPastDeadlines && !w.tasks.isEmpty()) {
+                runs.release(w, LossEvidence.PAST_DEADLINES, t -> state.mayRunUnknown(w, t));
+            } else if (isPastDeadlines && !w.listed) {
+                runs.workerLost(w, LossEvidence.PAST_DEADLINES);
             } else if (!w.listed && w.tasks.isEmpty() && now - w.unlistedSince > UNLISTED_KEEP_MILLIS) {
                 state.note(SchedulerEvent.Kind.WORKER_GONE, w, "tasks=0 evidence=unlisted " + w.describe());
                 state.fences.supersedeAll(w.facts().id());
@@ -446,11 +451,6 @@
         }
     }
 
-    /** Returns whether a worker past its deadlines has tasks to release, or is to be forgotten. */
-    private boolean hasEndedRuns(LiveWorker w) {
-        return w.tasks.isEmpty() ? !w.listed : w.tasks.stream().anyMatch(t -> !state.mayRunUnknown(w, t));
-    }
-
     private void sendHolds() {
         long now = state.now();
         for (LiveWorker w : state.workers.values()) {
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -226,6 +226,12 @@
                 || (w.isRestartIndicated() && now() <= outstandingStarts.runsUntil(id));
     }
 
+    /** Returns whether the newest run of the task may have begun since then by a start that has no answer. */
+    boolean mayHaveBegunSince(LiveWorker w, LiveTask t, long time) {
+        return outstandingStarts.mayHaveBegunSince(
+                w.facts().id(), t.job.spec.key().id(), t.id, t.run, time);
+    }
+
     /** Returns until when an order that the worker receives late may take effect there; now if there is none. */
     long latestArrival(LiveWorker w) {
         return outstandingStarts.latestArrival(w.facts().id(), w.confirmedFence(), now());
--- a/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
@@ -243,4 +243,23 @@
                     .count();
         }
     }
+
+    /** Guards against taking a list made while the instance was down for proof that a start since then is not executed. */
+    @Nested
+    class ListOfInstances {
+
+        @Test
+        void thatIsOlderThanAStartEndsNoRun() {
+            f.starts.addAll(List.of(Fate.LOST, Fate.ANSWER_LOST));
+            listAndAnswer();
+            w1.restart(SECOND_BIRTH);
+            f.driver().submit("a", ONE);
+            f.runUntil(() -> w1.runs("a"));
+            cutOff();
+            listOtherWorker();
+            f.runUntil(() -> f.driver().scheduler.hasSilentWorkersWithTasks());
+            f.listInstances("w2");
+            assertMovesOnceTheRunHasEnded();
+        }
+    }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/WorkerRestartTest.java
@@ -361,6 +361,9 @@
             d.advance(300);
             assertEquals(1, d.port.starts.size(), "no further start may be in flight");
             d.scheduler.onRunningWorkers(Set.of(), d.now);
+            assertFalse(isLost(), "the list may be older than the start");
+            d.advance(2_700);
+            d.scheduler.onRunningWorkers(Set.of(), d.now);
             assertTrue(isLost());
         }
 
