Keep an inherited run of a silent worker while earlier orders may be executed

Callers would see a work item at work on two workers at once.

Cause: a new owner knows nothing of the former one's starts without an answer. It hears the worker, which restarts after that and is cut off; a late copy of the start is the first order of the next incarnation.

Change: runs that were inherited stay with a silent worker for as long as the new owner waits for workers that it has never heard. The answer of the worker and the list of instances end the wait as before, and runs of the new owner's own are not affected.

InheritedDeadlineTest.OfALaterIncarnation: 3 of 3 cases failed before.

--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -153,7 +153,7 @@
         if (t == null) {
             return;
         }
-        LiveWorker w = state.workerOrUnknown(r.worker(), startedAt + state.timing.inheritedMillis());
+        LiveWorker w = state.workerOrUnknown(r.worker(), state.earlierOwnersUntil());
         t.worker = w;
         w.add(t);
         t.enterPhase(Phase.RECOVERING, state.now());
@@ -186,8 +186,7 @@
         // An entry without an address does not change the known worker, which is still polled at its old address.
         listed.stream().filter(f -> !f.address().isEmpty()).forEach(f -> byId.put(f.id(), f));
         byId.forEach((id, f) -> {
-            LiveWorker w = state.workers.computeIfAbsent(
-                    id, i -> new LiveWorker(f, startedAt + state.timing.inheritedMillis()));
+            LiveWorker w = state.workers.computeIfAbsent(id, i -> new LiveWorker(f, state.earlierOwnersUntil()));
             restarts.onListed(w, f);
         });
         state.workers.values().stream()
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -219,10 +219,12 @@
     /**
      * Returns whether the task may be running in an incarnation of its worker that this owner does not know, because
      * an order to an earlier one has no answer. If a start has reached such an incarnation, every task may be there.
+     * Whether an earlier owner's starts of an inherited run were answered is not known.
      */
     boolean mayRunUnknown(LiveWorker w, LiveTask t) {
         String id = w.facts().id();
-        return outstandingStarts.mayRunUnknown(id, t.job.spec.key().id(), t.id, t.run, now())
+        return (t.inherited && now() <= earlierOwnersUntil())
+                || outstandingStarts.mayRunUnknown(id, t.job.spec.key().id(), t.id, t.run, now())
                 || (w.isRestartIndicated() && now() <= outstandingStarts.runsUntil(id));
     }
 
@@ -281,10 +283,14 @@
         return o != t.worker && isUsable(o) && Placer.isEligible(o, t.placementRequirements(now()));
     }
 
+    /** Returns until when orders of earlier owners may keep runs alive on a worker that this owner does not reach. */
+    long earlierOwnersUntil() {
+        return startedAt + timing.inheritedMillis();
+    }
+
     /** Updates which workers are cold, and which of them may be sent a start now. */
     void updateColdWorkers() {
-        long earlierOwnersUntil = startedAt + timing.inheritedMillis();
-        workers.values().forEach(w -> w.updateCold(coldStarts, earlierOwnersUntil, now()));
+        workers.values().forEach(w -> w.updateCold(coldStarts, earlierOwnersUntil(), now()));
     }
 
     /** Returns the expected run time of a task of the step: the mean of its completed siblings if there is one. */
--- a/core/src/test/java/org/lupinpaddle/core/run/InheritedDeadlineTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/InheritedDeadlineTest.java
@@ -115,4 +115,35 @@
             assertMovesWithoutOverlap(other);
         }
     }
+
+    /** Guards against a late start of the former owner that is the first order of an incarnation nobody has heard. */
+    @Nested
+    class OfALaterIncarnation {
+
+        private static final StepSpec ONE =
+                StepSpec.builder(1, SchedulerDriver.NEED).place("", "rack-w2").build();
+
+        @ParameterizedTest
+        @ValueSource(longs = {2_000, 6_000, 12_000})
+        void maySetByALateStart(long lateMillis) {
+            f.starts.add(Fate.LATE);
+            listAndAnswer();
+            f.driver().submit("a", ONE);
+            f.runUntil(() -> w1.runs("a"));
+            f.run(50);
+            takeOver(ONE);
+            f.run(100);
+            w1.cut = true;
+            ScriptedWorker other = f.add("w2", FIRST_BIRTH, 60_000);
+            w1.restart(SECOND_BIRTH);
+            f.driver()
+                    .scheduler
+                    .onWorkers(List.of(
+                            SchedulerDriver.workerBornAt("w1", FIRST_BIRTH),
+                            SchedulerDriver.workerBornAt("w2", FIRST_BIRTH)));
+            f.run(lateMillis);
+            f.carryOut(f.lateStarts.get(0));
+            assertMovesWithoutOverlap(other);
+        }
+    }
 }
