Repeat a step of the event loop that has overflowed the stack

Callers would see: a repeated step, such as the check of the own registration, that is never run again after one StackOverflowError, without a log line.

Cause: the loop's guard caught RuntimeException only. The executor takes any other error into a future that nobody reads, and ends the repetition.

Change: the guard catches StackOverflowError, too, as SchedulerHost does for jobs. Errors of other kinds end the repetition as before.

Conclusion: one overflow ends one step only.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/ThreadEventLoop.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/ThreadEventLoop.java
@@ -75,7 +75,7 @@
     private static void guarded(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             // One bad step must not end the loop, nor a repeated step its repetition.
             Log.error("step-failed", e);
         }
