Continue a watch whose listener has overflowed the stack

Callers would see: an entry that stops following the workers, the jobs or the configuration until its process ends, while the rest of it works on.

Cause: PrefixWatch.notifyListener caught RuntimeException only, so that an overflow skipped the next call of the watch.

Change: a StackOverflowError is logged and the watch continues, as after a RuntimeException.

Conclusion: no reader is known that overflows: deep values are refused by the JSON parser (OddRecordsTest).

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/PrefixWatch.java
@@ -188,7 +188,7 @@
     private void notifyListener(Runnable call) {
         try {
             call.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             Log.error("watch-listener-failed", e);
         }
     }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/PrefixWatchTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/PrefixWatchTest.java
@@ -28,6 +28,7 @@
     private final TimedLoop loop = new TimedLoop();
     private final List<String> seen = new ArrayList<>();
     private boolean fails;
+    private boolean overflows;
 
     private final PrefixWatch watch = new PrefixWatch(store, loop, "p/", new PrefixWatch.Listener() {
         @Override
@@ -47,6 +48,10 @@
             fails = false;
             throw new IllegalStateException("unexpected");
         }
+        if (overflows) {
+            overflows = false;
+            throw new StackOverflowError();
+        }
     }
 
     private void set(String key) {
@@ -67,4 +72,17 @@
         set("p/c");
         assertEquals(List.of("p/a", "p/c"), seen);
     }
+
+    /** Guards against a watch that ends with a value so deeply nested that its listener overflows the stack. */
+    @Test
+    void continuesAfterItsListenerOverflowedTheStack() {
+        overflows = true;
+        watch.start();
+        loop.advance(100);
+        set("p/a");
+        overflows = true;
+        set("p/b");
+        set("p/c");
+        assertEquals(List.of("p/a", "p/c"), seen);
+    }
 }
