Plan the fleet and list its instances again after a step that failed

Callers would see: no order for any instance, no maintenance and no list of instances any more until the fleet changes its owner, after a single exception in planning or in looking at a list. The owner renews its lease meanwhile, so nobody else takes the fleet over.

Cause: FleetHost scheduled the next tick and the next list at the end of the present one, so that an exception skipped it.

Change: both are scheduled first, as SchedulerHost does.

Conclusion: no entry or row is known that makes the planner throw. The other steps that schedule themselves at their end were not changed.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -205,6 +205,8 @@
         context.instances
                 .list()
                 .whenComplete((all, why) -> context.loop.execute(() -> {
+                    // Scheduled first, so that a step which fails is repeated as well.
+                    context.loop.after(LIST_MILLIS, this::listInstances);
                     if (why != null) {
                         Log.info("instances-unread", "why", StoreFailure.text(why));
                     } else if (!closed) {
@@ -212,7 +214,6 @@
                         planner.onInstances(all);
                         recordsChanged();
                     }
-                    context.loop.after(LIST_MILLIS, this::listInstances);
                 }));
     }
 
@@ -229,6 +230,8 @@
         if (closed) {
             return;
         }
+        // Scheduled first, so that a step which fails is repeated as well.
+        context.loop.after(TICK_MILLIS, this::tick);
         if (earlierOrdersRead && !earlierOrdersUnreadable) {
             reviewEarlierOrders();
         }
@@ -236,7 +239,6 @@
             planner.onCordons(context.cordons.get());
             planner.tick();
         }
-        context.loop.after(TICK_MILLIS, this::tick);
     }
 
     @Override
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetFixture.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetFixture.java
@@ -15,6 +15,7 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
+import java.util.AbstractList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -41,11 +42,37 @@
     final TimedLoop loop = new TimedLoop();
     private final InstanceOrders instances;
 
+    /** How often the planner asked for the cordons. */
+    int cordonReads;
+
+    /** Whether asking for the cordons fails. */
+    boolean cordonsFail;
+
     /** A platform that always lists one spare instance. */
     abstract static class OneSpareInstance implements InstanceOrders {
 
+        /** How often the instances were listed. */
+        int lists;
+
+        /** Whether a list of instances fails when it is looked at. */
+        boolean fails;
+
         @Override
         public final CompletableFuture<InstanceList> list() {
+            lists++;
+            if (fails) {
+                return CompletableFuture.completedFuture(InstanceList.of(new AbstractList<>() {
+                    @Override
+                    public PlatformInstance get(int index) {
+                        throw new IllegalStateException("unexpected");
+                    }
+
+                    @Override
+                    public int size() {
+                        return 1;
+                    }
+                }));
+            }
             return CompletableFuture.completedFuture(InstanceList.of(
                     List.of(new PlatformInstance("m1", "spare", PlatformInstance.State.UP, "north", ""))));
         }
@@ -79,12 +106,20 @@
                 timing,
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
-                () -> HallCordons.DISABLED);
+                this::cordons);
         FleetHost host = new FleetHost(context, store.set(SchedulerKeys.owner(JobNode.FLEET), name));
         host.start(List.of(new ServiceConfig("clips", false, true), new ServiceConfig("spare", true, true)));
         return host;
     }
 
+    private HallCordons cordons() {
+        cordonReads++;
+        if (cordonsFail) {
+            throw new IllegalStateException("unexpected");
+        }
+        return HallCordons.DISABLED;
+    }
+
     void advance(long millis) {
         for (long left = millis; left > 0; left -= STEP_MILLIS) {
             loop.advance(STEP_MILLIS);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FleetHostTest.java
@@ -17,6 +17,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayDeque;
@@ -28,6 +29,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.fleet.InstanceOperation;
@@ -101,6 +103,39 @@
         }
     }
 
+    /** Guards against a fleet that nobody plans any more after one step has failed. */
+    @Nested
+    class FailedStep {
+
+        private static final long PERIOD_MILLIS = 2_000;
+
+        @BeforeEach
+        void start() {
+            owner("entry-1");
+            fleet.advance(PERIOD_MILLIS);
+        }
+
+        @Test
+        void ofPlanningIsRepeated() {
+            fleet.cordonsFail = true;
+            assertThrows(IllegalStateException.class, () -> fleet.advance(PERIOD_MILLIS));
+            fleet.cordonsFail = false;
+            int read = fleet.cordonReads;
+            fleet.advance(PERIOD_MILLIS);
+            assertTrue(fleet.cordonReads > read + 1);
+        }
+
+        @Test
+        void ofListingInstancesIsRepeated() {
+            instances.fails = true;
+            assertThrows(IllegalStateException.class, () -> fleet.advance(PERIOD_MILLIS));
+            instances.fails = false;
+            int listed = instances.lists;
+            fleet.advance(PERIOD_MILLIS);
+            assertTrue(instances.lists > listed + 1);
+        }
+    }
+
     /** Guards against an order that is sent after a delay, when another owner may have ordered the instance. */
     @Nested
     class DelayedOrder {
