Read an entry whose reader throws as unreadable, and the entries after it

Callers would see, if a reader of records threw: a worker list, a set of evacuation requests, waves or quotas that keeps its old state or ends at that entry, at each change again, with an error in the log each time. An owner would never begin to serve its jobs, since the watch of its inputs starts after the reading of the progress.

Cause: a record was parsed before UnreadableEntries was asked, so that an exception of the reader ended the loop over all entries.

Change: UnreadableEntries.recordOrNull calls the reader. If it throws a RuntimeException or overflows the stack, this one entry is unreadable ("not processed"): counted and logged once with its trace, not per change.

If a later reader does, the fault is confined to its entry.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/ConfigurationFeed.java
@@ -169,7 +169,7 @@
         if (!item.key().equals(records.configurationKey()) || item.revision() <= revision) {
             return;
         }
-        JobConfiguration read = unreadable.recordOrNull(Kind.CONFIGURATION, item, records.configuration(item));
+        JobConfiguration read = unreadable.recordOrNull(Kind.CONFIGURATION, item, records::configuration);
         if (read == null) {
             // The last readable configuration stays in force. Jobs are accepted only on the condition that the store
             // holds no newer one.
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/EvacuationFeed.java
@@ -91,7 +91,7 @@
         unreadable.retainOnly(SchedulerKeys.evacuations(service), watch.items());
         Set<String> urgent = new HashSet<>();
         for (StoreItem i : watch.items()) {
-            EvacuationRecord r = unreadable.recordOrNull(Kind.EVACUATION, i, read(i));
+            EvacuationRecord r = unreadable.recordOrNull(Kind.EVACUATION, i, EvacuationFeed::read);
             if (r == null) {
                 keepLastReadable(i, previous);
             } else {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/FleetHost.java
@@ -24,6 +24,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
@@ -269,7 +270,7 @@
                 .filter(i -> i.key().equals(SchedulerKeys.recentOrders()))
                 .forEach(i -> {
                     owned.expectRevision(i.key(), i.revision());
-                    RecentOrders r = recordOrNull(Kind.RECENT_ORDERS, i, i.read(RecentOrders.class));
+                    RecentOrders r = recordOrNull(Kind.RECENT_ORDERS, i, item -> item.read(RecentOrders.class));
                     earlierOrdersUnreadable = r == null;
                     if (r != null) {
                         ordered.inherit(r, wonAt, timeOfDayWonAt);
@@ -322,7 +323,7 @@
         for (StoreItem i : records.items()) {
             if (SchedulerKeys.isEvacuation(i.key())) {
                 owned.observeRevision(i.key(), i.revision());
-                EvacuationRecord r = recordOrNull(Kind.EVACUATION, i, EvacuationFeed.read(i));
+                EvacuationRecord r = recordOrNull(Kind.EVACUATION, i, EvacuationFeed::read);
                 if (r != null && owned.isCurrent(i.key(), i.revision())) {
                     evacuations.put(r, SchedulerKeys.evacuatedService(i.key()));
                 }
@@ -334,27 +335,27 @@
     }
 
     private void processReport(String service, StoreItem i) {
-        ServiceReport r = recordOrNull(Kind.REPORT, i, i.read(ServiceReport.class));
+        ServiceReport r = recordOrNull(Kind.REPORT, i, item -> item.read(ServiceReport.class));
         if (r != null) {
             planner.onReport(service, r);
         }
     }
 
     private void processUpkeep(long wave, StoreItem i) {
-        UpkeepRecord r = recordOrNull(Kind.UPKEEP, i, i.read(UpkeepRecord.class));
+        UpkeepRecord r = recordOrNull(Kind.UPKEEP, i, item -> item.read(UpkeepRecord.class));
         if (r != null) {
             planner.onUpkeep(wave, r);
         }
     }
 
-    private <T> @Nullable T recordOrNull(Kind kind, StoreItem i, Either<Unreadable, T> record) {
-        return context.unreadable.recordOrNull(kind, i, record);
+    private <T> @Nullable T recordOrNull(Kind kind, StoreItem i, Function<StoreItem, Either<Unreadable, T>> reader) {
+        return context.unreadable.recordOrNull(kind, i, reader);
     }
 
     private void wavesChanged() {
         context.unreadable.retainOnly(context.names.wavePrefix(), waves.items());
         planner.onWaves(waves.items().stream()
-                .map(i -> recordOrNull(Kind.WAVE, i, context.names.wave(i)))
+                .map(i -> recordOrNull(Kind.WAVE, i, context.names::wave))
                 .filter(Objects::nonNull)
                 .toList());
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/QuotaManager.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/QuotaManager.java
@@ -129,7 +129,7 @@
     }
 
     private void applyStored(WorkspaceQuota q, StoreItem item) {
-        QuotaAllocation a = unreadable.recordOrNull(Kind.QUOTA, item, item.read(QuotaAllocation.class));
+        QuotaAllocation a = unreadable.recordOrNull(Kind.QUOTA, item, i -> i.read(QuotaAllocation.class));
         if (a == null) {
             q.onUnreadable();
         } else {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/RecoveredJobs.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/RecoveredJobs.java
@@ -69,7 +69,7 @@
 
     private void read(JobKey job, StoreItem i) {
         records.expectRevision(i.key(), i.revision());
-        JobProgress p = unreadable.recordOrNull(Kind.PROGRESS, i, i.read(JobProgress.class));
+        JobProgress p = unreadable.recordOrNull(Kind.PROGRESS, i, item -> item.read(JobProgress.class));
         if (p == null) {
             unreadableJobs.add(job);
         } else {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/UnreadableEntries.java
@@ -24,9 +24,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Unreadable;
+import org.lupinpaddle.core.common.Unreadable.Reason;
 import org.lupinpaddle.daemon.common.Log;
 import org.lupinpaddle.daemon.port.StoreItem;
 
@@ -96,8 +98,20 @@
         this.meters = meters;
     }
 
-    /** Updates the state of an item after an attempt to parse it, and returns the record; null if it is unreadable. */
-    <T> @Nullable T recordOrNull(Kind kind, StoreItem item, Either<Unreadable, T> record) {
+    /**
+     * Parses an item, updates its state and returns the record; null if it is unreadable. An item whose reader throws is
+     * unreadable as well, so that the items after it are read.
+     */
+    <T> @Nullable T recordOrNull(Kind kind, StoreItem item, Function<StoreItem, Either<Unreadable, T>> reader) {
+        Either<Unreadable, T> record;
+        try {
+            record = reader.apply(item);
+        } catch (RuntimeException | StackOverflowError e) {
+            if (markUnreadable(new Entry(kind, item.key(), item.revision(), Reason.NOT_PROCESSED.whole()))) {
+                Log.error("entry-reader-failed", e);
+            }
+            return null;
+        }
         if (record.isRight()) {
             markReadable(item.key());
             return record.get();
@@ -106,20 +120,21 @@
         return null;
     }
 
-    /** Records that an entry is unreadable. */
-    synchronized void markUnreadable(Entry e) {
+    /** Records that an entry is unreadable; returns whether that is new and the entry is tracked. */
+    synchronized boolean markUnreadable(Entry e) {
         Entry known = byKey.get(e.key());
         if (known != null && known.why().equals(e.why())) {
-            return;
+            return false;
         }
         meters.unreadable(e.kind());
         if (known == null && byKey.size() >= MAX_TRACKED) {
             logOverflow();
-            return;
+            return false;
         }
         byKey.put(e.key(), e);
         Log.warn(
                 "entry-unreadable", "kind", e.kind().label(), "key", e.key(), "revision", e.revision(), "why", e.why());
+        return true;
     }
 
     private void logOverflow() {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/WorkerFeed.java
@@ -91,7 +91,7 @@
      * are kept: the owner continues to use the known address.
      */
     private void update(StoreItem item) {
-        WorkerFacts w = unreadable.recordOrNull(Kind.WORKER, item, records.worker(item));
+        WorkerFacts w = unreadable.recordOrNull(Kind.WORKER, item, records::worker);
         if (w == null) {
             byKey.remove(item.key());
         } else {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/FakeRecords.java
@@ -16,6 +16,8 @@
 package org.lupinpaddle.daemon.jobs;
 
 import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.Map;
 import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.cordon.Cordon;
 import org.lupinpaddle.core.placement.WorkerFacts;
@@ -30,6 +32,9 @@
     static final String CONFIGURATION = "operator/configuration";
     static final String CORDONS = "operator/cordon/";
 
+    /** What happens before the record of a worker under a key is read. */
+    final Map<String, Runnable> faults = new HashMap<>();
+
     @Override
     public String configurationKey() {
         return CONFIGURATION;
@@ -47,6 +52,7 @@
 
     @Override
     public Either<Unreadable, WorkerFacts> worker(StoreItem item) {
+        faults.getOrDefault(item.key(), () -> {}).run();
         return item.read(WorkerFacts.class);
     }
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/WorkerFeedTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/WorkerFeedTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.common.RecordCodec;
+import org.lupinpaddle.core.common.Unreadable.Reason;
 import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.placement.WorkerFacts;
 
@@ -37,7 +38,8 @@
     private final TimedLoop loop = new TimedLoop();
     private final JobMetrics meters = new JobMetrics();
     private final UnreadableEntries unreadable = new UnreadableEntries(meters);
-    private final WorkerFeed feed = new WorkerFeed(store, loop, new FakeRecords(), unreadable, () -> {});
+    private final FakeRecords records = new FakeRecords();
+    private final WorkerFeed feed = new WorkerFeed(store, loop, records, unreadable, () -> {});
 
     @BeforeEach
     void addTwoWorkers() {
@@ -137,6 +139,66 @@
         }
     }
 
+    /** Guards against one record whose reader throws and which so hides the records after it, at each change. */
+    @Nested
+    class RecordWhoseReaderThrows {
+
+        @BeforeEach
+        void addThrowingRecords() {
+            records.faults.put("worker/a-first", () -> {
+                throw new IllegalStateException("unexpected");
+            });
+            records.faults.put("worker/b-second", () -> {
+                throw new StackOverflowError();
+            });
+            addWorker("a-first");
+            addWorker("b-second");
+        }
+
+        @Test
+        void presentAtTheStartIsUnreadable() {
+            startFeed();
+            assertEquals(Set.of("w1", "w2"), listed());
+            assertEquals(
+                    List.of(Reason.NOT_PROCESSED.whole(), Reason.NOT_PROCESSED.whole()),
+                    unreadable.snapshot().stream()
+                            .map(UnreadableEntries.Entry::why)
+                            .toList());
+        }
+
+        @Test
+        void doesNotHideLaterChanges() {
+            startFeed();
+            addWorker("a-first");
+            addWorker("b-second");
+            addWorker("w3");
+            advance();
+            assertEquals(Set.of("w1", "w2", "w3"), listed());
+        }
+
+        @Test
+        void unlistsItsWorker() {
+            startFeed();
+            records.faults.put("worker/w1", () -> {
+                throw new StackOverflowError();
+            });
+            addWorker("w1");
+            advance();
+            assertEquals(Set.of("w2"), listed());
+        }
+
+        @Test
+        void isCountedOnce() {
+            startFeed();
+            for (int i = 0; i < 5; i++) {
+                addWorker("a-first");
+                addWorker("b-second");
+                advance();
+            }
+            assertEquals(2, unreadableCount());
+        }
+    }
+
     @Nested
     class OnlyUnreadableRecords {
 
