Let the model cut workers off right after they have restarted

Callers saw a work item at work on two workers at once, after a worker had restarted under its id and was cut off.

Cause: a cut of that option begins up to 400 ms before the restart, never after the return. The clock of the new incarnation always began at 0, and its entry was in the store at once.

The worker becomes unreachable 0 to 1.5 s after its return, or within 100 ms of the next start to it, for 2 to 14 s; some owners are killed in between. Random generator of its own; histories of the other options are as before.

--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -50,6 +50,9 @@
     @Option(name = "--restarts", description = "Some workers crash and start again under their ids")
     private boolean restarts;
 
+    @Option(name = "--recuts", description = "Some workers start again under their ids and are cut off soon after")
+    private boolean recuts;
+
     @Option(name = "--workspaces", description = "Callers belong to workspaces with keys and quotas, which change")
     private boolean workspaces;
 
@@ -124,6 +127,9 @@
         if (restarts) {
             w.withRestarts(s);
         }
+        if (recuts) {
+            w.withRestartCuts(s);
+        }
         if (lateHolds) {
             w.withLateHolds(s);
         }
--- a/model/src/main/java/org/lupinpaddle/model/Sabotage.java
+++ b/model/src/main/java/org/lupinpaddle/model/Sabotage.java
@@ -23,6 +23,8 @@
     NO_FENCES,
     /** Workers receive the same fencing token from an owner as long as it owns the service. */
     FENCES_NOT_RAISED,
+    /** The answer to a start states the clock of the former incarnation until the worker has answered a hold. */
+    RESTART_HIDDEN_FROM_STARTS,
     /** Each hold acknowledges all ends of runs, so workers forget an end as soon as they have reported it. */
     ENDS_FORGOTTEN_EARLY,
     /** A new owner of the fleet cannot read which instances its predecessor has ordered recently. */
@@ -59,6 +61,11 @@
         return this == ORDERS_NOT_WITHDRAWN || this == ENDED_ORDERS_NOT_WITHDRAWN || this == SEND_PERMIT_IGNORED;
     }
 
+    /** Returns whether this switch only has an effect in histories in which workers are cut off after a restart. */
+    boolean needsRestartCuts() {
+        return this == RESTART_HIDDEN_FROM_STARTS;
+    }
+
     /** Returns whether this switch only has an effect in histories in which queues get other services. */
     boolean needsReroutes() {
         return this == LOCATIONS_IGNORED;
--- a/model/src/main/java/org/lupinpaddle/model/SimFleet.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimFleet.java
@@ -200,6 +200,21 @@
         });
     }
 
+    /** Crashes a worker that restarts under its id with the given clock, and writes its new record after a while. */
+    void restart(SimWorker w, long downMillis, long clockMillis, long recordDelayMillis, Consumer<SimWorker> onReturn) {
+        crash(w, downMillis, instance -> {
+            instance.state = State.UP;
+            SimWorker returned = new SimWorker(time, rules, random, facts(instance, w.id()), clockMillis, crashing);
+            instance.worker = returned;
+            time.schedule(recordDelayMillis, () -> {
+                if (returned.isUp()) {
+                    putRecord(returned);
+                }
+            });
+            onReturn.accept(returned);
+        });
+    }
+
     /** Crashes all workers of a hall. They return together after a while, cold and under new ids. */
     void loseHall(String hall, long downMillis, SimWorker.ColdPhase cold) {
         List<SimWorker> lost =
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -83,10 +83,11 @@
         if (world.sabotage == Sabotage.LIMITED_TASKS_REFUSED && isLimited(o)) {
             return CompletableFuture.completedFuture(StartResult.withoutClock(OrderOutcome.UNHEALTHY));
         }
+        world.restartCuts().ifPresent(r -> r.onStart(o.worker().id()));
         long sentAt = world.time.now();
         OptionalLong[] clock = {OptionalLong.empty()};
         BiFunction<SimWorker, Execution, OrderOutcome> action = (w, c) -> {
-            clock[0] = OptionalLong.of(w.clock());
+            clock[0] = OptionalLong.of(clockInStartAnswer(w));
             return mayStart(o) ? w.start(o, c.fence, new Rules.Sender(entry, sentAt, c.late)) : OrderOutcome.NO_TICKET;
         };
         return order(o.worker(), WireBytes.of(o), action, effective(o.fence(), o.worker()))
@@ -94,6 +95,12 @@
                         outcome.isSilence() ? StartResult.withoutClock(outcome) : new StartResult(outcome, clock[0]));
     }
 
+    private long clockInStartAnswer(SimWorker w) {
+        return world.sabotage == Sabotage.RESTART_HIDDEN_FROM_STARTS && !w.hasAnsweredFor(0)
+                ? world.restartCuts().map(r -> r.formerClock(w)).orElse(w.clock())
+                : w.clock();
+    }
+
     private boolean mayStart(StartOrder o) {
         return world.advice().map(a -> a.allows(o)).orElse(true);
     }
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -76,6 +76,7 @@
     private long configurationVersion;
     private @Nullable CrashingTasks crashingTasks;
     private @Nullable WorkerRestarts restarts;
+    private @Nullable RestartCuts restartCuts;
     private @Nullable SimWorkspaces workspaces;
     private @Nullable LateHolds lateHolds;
     private @Nullable SimCordons cordons;
@@ -134,6 +135,19 @@
         return this;
     }
 
+    /** Adds workers that restart under their ids with arbitrary clocks and become unreachable soon after. */
+    World withRestartCuts(long seed) {
+        RestartCuts r = new RestartCuts(this, seed);
+        restartCuts = r;
+        r.plan(TRAFFIC_START, TRAFFIC_MILLIS);
+        return this;
+    }
+
+    /** Returns the workers that are cut off after a restart, if this history has any. */
+    Optional<RestartCuts> restartCuts() {
+        return Optional.ofNullable(restartCuts);
+    }
+
     /** Lets workers that execute orders late do so with holds as well. */
     World withLateHolds(long seed) {
         lateHolds = new LateHolds(net, seed);
--- a/model/src/test/java/org/lupinpaddle/model/ModelTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/ModelTest.java
@@ -288,6 +288,9 @@
                 if (sabotage.needsHeldOrders()) {
                     w.withHeldOrders(seed);
                 }
+                if (sabotage.needsRestartCuts()) {
+                    w.withRestartCuts(seed);
+                }
                 if (sabotage.needsReroutes()) {
                     w.withReroutes(seed);
                 }
