Plan the fleet with a report whose counts are negative or huge

Callers would see: no order for any instance any more, as long as one record lupinpaddle/fleet/report/SERVICE of another writer holds a large negative count.

Cause: sums of counts as int.

Change: a report with a negative count is unreadable, and the earlier one stays in force. Sums are taken as long.

--- a/core/src/main/java/org/lupinpaddle/core/capacity/FleetShares.java
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/FleetShares.java
@@ -61,10 +61,10 @@
      */
     private static int allocate(
             int available, List<Claim> claims, ToIntFunction<Claim> requestedBy, Map<String, Integer> shares) {
-        int requestedTotal = claims.stream().mapToInt(requestedBy).sum();
+        long requestedTotal = claims.stream().mapToLong(requestedBy::applyAsInt).sum();
         if (requestedTotal <= available) {
             claims.forEach(c -> shares.merge(c.pool(), requestedBy.applyAsInt(c), Integer::sum));
-            return requestedTotal;
+            return (int) requestedTotal;
         }
         int allocated = 0;
         for (Claim c : claims) {
--- a/core/src/main/java/org/lupinpaddle/core/capacity/ServiceReport.java
+++ b/core/src/main/java/org/lupinpaddle/core/capacity/ServiceReport.java
@@ -17,6 +17,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.lupinpaddle.core.common.CheckedRecord;
+import org.lupinpaddle.core.common.Unreadable;
 
 /**
  * The report of a service's owner to the rest of the system, in one record that is written when it changes.
@@ -29,4 +32,23 @@
  * @param workers the load of each worker
  */
 public record ServiceReport(
-        Map<String, Integer> pendingByQueue, int needed, int firm, int late, List<WorkerLoad> workers) {}
+        Map<String, Integer> pendingByQueue, int needed, int firm, int late, List<WorkerLoad> workers)
+        implements CheckedRecord {
+
+    @Override
+    public Optional<Unreadable> findError() {
+        if (needed < 0 || firm < 0 || late < 0) {
+            return outOfRange("needed");
+        }
+        if (pendingByQueue.values().stream().anyMatch(p -> p < 0)) {
+            return outOfRange("pendingByQueue");
+        }
+        return workers.stream().allMatch(w -> w.lasting() >= 0 && w.finite() >= 0)
+                ? Optional.empty()
+                : outOfRange("workers");
+    }
+
+    private static Optional<Unreadable> outOfRange(String field) {
+        return Optional.of(Unreadable.Reason.OUT_OF_RANGE.in(field));
+    }
+}
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -93,7 +93,7 @@
                         .orElse(0)
                 + pools.stream().mapToInt(this::supply).sum();
         standby = Math.max(state.timing.minWorkers(), instances / (STANDBY_DIVISOR * Math.max(1, pools.size())));
-        overcommitted = pools.stream().mapToInt(this::requested).sum() > instances;
+        overcommitted = pools.stream().mapToLong(this::requested).sum() > instances;
         return FleetShares.divide(instances, pools.stream().map(this::claim).toList());
     }
 
@@ -107,7 +107,7 @@
      */
     private int requested(String pool) {
         ServiceReport r = state.reports.get(pool);
-        return r == null ? supply(pool) : Math.max(standby, r.needed() + state.timing.reserve());
+        return r == null ? supply(pool) : Math.max(standby, plusReserve(r.needed()));
     }
 
     private FleetShares.Claim claim(String pool) {
@@ -115,8 +115,13 @@
         if (r == null) {
             return new FleetShares.Claim(pool, supply(pool), supply(pool), 0, 0);
         }
-        int firm = Math.max(standby, r.firm() + state.timing.reserve());
-        return new FleetShares.Claim(pool, standby, firm, r.late(), Math.max(0, requested(pool) - firm - r.late()));
+        int firm = Math.max(standby, plusReserve(r.firm()));
+        long optional = (long) requested(pool) - firm - r.late();
+        return new FleetShares.Claim(pool, standby, firm, r.late(), (int) Math.max(0, optional));
+    }
+
+    private int plusReserve(int workers) {
+        return (int) Math.min(Integer.MAX_VALUE, (long) workers + state.timing.reserve());
     }
 
     /**
--- a/core/src/test/java/org/lupinpaddle/core/capacity/FleetSharesProperties.java
+++ b/core/src/test/java/org/lupinpaddle/core/capacity/FleetSharesProperties.java
@@ -68,6 +68,15 @@
         claims.forEach(c -> assertTrue(share(shares, c) >= 0 && share(shares, c) <= totalRequested(c)));
     }
 
+    /** Guards against requests whose sum overflows, so that each of them is allocated in full. */
+    @Property(tries = 100)
+    void neverAllocatesMoreThanAvailableToHugeRequests(@ForAll @IntRange(max = 300) int instances) {
+        int huge = Integer.MAX_VALUE;
+        List<FleetShares.Claim> claims = List.of(
+                new FleetShares.Claim("p1", 1, huge, huge, huge), new FleetShares.Claim("p2", 1, huge, huge, huge));
+        assertEquals(instances, sum(FleetShares.divide(instances, claims)));
+    }
+
     @Property
     void lateWorkGetsNothingWhileRequiredWorkLacksInstances(
             @ForAll("claims") List<FleetShares.Claim> claims, @ForAll @IntRange(max = 300) int instances) {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OddRecordsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OddRecordsTest.java
@@ -45,7 +45,7 @@
 
     private static final StepSpec STEP =
             StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).after(List.of()).build();
-    private static final List<Object> SOUND = List.of(
+    static final List<Object> SOUND = List.of(
             new JobSpec(
                     new JobKey("q", "j"),
                     "clips",
