Say what a test of restarts and cuts guards against

The test is on a start that has no answer, and may be executed late. Only the line above it changes.

--- a/model/src/test/java/org/lupinpaddle/model/RestartCutsTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/RestartCutsTest.java
@@ -43,7 +43,7 @@
             assertRulesHold(seed, 0, world(seed, 0));
         }
 
-        /** Guards against giving up a task whose start was executed without an answer. */
+        /** Guards against giving up a task while a start without an answer may still be executed. */
         @Test
         void isNotGivenUpEarlyWithoutAnAnswer() {
             assertRulesHold(12400744, 0, world(12400744, 0));
