Test that a new owner waits for runs whose deadline came from another clock

A run is accepted by an incarnation that has not answered a hold, with a deadline by the former clock, and its owner is succeeded.

ScriptedWorker gets a clock per incarnation, a slow clock, a limit on holds and crashes; ScriptedFleet gets successions and a chooser of fates, which a random search uses. SchedulerDriver derives the inherited time from the platform's longest hold; for 10 s it is the same as before.

--- a/core/src/test/java/org/lupinpaddle/core/run/RunJudge.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/RunJudge.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.lupinpaddle.core.run.ScriptedWorker.Task;
 
 /** Judges by what workers executed: no run begins while another one of its task is at work, or after a noted end. */
@@ -31,10 +32,13 @@
     private final Set<Task> noted = new HashSet<>();
     private final Map<Task, String> begunAfterDone = new HashMap<>();
     final List<String> broken = new ArrayList<>();
+    /** Receives what workers begin and end, for the trace of a test. */
+    Consumer<String> trace = s -> {};
 
     void began(ScriptedWorker w, Task t, int run) {
         Map<ScriptedWorker, String> others = atWork.computeIfAbsent(t, k -> new HashMap<>());
-        String begun = t.job() + "/" + run + " on " + w;
+        String begun = name(t) + "/" + run + " on " + w;
+        trace.accept("begun: " + begun);
         if (!others.isEmpty()) {
             broken.add(begun + " began while " + String.join(", ", others.values()) + " was at work");
         }
@@ -46,7 +50,14 @@
         others.put(w, begun);
     }
 
+    /** Returns the job, and the task if it is not the job's first. */
+    private static String name(Task t) {
+        boolean first = t.id().time() + t.id().step() + t.id().index() == 0;
+        return first ? t.job() : t.job() + "." + t.id();
+    }
+
     void ended(ScriptedWorker w, Task t) {
+        trace.accept("ended: " + name(t) + " on " + w);
         atWork.getOrDefault(t, new HashMap<>()).remove(w);
     }
 
@@ -54,6 +65,16 @@
         done.add(t);
     }
 
+    /** Returns whether an end done of the task has been acknowledged. */
+    boolean isNoted(Task t) {
+        return noted.contains(t);
+    }
+
+    /** Returns whether the task has ended done. */
+    boolean isDone(Task t) {
+        return done.contains(t);
+    }
+
     void acknowledged(Task t) {
         noted.add(t);
         String begun = begunAfterDone.remove(t);
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -40,9 +40,7 @@
     static final long CORDON_AGE_MILLIS = 3_300;
     private static final long LONGEST_HOLD_MILLIS = 10_000;
     private static final long MAX_STORE_SILENCE_MILLIS = 12_000;
-    static final long INHERITED_MILLIS = SchedulerTiming.usual(
-                    LONGEST_HOLD_MILLIS, STOP_MILLIS, MAX_STORE_SILENCE_MILLIS)
-            .inheritedMillis();
+    static final long INHERITED_MILLIS = inheritedMillis(LONGEST_HOLD_MILLIS);
     static final StepSpec.Need NEED = new StepSpec.Need(1_000, 100, 0);
     private static final Resources ROOM = new Resources(4_000, 8_000, 0);
 
@@ -64,11 +62,21 @@
     }
 
     SchedulerDriver(QuotaTable quotas) {
+        this(quotas, LONGEST_HOLD_MILLIS);
+    }
+
+    /** Creates a driver for a platform with this limit on the deadlines of holds. */
+    SchedulerDriver(QuotaTable quotas, long longestHoldMillis) {
         SchedulerTiming timing = new SchedulerTiming(
-                HOLD_MILLIS, 1_000, 2_000, 2_700, INHERITED_MILLIS, STOP_MILLIS, LONGEST_HOLD_MILLIS);
+                HOLD_MILLIS, 1_000, 2_000, 2_700, inheritedMillis(longestHoldMillis), STOP_MILLIS, longestHoldMillis);
         scheduler = new ServiceScheduler("clips", timing, port, quotas, () -> now, () -> now);
     }
 
+    private static long inheritedMillis(long longestHoldMillis) {
+        return SchedulerTiming.usual(longestHoldMillis, STOP_MILLIS, MAX_STORE_SILENCE_MILLIS)
+                .inheritedMillis();
+    }
+
     static WorkerFacts worker(String id) {
         return new WorkerFacts(id, "clips", "at-" + id, "north", false, 0, ROOM, List.of("rack-" + id));
     }
--- a/core/src/test/java/org/lupinpaddle/core/run/ScriptedFleet.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ScriptedFleet.java
@@ -18,18 +18,20 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.job.JobProgress;
+import org.lupinpaddle.core.workspace.QuotaTable;
 
 /** Carries orders between schedulers and scripted workers; a test decides the fate of each one. */
 final class ScriptedFleet {
 
     static final long CALL_MILLIS = 500;
-    private static final long STEP_MILLIS = 5;
     private static final long TOKENS_OF_AN_OWNER = 1_000;
 
     /** What becomes of an order. */
@@ -48,7 +50,7 @@
 
     /** A scheduler with its fencing token and its own clock. */
     static final class Owner {
-        final SchedulerDriver driver = new SchedulerDriver();
+        final SchedulerDriver driver;
         final long token;
         int starts;
         int stops;
@@ -58,7 +60,12 @@
         JobProgress saved;
 
         Owner(long token) {
+            this(token, 10_000);
+        }
+
+        Owner(long token, long longestHoldMillis) {
             this.token = token;
+            driver = new SchedulerDriver(new QuotaTable("clips"), longestHoldMillis);
             driver.port.lowestFence = token * TOKENS_OF_AN_OWNER;
             driver.port.highestFence = (token + 1) * TOKENS_OF_AN_OWNER - 1;
         }
@@ -91,6 +98,11 @@
         }
     }
 
+    /** Decides the fate of each order that no script decides. */
+    interface Fates {
+        Fate of(Object order, ScriptedWorker worker);
+    }
+
     final RunJudge judge = new RunJudge();
     final List<ScriptedWorker> workers = new ArrayList<>();
     final List<Owner> owners = new ArrayList<>();
@@ -107,12 +119,33 @@
     /** The holds that the test carries out. */
     final List<Call> lateHolds = new ArrayList<>();
 
+    /** What the store has of each job, by its id. */
+    final Map<String, JobProgress> stored = new HashMap<>();
+
+    @Nullable
+    Fates fates;
+
     private final List<Call> calls = new ArrayList<>();
     private final List<Call> waitingHolds = new ArrayList<>();
+    private final long longestHoldMillis;
+    private final long stepMillis;
     long now;
 
     ScriptedFleet() {
-        owners.add(new Owner(1));
+        this(10_000, 5);
+    }
+
+    ScriptedFleet(long longestHoldMillis, long stepMillis) {
+        this.longestHoldMillis = longestHoldMillis;
+        this.stepMillis = stepMillis;
+        owners.add(new Owner(1, longestHoldMillis));
+    }
+
+    /** Adds an owner that succeeds the present one, which may go on sending orders while it stays on the list. */
+    Owner addOwner() {
+        Owner o = new Owner(owners.get(owners.size() - 1).token + 1, longestHoldMillis);
+        owners.add(o);
+        return o;
     }
 
     /** Returns the fencing token of an order. */
@@ -129,6 +162,7 @@
 
     ScriptedWorker add(String id, long born, long clockMillis) {
         ScriptedWorker w = new ScriptedWorker(id, born, clockMillis, judge);
+        w.longestHoldMillis = longestHoldMillis;
         w.advanceTo(now);
         workers.add(w);
         return w;
@@ -169,6 +203,16 @@
         }
     }
 
+    /** Carries out a late order; its answer is lost if the worker is cut off. */
+    void carryOutUnlessDown(Call c) {
+        if (!c.worker.down && c.worker.cut) {
+            execute(c);
+            c.outcome = null;
+        } else if (!c.worker.down) {
+            carryOut(c);
+        }
+    }
+
     /** Gives the answer of an order that was carried out before. */
     void answer(Call c) {
         if (c.open && c.outcome != null) {
@@ -176,14 +220,17 @@
         }
     }
 
-    private void step() {
-        now += STEP_MILLIS;
+    void step() {
+        now += stepMillis;
         workers.forEach(w -> w.advanceTo(now));
-        for (Owner o : owners) {
-            o.driver.advance(STEP_MILLIS);
-            if (!o.driver.port.saves.isEmpty()) {
-                List<SchedulerPort.ProgressWrite> last = o.driver.port.saves.get(o.driver.port.saves.size() - 1);
-                o.saved = last.get(last.size() - 1).progress();
+        for (Owner o : List.copyOf(owners)) {
+            o.driver.advance(stepMillis);
+            // The store rejects what a former owner writes.
+            if (o.driver == driver() && !o.driver.port.saves.isEmpty()) {
+                for (List<SchedulerPort.ProgressWrite> batch : o.driver.port.saves) {
+                    batch.forEach(w -> stored.put(w.job().id(), w.progress()));
+                    o.saved = batch.get(batch.size() - 1).progress();
+                }
                 o.driver.completeSaves();
             }
             sendOrders(o);
@@ -201,21 +248,29 @@
         FakeSchedulerPort port = o.driver.port;
         while (o.starts < port.starts.size()) {
             StartOrder s = port.starts.get(o.starts++);
-            send(call(o, s, s.worker().id(), 0), next(starts, Fate.AT_ONCE), lateStarts);
+            send(
+                    call(o, s, s.worker().id(), 0),
+                    next(starts, Fate.AT_ONCE, s, s.worker().id()),
+                    lateStarts);
         }
         while (o.stops < port.stops.size()) {
             StopOrder s = port.stops.get(o.stops++);
-            send(call(o, s, s.worker().id(), 0), next(stops, otherStops), lateStops);
+            send(
+                    call(o, s, s.worker().id(), 0),
+                    next(stops, otherStops, s, s.worker().id()),
+                    lateStops);
         }
         while (o.holds < port.holds.size()) {
             HoldOrder h = port.holds.get(o.holds++);
             Call c = call(o, h, h.worker().id(), h.waitMillis());
-            Fate f = next(holds, Fate.AT_ONCE);
+            Fate f = next(holds, Fate.AT_ONCE, h, h.worker().id());
             if (f == Fate.LATE) {
                 lateHolds.add(c);
-            } else if (f == Fate.ANSWER_LOST && !c.worker.cut) {
+            } else if (c.worker.cut || c.worker.down) {
+                continue;
+            } else if (f == Fate.ANSWER_LOST) {
                 execute(c);
-            } else if (f == Fate.AT_ONCE && !c.worker.cut) {
+            } else if (f == Fate.AT_ONCE) {
                 execute(c);
                 if (c.open) {
                     waitingHolds.add(c);
@@ -224,15 +279,20 @@
         }
     }
 
-    private static Fate next(Deque<Fate> fates, Fate otherwise) {
-        Fate f = fates.poll();
-        return f == null ? otherwise : f;
+    private Fate next(Deque<Fate> scripted, Fate otherwise, Object order, String worker) {
+        Fate f = scripted.poll();
+        if (f == null) {
+            f = fates == null ? otherwise : fates.of(order, worker(worker));
+        }
+        return f;
+    }
+
+    private ScriptedWorker worker(String id) {
+        return workers.stream().filter(w -> w.id.equals(id)).findFirst().orElseThrow();
     }
 
     private Call call(Owner o, Object order, String worker, long waitMillis) {
-        ScriptedWorker to =
-                workers.stream().filter(w -> w.id.equals(worker)).findFirst().orElseThrow();
-        Call c = new Call(o, order, to, now, waitMillis);
+        Call c = new Call(o, order, worker(worker), now, waitMillis);
         calls.add(c);
         return c;
     }
@@ -241,7 +301,7 @@
         if (f == Fate.LATE || f == Fate.ANSWER_LATE) {
             late.add(c);
         }
-        if (f != Fate.LATE && f != Fate.LOST && !c.worker.cut) {
+        if (f != Fate.LATE && f != Fate.LOST && !c.worker.cut && !c.worker.down) {
             execute(c);
             if (f == Fate.AT_ONCE) {
                 answer(c);
@@ -263,7 +323,7 @@
 
     private void answerHold(Call c) {
         HoldOrder h = (HoldOrder) c.order;
-        if (!c.open || c.worker.incarnation != c.incarnation || c.worker.cut) {
+        if (!c.open || c.worker.incarnation != c.incarnation || c.worker.cut || c.worker.down) {
             waitingHolds.remove(c);
         } else if (now >= c.sentAt + h.waitMillis() || c.worker.hasEnds()) {
             waitingHolds.remove(c);
--- a/core/src/test/java/org/lupinpaddle/core/run/ScriptedWorker.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ScriptedWorker.java
@@ -19,29 +19,39 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.TaskId;
 
 /** A worker that obeys the protocol, one incarnation at a time; a restart under its id makes it forget everything. */
 final class ScriptedWorker {
 
-    private static final long LONGEST_HOLD_MILLIS = 10_000;
-
     final String id;
     private final RunJudge judge;
     private final Map<Task, Integer> running = new HashMap<>();
+    private final Map<Task, Long> begunAt = new HashMap<>();
     private final Map<Task, Integer> highestClosed = new HashMap<>();
     private final List<RunResult> ends = new ArrayList<>();
     private long fence;
     private long deadline;
     private long lastEnd;
     private long now;
-    private long clockZero;
+    private long clockBase;
+    private long clockBaseAt;
 
     long born;
+    /** How far ahead the deadline of an order may be. */
+    long longestHoldMillis = 10_000;
+    /** The progress in percent that it reports of a task. */
+    ToIntFunction<Task> progress = t -> 10;
+    /** By how much its clock advances in a millisecond. */
+    double clockRate = 1;
+
     int incarnation = 1;
     /** Whether no call reaches it and none of its answers arrives. */
     boolean cut;
+    /** Whether its process has ended and the next one has not started. */
+    boolean down;
     /** When it first answered a poll in this incarnation; -1 before. */
     long firstAnswerAt = -1;
 
@@ -52,19 +62,32 @@
         this.id = id;
         this.born = born;
         this.judge = judge;
-        this.clockZero = -clockMillis;
+        this.clockBase = clockMillis;
     }
 
-    /** Starts again under the same id. */
-    void restart(long nextBorn) {
+    /** Ends with all that it runs; it executes nothing until it starts again. */
+    void crash() {
         running.keySet().forEach(t -> judge.ended(this, t));
         running.clear();
+        down = true;
+    }
+
+    /** Starts again under the same id, with a clock that starts at 0. */
+    void restart(long nextBorn) {
+        restart(nextBorn, 0);
+    }
+
+    /** Starts again under the same id, with a clock that starts at this value. */
+    void restart(long nextBorn, long clockMillis) {
+        crash();
+        down = false;
         highestClosed.clear();
         ends.clear();
         fence = 0;
         deadline = 0;
         lastEnd = 0;
-        clockZero = now;
+        clockBase = clockMillis;
+        clockBaseAt = now;
         born = nextBorn;
         incarnation++;
         firstAnswerAt = -1;
@@ -78,7 +101,22 @@
     }
 
     long clock() {
-        return now - clockZero;
+        return clockBase + (long) ((now - clockBaseAt) * clockRate);
+    }
+
+    /** Returns whether this incarnation has executed an order. */
+    boolean hasExecutedAnOrder() {
+        return fence > 0;
+    }
+
+    /** Returns the tasks that it runs. */
+    List<Task> tasks() {
+        return List.copyOf(running.keySet());
+    }
+
+    /** Returns for how long it has been running a task. */
+    long elapsedMillis(Task t) {
+        return now - begunAt.getOrDefault(t, now);
     }
 
     OrderOutcome start(StartOrder o, long token) {
@@ -98,6 +136,7 @@
             return OrderOutcome.OLD_RUN;
         }
         running.put(t, o.run());
+        begunAt.put(t, now);
         judge.began(this, t, o.run());
         return OrderOutcome.ACCEPTED;
     }
@@ -140,7 +179,8 @@
             firstAnswerAt = now;
         }
         List<RunStatus> listed = running.entrySet().stream()
-                .map(e -> new RunStatus(e.getKey().job, e.getKey().id, e.getValue(), "", 10, -1))
+                .map(e -> new RunStatus(
+                        e.getKey().job, e.getKey().id, e.getValue(), "", progress.applyAsInt(e.getKey()), -1))
                 .toList();
         return new HoldResponse(born, clock(), listed, List.copyOf(ends));
     }
@@ -154,7 +194,7 @@
         running.keySet().stream().filter(t -> t.job.equals(job)).toList().forEach(t -> end(t, how));
     }
 
-    private void end(Task t, EndKind how) {
+    void end(Task t, EndKind how) {
         Integer run = running.remove(t);
         if (run == null) {
             return;
@@ -175,7 +215,7 @@
     }
 
     private void extendDeadline(long millis) {
-        deadline = Math.max(deadline, Math.min(millis, clock() + LONGEST_HOLD_MILLIS));
+        deadline = Math.max(deadline, Math.min(millis, clock() + longestHoldMillis));
     }
 
     @Override
--- a/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/StartBeforeFirstAnswerTest.java
@@ -19,6 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,8 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.lupinpaddle.core.job.EndKind;
+import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.run.ScriptedFleet.Call;
 import org.lupinpaddle.core.run.ScriptedFleet.Fate;
@@ -113,8 +116,12 @@
 
     /** Waits until the task is at work on the other worker, and for a while longer. */
     private void assertMovesOnceTheRunHasEnded() {
+        assertMovesOnceTheRunHasEnded(MAX_WAIT_MILLIS);
+    }
+
+    private void assertMovesOnceTheRunHasEnded(long maxWaitMillis) {
         ScriptedWorker w2 = f.workers.get(1);
-        long until = f.now + MAX_WAIT_MILLIS;
+        long until = f.now + maxWaitMillis;
         while (f.now < until && !w2.runs("a")) {
             f.run(5);
         }
@@ -262,4 +269,88 @@
             assertMovesOnceTheRunHasEnded();
         }
     }
+
+    /** Guards against a new owner that does not count deadlines which its predecessor sent by another clock. */
+    @Nested
+    class UnderANewOwner {
+
+        // An inherited run stays on a silent worker for this time at most; the next ticks place its task.
+        private static final long MAX_INHERITED_WAIT_MILLIS = SchedulerDriver.INHERITED_MILLIS + 1_000;
+
+        private static final StepSpec SHORT =
+                StepSpec.builder(1, SchedulerDriver.NEED).build();
+
+        private static Stream<Arguments> successions() {
+            return Stream.of(0L, 300L, 900L)
+                    .flatMap(start -> Stream.of(5L, 100L, 400L)
+                            .flatMap(heard -> Stream.of(5L, 50L, 600L).map(cut -> Arguments.of(start, heard, cut))));
+        }
+
+        private void takeOver() {
+            JobProgress saved = f.stored.get("a");
+            f.addOwner();
+            f.owners.remove(0);
+            f.list();
+            f.driver().submit("a", Objects.requireNonNull(saved), ONE, SHORT);
+        }
+
+        /** Lets the new incarnation accept a start whose deadline refers to the clock of the one before. */
+        private void startOnUnheardIncarnation(long startDelay) {
+            listAndAnswer();
+            w1.restart(SECOND_BIRTH);
+            f.run(startDelay);
+            f.driver().submit("a", ONE, SHORT);
+            f.runUntil(() -> w1.tasks().size() == 2);
+        }
+
+        /** Lets the former owner save the record of the run after it has heard the incarnation. */
+        private void completeOtherTask() {
+            w1.tasks().stream().filter(t -> t.id().step() == 1).forEach(t -> w1.end(t, EndKind.DONE));
+            f.runUntil(() -> !w1.hasEnds());
+        }
+
+        private void awaitFirstAnswerThenCutOff(long cutDelay) {
+            int holds = f.driver().port.holds.size();
+            w1.firstAnswerAt = -1;
+            f.runUntil(() -> f.driver().port.holds.size() > holds && w1.firstAnswerAt >= 0);
+            f.run(cutDelay);
+            cutOff();
+            listOtherWorker();
+        }
+
+        /** The former owner heard the incarnation, so the record of the run states its birth. */
+        @ParameterizedTest
+        @MethodSource("successions")
+        void incarnationHeardByTheFormerOwner(long startDelay, long heardMillis, long cutDelay) {
+            startOnUnheardIncarnation(startDelay);
+            f.runUntil(() -> w1.firstAnswerAt >= 0);
+            f.run(heardMillis);
+            completeOtherTask();
+            takeOver();
+            awaitFirstAnswerThenCutOff(cutDelay);
+            assertMovesOnceTheRunHasEnded(MAX_INHERITED_WAIT_MILLIS);
+        }
+
+        /** The former owner never heard the incarnation, so the record of the run states an earlier birth. */
+        @ParameterizedTest
+        @MethodSource("successions")
+        void incarnationNotHeardByTheFormerOwner(long startDelay, long ignored, long cutDelay) {
+            startOnUnheardIncarnation(startDelay);
+            takeOver();
+            awaitFirstAnswerThenCutOff(cutDelay);
+            assertMovesOnceTheRunHasEnded(MAX_INHERITED_WAIT_MILLIS);
+        }
+
+        /** No answer of the incarnation reaches the new owner. */
+        @ParameterizedTest
+        @MethodSource("successions")
+        void incarnationNotHeardByTheNewOwner(long startDelay, long ignored, long cutDelay) {
+            startOnUnheardIncarnation(startDelay);
+            f.run(cutDelay);
+            cutOff();
+            takeOver();
+            listOtherWorker();
+            assertMovesOnceTheRunHasEnded(MAX_INHERITED_WAIT_MILLIS);
+        }
+    }
 }
