Compare clocks also when a worker that was given up answers again

Callers would see a task run again although it was done, where the births of a worker are not stated or not readable.

Cause: when a silent worker is given up, its state is replaced. The replacement took over the birth and the cursor of results, but not the clock, so that the first answer afterwards was taken for the known incarnation's. If the worker had restarted, its results up to the old cursor were acknowledged without being read.

Change: the replacement takes over the clock, and compares the first answer with it.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -142,6 +142,9 @@
     /** Distinct evidence of failures since the last successful run. */
     final Set<String> failureEvidence = new HashSet<>();
 
+    /** Whether this incarnation's clock has been read, also by the state that this one replaces. */
+    private boolean clockKnown;
+
     private long clockMillis;
     private long clockReadAt;
     private long latestDeadline;
@@ -199,7 +202,7 @@
      */
     boolean isClockOfOtherIncarnation(long clock, long sentAt, long now) {
         long latest = clockMillis + (now - clockReadAt) + MAX_ANSWER_DELAY_MILLIS;
-        return fenced && (clock < earliestClockAt(sentAt) || clock > latest);
+        return clockKnown && (clock < earliestClockAt(sentAt) || clock > latest);
     }
 
     /** Returns the earliest value that this incarnation's clock can have had at that time. */
@@ -516,6 +519,7 @@
     }
 
     void holdAnswered(long workerClock, long now) {
+        clockKnown = true;
         clockMillis = workerClock;
         clockReadAt = now;
         lastAnswerAt = now;
@@ -670,6 +674,9 @@
         incarnation = previous.incarnation;
         incarnationKnownAt = previous.incarnationKnownAt;
         foreignDeadlinesUntil = previous.foreignDeadlinesUntil;
+        clockKnown = previous.clockKnown;
+        clockMillis = previous.clockMillis;
+        clockReadAt = previous.clockReadAt;
         otherClockSeenAt = previous.otherClockSeenAt;
         lastRespondedAt = previous.lastResponseAt();
         firstMissedAt = previous.firstMissedAt;
