Test that a former owner's deadline extends runs of the new owner

Seen on a last read of the change: since inherited runs stay with a silent worker for the whole time of a former owner's orders, InheritedDeadlineTest. mayBeByAFormerClock holds also without the mechanism that it was written for, the longest hold from a worker's first answer on. That mechanism is still needed: a deadline applies to all runs of a worker, so one that the former owner gave extends those that the new owner starts there.

mayKeepRunsOfTheNewOwner forces this order of events. It fails where mayFollowInheritedOrders is taken out of RestartTracker.onFirstAnswer ("a/2 on w2 began while a/1 on w1 was at work") and holds with it; the other seven cases of the class hold either way or as before. The step that two nested classes declared stands in the outer class once. No main code and no assertion is changed.

--- a/core/src/test/java/org/lupinpaddle/core/run/InheritedDeadlineTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/InheritedDeadlineTest.java
@@ -36,6 +36,9 @@
     private static final long FIRST_BIRTH = 1_000_000;
     private static final long SECOND_BIRTH = 1_060_000;
     private static final long MAX_WAIT_MILLIS = 40_000;
+    /** Runs on the other worker as soon as there is one. */
+    private static final StepSpec ONE =
+            StepSpec.builder(1, SchedulerDriver.NEED).place("", "rack-w2").build();
     /** Fills three quarters of a worker. */
     private static final StepSpec.Need LARGE = new StepSpec.Need(3_000, 100, 0);
 
@@ -48,10 +51,16 @@
     }
 
     private void takeOver(StepSpec step) {
+        Owner previous = succeed();
+        f.driver().submit("a", Objects.requireNonNull(previous.saved), step);
+    }
+
+    /** Replaces the owner by one that has read no jobs, and returns the former one. */
+    private Owner succeed() {
         Owner previous = f.owners.remove(0);
         f.owners.add(new Owner(previous.token + 1));
         f.list();
-        f.driver().submit("a", Objects.requireNonNull(previous.saved), step);
+        return previous;
     }
 
     /** Waits until the task has moved to the worker, and for a while longer. */
@@ -89,15 +98,33 @@
             w1.cut = true;
             assertMovesWithoutOverlap(other);
         }
+
+        /** A deadline applies to all runs of a worker, also to those that the new owner starts. */
+        @Test
+        void mayKeepRunsOfTheNewOwner() {
+            listAndAnswer();
+            w1.restart(SECOND_BIRTH);
+            f.driver().submit("x", ONE);
+            f.runUntil(() -> w1.runs("x"));
+            f.run(50);
+            w1.end("x", EndKind.DONE);
+            f.run(200);
+            succeed();
+            f.run(100);
+            f.driver().submit("a", ONE);
+            f.runUntil(() -> w1.runs("a"));
+            f.run(50);
+            w1.cut = true;
+            ScriptedWorker other = f.add("w2", FIRST_BIRTH, 60_000);
+            f.list();
+            assertMovesWithoutOverlap(other);
+        }
     }
 
     /** Guards against giving up a worker that nobody reaches while the former owner's last orders are still executed. */
     @Nested
     class OfAnUnreachableWorker {
 
-        private static final StepSpec ONE =
-                StepSpec.builder(1, SchedulerDriver.NEED).place("", "rack-w2").build();
-
         @ParameterizedTest
         @ValueSource(longs = {2_000, 8_000, 14_000})
         void maySetByALateStart(long lateMillis) {
@@ -120,9 +147,6 @@
     @Nested
     class OfALaterIncarnation {
 
-        private static final StepSpec ONE =
-                StepSpec.builder(1, SchedulerDriver.NEED).place("", "rack-w2").build();
-
         @ParameterizedTest
         @ValueSource(longs = {2_000, 6_000, 12_000})
         void maySetByALateStart(long lateMillis) {
