Review case 7: a late start runs beside the run that replaced it (TWICE)

Tried: a start is left unanswered, its repetition is carried out, the worker crashes for 4.5 s, is back under its id and cut off, and carries out the first start 8 s after it was sent. Seen: five of five runs: run 1 and run 2 at once on two workers that are up, for 3.7 s. TROUBLE=0: one run.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A gang ends behind a cut, and one of its two workers crashes there; the job must be completed all the same.
+# A start that was not answered is carried out by the next life of its worker while the work item runs elsewhere.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../harness-3/run-case.sh" "$here" CaseGangEndsBehindCut
+exec "$here/../harness-3/run-case.sh" "$here" CaseLateStartAfterRestart
