--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A lasting work item fails once on each of its eight workers; then it must be started again in time.
+# The store loses answers while callers hand in jobs and cancel them; what was cancelled must not start later.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../harness-3/run-case.sh" "$here" CaseFailedEverywhere
+exec "$here/../harness-3/run-case.sh" "$here" CaseCancelledWhileKept
