--- a/review/harness-4/Lab.java
+++ b/review/harness-4/Lab.java
@@ -37,7 +37,7 @@
     final Path work;
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     private final PrintWriter record;
-    private final long startedAt = System.nanoTime();
+    private final long originNanos = System.nanoTime();
     private final List<Process> processes = new ArrayList<>();
     private final List<HttpServer> servers = new ArrayList<>();
 
@@ -54,7 +54,7 @@
     }
 
     long millis() {
-        return (System.nanoTime() - startedAt) / 1_000_000;
+        return (System.nanoTime() - originNanos) / 1_000_000;
     }
 
     synchronized void log(String line) {
@@ -296,13 +296,20 @@
 
     /** Steps whose work items crash each worker that starts them, and the rest of what their text says. */
     final java.util.Set<String> crashing = java.util.concurrent.ConcurrentHashMap.newKeySet();
+    /** Runs of crashing work items with a higher number crash their worker before the start is answered. */
+    volatile int answeredRuns = Integer.MAX_VALUE;
+    /** How often each work item has been started. */
+    final Map<String, Integer> starts = new java.util.concurrent.ConcurrentHashMap<>();
+    volatile long crashMillis = 3_000;
     static final long CRASH_AFTER_MILLIS = 400;
-    static final long CRASH_MILLIS = 3_000;
     /** Steps whose work items fail, and how long after each start. */
     final Map<String, Long> failing = new java.util.concurrent.ConcurrentHashMap<>();
     /** Steps whose work items last until they are stopped. */
     final java.util.Set<String> lasting = java.util.concurrent.ConcurrentHashMap.newKeySet();
 
+    /** When the first run of each work item was started. */
+    final Map<String, Long> startedAt = new java.util.concurrent.ConcurrentHashMap<>();
+
     final List<Worker> workers = new java.util.concurrent.CopyOnWriteArrayList<>();
     private final Object lock = new Object();
 
@@ -461,7 +468,7 @@
                     String step = task.substring(0, task.lastIndexOf('.'));
                     Integer size = gangSizes.get(step);
                     if (crashing.contains(step) && millis() - r.startedAt > CRASH_AFTER_MILLIS) {
-                        crash(CRASH_MILLIS);
+                        crash(crashMillis);
                         return;
                     }
                     if (failing.containsKey(step) && millis() - r.startedAt > failing.get(step)) {
@@ -625,7 +632,12 @@
                     String step = task.substring(0, task.lastIndexOf('.'));
                     next.workedFrom = gangSizes.containsKey(step) ? -1 : millis();
                     running.put(task, next);
+                    startedAt.putIfAbsent(task, millis());
                     log("start " + task + " run " + run + " on " + name + " fence " + token);
+                    starts.merge(task, 1, Integer::sum);
+                    if (crashing.contains(step) && run > answeredRuns) {
+                        crash(crashMillis);
+                    }
                     return "";
                 }
                 default -> {
