--- a/core/src/main/java/org/lupinpaddle/core/job/SchedulerKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/SchedulerKeys.java
@@ -33,6 +33,7 @@
     private static final String ENTRIES = MEMBERS + "entry/";
     private static final String OWNERS = MEMBERS + "owner/";
     private static final String CAPACITIES = MEMBERS + "capacity/";
+    private static final String JOB_BYTES = MEMBERS + "job-bytes/";
     private static final String INPUTS = "lupinpaddle/in/";
     private static final String PROGRESS = "lupinpaddle/progress/";
     private static final String LOCATIONS = "lupinpaddle/location/";
@@ -72,6 +73,16 @@
         return withoutPrefix(CAPACITIES, key);
     }
 
+    /** Returns the key under which an entry publishes the estimated size of the jobs that it holds. */
+    public static String jobBytes(String name) {
+        return JOB_BYTES + name;
+    }
+
+    /** Returns the name of the entry whose size of jobs is stored under the key; empty for other keys. */
+    public static Optional<String> jobBytesOf(String key) {
+        return withoutPrefix(JOB_BYTES, key);
+    }
+
     /** Returns the prefix of the keys that owners of duties hold. */
     public static String owners() {
         return OWNERS;
--- a/core/src/main/java/org/lupinpaddle/core/run/Advisor.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Advisor.java
@@ -155,24 +155,24 @@
         boolean repeats = repeated != null && (first == null || !lastWasRepeated);
         Candidate next = repeats ? repeated : first;
         beginPass();
-        if (next == null || next.step.job.state.ended()) {
+        if (next == null || next.step.job.state.ended() || !next.step.isCurrent()) {
             return Optional.empty();
         }
         busy = true;
         lastWasRepeated = repeats;
         next.knowledge.requestInFlight = true;
         next.knowledge.lastRequestedAt = state.now();
-        return Optional.of(new AdviceRequest(next.step.tasks.get(0).stepTime, next.workers));
+        return Optional.of(new AdviceRequest(next.step.repetition, next.workers));
     }
 
     /** Handles a response; null if there was none, or none yet. */
     void onAdvice(AdviceRequest order, @Nullable AdviceResponse answer) {
         busy = false;
         LiveJob job = state.jobs.get(order.step().job());
-        Knowledge k = job == null
+        LiveStep step = job == null
                 ? null
-                : knowledgeByStep.get(
-                        job.step(order.step().repetition(), order.step().step()));
+                : job.stepInProgress(order.step().repetition(), order.step().step());
+        Knowledge k = step == null ? null : knowledgeByStep.get(step);
         if (k == null) {
             return;
         }
@@ -208,6 +208,6 @@
 
     /** Forgets the steps of jobs that have ended. */
     void forgetEnded() {
-        knowledgeByStep.keySet().removeIf(s -> s.job.state.ended() || s.isDone());
+        knowledgeByStep.keySet().removeIf(s -> s.job.state.ended() || s.isDone() || !s.isCurrent());
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CordonWaits.java
@@ -106,7 +106,7 @@
             return;
         }
         nextUpdateAt = now + UPDATE_INTERVAL_MILLIS;
-        waits.keySet().removeIf(t -> t.phase != Phase.WAITING || t.job.state.ended());
+        waits.keySet().removeIf(t -> t.phase != Phase.WAITING || t.job.state.ended() || !t.liveStep.isCurrent());
         pause();
         if (!cordoned.isEmpty()) {
             resumeAll(usable, now);
--- a/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Evacuator.java
@@ -78,7 +78,7 @@
     private boolean isLate(LiveTask t) {
         int time = t.id.time();
         return !t.step.longRunning()
-                && StepUrgency.Tier.of(t.job, time, state.wallNow() + t.job.remainingMillis(time))
+                && StepUrgency.Tier.of(t.job, time, state.wallNow() + t.liveStep.iteration.remainingMillis())
                         != StepUrgency.Tier.ON_TIME;
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
@@ -55,7 +55,7 @@
         }
         t.failedOnProvenWorker |= w.isProvenByRunBegunSince(t.begunAt() - HEALTH_EVIDENCE_MILLIS);
         w.recordFailure();
-        boolean succeededElsewhere = t.job.tasks.stream().anyMatch(o -> o.phase == LiveTask.Phase.DONE);
+        boolean succeededElsewhere = t.job.hasDoneTask();
         w.failureEvidence.add(t.job.spec.key() + (succeededElsewhere ? "." + t.id : ""));
         avoidIfFaulty(w);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -17,10 +17,14 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashMap;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
@@ -31,14 +35,18 @@
 import org.lupinpaddle.core.job.TaskRecord;
 import org.lupinpaddle.core.workspace.WorkspaceQuota;
 
-/** The scheduler's state of one job and its tasks. */
+/**
+ * The scheduler's state of one job. The tasks of an iteration exist only while it is in progress, so that a job with
+ * many iterations takes little memory (see {@link IterationPass}).
+ */
 final class LiveJob {
 
+    /** Returned if no iteration is due. */
+    static final int NONE_DUE = -1;
+
     final JobSpec spec;
     final WorkspaceQuota quota;
 
-    final List<LiveTask> tasks = new ArrayList<>();
-    final List<LiveStep> steps = new ArrayList<>();
     JobState state = JobState.QUEUED;
     String reason = "";
     /** Whether a worker has started one of its tasks. */
@@ -61,28 +69,23 @@
     boolean savedWithoutTasks;
 
     long endedAt = Long.MAX_VALUE;
-    private final Map<TaskId, LiveTask> byId = new HashMap<>();
+    private final NavigableMap<Integer, LiveIteration> inProgress = new TreeMap<>();
+    private final CompletedIterations completed;
+    /** The first iteration that is neither in progress nor completed. */
+    private int nextIteration;
+
+    private final long[] stepMillis;
+    private final long[] criticalPaths;
     private final long objectiveMillis;
 
     LiveJob(JobSpec spec, WorkspaceQuota quota, RunTimeEstimator times) {
         this.spec = spec;
         this.quota = quota;
-        for (int k = 0; k < spec.repeat().repetitions(); k++) {
-            for (int s = 0; s < spec.steps().size(); s++) {
-                LiveStep step = new LiveStep(this, k, s);
-                steps.add(step);
-                tasks.addAll(step.tasks);
-                step.tasks.forEach(t -> byId.put(t.id, t));
-            }
-        }
-        long[] stepMillis = IntStream.range(0, spec.steps().size())
+        completed = new CompletedIterations(spec);
+        stepMillis = IntStream.range(0, spec.steps().size())
                 .mapToLong(s -> ownMillis(s, times))
                 .toArray();
-        long[] criticalPaths = criticalPaths(stepMillis);
-        for (LiveStep s : steps) {
-            s.expectedStepMillis = stepMillis[s.number];
-            s.criticalPathMillis = criticalPaths[s.number];
-        }
+        criticalPaths = criticalPaths(stepMillis);
         long criticalPath = Arrays.stream(criticalPaths).max().orElse(0);
         objectiveMillis = Math.round(spec.policy().extension() * criticalPath)
                 + spec.policy().sloMillis();
@@ -116,35 +119,89 @@
         return Math.round(spread * times.expectedMillis(spec.key().queue(), s.estimateMillis()));
     }
 
+    /** Returns a task of an iteration in progress, or null. */
     @Nullable
     LiveTask task(TaskId id) {
-        return byId.get(id);
+        LiveStep s = stepInProgress(id.time(), id.step());
+        return s == null || id.index() < 0 || id.index() >= s.tasks.size() ? null : s.tasks.get(id.index());
     }
 
-    LiveStep step(int time, int number) {
-        return steps.get(time * spec.steps().size() + number);
+    /** Returns a step of an iteration in progress, or null. */
+    @Nullable
+    LiveStep stepInProgress(int time, int number) {
+        LiveIteration i = inProgress.get(time);
+        return i == null || number < 0 || number >= i.steps.size() ? null : i.steps.get(number);
     }
 
-    /** Returns the steps of one iteration. */
-    List<LiveStep> steps(int time) {
-        int count = spec.steps().size();
-        return steps.subList(time * count, (time + 1) * count);
+    /** Returns the iterations in progress, the earliest first. */
+    Collection<LiveIteration> iterations() {
+        return inProgress.values();
     }
 
-    /** Returns when an iteration of the job is due, in milliseconds since 1970. */
-    long dueMillis(int time) {
-        return Math.max(spec.acceptedMillis(), spec.repeat().dueMillis(time));
+    /** Returns the steps of the iterations in progress. */
+    Stream<LiveStep> steps() {
+        return inProgress.values().stream().flatMap(i -> i.steps.stream());
     }
 
-    /** Returns the expected remaining duration of an iteration, with its steps in sequence. */
-    long remainingMillis(int time) {
-        long longest = 0;
-        for (LiveStep s : steps(time)) {
-            if (!s.isDone()) {
-                longest = Math.max(longest, s.remainingMillis());
-            }
+    /** Returns the tasks of the iterations in progress. */
+    Stream<LiveTask> tasks() {
+        return steps().flatMap(s -> s.tasks.stream());
+    }
+
+    /** Returns the number of tasks of the iterations in progress. */
+    int tasksInProgress() {
+        return inProgress.size() * tasksPerIteration();
+    }
+
+    int tasksPerIteration() {
+        return completed.tasksPerIteration();
+    }
+
+    /** Returns the first iteration that is due and has not begun; {@link #NONE_DUE} if there is none. */
+    int nextDue(long wallMillis) {
+        boolean due = nextIteration < spec.repeat().repetitions()
+                && wallMillis >= spec.repeat().dueMillis(nextIteration);
+        return due ? nextIteration : NONE_DUE;
+    }
+
+    /** Creates the tasks of an iteration unless it has been completed. */
+    void begin(int time) {
+        if (!completed.contains(time)) {
+            inProgress.computeIfAbsent(time, t -> new LiveIteration(this, t, stepMillis, criticalPaths));
+        }
+        updateNextIteration(nextIteration);
+    }
+
+    /** Discards the tasks of an iteration none of whose tasks has been placed; it begins again later. */
+    void discard(int time) {
+        inProgress.remove(time);
+        updateNextIteration(Math.min(nextIteration, time));
+    }
+
+    /** Replaces the tasks of completed iterations by their records. */
+    void retireCompleted() {
+        // An immediate job ends when its only iteration does.
+        if (spec.repeat().repetitions() == 1 || inProgress.values().stream().noneMatch(LiveIteration::isDone)) {
+            return;
+        }
+        List<LiveIteration> done =
+                inProgress.values().stream().filter(LiveIteration::isDone).toList();
+        for (LiveIteration i : done) {
+            completed.add(i.time, i.records());
+            inProgress.remove(i.time);
+        }
+    }
+
+    private void updateNextIteration(int from) {
+        nextIteration = from;
+        while (inProgress.containsKey(nextIteration) || completed.contains(nextIteration)) {
+            nextIteration++;
         }
-        return longest;
+    }
+
+    /** Returns when an iteration of the job is due, in milliseconds since 1970. */
+    long dueMillis(int time) {
+        return Math.max(spec.acceptedMillis(), spec.repeat().dueMillis(time));
     }
 
     /** Returns the time after its due time within which the job should end, by the expected duration of its steps. */
@@ -153,11 +210,17 @@
     }
 
     boolean allDone() {
-        return steps.stream().allMatch(LiveStep::isDone);
+        return completed.count() + inProgress.size() == spec.repeat().repetitions()
+                && inProgress.values().stream().allMatch(LiveIteration::isDone);
+    }
+
+    /** Returns whether one of its tasks has been completed. */
+    boolean hasDoneTask() {
+        return completed.count() > 0 || steps().anyMatch(s -> s.unfinished() < s.tasks.size());
     }
 
     boolean hasTasksOnWorkers() {
-        return tasks.stream().anyMatch(t -> t.phase.occupiesWorker());
+        return tasks().anyMatch(t -> t.phase.occupiesWorker());
     }
 
     /** Restores the progress saved by an earlier owner and returns the tasks that a worker may hold. */
@@ -165,9 +228,40 @@
         state = p.state();
         started = state != JobState.QUEUED;
         reason = p.reason();
+        Map<Integer, List<TaskRecord>> byIteration = p.tasks().stream()
+                .filter(this::isOwnTask)
+                .collect(Collectors.groupingBy(TaskRecord::time, TreeMap::new, Collectors.toList()));
+        List<TaskRecord> assigned = new ArrayList<>();
+        byIteration.forEach((time, records) -> {
+            if (isCompleted(records)) {
+                completed.add(time, records);
+            } else {
+                begin(time);
+                assigned.addAll(restore(records, now));
+            }
+        });
+        updateNextIteration(0);
+        return assigned;
+    }
+
+    private boolean isOwnTask(TaskRecord r) {
+        return r.time() < spec.repeat().repetitions()
+                && r.step() < spec.steps().size()
+                && r.index() < spec.steps().get(r.step()).count();
+    }
+
+    private boolean isCompleted(List<TaskRecord> records) {
+        return spec.repeat().repetitions() > 1
+                && records.stream()
+                                .filter(r -> r.done() && r.worker().isEmpty())
+                                .count()
+                        == tasksPerIteration();
+    }
+
+    private List<TaskRecord> restore(List<TaskRecord> records, long now) {
         List<TaskRecord> assigned = new ArrayList<>();
-        for (TaskRecord r : p.tasks()) {
-            LiveTask t = byId.get(new TaskId(r.time(), r.step(), r.index()));
+        for (TaskRecord r : records) {
+            LiveTask t = task(new TaskId(r.time(), r.step(), r.index()));
             if (t == null) {
                 continue;
             }
@@ -186,10 +280,10 @@
             return new JobProgress(state, List.of(), "", wallMillis, spec.workspace());
         }
         // For an ended job, the next owner only needs the tasks that are still on workers.
-        List<TaskRecord> tasksToSave = tasks.stream()
-                .filter(t -> state.ended() ? t.phase.occupiesWorker() : t.hasBeenPlaced())
-                .map(LiveTask::toRecord)
-                .toList();
-        return new JobProgress(state, tasksToSave, reason, wallMillis, spec.workspace());
+        Stream<TaskRecord> toSave = state.ended()
+                ? tasks().filter(t -> t.phase.occupiesWorker()).map(LiveTask::toRecord)
+                : Stream.concat(
+                        completed.records(), inProgress.values().stream().flatMap(i -> i.records().stream()));
+        return new JobProgress(state, toSave.toList(), reason, wallMillis, spec.workspace());
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -21,14 +21,18 @@
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.placement.Resources;
+import org.lupinpaddle.core.placement.StepRepetition;
 
 /** The tasks of one step in one iteration of a job. */
 final class LiveStep {
 
     final LiveJob job;
+    final LiveIteration iteration;
     final int time;
     final int number;
     final StepSpec spec;
+    /** Identifies the step among those of all jobs and iterations. */
+    final StepRepetition repetition;
     /** The room that each of its tasks occupies on a worker. */
     final Resources room;
     /** The amount charged to the workspace quota per task, even if the task occupies a whole worker. */
@@ -48,15 +52,19 @@
     /**
      * The expected duration of the job from the start of this step: the step and the longest chain of steps after it.
      */
-    long criticalPathMillis;
+    final long criticalPathMillis;
     /** The part of that duration due to the step itself. */
-    long expectedStepMillis;
+    final long expectedStepMillis;
 
-    LiveStep(LiveJob job, int time, int number) {
-        this.job = job;
-        this.time = time;
+    LiveStep(LiveIteration iteration, int number, long expectedStepMillis, long criticalPathMillis) {
+        this.iteration = iteration;
+        this.job = iteration.job;
+        this.time = iteration.time;
         this.number = number;
         this.spec = job.spec.steps().get(number);
+        this.repetition = new StepRepetition(job.spec.key(), time, number);
+        this.expectedStepMillis = expectedStepMillis;
+        this.criticalPathMillis = criticalPathMillis;
         this.room = Resources.of(spec);
         StepSpec.Need taskNeed = spec.need();
         this.need = new Resources(taskNeed.cpuMillis(), taskNeed.memoryMb(), taskNeed.accelerators());
@@ -66,6 +74,11 @@
         waiting = tasks.size();
     }
 
+    /** Returns whether it is still in progress and has not been discarded to free memory. */
+    boolean isCurrent() {
+        return job.stepInProgress(time, number) == this;
+    }
+
     boolean isDone() {
         return done == tasks.size();
     }
@@ -97,7 +110,7 @@
      */
     OptionalLong readySince() {
         return spec.after().stream()
-                .mapToLong(before -> job.step(time, before).doneAt)
+                .mapToLong(before -> iteration.steps.get(before).doneAt)
                 .filter(at -> at != Long.MIN_VALUE)
                 .max();
     }
@@ -120,7 +133,7 @@
     boolean isReady(long wallMillis) {
         return wallMillis >= job.spec.repeat().dueMillis(time)
                 && spec.after().stream()
-                        .allMatch(before -> job.step(time, before).isDone());
+                        .allMatch(before -> iteration.steps.get(before).isDone());
     }
 
     /** Records the duration of a full run of one of its tasks. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -199,7 +199,7 @@
         this.job = liveStep.job;
         this.id = id;
         this.step = liveStep.spec;
-        this.stepTime = new StepRepetition(job.spec.key(), id.time(), id.step());
+        this.stepTime = liveStep.repetition;
     }
 
     void enterPhase(Phase next, long now) {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -434,7 +434,7 @@
         Resources free = freeBetweenStarts();
         long fitting = free.canHold(s.room) ? free.countOf(s.room) : 0;
         int maxTasks = s.spec.perWorkerMost();
-        StepRepetition repetition = s.tasks.get(0).stepTime;
+        StepRepetition repetition = s.repetition;
         return maxTasks == 0 ? fitting : Math.min(fitting, Math.max(0, maxTasks - taskCount(repetition)));
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LoadSummary.java
@@ -52,10 +52,7 @@
         int waiting = 0;
         int hopeless = 0;
         for (LiveJob job : state.activeJobs.values()) {
-            for (LiveStep s : job.steps) {
-                if (!s.isReady(wallMillis)) {
-                    continue;
-                }
+            for (LiveStep s : job.steps().filter(s -> s.isReady(wallMillis)).toList()) {
                 int n = s.waiting();
                 waiting += n;
                 hopeless += StepUrgency.of(s, wallMillis).tier() == StepUrgency.Tier.PAST ? n : 0;
--- a/core/src/main/java/org/lupinpaddle/core/run/PersistencePass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PersistencePass.java
@@ -147,6 +147,7 @@
             if (job != null) {
                 job.saveInFlight = false;
                 job.savedVersion = Math.max(job.savedVersion, s.version());
+                state.retireIfOver(job);
             }
         }
     }
@@ -178,7 +179,8 @@
             state.unsaved.putIfAbsent(job.spec.key(), job);
             retryAt = state.now() + REJECTED_RETRY_MILLIS;
         } else {
-            state.endJob(job, JobState.FAILED, "the store does not take its record of " + job.tasks.size() + " tasks");
+            long tasks = job.progress(state.wallNow()).tasks().size();
+            state.endJob(job, JobState.FAILED, "the store does not take its record of " + tasks + " tasks");
         }
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
@@ -62,16 +62,18 @@
 
     private void add(LiveJob job, Demands demands) {
         long wallMillis = state.wallNow();
-        for (int time = 0; time < job.spec.repeat().repetitions(); time++) {
-            if (wallMillis >= job.spec.repeat().dueMillis(time)) {
-                addIteration(job, time, wallMillis, demands);
+        for (LiveIteration i : job.iterations()) {
+            if (wallMillis >= job.spec.repeat().dueMillis(i.time)) {
+                addIteration(i, wallMillis, demands);
             }
         }
     }
 
-    private void addIteration(LiveJob job, int time, long wallMillis, Demands demands) {
-        List<LiveStep> steps = job.steps(time).stream().filter(s -> !s.isDone()).toList();
-        long remaining = job.remainingMillis(time);
+    private void addIteration(LiveIteration iteration, long wallMillis, Demands demands) {
+        LiveJob job = iteration.job;
+        int time = iteration.time;
+        List<LiveStep> steps = iteration.steps.stream().filter(s -> !s.isDone()).toList();
+        long remaining = iteration.remainingMillis();
         // The remaining work should end by the objective or, failing that, before late completion loses its value.
         long onTime = Math.max(remaining, StepUrgency.Tier.ON_TIME.deadlineMillis(job, time) - wallMillis);
         long late = Math.max(remaining, StepUrgency.Tier.LATE.deadlineMillis(job, time) - wallMillis);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -72,6 +72,7 @@
     private final CapacityPass capacity;
     private final QuotaPass quotas;
     private final PersistencePass persistence;
+    private final IterationPass iterations;
     private final long startedAt;
     private boolean handingOver;
     private int lastNeeded;
@@ -91,6 +92,7 @@
         capacity = new CapacityPass(state);
         this.quotas = new QuotaPass(state);
         persistence = new PersistencePass(state);
+        iterations = new IterationPass(state);
         runs = new RunTracker(state, faultyWorkers, advisor);
         restarts = new RestartTracker(state, runs, advisor);
         stragglers = new StragglerPass(state, faultyWorkers);
@@ -106,7 +108,7 @@
      * handled, the exception leaves the scheduler as it was.
      */
     public void onJob(JobSpec spec, @Nullable JobProgress progress) {
-        if (state.jobs.containsKey(spec.key())) {
+        if (state.isKnown(spec.key())) {
             return;
         }
         LiveJob job = new LiveJob(spec, state.quotas.of(spec.workspace()), state.runTimes);
@@ -132,20 +134,21 @@
      * restarted, since the work may already be done.
      */
     public void onUnreadableJob(JobKey key) {
-        if (!state.jobs.containsKey(key)) {
+        if (!state.isKnown(key)) {
             state.unreadableJobs.add(key.id());
         }
     }
 
     private void recordArrival(LiveJob job) {
         ArrivalRate.Work work = new ArrivalRate.Work();
-        for (LiveStep s : job.steps) {
-            if (s.time == 0 && !s.spec.longRunning()) {
-                work.add(Resources.of(s.spec), s.spec.count(), state.expectedMillis(s));
+        String queue = job.spec.key().queue();
+        for (StepSpec s : job.spec.steps()) {
+            if (!s.longRunning()) {
+                work.add(Resources.of(s), s.count(), state.runTimes.expectedMillis(queue, s.estimateMillis()));
             }
         }
         long age = Math.max(0, state.wallNow() - job.spec.acceptedMillis());
-        state.arrivals.onJobAccepted(job.spec.key().queue(), state.now() - age, work);
+        state.arrivals.onJobAccepted(queue, state.now() - age, work);
     }
 
     private void restoreRun(LiveJob job, TaskRecord r) {
@@ -212,6 +215,14 @@
         state.coldStarts.setRate(rate, state.now());
     }
 
+    /**
+     * Sets how many tasks may exist at a time. Iterations that are due wait in the order of their urgency while there
+     * are more.
+     */
+    public void onMaxTasks(int maxTasks) {
+        state.maxTasks = maxTasks;
+    }
+
     /**
      * Returns whether a silent worker still has tasks, so that the platform's list of instances should be requested.
      */
@@ -427,6 +438,7 @@
         pacing.run();
         capacity.run();
         quotas.run();
+        iterations.run();
         placement.run();
         persistence.run();
         runs.sendDueOrders();
@@ -483,6 +495,11 @@
         return r;
     }
 
+    /** Returns what the jobs take in memory. */
+    public MemoryUse memoryUse() {
+        return new MemoryUse(state.jobs.size(), state.jobBytes(), iterations.tasks(), iterations.jobsWaiting());
+    }
+
     /** Returns a summary of the load, for the log. */
     public LoadSummary load() {
         return LoadSummary.of(state, lastNeeded, cordonWaits.load());
@@ -494,14 +511,10 @@
      */
     public List<JobKey> forgetEnded(long millis) {
         long before = state.now() - millis;
-        List<LiveJob> expired = state.jobs.values().stream()
-                .filter(j ->
-                        j.state.ended() && j.endedAt < before && !j.hasTasksOnWorkers() && j.savedVersion >= j.version)
-                .toList();
-        expired.forEach(state::remove);
+        List<JobKey> expired = state.forgetOver(before);
         advisor.forgetEnded();
         state.outstandingStarts.forgetExpired(state.now());
         state.coldStarts.forgetExpired(state.now());
-        return expired.stream().map(j -> j.spec.key()).toList();
+        return expired;
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.job.JobKey;
+import org.lupinpaddle.core.job.JobSize;
 import org.lupinpaddle.core.job.JobState;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.placement.Placer;
@@ -47,8 +48,10 @@
     final SchedulerTiming timing;
     final SchedulerPort port;
     final QuotaTable quotas;
-    /** All known jobs; ended ones are kept for a while. */
+    /** All known jobs except those that are over. */
     final Map<JobKey, LiveJob> jobs = new LinkedHashMap<>();
+    /** Ended jobs with nothing left to save or to stop, and when they ended. */
+    private final Map<JobKey, Long> over = new LinkedHashMap<>();
     /** Jobs that have not ended, in the same order. */
     final Map<JobKey, LiveJob> activeJobs = new LinkedHashMap<>();
     /** Jobs with unsaved changes in the order of writing; jobs that are being written are not included. */
@@ -68,11 +71,16 @@
     final Set<String> unreadableJobs = new HashSet<>();
     /** The rate limit on starts on cold workers. */
     final ColdStartLimiter coldStarts = new ColdStartLimiter();
+    /** How many tasks may exist at a time, unless earlier owners have placed more. */
+    int maxTasks = Integer.MAX_VALUE;
     /** The cordoned data halls. */
     HallCordons cordons = HallCordons.DISABLED;
     /** The time up to which the list of workers is confirmed. */
     long workersConfirmedAt = Long.MIN_VALUE / 2;
 
+    /** The estimated size of all jobs in {@link #jobs}. */
+    private long jobBytes;
+
     private final Map<String, LiveJob> byCallerId = new HashMap<>();
     private final long startedAt;
     private final Clock monotonicClock;
@@ -106,12 +114,46 @@
 
     void add(LiveJob job) {
         jobs.put(job.spec.key(), job);
+        jobBytes += JobSize.bytes(job.spec);
         activeJobs.put(job.spec.key(), job);
         byCallerId.putIfAbsent(job.spec.key().id(), job);
     }
 
-    void remove(LiveJob job) {
-        jobs.remove(job.spec.key());
+    /** Returns whether the job has been added and not been forgotten since. */
+    boolean isKnown(JobKey job) {
+        return jobs.containsKey(job) || over.containsKey(job);
+    }
+
+    /**
+     * Keeps only the key of a job that has ended if its end is durable and it has no tasks on workers. Callers read its
+     * state from the store, so that the jobs of the last minutes take little memory.
+     */
+    void retireIfOver(LiveJob job) {
+        if (job.state.ended() && job.savedVersion >= job.version && !job.hasTasksOnWorkers()) {
+            remove(job);
+            over.put(job.spec.key(), job.endedAt);
+        }
+    }
+
+    /** Returns the estimated size of all jobs that are not over, without their tasks in progress. */
+    long jobBytes() {
+        return jobBytes;
+    }
+
+    /** Forgets the jobs that ended before this time and are over, and returns their keys. */
+    List<JobKey> forgetOver(long before) {
+        List<JobKey> expired = over.entrySet().stream()
+                .filter(e -> e.getValue() < before)
+                .map(Map.Entry::getKey)
+                .toList();
+        over.keySet().removeAll(expired);
+        return expired;
+    }
+
+    private void remove(LiveJob job) {
+        if (jobs.remove(job.spec.key()) != null) {
+            jobBytes -= JobSize.bytes(job.spec);
+        }
         activeJobs.remove(job.spec.key());
         unsaved.remove(job.spec.key());
         byCallerId.remove(job.spec.key().id(), job);
@@ -136,9 +178,11 @@
         long wallMillis = wallNow();
         List<LiveStep> steps = new ArrayList<>();
         for (LiveJob j : activeJobs.values()) {
-            for (LiveStep s : j.steps) {
-                if (s.hasWaiting() && maxFree.canHold(s.room) && s.isReady(wallMillis) && hasUniqueId(j)) {
-                    steps.add(s);
+            for (LiveIteration i : j.iterations()) {
+                for (LiveStep s : i.steps) {
+                    if (s.hasWaiting() && maxFree.canHold(s.room) && s.isReady(wallMillis) && hasUniqueId(j)) {
+                        steps.add(s);
+                    }
                 }
             }
         }
@@ -342,7 +386,7 @@
         job.reason = reason;
         markChanged(job);
         markEnded(job);
-        job.tasks.forEach(t -> stop(t, "job-" + state));
+        job.tasks().forEach(t -> stop(t, "job-" + state));
         note(SchedulerEvent.Kind.JOB_ENDED, job, state.name(), reason.isEmpty() ? "" : "reason=" + reason);
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/run/LiveJobTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/LiveJobTest.java
@@ -38,7 +38,9 @@
     private static LiveJob job(Repeat repeat, List<StepSpec> steps) {
         Policy policy = new Policy(0, 3, 1, 0, false);
         JobSpec spec = new JobSpec(new JobKey("q", "a"), "clips", "text", steps, repeat, policy, 0);
-        return new LiveJob(spec, new QuotaTable("clips").of(null), new RunTimeEstimator());
+        LiveJob job = new LiveJob(spec, new QuotaTable("clips").of(null), new RunTimeEstimator());
+        IntStream.range(0, repeat.repetitions()).forEach(job::begin);
+        return job;
     }
 
     private static StepSpec step(List<Integer> after) {
@@ -66,7 +68,7 @@
                     .toList();
             LiveJob job = assertTimeoutPreemptively(Duration.ofMinutes(1), () -> job(Repeat.ONCE, steps));
             assertEquals(MAX_STEPS * STEP_MILLIS, job.objectiveMillis());
-            assertEquals(STEP_MILLIS, job.step(0, MAX_STEPS - 1).criticalPathMillis);
+            assertEquals(STEP_MILLIS, job.steps().toList().get(MAX_STEPS - 1).criticalPathMillis);
         }
 
         /** Guards against the same growth in stages, where each step depends on all steps of the stage before. */
@@ -86,16 +88,16 @@
                     List.of(step(List.of(2)), step(List.of()), step(List.of()), step(List.of(0, 1)), step(List.of())));
             assertEquals(
                     List.of(600L, 600L, 900L, 300L, 300L),
-                    job.steps.stream().map(s -> s.criticalPathMillis).toList());
+                    job.steps().map(s -> s.criticalPathMillis).toList());
         }
     }
 
     @Test
     void remainingTimeOfAnIterationCoversItsOwnStepsOnly() {
         LiveJob job = job(new Repeat(3, 0, 1_000), List.of(step(List.of()), step(List.of(0))));
-        job.steps(1).get(0).tasks.forEach(t -> t.setPhase(LiveTask.Phase.DONE));
+        job.steps().toList().get(2).tasks.forEach(t -> t.setPhase(LiveTask.Phase.DONE));
         assertEquals(
                 List.of(600L, 300L, 600L),
-                IntStream.range(0, 3).mapToObj(job::remainingMillis).toList());
+                job.iterations().stream().map(LiveIteration::remainingMillis).toList());
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/ThreadEventLoop.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/ThreadEventLoop.java
@@ -18,6 +18,7 @@
 import java.util.Arrays;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Clock;
@@ -29,13 +30,26 @@
 public final class ThreadEventLoop implements EventLoop {
 
     private static final int POSITION_FRAMES = 6;
+    private static final int EXIT_FATAL = 3;
 
     private final ScheduledThreadPoolExecutor executor;
     private final Clock clock;
     private volatile @Nullable Thread thread;
 
-    /** Makes the loop and starts its thread. */
+    private final Consumer<Error> onFatal;
+
+    /** Makes the loop and starts its thread. The process ends at once if a step fails with a fatal error. */
     public ThreadEventLoop() {
+        this(e -> Runtime.getRuntime().halt(EXIT_FATAL));
+    }
+
+    /**
+     * Makes the loop and starts its thread.
+     *
+     * @param onFatal called on the loop after an error, such as a lack of memory, that may have ended a step halfway
+     */
+    public ThreadEventLoop(Consumer<Error> onFatal) {
+        this.onFatal = onFatal;
         long origin = System.nanoTime();
         clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - origin);
         executor = new ScheduledThreadPoolExecutor(1, r -> {
@@ -72,12 +86,25 @@
         return () -> f.cancel(false);
     }
 
-    private static void guarded(Runnable step) {
+    private void guarded(Runnable step) {
         try {
             step.run();
         } catch (RuntimeException | StackOverflowError e) {
             // One bad step must not end the loop, nor a repeated step its repetition.
             Log.error("step-failed", e);
+        } catch (Error e) {
+            // The step may have left a watch or a duty without its next call, so the process must not go on owning
+            // them.
+            fatal(e);
+        }
+    }
+
+    private void fatal(Error e) {
+        try {
+            Log.error("step-failed-fatally", e);
+            Log.flush();
+        } finally {
+            onFatal.accept(e);
         }
     }
 
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.Repeat;
 import org.lupinpaddle.core.job.SchedulerKeys;
 import org.lupinpaddle.core.job.Submission;
 import org.lupinpaddle.core.queue.Admission;
@@ -64,22 +65,32 @@
     private final ConfigurationFeed configuration;
     private final Clock wall;
     private final BooleanSupplier storeReached;
+    private final RoomCheck room;
     private final JobLocator locator;
     private final PendingJobCounter pendingJobs;
 
+    /** Tells whether the entries have room for another job. */
+    @FunctionalInterface
+    interface RoomCheck {
+        /** Returns whether there is room for a job whose first iteration is due, or is due later. */
+        boolean hasRoom(boolean isDue);
+    }
+
     JobIntake(
             KeyValueStore store,
             EventLoop loop,
             PlatformRecords records,
             ConfigurationFeed configuration,
             Clock wall,
-            BooleanSupplier storeReached) {
+            BooleanSupplier storeReached,
+            RoomCheck room) {
         this.store = store;
         this.loop = loop;
         this.records = records;
         this.configuration = configuration;
         this.wall = wall;
         this.storeReached = storeReached;
+        this.room = room;
         locator = new JobLocator(store, loop, configuration);
         pendingJobs = new PendingJobCounter(store, loop, configuration);
     }
@@ -134,10 +145,10 @@
             return CompletableFuture.completedFuture(SubmitOutcome.NOT_TAKEN);
         }
         PendingSubmission h = new PendingSubmission(request, id, s, loop.clock().millis() + ACCEPT_TIMEOUT_MILLIS);
-        // Cordons are checked only here, before the first write: a job that may be stored is never rejected.
         return admit(request)
-                .thenCompose(
-                        a -> configuration.areAllHallsCordoned() ? outcomeIfStored(h, a) : accept(h, a, Attempt.FIRST))
+                .thenCompose(a -> rejection(s.repeat())
+                        .map(rejected -> outcomeIfStored(h, a, rejected))
+                        .orElseGet(() -> accept(h, a, Attempt.FIRST)))
                 .exceptionally(why -> {
                     Log.info("accept-refused", "job", id, "why", StoreFailure.text(why));
                     return SubmitOutcome.NOT_TAKEN;
@@ -145,10 +156,22 @@
     }
 
     /**
-     * Returns the outcome of a submission while all halls are cordoned: a job that is already stored keeps its outcome,
-     * and no other is stored. The read replaces the commit of an accepted submission, so it costs no additional call.
+     * Returns why no job is accepted at present; empty if jobs are accepted. It is checked only before the first write: a
+     * job that may be stored is never rejected.
+     */
+    private Optional<SubmitOutcome> rejection(Repeat repeat) {
+        if (configuration.areAllHallsCordoned()) {
+            return Optional.of(SubmitOutcome.ALL_HALLS_CORDONED);
+        }
+        boolean isDue = repeat.dueMillis(0) <= wall.millis();
+        return room.hasRoom(isDue) ? Optional.empty() : Optional.of(SubmitOutcome.TOO_MANY_JOBS);
+    }
+
+    /**
+     * Returns the outcome of a submission while no job is accepted: a job that is already stored keeps its outcome, and
+     * no other is stored. The read replaces the commit of an accepted submission, so it costs no additional call.
      */
-    private CompletableFuture<SubmitOutcome> outcomeIfStored(PendingSubmission h, Admission a) {
+    private CompletableFuture<SubmitOutcome> outcomeIfStored(PendingSubmission h, Admission a, SubmitOutcome rejected) {
         QueueConfig q = a.queue();
         if (q == null) {
             return CompletableFuture.completedFuture(refusal(a));
@@ -156,8 +179,8 @@
         return locator.find(q, new JobKey(q.name(), h.id))
                 .thenComposeAsync(
                         job -> job.map(j -> outcomeOfStored(h, a, q, j)).orElseGet(() -> {
-                            Log.info("accept-refused", "job", h.id, "why", "all halls are cordoned");
-                            return CompletableFuture.completedFuture(SubmitOutcome.ALL_HALLS_CORDONED);
+                            Log.info("accept-refused", "job", h.id, "why", rejected);
+                            return CompletableFuture.completedFuture(rejected);
                         }),
                         loop::execute);
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -27,6 +27,7 @@
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.fleet.FleetTiming;
 import org.lupinpaddle.core.queue.JobConfiguration;
+import org.lupinpaddle.core.run.MemoryUse;
 import org.lupinpaddle.core.run.SchedulerTiming;
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
@@ -118,7 +119,8 @@
         if (cordons.isEnabled()) {
             addCordonGauges();
         }
-        intake = new JobIntake(p.store(), loop, p.records(), configuration, p.wall(), this::reachesStore);
+        intake = new JobIntake(
+                p.store(), loop, p.records(), configuration, p.wall(), this::reachesStore, ownership.memory()::hasRoom);
         commandExecutor = new JobCommandExecutor(
                 p.store(),
                 p.records(),
@@ -140,7 +142,8 @@
                 unreadable,
                 configuration::workspaces,
                 configuration::cordons,
-                configuration::coldStartsPerSecond);
+                configuration::coldStartsPerSecond,
+                () -> ownership.memory().maxTasksPerService(hosts.size()));
         fleetContext = new FleetHost.Context(
                 p.name(),
                 p.store(),
@@ -177,6 +180,14 @@
         meters.gauge("configuration.age.millis", () -> loop.clock().millis() - configuration.confirmedAt());
         meters.gauge("entries.unreadable.now", unreadable::count);
         meters.gauge("log.lines.left.out", Log::leftOut);
+        JobMemory memory = ownership.memory();
+        meters.gauge("jobs.held", () -> memory.use().jobs());
+        meters.gauge("jobs.held.bytes", () -> memory.use().jobBytes());
+        meters.gauge("jobs.waiting.for.memory", () -> memory.use().jobsWaiting());
+        meters.gauge("tasks.in.progress", () -> memory.use().tasks());
+        Runtime runtime = Runtime.getRuntime();
+        meters.gauge("heap.used.bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        meters.gauge("heap.max.bytes", runtime::maxMemory);
     }
 
     private void addCordonGauges() {
@@ -207,6 +218,9 @@
         monitor.onAdvanced();
         long now = loop.clock().millis();
         unstartedDuties = hosts.values().stream().filter(h -> !h.isStarted()).count();
+        ownership
+                .memory()
+                .update(hosts.values().stream().map(SchedulerHost::memoryUse).reduce(MemoryUse.NONE, MemoryUse::plus));
         configuration.logCordonConfirmation(!hosts.isEmpty());
         boolean next = !stopping && reachesStore() && intake.isConfigured();
         if (next != ready) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipManager.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/OwnershipManager.java
@@ -84,6 +84,7 @@
     private final PrefixWatch watch;
     private final MemberRegistry members;
     private final RegistrationWriter records;
+    private final JobMemory memory;
     private final HandOverCoordinator handOvers;
     private final TreeMap<String, Long> owned = new TreeMap<>();
     private final Set<String> duties = new TreeSet<>();
@@ -138,6 +139,8 @@
         watch = new PrefixWatch(store, loop, SchedulerKeys.MEMBERS, this);
         members = new MemberRegistry(watch, loop.clock(), entry, capacity);
         records = new RegistrationWriter(store, loop);
+        memory = new JobMemory(
+                watch, records, entry, this::lease, Runtime.getRuntime().maxMemory());
         handOvers = new HandOverCoordinator(loop, listener);
     }
 
@@ -146,6 +149,15 @@
         watch.start();
     }
 
+    /** Returns the limits on the memory that jobs take. */
+    JobMemory memory() {
+        return memory;
+    }
+
+    private long lease() {
+        return stopping ? 0 : lease;
+    }
+
     /** Sets the duties that must have an owner. */
     void setDuties(Set<String> wanted) {
         duties.clear();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -27,6 +27,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
@@ -45,6 +46,7 @@
 import org.lupinpaddle.core.run.AdviceRequest;
 import org.lupinpaddle.core.run.AdviceResponse;
 import org.lupinpaddle.core.run.HoldOrder;
+import org.lupinpaddle.core.run.MemoryUse;
 import org.lupinpaddle.core.run.OrderOutcome;
 import org.lupinpaddle.core.run.PaceOrder;
 import org.lupinpaddle.core.run.SchedulerEvent;
@@ -128,6 +130,7 @@
      * @param workspaces supplies the workspaces of the current configuration
      * @param cordons supplies the current view of cordoned data halls
      * @param coldStartsPerSecond returns a service's configured rate limit of starts on a cold worker; 0 for no limit
+     * @param maxTasks returns how many tasks a service may have in progress
      */
     record Context(
             KeyValueStore store,
@@ -142,7 +145,8 @@
             UnreadableEntries unreadable,
             Supplier<ActiveWorkspaces> workspaces,
             Supplier<HallCordons> cordons,
-            ToDoubleFunction<String> coldStartsPerSecond) {}
+            ToDoubleFunction<String> coldStartsPerSecond,
+            IntSupplier maxTasks) {}
 
     /**
      * Creates the host.
@@ -188,6 +192,11 @@
         return scheduler != null;
     }
 
+    /** Returns what the jobs take in memory. */
+    MemoryUse memoryUse() {
+        return scheduler == null ? MemoryUse.NONE : scheduler.memoryUse();
+    }
+
     private void readProgress() {
         if (closed) {
             return;
@@ -379,6 +388,7 @@
             }
             scheduler.onCordons(context.cordons.get());
             scheduler.onColdStartsPerSecond(context.coldStartsPerSecond.applyAsDouble(service));
+            scheduler.onMaxTasks(context.maxTasks.getAsInt());
             scheduler.tick();
             context.advice.queue().run();
             quotas.run();
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
@@ -29,6 +29,8 @@
     NOT_TAKEN,
     /** All data halls are cordoned. The job was not accepted and this call did not write anything. */
     ALL_HALLS_CORDONED,
+    /** All entries hold as many jobs as fit into memory. The job was not accepted and this call did not write anything. */
+    TOO_MANY_JOBS,
     /** The store did not report whether the job is stored. Submitting the same id again is safe. */
     UNKNOWN
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/common/ThreadEventLoopTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/common/ThreadEventLoopTest.java
@@ -15,8 +15,10 @@
  */
 package org.lupinpaddle.daemon.common;
 
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -43,4 +45,17 @@
         });
         assertTrue(runs.await(WAIT_SECONDS, TimeUnit.SECONDS));
     }
+
+    /** Guards against an entry that keeps its duties although an error has ended one of their watches for good. */
+    @Test
+    void reportsAFatalErrorOfAStep() throws Exception {
+        CompletableFuture<Error> reported = new CompletableFuture<>();
+        OutOfMemoryError error = new OutOfMemoryError("thrown by a test");
+        try (ThreadEventLoop failing = new ThreadEventLoop(reported::complete)) {
+            failing.execute(() -> {
+                throw error;
+            });
+            assertSame(error, reported.get(WAIT_SECONDS, TimeUnit.SECONDS));
+        }
+    }
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonCommandsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonCommandsTest.java
@@ -54,7 +54,7 @@
         UnreadableEntries unreadable = new UnreadableEntries(new JobMetrics());
         ConfigurationFeed feed = new ConfigurationFeed(
                 store, loop, records, unreadable, new CordonFeed(cordons, unreadable, 0), () -> {});
-        JobIntake intake = new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true);
+        JobIntake intake = new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true, isDue -> true);
         List<String> lines = new ArrayList<>();
         new JobCommandExecutor(store, records, intake, deployed, Set.of("north", "south"))
                 .run(words, "operator", r -> lines.addAll(r.lines()));
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonedSubmissionTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/CordonedSubmissionTest.java
@@ -57,7 +57,7 @@
     private final CordonRecords cordonRecords = new CordonRecords(records, Set.of("north", "south"));
     private final ConfigurationFeed feed = new ConfigurationFeed(
             store, loop, records, unreadable, new CordonFeed(cordonRecords, unreadable, 5_000), () -> {});
-    private final JobIntake intake = new JobIntake(store, loop, records, feed, () -> 0, () -> true);
+    private final JobIntake intake = new JobIntake(store, loop, records, feed, () -> 0, () -> true, isDue -> true);
 
     @BeforeEach
     void configure() {
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -188,7 +188,8 @@
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
                 () -> HallCordons.DISABLED,
-                service -> 0);
+                service -> 0,
+                () -> Integer.MAX_VALUE);
         WorkerFeed workers =
                 new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMetrics()), () -> {});
         workers.start();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobCommandExecutorTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobCommandExecutorTest.java
@@ -47,7 +47,7 @@
     private final JobCommandExecutor questions = new JobCommandExecutor(
             store,
             records,
-            new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true),
+            new JobIntake(store, loop, records, feed, () -> WALL_MILLIS, () -> true, isDue -> true),
             Optional.empty(),
             Set.of());
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -58,7 +58,10 @@
     private final CordonFeed cordons = new CordonFeed(new CordonRecords(records, Set.of()), unreadable, 0);
     private final ConfigurationFeed feed = new ConfigurationFeed(store, loop, records, unreadable, cordons, () -> {});
     private boolean reached = true;
-    private final JobIntake intake = new JobIntake(store, loop, records, feed, () -> 0, () -> reached);
+    private boolean hasRoom = true;
+    private boolean hasRoomForLater = true;
+    private final JobIntake intake = new JobIntake(
+            store, loop, records, feed, () -> 0, () -> reached, isDue -> isDue ? hasRoom : hasRoomForLater);
 
     @BeforeEach
     void configure() {
@@ -71,11 +74,13 @@
     }
 
     private SubmitOutcome submit() {
+        return submit(Repeat.ONCE);
+    }
+
+    private SubmitOutcome submit(Repeat repeat) {
         StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
         return intake.submit(
-                        new CallerRequest("host", "/clips/a", null),
-                        "a",
-                        new Submission("text", List.of(one), Repeat.ONCE))
+                        new CallerRequest("host", "/clips/a", null), "a", new Submission("text", List.of(one), repeat))
                 .join();
     }
 
@@ -99,6 +104,32 @@
             assertEquals(calls, store.calls.size());
         }
 
+        /** Guards against an entry that accepts jobs until it runs out of memory. */
+        @Test
+        void isRejectedWithoutAWriteWhileTheEntriesAreFull() {
+            hasRoom = false;
+            assertEquals(SubmitOutcome.TOO_MANY_JOBS, submit());
+            assertEquals(0, store.commits);
+            hasRoom = true;
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+        }
+
+        /** Guards against jobs of tomorrow that take the room of those that could run now. */
+        @Test
+        void isRejectedBeforeItIsDueWhileOnlyDueJobsHaveRoom() {
+            hasRoomForLater = false;
+            assertEquals(SubmitOutcome.TOO_MANY_JOBS, submit(new Repeat(2, 1_000, 1_000)));
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+        }
+
+        /** Guards against an answer that claims that a stored job will never run. */
+        @Test
+        void keepsItsOutcomeWhileTheEntriesAreFull() {
+            submit();
+            hasRoom = false;
+            assertEquals(SubmitOutcome.ACCEPTED, submit());
+        }
+
         @Test
         void isStoredOnceDespiteRepeatedSubmissions() {
             submit();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OddRecordOwnersTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OddRecordOwnersTest.java
@@ -160,7 +160,8 @@
                 unreadable,
                 () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
                 () -> HallCordons.DISABLED,
-                service -> 0);
+                service -> 0,
+                () -> Integer.MAX_VALUE);
         SchedulerHost host = new SchedulerHost(context, "clips", fence, workers, () -> {}, () -> {});
         workers.start();
         loop.advance(50);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/PrefixWatchTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/PrefixWatchTest.java
@@ -16,6 +16,7 @@
 package org.lupinpaddle.daemon.jobs;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -29,6 +30,7 @@
     private final List<String> seen = new ArrayList<>();
     private boolean fails;
     private boolean overflows;
+    private boolean runsOutOfMemory;
 
     private final PrefixWatch watch = new PrefixWatch(store, loop, "p/", new PrefixWatch.Listener() {
         @Override
@@ -52,6 +54,9 @@
             overflows = false;
             throw new StackOverflowError();
         }
+        if (runsOutOfMemory) {
+            throw new OutOfMemoryError("thrown by a test");
+        }
     }
 
     private void set(String key) {
@@ -85,4 +90,13 @@
         set("p/c");
         assertEquals(List.of("p/a", "p/c"), seen);
     }
+
+    /** Guards against a watch that has ended for good without the event loop, which ends the process, being told. */
+    @Test
+    void passesALackOfMemoryOnToTheEventLoop() {
+        watch.start();
+        loop.advance(100);
+        runsOutOfMemory = true;
+        assertThrows(OutOfMemoryError.class, () -> set("p/a"));
+    }
 }
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaManagerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaManagerTest.java
@@ -59,7 +59,8 @@
                 () -> new ActiveWorkspaces(
                         FakeRecords.CONFIGURATION, revision, true, new Workspaces(List.copyOf(workspaces), List.of())),
                 () -> HallCordons.DISABLED,
-                service -> 0);
+                service -> 0,
+                () -> Integer.MAX_VALUE);
         return new QuotaManager(entry, "clips", fence, () -> {});
     }
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -88,7 +88,8 @@
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
                 () -> HallCordons.DISABLED,
-                service -> 0);
+                service -> 0,
+                () -> Integer.MAX_VALUE);
         WorkerFeed workers =
                 new WorkerFeed(store, loop, new FakeRecords(), new UnreadableEntries(new JobMetrics()), () -> {});
         SchedulerHost host = new SchedulerHost(context, "clips", fence, workers, () -> {}, () -> {});
