Do not count a given-up task as completed

Cause: giving up marks a long-running task as needing no further run, since the others of its step must not be stopped, and all readers of that mark took it for completion, under the owner that gave it up as under each later one. Ruled out: that the crashes are not counted (TASK_GIVEN_UP is logged); that only the stored record loses the difference (a test with one owner fails too).

Change: tasks of a long-running step end only by being given up, so such a job is never completed: it fails, with the reason, when none of its tasks may still run, over all iterations. Steps after a given-up one do not start, ask for no workers, and do not keep the job running. Given-up tasks are no evidence against workers and no run times. Nothing new is stored, so it also holds for records of earlier releases.

Why it works: the state is derived from what is stored of the tasks and from the steps, not from an event that one owner saw.

--- a/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobProgress.java
@@ -28,7 +28,7 @@
  *
  * @param state the state that is reported to callers
  * @param tasks the tasks that have been placed at least once; after the job has ended, those that workers still hold
- * @param reason why the job failed; empty otherwise
+ * @param reason why the job failed, or will fail once nothing else of it is running; empty otherwise
  * @param changedMillis the time of the last state change, in milliseconds since 1970
  * @param workspace the workspace that the job belongs to, copied from {@link JobSpec}, whose record is
  *     discarded when the job is finished; null for none
--- a/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
@@ -30,7 +30,7 @@
  * @param index the index of the task within the step
  * @param run the number of the latest run
  * @param failures the number of failed runs
- * @param done whether the task needs no further run
+ * @param done whether the task needs no further run: it has been completed, or given up if it is long-running
  * @param worker the id of the worker that may hold the latest run; empty if none does
  * @param checkpoint the checkpoint that the latest run saved; empty if there is none, or if the task is done
  *     and not part of a gang
--- a/core/src/main/java/org/lupinpaddle/core/run/CrashTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/CrashTracker.java
@@ -200,7 +200,8 @@
 
     /**
      * Gives up the task. In a long-running step the other tasks continue: users depend on them, and the caller's
-     * limit on unavailable tasks does not allow stopping them. Any other job cannot complete without the task.
+     * limit on unavailable tasks does not allow stopping them. The job fails when nothing else of it is left to run. Any
+     * other job cannot complete without the task.
      */
     private void giveUp(LiveTask t) {
         int total = t.crashes + t.doubtfulCrashes;
@@ -208,9 +209,10 @@
         state.note(SchedulerEvent.Kind.TASK_GIVEN_UP, t, "", "reason=" + reason);
         boolean keepOthers = t.step.longRunning() && !t.step.gang();
         if (keepOthers) {
+            t.job.reason = reason;
             state.finish(t, "given up");
-        }
-        if (!keepOthers || t.job.allDone()) {
+            state.endIfFinished(t.job);
+        } else {
             state.endJob(t.job, JobState.FAILED, reason);
         }
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/FaultyWorkerDetector.java
@@ -55,7 +55,7 @@
         }
         t.failedOnProvenWorker |= w.isProvenByRunBegunSince(t.begunAt() - HEALTH_EVIDENCE_MILLIS);
         w.recordFailure();
-        boolean succeededElsewhere = t.job.hasDoneTask();
+        boolean succeededElsewhere = t.job.hasCompletedTask();
         w.failureEvidence.add(t.job.spec.key() + (succeededElsewhere ? "." + t.id : ""));
         avoidIfFaulty(w);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveIteration.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveIteration.java
@@ -15,8 +15,11 @@
  */
 package org.lupinpaddle.core.run;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
+import org.lupinpaddle.core.job.StepOrder;
 import org.lupinpaddle.core.job.TaskRecord;
 
 /** The steps of one iteration of a job while it is in progress. */
@@ -44,6 +47,34 @@
         return steps.stream().allMatch(LiveStep::isDone);
     }
 
+    /**
+     * Returns the steps whose tasks may still run. The others have been completed or given up, or come after a step that
+     * has been given up.
+     */
+    List<LiveStep> unfinishedSteps() {
+        Set<LiveStep> blocked = blockedSteps();
+        return steps.stream()
+                .filter(s -> !s.isDone() && (!blocked.contains(s) || s.hasTasksOnWorkers()))
+                .toList();
+    }
+
+    private Set<LiveStep> blockedSteps() {
+        if (steps.stream().noneMatch(LiveStep::isGivenUp)) {
+            return Set.of();
+        }
+        Set<LiveStep> blocked = new HashSet<>();
+        for (int number : StepOrder.of(job.spec.steps()).orElseThrow()) {
+            LiveStep step = steps.get(number);
+            boolean isBlocked = step.spec.after().stream()
+                    .map(steps::get)
+                    .anyMatch(before -> before.isGivenUp() || blocked.contains(before));
+            if (isBlocked) {
+                blocked.add(step);
+            }
+        }
+        return blocked;
+    }
+
     /** Returns whether one of its tasks has been placed, so that its records must be kept. */
     boolean hasBeenPlaced() {
         return steps.stream().flatMap(s -> s.tasks.stream()).anyMatch(t -> t.hasBeenPlaced() || t.worker != null);
@@ -61,10 +92,8 @@
     /** Returns its expected remaining duration, with its steps in sequence. */
     long remainingMillis() {
         long longest = 0;
-        for (LiveStep s : steps) {
-            if (!s.isDone()) {
-                longest = Math.max(longest, s.remainingMillis());
-            }
+        for (LiveStep s : unfinishedSteps()) {
+            longest = Math.max(longest, s.remainingMillis());
         }
         return longest;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -48,6 +48,7 @@
     final WorkspaceQuota quota;
 
     JobState state = JobState.QUEUED;
+    /** Why it failed, or will fail once nothing else is running. */
     String reason = "";
     /** Whether a worker has started one of its tasks. */
     boolean started;
@@ -209,14 +210,17 @@
         return objectiveMillis;
     }
 
-    boolean allDone() {
-        return completed.count() + inProgress.size() == spec.repeat().repetitions()
-                && inProgress.values().stream().allMatch(LiveIteration::isDone);
+    /** Returns whether a task may still run, now or later. */
+    boolean hasUnfinishedTasks() {
+        return completed.count() + inProgress.size() < spec.repeat().repetitions()
+                || inProgress.values().stream()
+                        .anyMatch(i -> !i.unfinishedSteps().isEmpty());
     }
 
     /** Returns whether one of its tasks has been completed. */
-    boolean hasDoneTask() {
-        return completed.count() > 0 || steps().anyMatch(s -> s.unfinished() < s.tasks.size());
+    boolean hasCompletedTask() {
+        boolean hasEndingStep = !spec.steps().stream().allMatch(StepSpec::longRunning);
+        return (completed.count() > 0 && hasEndingStep) || steps().anyMatch(LiveStep::hasCompletedTask);
     }
 
     boolean hasTasksOnWorkers() {
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveStep.java
@@ -79,10 +79,30 @@
         return job.stepInProgress(time, number) == this;
     }
 
+    /** Returns whether no task needs a further run: each has been completed or, in a long-running step, given up. */
     boolean isDone() {
         return done == tasks.size();
     }
 
+    /** Returns whether all tasks have been completed; those of a long-running step never are. */
+    boolean isCompleted() {
+        return isDone() && !spec.longRunning();
+    }
+
+    /** Returns whether all tasks have been given up, so that the steps after it cannot start. */
+    boolean isGivenUp() {
+        return isDone() && spec.longRunning();
+    }
+
+    /** Returns whether one of its tasks has been completed. */
+    boolean hasCompletedTask() {
+        return done > 0 && !spec.longRunning();
+    }
+
+    boolean hasTasksOnWorkers() {
+        return waiting + done < tasks.size();
+    }
+
     /** Updates the counters and the quota when one of its tasks changes phase. */
     void phaseChanged(LiveTask.Phase from, LiveTask.Phase to) {
         waiting += count(to == LiveTask.Phase.WAITING) - count(from == LiveTask.Phase.WAITING);
@@ -129,11 +149,11 @@
         return waiting;
     }
 
-    /** Returns whether its tasks may start: the iteration is due and all preceding steps are done. */
+    /** Returns whether its tasks may start: the iteration is due and all preceding steps are completed. */
     boolean isReady(long wallMillis) {
         return wallMillis >= job.spec.repeat().dueMillis(time)
                 && spec.after().stream()
-                        .allMatch(before -> iteration.steps.get(before).isDone());
+                        .allMatch(before -> iteration.steps.get(before).isCompleted());
     }
 
     /** Records the duration of a full run of one of its tasks. */
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -476,7 +476,7 @@
                     "NEVER_BEGAN",
                     "proven-since-millis=" + (state.now() - t.absenceConclusiveFrom));
             release(t, t.workDone ? Phase.DONE : Phase.WAITING);
-            completeIfDone(t.job);
+            state.endIfFinished(t.job);
         }
     }
 
@@ -518,7 +518,7 @@
 
     private void completedByOlderRun(LiveTask t) {
         state.finish(t, "an older run ended done");
-        completeIfDone(t.job);
+        state.endIfFinished(t.job);
     }
 
     private void applyResult(LiveWorker w, LiveTask t, RunResult e) {
@@ -534,14 +534,14 @@
         }
         boolean taskDone = t.workDone || (e.kind().finishes() && !t.step.longRunning());
         release(t, taskDone ? Phase.DONE : Phase.WAITING);
-        if (t.liveStep.isDone() && !t.liveStep.hasColdRuns()) {
+        if (t.liveStep.isCompleted() && !t.liveStep.hasColdRuns()) {
             state.runTimes.recordMaxToMeanRatio(t.job.spec.key().queue(), t.liveStep.maxToMeanRatio());
         }
         if (t.step.gang()) {
             endGang(t, taskDone);
         }
         failIfExhausted(t);
-        completeIfDone(t.job);
+        state.endIfFinished(t.job);
     }
 
     private String detail(LiveTask t, RunResult e) {
@@ -604,12 +604,6 @@
         }
     }
 
-    private void completeIfDone(LiveJob job) {
-        if (!job.state.ended() && job.allDone()) {
-            state.endJob(job, JobState.COMPLETED, "");
-        }
-    }
-
     /** Removes a task from its worker. The change becomes durable with the next record of the job. */
     private void release(LiveTask t, Phase next) {
         long retryAt = t.nextOrderAt;
@@ -665,6 +659,6 @@
         state.note(SchedulerEvent.Kind.RUN_ENDED, t, EndKind.WORKER_LOST.name(), detail);
         release(t, t.workDone ? Phase.DONE : Phase.WAITING);
         stopOthersOfGang(t);
-        completeIfDone(t.job);
+        state.endIfFinished(t.job);
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
@@ -72,7 +72,7 @@
     private void addIteration(LiveIteration iteration, long wallMillis, Demands demands) {
         LiveJob job = iteration.job;
         int time = iteration.time;
-        List<LiveStep> steps = iteration.steps.stream().filter(s -> !s.isDone()).toList();
+        List<LiveStep> steps = iteration.unfinishedSteps();
         long remaining = iteration.remainingMillis();
         // The remaining work should end by the objective or, failing that, before late completion loses its value.
         long onTime = Math.max(remaining, StepUrgency.Tier.ON_TIME.deadlineMillis(job, time) - wallMillis);
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -121,6 +121,9 @@
         assigned.forEach(r -> restoreRun(job, r));
         if (job.state.ended()) {
             state.markEnded(job);
+        } else if (progress != null) {
+            // An earlier release let a job continue whose steps wait for one that has been given up.
+            state.endIfFinished(job);
         }
         boolean longRunning = spec.steps().stream().anyMatch(StepSpec::longRunning);
         String shape = spec.steps().stream().map(StepSpec::shape).collect(Collectors.joining(","));
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -31,6 +31,7 @@
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobSize;
 import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.placement.Placer;
 import org.lupinpaddle.core.placement.Resources;
@@ -390,6 +391,21 @@
         note(SchedulerEvent.Kind.JOB_ENDED, job, state.name(), reason.isEmpty() ? "" : "reason=" + reason);
     }
 
+    /**
+     * Ends the job if none of its tasks will run any more. A job with a long-running step is never completed, because the
+     * tasks of that step end only by being given up.
+     */
+    void endIfFinished(LiveJob job) {
+        if (job.state.ended() || job.hasUnfinishedTasks()) {
+            return;
+        }
+        if (job.spec.steps().stream().noneMatch(StepSpec::longRunning)) {
+            endJob(job, JobState.COMPLETED, "");
+        } else {
+            endJob(job, JobState.FAILED, job.reason.isEmpty() ? "a long-running task was given up" : job.reason);
+        }
+    }
+
     /** Marks the job as ended. */
     void markEnded(LiveJob job) {
         job.endedAt = now();
--- a/core/src/test/java/org/lupinpaddle/core/run/CrashTrackerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/CrashTrackerTest.java
@@ -27,6 +27,7 @@
 import org.lupinpaddle.core.job.EndKind;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.Repeat;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
 import org.lupinpaddle.core.job.TaskRecord;
@@ -41,6 +42,11 @@
     private static final StepSpec TWO_LASTING =
             StepSpec.builder(2, SchedulerDriver.NEED).longRunning(true, 1).build();
 
+    private static final StepSpec LASTING =
+            StepSpec.builder(1, SchedulerDriver.NEED).longRunning(true, 0).build();
+    private static final StepSpec AFTER_FIRST =
+            StepSpec.builder(1, SchedulerDriver.NEED).after(List.of(0)).build();
+
     private static final StepSpec HALF_A_SECOND =
             StepSpec.builder(1, SchedulerDriver.NEED).estimateMillis(500).build();
     private static final StepSpec WHOLE_WORKER =
@@ -487,5 +493,96 @@
             assertEquals(1, d.port.starts.size());
             assertEquals(new TaskId(0, 0, 1), d.lastStart().task());
         }
+
+        /** Guards against a caller that is told that all is well although a task of its job runs no more. */
+        @Test
+        void failsItsJobWhenTheOtherStepsAreCompleted() {
+            workers("w1", "w2");
+            d.submit("a", progressWithCrashes(2, 0, false), LASTING, ONE);
+            giveUpFirst();
+            assertEquals(JobState.RUNNING, lastProgress().state(), "the other step still runs");
+            completeSecondStep();
+            assertEquals(JobState.FAILED, lastProgress().state());
+            assertTrue(lastProgress().reason().contains("workers crashed under task 0.0.0"));
+        }
+
+        /** Guards against the same under the next owner, which knows only the record. */
+        @Test
+        void failsItsJobUnderTheNextOwner() {
+            workers("w1", "w2");
+            d.submit("a", progressWithCrashes(3, 0, true), LASTING, ONE);
+            completeSecondStep();
+            assertEquals(JobState.FAILED, lastProgress().state());
+            assertEquals("a long-running task was given up", lastProgress().reason());
+        }
+
+        /** Guards against a step that starts after one that was never completed. */
+        @Test
+        void keepsLaterStepsFromStarting() {
+            workers("w1", "w2");
+            d.submit("a", progressWithCrashes(2, 0, false), LASTING, AFTER_FIRST);
+            giveUpFirst();
+            assertEquals(JobState.FAILED, lastProgress().state(), "nothing else of the job can run");
+            saveAll();
+            assertEquals(1, d.port.starts.size());
+        }
+
+        /** Guards against a job that an earlier release left running although none of its tasks can run. */
+        @Test
+        void failsAJobWhoseOtherStepsCannotStart() {
+            workers("w1", "w2");
+            d.submit("a", progressWithCrashes(3, 0, true), LASTING, AFTER_FIRST);
+            assertEquals(JobState.FAILED, lastProgress().state());
+        }
+
+        @Test
+        void doesNotEndAJobWhoseLongRunningStepHasOtherTasks() {
+            workers("w1", "w2");
+            d.submit("a", progressWithCrashes(3, 0, true), TWO_LASTING, ONE);
+            saveAll();
+            List.copyOf(d.port.starts).forEach(s -> d.scheduler.onStarted(s, OrderOutcome.ACCEPTED));
+            completeSecondStep();
+            assertEquals(JobState.RUNNING, lastProgress().state());
+        }
+
+        /** Guards against a repeated job that counts an iteration as completed in which a task was given up. */
+        @Test
+        void failsARepeatedJobWithItsLastIteration() {
+            workers("w1");
+            JobProgress oneOfTwo = new JobProgress(
+                    JobState.RUNNING,
+                    List.of(givenUp(0), new TaskRecord(0, 1, 0, 1, 0, true, "", ""), givenUp(1)),
+                    "",
+                    0);
+            d.submitRepeated("a", new Repeat(2, 0, 0), oneOfTwo, LASTING, ONE);
+            completeSecondStep();
+            assertEquals(JobState.FAILED, lastProgress().state());
+        }
+
+        private TaskRecord givenUp(int time) {
+            return new TaskRecord(time, 0, 0, 3, 0, true, "", "", 3, 0);
+        }
+
+        private void giveUpFirst() {
+            saveAll();
+            StartOrder first = d.port.starts.stream()
+                    .filter(s -> s.task().equals(FIRST))
+                    .findFirst()
+                    .orElseThrow();
+            d.scheduler.onStarted(first, OrderOutcome.ACCEPTED);
+            d.answerAsOtherIncarnation(first.worker().id());
+        }
+
+        private void completeSecondStep() {
+            saveAll();
+            StartOrder second = d.port.starts.stream()
+                    .filter(s -> s.task().step() == 1)
+                    .reduce((a, b) -> b)
+                    .orElseThrow();
+            d.scheduler.onStarted(second, OrderOutcome.ACCEPTED);
+            d.advance(100);
+            RunResult done = new RunResult(1, "a", second.task(), second.run(), EndKind.DONE, "");
+            d.answerHold(second.worker().id(), List.of(), List.of(done));
+        }
     }
 }
--- a/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/SchedulerDriver.java
@@ -108,9 +108,14 @@
 
     /** Submits a job with several iterations. */
     void submitRepeated(String id, Repeat repeat, StepSpec... steps) {
+        submitRepeated(id, repeat, null, steps);
+    }
+
+    /** Submits a job with several iterations and the progress that an earlier owner saved. */
+    void submitRepeated(String id, Repeat repeat, @Nullable JobProgress progress, StepSpec... steps) {
         JobKey key = new JobKey("q", id);
         Policy policy = new Policy(0, 3, 1.5, 500, advised);
-        scheduler.onJob(new JobSpec(key, "clips", "text", List.of(steps), repeat, policy, now), null);
+        scheduler.onJob(new JobSpec(key, "clips", "text", List.of(steps), repeat, policy, now), progress);
         tick();
     }
 
