Refuse an id that another queue of the service uses

Cause: acceptance checks that an id is free in its queue, while workers name tasks by the id without the queue. The owner therefore enters a job under its id only if that is free, and never enters the one that waits when the first is removed. Ruled out: that the second is taken for a repetition (it has its own record); that it waits for the first to be forgotten (a test that goes past that time).

Change: - The commit that stores a job also reserves caller-id/SERVICE/ID, on condition that there is none, so that of two entries that admit at the same moment one refuses: 503 with Retry-After, nothing written.

Why it works: the reservation is part of the commit that accepts, so a 200 implies that no other job of the service has the id.

RecoveredJobsTest: the test of the removal now also requires that the reservation is removed; a removal takes 6 jobs, not 7.

--- a/core/src/main/java/org/lupinpaddle/core/job/SchedulerKeys.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/SchedulerKeys.java
@@ -37,6 +37,7 @@
     private static final String INPUTS = "lupinpaddle/in/";
     private static final String PROGRESS = "lupinpaddle/progress/";
     private static final String LOCATIONS = "lupinpaddle/location/";
+    private static final String CALLER_IDS = "lupinpaddle/caller-id/";
     private static final String REPORTS = FLEET + "report/";
     private static final String QUOTAS = "lupinpaddle/quota/";
     // Store keys are limited to 200 bytes; a longer workspace name is replaced by its digest.
@@ -143,6 +144,14 @@
         return LOCATIONS + job;
     }
 
+    /**
+     * Returns the key that reserves a caller id within a service, because workers name tasks by the id without the queue. It
+     * holds the name of the queue, and is written and removed together with the job's record.
+     */
+    public static String callerId(String service, String id) {
+        return CALLER_IDS + service + "/" + id;
+    }
+
     /** Returns the key that marks a job as cancelled by its caller. */
     public static String cancel(String service, JobKey job) {
         return inputs(service) + CANCEL + job;
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -132,6 +132,11 @@
         state.note(SchedulerEvent.Kind.JOB_TAKEN, job, job.state.name(), detail);
     }
 
+    /** Adds a job that was over when this owner read its records, so that no other job takes its id too early. */
+    public void onFinishedJob(JobKey key) {
+        state.addOver(key);
+    }
+
     /**
      * Handles a job whose records cannot be read. Unless the job is known, its runs are neither stopped nor
      * restarted, since the work may already be done.
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -82,7 +82,7 @@
     /** The estimated size of all jobs in {@link #jobs}. */
     private long jobBytes;
 
-    private final Map<String, LiveJob> byCallerId = new HashMap<>();
+    private final CallerIds callerIds = new CallerIds();
     private final long startedAt;
     private final Clock monotonicClock;
     private final Clock wallClock;
@@ -117,7 +117,26 @@
         jobs.put(job.spec.key(), job);
         jobBytes += JobSize.bytes(job.spec);
         activeJobs.put(job.spec.key(), job);
-        byCallerId.putIfAbsent(job.spec.key().id(), job);
+        LiveJob holder = byCallerId(job.spec.key().id());
+        if (holder != null && precedes(job, holder)) {
+            callerIds.addFirst(job.spec.key());
+        } else {
+            callerIds.addLast(job.spec.key());
+        }
+    }
+
+    /** Returns whether a new job must run before another with the same id: it may have begun, or was accepted earlier. */
+    private static boolean precedes(LiveJob job, LiveJob holder) {
+        boolean isEarlier = job.spec.acceptedMillis() < holder.spec.acceptedMillis();
+        return holder.state == JobState.QUEUED && (job.state != JobState.QUEUED || isEarlier);
+    }
+
+    /** Adds a job that was over when this owner read its records. */
+    void addOver(JobKey job) {
+        if (!isKnown(job)) {
+            over.put(job, now());
+            callerIds.addFirst(job);
+        }
     }
 
     /** Returns whether the job has been added and not been forgotten since. */
@@ -147,7 +166,10 @@
                 .filter(e -> e.getValue() < before)
                 .map(Map.Entry::getKey)
                 .toList();
-        over.keySet().removeAll(expired);
+        expired.forEach(job -> {
+            over.remove(job);
+            callerIds.remove(job);
+        });
         return expired;
     }
 
@@ -157,18 +179,18 @@
         }
         activeJobs.remove(job.spec.key());
         unsaved.remove(job.spec.key());
-        byCallerId.remove(job.spec.key().id(), job);
     }
 
     /** Returns the job that workers refer to by this id, or null. */
     @Nullable
     LiveJob byCallerId(String id) {
-        return byCallerId.get(id);
+        JobKey holder = callerIds.holder(id);
+        return holder == null ? null : jobs.get(holder);
     }
 
-    /** Returns whether the caller id identifies this job: two queues of a service may use the same id. */
-    boolean hasUniqueId(LiveJob job) {
-        return byCallerId.get(job.spec.key().id()) == job;
+    /** Returns whether workers refer to this job by its id, rather than to another one with the same id. */
+    boolean holdsItsId(LiveJob job) {
+        return job.spec.key().equals(callerIds.holder(job.spec.key().id()));
     }
 
     /**
@@ -181,7 +203,7 @@
         for (LiveJob j : activeJobs.values()) {
             for (LiveIteration i : j.iterations()) {
                 for (LiveStep s : i.steps) {
-                    if (s.hasWaiting() && maxFree.canHold(s.room) && s.isReady(wallMillis) && hasUniqueId(j)) {
+                    if (s.hasWaiting() && maxFree.canHold(s.room) && s.isReady(wallMillis) && holdsItsId(j)) {
                         steps.add(s);
                     }
                 }
@@ -439,7 +461,7 @@
 
     @Nullable
     LiveTask task(String callerId, TaskId id) {
-        LiveJob job = byCallerId.get(callerId);
+        LiveJob job = byCallerId(callerId);
         return job == null ? null : job.task(id);
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -39,6 +39,7 @@
 import org.lupinpaddle.daemon.common.EventLoop;
 import org.lupinpaddle.daemon.common.Log;
 import org.lupinpaddle.daemon.jobs.JobLocator.LocatedJob;
+import org.lupinpaddle.daemon.jobs.JobLocator.UnusedKeys;
 import org.lupinpaddle.daemon.port.CommitResult;
 import org.lupinpaddle.daemon.port.KeyValueStore;
 import org.lupinpaddle.daemon.port.PlatformRecords;
@@ -207,18 +208,22 @@
      *
      * @param number the number of the attempt, from 1
      * @param mayBeWritten whether an earlier attempt may have stored the job
-     * @param unusedLocation the revision of a location without a job, which the attempt replaces; 0 for none
+     * @param unused the reservations without a job that the attempt replaces
      */
-    private record Attempt(int number, boolean mayBeWritten, long unusedLocation) {
+    private record Attempt(int number, boolean mayBeWritten, UnusedKeys unused) {
 
-        static final Attempt FIRST = new Attempt(1, false, 0);
+        static final Attempt FIRST = new Attempt(1, false, UnusedKeys.NONE);
 
         Attempt next(boolean orWritten) {
-            return new Attempt(number + 1, orWritten, unusedLocation);
+            return new Attempt(number + 1, orWritten, unused);
         }
 
-        Attempt replacing(StoreItem location) {
-            return new Attempt(number, mayBeWritten, location.revision());
+        Attempt replacingLocation(StoreItem location) {
+            return new Attempt(number, mayBeWritten, new UnusedKeys(location.revision(), unused.callerId()));
+        }
+
+        Attempt replacingCallerId(StoreItem callerId) {
+            return new Attempt(number, mayBeWritten, new UnusedKeys(unused.location(), callerId.revision()));
         }
 
         SubmitOutcome outcomeOrUnknown(SubmitOutcome unlessWritten) {
@@ -238,7 +243,7 @@
         // The commit requires the configuration that was checked, so no entry accepts a job under an outdated one.
         long admittedRevision = configuration.revision();
         StoreCommit.Builder commit = StoreCommit.builder().when(records.configurationKey(), admittedRevision);
-        locator.reserve(commit, q, key, attempt.unusedLocation);
+        locator.reserve(commit, q, key, attempt.unused);
         commit.put(SchedulerKeys.job(q.service(), key), RecordCodec.write(spec));
         return store.commit(commit.build())
                 .thenComposeAsync(
@@ -261,18 +266,39 @@
             return outcomeOfRepeated(a, q, key, conflicting.get());
         }
         StoreItem location = r.itemOf(SchedulerKeys.location(key)).orElse(null);
-        if (location == null || location.revision() == attempt.unusedLocation) {
+        if (location != null && location.revision() != attempt.unused.location()) {
+            return locator.jobAt(location, key)
+                    .thenComposeAsync(
+                            job -> job.map(j -> outcomeOfRepeated(a, q, key, j))
+                                    .orElseGet(() -> onCommitted(h, r, attempt.replacingLocation(location))),
+                            loop::execute)
+                    .exceptionally(why -> undecided(h, why));
+        }
+        if (locator.conflictsWithOtherQueue(r, q, key)) {
+            return CompletableFuture.completedFuture(idInOtherQueue(h, q, attempt));
+        }
+        StoreItem callerId =
+                r.itemOf(SchedulerKeys.callerId(q.service(), key.id())).orElse(null);
+        if (callerId == null || callerId.revision() == attempt.unused.callerId()) {
             return onCommitted(h, r, attempt);
         }
-        return locator.jobAt(location, key)
+        return locator.jobOfCallerId(callerId, q.service(), key.id())
                 .thenComposeAsync(
-                        job -> job.map(j -> outcomeOfRepeated(a, q, key, j))
-                                .orElseGet(() -> onCommitted(h, r, attempt.replacing(location))),
+                        job -> job.isPresent()
+                                ? CompletableFuture.completedFuture(idInOtherQueue(h, q, attempt))
+                                : onCommitted(h, r, attempt.replacingCallerId(callerId)),
                         loop::execute)
-                .exceptionally(why -> {
-                    Log.info("accept-undecided", "job", h.id, "why", StoreFailure.text(why));
-                    return SubmitOutcome.UNKNOWN;
-                });
+                .exceptionally(why -> undecided(h, why));
+    }
+
+    private static SubmitOutcome undecided(PendingSubmission h, Throwable why) {
+        Log.info("accept-undecided", "job", h.id, "why", StoreFailure.text(why));
+        return SubmitOutcome.UNKNOWN;
+    }
+
+    private static SubmitOutcome idInOtherQueue(PendingSubmission h, QueueConfig q, Attempt attempt) {
+        Log.info("accept-refused", "job", h.id, "service", q.service(), "why", "the id is in use in another queue");
+        return attempt.outcomeOrUnknown(SubmitOutcome.ID_IN_OTHER_QUEUE);
     }
 
     private CompletableFuture<SubmitOutcome> outcomeOfRepeated(Admission a, QueueConfig q, JobKey key, LocatedJob job) {
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobLocator.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobLocator.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.SchedulerKeys;
 import org.lupinpaddle.core.queue.QueueConfig;
@@ -39,9 +40,10 @@
  */
 final class JobLocator {
 
-    // A store call accepts 32 rows: conditions on the configuration, the location and the job at each service, and the
-    // values of the location and the job.
-    private static final int MAX_SERVICES_PER_COMMIT = 28;
+    // A store call accepts 32 rows. Six are the conditions on the configuration, the location and the caller id, and
+    // the
+    // values of the location, the caller id and the job.
+    private static final int MAX_JOBS_PER_COMMIT = 26;
 
     private final KeyValueStore store;
     private final EventLoop loop;
@@ -62,16 +64,39 @@
     }
 
     /**
-     * Adds the location of a new job to the commit that stores it, with the conditions that the id is not in use. The
-     * commit must also require the configuration that assigns the queue to its service: under one configuration, jobs
-     * of a queue are added at a single service only.
+     * Adds the location and the caller id of a new job to the commit that stores it, with the conditions that the id is in
+     * use neither in the queue nor in another queue of the service. The commit must also require the configuration that
+     * assigns the queue to its service: under one configuration, jobs of a queue are added at a single service only.
      *
-     * @param unusedLocation the revision of a location without a job, which is replaced; 0 if there is none
+     * @param unused the revisions of a location and a caller id without a job, which are replaced
      */
-    void reserve(StoreCommit.Builder commit, QueueConfig q, JobKey key, long unusedLocation) {
-        commit.when(SchedulerKeys.location(key), unusedLocation);
-        services(q).stream().limit(MAX_SERVICES_PER_COMMIT).forEach(s -> commit.when(SchedulerKeys.job(s, key), 0));
+    void reserve(StoreCommit.Builder commit, QueueConfig q, JobKey key, UnusedKeys unused) {
+        commit.when(SchedulerKeys.location(key), unused.location);
+        commit.when(SchedulerKeys.callerId(q.service(), key.id()), unused.callerId);
+        // Jobs of a release without locations or caller ids are found by their records, as far as the conditions fit.
+        Stream.concat(services(q).stream().map(s -> SchedulerKeys.job(s, key)), otherQueues(q, key))
+                .limit(MAX_JOBS_PER_COMMIT)
+                .forEach(record -> commit.when(record, 0));
         commit.put(SchedulerKeys.location(key), q.service());
+        commit.put(SchedulerKeys.callerId(q.service(), key.id()), q.name());
+    }
+
+    /**
+     * Reservations that refer to no job, because a release that does not know them has removed it.
+     *
+     * @param location the revision of the location; 0 if there is none
+     * @param callerId the revision of the caller id; 0 if there is none
+     */
+    record UnusedKeys(long location, long callerId) {
+        static final UnusedKeys NONE = new UnusedKeys(0, 0);
+    }
+
+    /** Returns the keys of the records that jobs with the same id would have in the other queues of the service. */
+    private Stream<String> otherQueues(QueueConfig q, JobKey key) {
+        return configuration.current().stream()
+                .flatMap(c -> c.queues().stream())
+                .filter(o -> o.service().equals(q.service()) && !o.name().equals(q.name()))
+                .map(o -> SchedulerKeys.job(q.service(), new JobKey(o.name(), key.id())));
     }
 
     /** Returns the job whose record violated a condition of {@link #reserve}; empty if none did. */
@@ -81,6 +106,19 @@
                 .findFirst();
     }
 
+    /** Returns whether the record of a job of another queue with the same id violated a condition of {@link #reserve}. */
+    boolean conflictsWithOtherQueue(CommitResult r, QueueConfig q, JobKey key) {
+        return otherQueues(q, key).anyMatch(record -> r.itemOf(record).isPresent());
+    }
+
+    /**
+     * Reads the job that a caller id refers to. There is none if a release without caller ids removed the ended job. The
+     * future fails if the caller id is unreadable.
+     */
+    CompletableFuture<Optional<LocatedJob>> jobOfCallerId(StoreItem callerId, String service, String id) {
+        return callerId.isText() ? readJob(service, new JobKey(callerId.value(), id)) : unreadable(callerId);
+    }
+
     /**
      * Reads the job that a location refers to. There is none if a release without locations removed the ended job.
      * The future fails if the location is unreadable.
@@ -152,8 +190,8 @@
         return new ArrayList<>(all);
     }
 
-    private static <T> CompletableFuture<T> unreadable(StoreItem location) {
+    private static <T> CompletableFuture<T> unreadable(StoreItem reservation) {
         return CompletableFuture.failedFuture(
-                new IllegalStateException("the job's location is unreadable: " + location.key()));
+                new IllegalStateException("the job's reservation is unreadable: " + reservation.key()));
     }
 }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/RecoveredJobs.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/RecoveredJobs.java
@@ -40,8 +40,8 @@
     // Callers may ask for a job until 120 s after its end.
     /** How long the records of a finished job are kept, in milliseconds. */
     static final long RETENTION_MILLIS = 130_000;
-    // Each job has four keys, and a store call accepts 32 rows, one of them for the ownership.
-    private static final int JOBS_PER_REMOVAL = 7;
+    // Each job has five keys, and a store call accepts 32 rows, one of them for the ownership.
+    private static final int JOBS_PER_REMOVAL = 6;
 
     private final FencedRecordWriter records;
     private final EventLoop loop;
@@ -135,6 +135,7 @@
     private Stream<String> keysOf(JobKey job) {
         return Stream.of(
                 SchedulerKeys.location(job),
+                SchedulerKeys.callerId(service, job.id()),
                 SchedulerKeys.job(service, job),
                 SchedulerKeys.cancel(service, job),
                 SchedulerKeys.progress(service, job));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -308,8 +308,12 @@
     }
 
     private void processJob(ServiceScheduler s, JobKey key, StoreItem i) {
+        if (recovered.isFinished(key)) {
+            s.onFinishedJob(key);
+            return;
+        }
         // A reduced record never starts a job, even if no progress is known for it.
-        if (!recovered.isFinished(key) && !i.value().equals(JobSpec.FINISHED_MARKER)) {
+        if (!i.value().equals(JobSpec.FINISHED_MARKER)) {
             JobSpec spec = context.unreadable.recordOrNull(Kind.JOB, i, item -> read(item, key));
             if (spec == null || recovered.isUnreadable(key)) {
                 s.onUnreadableJob(key);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
@@ -25,6 +25,8 @@
     UNKNOWN_KEY,
     /** The id is already in use in this queue by a job of another workspace. */
     ID_TAKEN,
+    /** The id is already in use in this service by a job of another queue. The job was not accepted. */
+    ID_IN_OTHER_QUEUE,
     /** The job was not accepted and this call will not store it later; the caller should retry. */
     NOT_TAKEN,
     /** All data halls are cordoned. The job was not accepted and this call did not write anything. */
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/JobIntakeTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
@@ -84,6 +85,88 @@
                 .join();
     }
 
+    /** Tests an id that is used in two queues of a service, whose workers name tasks by the id without the queue. */
+    @Nested
+    class IdInTwoQueues {
+
+        private static final String CALLER_ID = "lupinpaddle/caller-id/clips/a";
+
+        @BeforeEach
+        void configureTwoQueues() {
+            Policy policy = new Policy(0, 3, 1.5, 500, false);
+            JobConfiguration c = new JobConfiguration(
+                    2,
+                    List.of(
+                            new QueueConfig("q", "host", "/clips/", "clips", policy),
+                            new QueueConfig("r", "host", "/other/", "clips", policy),
+                            new QueueConfig("s", "host", "/archive/", "archive", policy)),
+                    List.of(new ServiceConfig("clips", false, true), new ServiceConfig("archive", false, true)),
+                    1 << 18);
+            store.set(FakeRecords.CONFIGURATION, RecordCodec.write(c));
+            store.notifyWatches();
+        }
+
+        private CompletableFuture<SubmitOutcome> send(String queuePath) {
+            StepSpec one = StepSpec.builder(1, new StepSpec.Need(1, 1, 0)).build();
+            return intake.submit(
+                    new CallerRequest("host", queuePath + "a", null),
+                    "a",
+                    new Submission("text", List.of(one), Repeat.ONCE));
+        }
+
+        /** Guards against a job that is accepted and never runs, because workers cannot tell it from another one. */
+        @Test
+        void isRefusedInTheSecondQueue() {
+            assertEquals(SubmitOutcome.ACCEPTED, send("/clips/").join());
+            assertEquals(SubmitOutcome.ID_IN_OTHER_QUEUE, send("/other/").join());
+            assertEquals("", store.value(SchedulerKeys.job("clips", new JobKey("r", "a"))));
+            assertEquals(SubmitOutcome.ACCEPTED, send("/clips/").join(), "the first one is repeated");
+        }
+
+        /** Guards against two entries that accept both at the same moment. */
+        @Test
+        void isAcceptedInOneQueueOnlyIfSubmittedAtOnce() {
+            store.delaysCommits = true;
+            CompletableFuture<SubmitOutcome> first = send("/clips/");
+            CompletableFuture<SubmitOutcome> second = send("/other/");
+            while (store.answerNext()) {
+                // Answers all commits, and those that follow from the answers.
+            }
+            assertEquals(SubmitOutcome.ACCEPTED, first.join());
+            assertEquals(SubmitOutcome.ID_IN_OTHER_QUEUE, second.join());
+        }
+
+        /** Guards against the same beside a job that an earlier release has stored. */
+        @Test
+        void isRefusedBesideAJobWithoutACallerId() {
+            store.set(SchedulerKeys.job("clips", new JobKey("r", "a")), "job");
+            assertEquals(SubmitOutcome.ID_IN_OTHER_QUEUE, send("/clips/").join());
+        }
+
+        /** Guards against an id that stays in use because an earlier release has removed the ended job only. */
+        @Test
+        void isAcceptedIfTheCallerIdRefersToNoJob() {
+            store.set(CALLER_ID, "r");
+            assertEquals(SubmitOutcome.ACCEPTED, send("/clips/").join());
+            assertEquals("q", store.value(CALLER_ID));
+        }
+
+        @Test
+        void isAcceptedInQueuesOfDifferentServices() {
+            assertEquals(SubmitOutcome.ACCEPTED, send("/clips/").join());
+            assertEquals(SubmitOutcome.ACCEPTED, send("/archive/").join());
+        }
+
+        /** Guards against an answer that denies a job which an unanswered write may have stored. */
+        @Test
+        void isUndecidedIfAnEarlierWriteMayHaveStoredIt() {
+            store.dropsCommitAnswers = true;
+            store.set(CALLER_ID, "r");
+            store.set(SchedulerKeys.job("clips", new JobKey("r", "a")), "job");
+            assertEquals(SubmitOutcome.UNKNOWN, send("/clips/").join());
+        }
+    }
+
     @Nested
     class SubmittedJob {
 
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/RecoveredJobsTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/RecoveredJobsTest.java
@@ -80,13 +80,15 @@
 
         /** Guards against an id that stays in use after its job has been removed, so that it is never accepted again. */
         @Test
-        void isRemovedWithItsLocation() {
+        void isRemovedWithItsLocationAndCallerId() {
             List<JobKey> all = IntStream.range(0, 40)
                     .mapToObj(i -> new JobKey("q", "over-" + i))
                     .toList();
             all.forEach(k -> store.set(SchedulerKeys.location(k), "clips"));
+            all.forEach(k -> store.set(SchedulerKeys.callerId("clips", k.id()), "q"));
             jobs.removeExpired(all);
             all.forEach(k -> assertEquals("", store.value(SchedulerKeys.location(k))));
+            all.forEach(k -> assertEquals("", store.value(SchedulerKeys.callerId("clips", k.id()))));
         }
     }
 
