--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
@@ -130,6 +130,11 @@
         time("store.call", call, millis);
     }
 
+    /** Records how long a call to the platform has waited for a connection. */
+    public void callQueued(String lane, long millis) {
+        time("platform.call.queued", lane, millis);
+    }
+
     /** Registers a gauge whose value is computed on each read. */
     void gauge(String name, Supplier<? extends Number> value) {
         registry.gauge(name, () -> (Gauge<Number>) value::get);
