Begin one more iteration whenever no task is ready to be placed

The limit on tasks in progress counts completed tasks of iterations that have not ended, and the most urgent iteration that does not fit keeps all others waiting.

Change: the limit holds back iterations only while a task is ready to be placed, and the last such work is not discarded, so that tasks are not created and discarded in turn. Where all due work fits, nothing is sorted.

--- a/core/src/main/java/org/lupinpaddle/core/job/JobSize.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobSize.java
@@ -28,9 +28,9 @@
     private static final int BYTES_PER_STEP = 600;
     // A text exists in the stored record and in the job that was read from it.
     private static final int COPIES_OF_TEXT = 2;
-    // The records of a repeated job's completed tasks are kept until its last iteration ends. A new owner has the
-    // stored
-    // text of such a record, and the record, in memory at the same time.
+    // The records of a repeated job's completed tasks are kept until its last iteration ends. A new owner has each of
+    // them
+    // in memory twice, as stored text and as read from it.
     private static final int BYTES_PER_COMPLETED_TASK = 110;
 
     private JobSize() {}
--- a/core/src/main/java/org/lupinpaddle/core/run/IterationPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/IterationPass.java
@@ -15,16 +15,15 @@
  */
 package org.lupinpaddle.core.run;
 
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.List;
 import java.util.PriorityQueue;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Begins the iterations of jobs that are due, and retires those that are completed, so that the memory of an owner
  * depends on the work in progress and not on the work that it has accepted. If there are more tasks than the owner may
- * hold, the most urgent iterations begin first and others wait, or are discarded if none of their tasks has been
- * placed.
+ * hold, the most urgent iterations begin first and others wait, or are discarded if none of their tasks has been placed.
+ * One more begins whenever no task is ready to be placed, so that workers do not stand idle.
  */
 final class IterationPass {
 
@@ -35,8 +34,10 @@
             .thenComparingInt(i -> i.time);
 
     private final ServiceState state;
-    /** How many tasks the iterations in progress have. */
+    /** How many tasks the iterations in progress have, and how many of them could be placed if there were room. */
     private int tasks;
+
+    private int readyTasks;
     /** How many jobs have an iteration that is due and waits until there are fewer tasks. */
     private int jobsWaiting;
 
@@ -56,17 +57,40 @@
             tasks += job.tasksInProgress();
             addDue(job, wallMillis, due);
         }
+        if (tasks <= state.maxTasks && fits(due)) {
+            due.forEach(i -> beginAllDue(i.job, wallMillis));
+            jobsWaiting = 0;
+        } else {
+            beginMostUrgent(due, wallMillis);
+        }
+    }
+
+    private void beginAllDue(LiveJob job, long wallMillis) {
+        for (int time = job.nextDue(wallMillis); time != LiveJob.NONE_DUE; time = job.nextDue(wallMillis)) {
+            job.begin(time);
+            tasks += job.tasksPerIteration();
+        }
+    }
+
+    private void beginMostUrgent(PriorityQueue<Iteration> due, long wallMillis) {
         PriorityQueue<Iteration> discardable = new PriorityQueue<>(MOST_URGENT_FIRST.reversed());
-        if (tasks > state.maxTasks || !fits(due)) {
-            discardable.addAll(discardable());
+        readyTasks = 0;
+        for (LiveJob job : state.activeJobs.values()) {
+            for (LiveIteration i : job.iterations()) {
+                readyTasks += readyTasks(i, wallMillis);
+                if (!i.hasBeenPlaced()) {
+                    discardable.add(new Iteration(job, i.time));
+                }
+            }
         }
-        while (tasks > state.maxTasks && !discardable.isEmpty()) {
-            discard(discardable.poll());
+        while (tasks > state.maxTasks && mayDiscard(discardable.peek(), wallMillis)) {
+            discard(discardable.poll(), wallMillis);
         }
-        while (!due.isEmpty() && makeRoom(due.peek(), discardable)) {
+        while (!due.isEmpty() && makeRoom(due.peek(), discardable, wallMillis)) {
             Iteration next = due.poll();
             next.job.begin(next.time);
             tasks += next.job.tasksPerIteration();
+            readyTasks += readyTasks(next, wallMillis);
             addDue(next.job, wallMillis, due);
         }
         jobsWaiting = (int) state.activeJobs.values().stream()
@@ -74,6 +98,25 @@
                 .count();
     }
 
+    private int readyTasks(LiveIteration i, long wallMillis) {
+        return state.holdsItsId(i.job)
+                ? i.steps.stream()
+                        .filter(s -> s.isReady(wallMillis))
+                        .mapToInt(LiveStep::waiting)
+                        .sum()
+                : 0;
+    }
+
+    private int readyTasks(Iteration i, long wallMillis) {
+        LiveIteration begun = i.job.iteration(i.time);
+        return begun == null ? 0 : readyTasks(begun, wallMillis);
+    }
+
+    /** Returns whether tasks remain that could be placed if this iteration is discarded. */
+    private boolean mayDiscard(@Nullable Iteration i, long wallMillis) {
+        return i != null && readyTasks > readyTasks(i, wallMillis);
+    }
+
     /** Returns how many tasks the iterations in progress have. */
     int tasks() {
         return tasks;
@@ -92,36 +135,25 @@
     }
 
     private boolean fits(PriorityQueue<Iteration> due) {
-        long added = due.stream().mapToLong(i -> i.job.tasksPerIteration()).sum();
+        long added = due.stream().mapToLong(i -> i.job.tasksDueOrLater()).sum();
         return tasks + added <= state.maxTasks;
     }
 
-    private List<Iteration> discardable() {
-        List<Iteration> all = new ArrayList<>();
-        for (LiveJob job : state.activeJobs.values()) {
-            for (LiveIteration i : job.iterations()) {
-                if (!i.hasBeenPlaced()) {
-                    all.add(new Iteration(job, i.time));
-                }
-            }
-        }
-        return all;
-    }
-
     /** Discards less urgent iterations until another may begin; returns false if it has to wait. */
-    private boolean makeRoom(Iteration next, PriorityQueue<Iteration> discardable) {
+    private boolean makeRoom(Iteration next, PriorityQueue<Iteration> discardable, long wallMillis) {
         int needed = next.job.tasksPerIteration();
-        while (tasks > 0 && tasks + needed > state.maxTasks) {
+        while (readyTasks > 0 && tasks + needed > state.maxTasks) {
             Iteration least = discardable.peek();
             if (least == null || MOST_URGENT_FIRST.compare(least, next) <= 0) {
                 return false;
             }
-            discard(discardable.poll());
+            discard(discardable.poll(), wallMillis);
         }
         return true;
     }
 
-    private void discard(Iteration i) {
+    private void discard(Iteration i, long wallMillis) {
+        readyTasks -= readyTasks(i, wallMillis);
         i.job.discard(i.time);
         tasks -= i.job.tasksPerIteration();
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -134,6 +134,12 @@
         return i == null || number < 0 || number >= i.steps.size() ? null : i.steps.get(number);
     }
 
+    /** Returns an iteration in progress, or null. */
+    @Nullable
+    LiveIteration iteration(int time) {
+        return inProgress.get(time);
+    }
+
     /** Returns the iterations in progress, the earliest first. */
     Collection<LiveIteration> iterations() {
         return inProgress.values();
@@ -158,6 +164,12 @@
         return completed.tasksPerIteration();
     }
 
+    /** Returns the number of tasks of all iterations that are neither in progress nor completed. */
+    long tasksDueOrLater() {
+        int iterations = spec.repeat().repetitions() - inProgress.size() - completed.count();
+        return (long) iterations * tasksPerIteration();
+    }
+
     /** Returns the first iteration that is due and has not begun; {@link #NONE_DUE} if there is none. */
     int nextDue(long wallMillis) {
         boolean due = nextIteration < spec.repeat().repetitions()
--- a/daemon/src/main/java/org/lupinpaddle/daemon/common/ThreadEventLoop.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/common/ThreadEventLoop.java
@@ -93,8 +93,7 @@
             // One bad step must not end the loop, nor a repeated step its repetition.
             Log.error("step-failed", e);
         } catch (Error e) {
-            // The step may have left a watch or a duty without its next call, so the process must not go on owning
-            // them.
+            // A watch or a duty may lack its next call now, so the process must not go on owning them.
             fatal(e);
         }
     }
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobLocator.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobLocator.java
@@ -40,9 +40,8 @@
  */
 final class JobLocator {
 
-    // A store call accepts 32 rows. Six are the conditions on the configuration, the location and the caller id, and
-    // the
-    // values of the location, the caller id and the job.
+    // A store call accepts 32 rows. Six are for the configuration, the location, the caller id, and the values of the
+    // location, the caller id and the job.
     private static final int MAX_JOBS_PER_COMMIT = 26;
 
     private final KeyValueStore store;
