Mark the id of a cancellation that finds no job, so that none is stored afterwards

Seconds later the job is stored, and all of its steps run.

Cause: JobIntake.cancel answered 410 from a read and left nothing behind. The accepting commit, its repetitions and its late copies were conditional on the location only, which says nothing of a cancellation. Ruled out: an owner that does not hear of a stored cancellation (none was stored). A late write and a repeated write of the accepting entry both occur; scripted orders of the store's writes show each.

Change: where no job is found, JobCanceller writes a mark into the key of the id's location, on condition that there is neither a location nor a job. Submissions already require the location's absence, so the store makes exactly one of the two, at no cost for submissions. If the condition fails there is a job, which is cancelled; if the store has not decided, the answer is 503. A mark lasts 120 to 180 s by a shared lease, names the workspaces that it applies to, and makes a submission of the id be answered 503 at once. Related path: the cancellation of a stored job now requires its record as read, so that a late one affects no later job. The model cancels jobs under submission (--early-cancels).

Why it works: a submission and a cancellation compete for one key, so their order is the store's and not that of any clock.

--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobIntake.java
@@ -15,16 +15,13 @@
  */
 package org.lupinpaddle.daemon.jobs;
 
-import io.vavr.control.Either;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.common.RecordCodec;
-import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
@@ -68,6 +65,7 @@
     private final BooleanSupplier storeReached;
     private final RoomCheck room;
     private final JobLocator locator;
+    private final JobCanceller canceller;
     private final PendingJobCounter pendingJobs;
 
     /** Tells whether the entries have room for another job. */
@@ -93,6 +91,7 @@
         this.storeReached = storeReached;
         this.room = room;
         locator = new JobLocator(store, loop, configuration);
+        canceller = new JobCanceller(store, loop, locator);
         pendingJobs = new PendingJobCounter(store, loop, configuration);
     }
 
@@ -192,7 +191,7 @@
         CompletableFuture<Admission> newest =
                 a.usesKey() ? refreshAndAdmit(h.request) : CompletableFuture.completedFuture(a);
         return newest.thenCompose(n -> n.isAdmitted()
-                ? jobAccess(n, new JobKey(q.name(), h.id), job).thenApply(access -> access.submitOutcome)
+                ? JobAccess.read(store, n, new JobKey(q.name(), h.id), job).thenApply(JobAccess::submitOutcome)
                 : CompletableFuture.completedFuture(refusal(n)));
     }
 
@@ -266,6 +265,15 @@
             return outcomeOfRepeated(a, q, key, conflicting.get());
         }
         StoreItem location = r.itemOf(SchedulerKeys.location(key)).orElse(null);
+        boolean isCancelled = location != null
+                && JobLocator.cancelledId(location)
+                        .filter(m -> m.appliesTo(a.workspace()))
+                        .isPresent();
+        if (isCancelled) {
+            // No earlier attempt has stored the job, because the mark requires that no job has the id, and none will.
+            Log.info("accept-refused", "job", h.id, "why", "the id was cancelled");
+            return CompletableFuture.completedFuture(SubmitOutcome.CANCELLED);
+        }
         if (location != null && location.revision() != attempt.unused.location()) {
             return locator.jobAt(location, key)
                     .thenComposeAsync(
@@ -305,7 +313,7 @@
         if (!job.service().equals(q.service())) {
             Log.info("accepted-before", "job", key.id(), "service", job.service(), "queue-service", q.service());
         }
-        return jobAccess(a, key, job).thenApply(access -> access.submitOutcome);
+        return JobAccess.read(store, a, key, job).thenApply(JobAccess::submitOutcome);
     }
 
     private CompletableFuture<SubmitOutcome> onCommitted(PendingSubmission h, CommitResult r, Attempt attempt) {
@@ -375,91 +383,7 @@
     /** Cancels a job. The answer tells whether the job exists, and is known only once the cancellation is durable. */
     public CompletableFuture<JobAnswer> cancel(Admission a, String id) {
         QueueConfig q = Objects.requireNonNull(a.queue(), "the request was not admitted");
-        JobKey key = new JobKey(q.name(), id);
-        return locator.find(q, key)
-                .thenComposeAsync(
-                        job -> job.map(j -> cancelIfAccessible(a, key, j))
-                                .orElseGet(() -> CompletableFuture.completedFuture(JobAnswer.NO_JOB)),
-                        loop::execute)
-                .exceptionally(why -> {
-                    Log.info("cancel-unknown", "job", id, "why", StoreFailure.text(why));
-                    return JobAnswer.UNKNOWN;
-                });
-    }
-
-    private CompletableFuture<JobAnswer> cancelIfAccessible(Admission a, JobKey key, LocatedJob job) {
-        return jobAccess(a, key, job)
-                .thenComposeAsync(access -> access.cancel(this, job.service(), key), loop::execute);
-    }
-
-    /** Whether a caller may access an existing job, and the resulting answers. */
-    private enum JobAccess {
-        ACCESSIBLE(SubmitOutcome.ACCEPTED) {
-            @Override
-            CompletableFuture<JobAnswer> cancel(JobIntake intake, String service, JobKey key) {
-                return intake.writeCancel(service, key, 1);
-            }
-        },
-        OTHER_WORKSPACE(SubmitOutcome.ID_TAKEN) {
-            @Override
-            CompletableFuture<JobAnswer> cancel(JobIntake intake, String service, JobKey key) {
-                return CompletableFuture.completedFuture(JobAnswer.NO_JOB);
-            }
-        },
-        /** The job's workspace cannot be determined because its records are unreadable or missing. */
-        UNKNOWN(SubmitOutcome.UNKNOWN) {
-            @Override
-            CompletableFuture<JobAnswer> cancel(JobIntake intake, String service, JobKey key) {
-                return CompletableFuture.completedFuture(JobAnswer.UNKNOWN);
-            }
-        };
-
-        /** The answer to a submission that reuses the job's id. */
-        private final SubmitOutcome submitOutcome;
-
-        JobAccess(SubmitOutcome submitOutcome) {
-            this.submitOutcome = submitOutcome;
-        }
-
-        abstract CompletableFuture<JobAnswer> cancel(JobIntake intake, String service, JobKey key);
-
-        static JobAccess of(Admission a, @Nullable String workspace) {
-            return a.canAccess(workspace) ? ACCESSIBLE : OTHER_WORKSPACE;
-        }
-    }
-
-    /** Reads the workspace from the job's progress if its record, which is reduced after its end, does not name it. */
-    private CompletableFuture<JobAccess> jobAccess(Admission a, JobKey key, LocatedJob job) {
-        if (!a.usesKey()) {
-            return CompletableFuture.completedFuture(JobAccess.ACCESSIBLE);
-        }
-        Either<Unreadable, JobSpec> spec = job.item().read(JobSpec.class);
-        if (spec.isRight()) {
-            return CompletableFuture.completedFuture(JobAccess.of(a, spec.get().workspace()));
-        }
-        return store.read(SchedulerKeys.progress(job.service(), key))
-                .thenApply(p -> p.map(i -> i.read(JobProgress.class)
-                                .fold(
-                                        unreadable -> JobAccess.UNKNOWN,
-                                        progress -> JobAccess.of(a, progress.workspace())))
-                        .orElse(JobAccess.UNKNOWN));
-    }
-
-    private CompletableFuture<JobAnswer> writeCancel(String service, JobKey key, int attempt) {
-        StoreCommit commit = StoreCommit.builder()
-                .put(SchedulerKeys.cancel(service, key), key.toString())
-                .build();
-        return store.commit(commit)
-                .thenComposeAsync(
-                        r -> {
-                            if (r.outcome() == CommitResult.Outcome.MADE) {
-                                return CompletableFuture.completedFuture(JobAnswer.of(JobState.CANCELLED));
-                            }
-                            return attempt < MAX_ATTEMPTS
-                                    ? writeCancel(service, key, attempt + 1)
-                                    : CompletableFuture.completedFuture(JobAnswer.UNKNOWN);
-                        },
-                        loop::execute);
+        return canceller.cancel(a, q, new JobKey(q.name(), id));
     }
 
     /** Counts the accepted jobs of a queue that have not started; empty if the store cannot be read. */
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobLocator.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobLocator.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.stream.Stream;
+import org.lupinpaddle.core.job.CancelledId;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.SchedulerKeys;
 import org.lupinpaddle.core.queue.QueueConfig;
@@ -40,7 +41,8 @@
  */
 final class JobLocator {
 
-    // A store call accepts 32 rows. Six are for the configuration, the location, the caller id, and the values of the
+    // A store call accepts 32 rows. Up to six are for the configuration, the location, the caller id, and the values of
+    // the
     // location, the caller id and the job.
     private static final int MAX_JOBS_PER_COMMIT = 26;
 
@@ -73,13 +75,35 @@
         commit.when(SchedulerKeys.location(key), unused.location);
         commit.when(SchedulerKeys.callerId(q.service(), key.id()), unused.callerId);
         // Jobs of a release without locations or caller ids are found by their records, as far as the conditions fit.
-        Stream.concat(services(q).stream().map(s -> SchedulerKeys.job(s, key)), otherQueues(q, key))
-                .limit(MAX_JOBS_PER_COMMIT)
-                .forEach(record -> commit.when(record, 0));
+        requireAbsent(commit, Stream.concat(jobRecords(q, key), otherQueues(q, key)));
         commit.put(SchedulerKeys.location(key), q.service());
         commit.put(SchedulerKeys.callerId(q.service(), key.id()), q.name());
     }
 
+    /**
+     * Adds the conditions that no job has the id in the queue.
+     *
+     * @param location the revision of a location without a job; 0 if there is none
+     */
+    void requireNoJob(StoreCommit.Builder commit, QueueConfig q, JobKey key, long location) {
+        commit.when(SchedulerKeys.location(key), location);
+        requireAbsent(commit, jobRecords(q, key));
+    }
+
+    private static void requireAbsent(StoreCommit.Builder commit, Stream<String> jobRecords) {
+        jobRecords.limit(MAX_JOBS_PER_COMMIT).forEach(record -> commit.when(record, 0));
+    }
+
+    /** Returns the keys of the records that the job may have at the configured services. */
+    private Stream<String> jobRecords(QueueConfig q, JobKey key) {
+        return services(q).stream().map(s -> SchedulerKeys.job(s, key));
+    }
+
+    /** Returns the mark of a cancelled id that takes the place of a location; empty if the item is a location. */
+    static Optional<CancelledId> cancelledId(StoreItem location) {
+        return location.isText() ? CancelledId.parse(location.value()) : Optional.empty();
+    }
+
     /**
      * Reservations that refer to no job, because a release that does not know them has removed it.
      *
@@ -123,6 +147,9 @@
      * The future fails if the location is unreadable.
      */
     CompletableFuture<Optional<LocatedJob>> jobAt(StoreItem location, JobKey key) {
+        if (cancelledId(location).isPresent()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
         return location.isText() ? readJob(location.value(), key) : unreadable(location);
     }
 
@@ -158,7 +185,7 @@
                                 return unreadable(location.get());
                             }
                             Set<String> others = new LinkedHashSet<>();
-                            location.ifPresent(l -> others.add(l.value()));
+                            location.filter(l -> cancelledId(l).isEmpty()).ifPresent(l -> others.add(l.value()));
                             others.addAll(services(q));
                             others.remove(q.service());
                             return searchNext(List.copyOf(others), 0, lookup);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SubmitOutcome.java
@@ -27,6 +27,8 @@
     ID_TAKEN,
     /** The id is already in use in this service by a job of another queue. The job was not accepted. */
     ID_IN_OTHER_QUEUE,
+    /** The id was cancelled by its caller while no job had it. The job was not accepted and will never run. */
+    CANCELLED,
     /** The job was not accepted and this call will not store it later; the caller should retry. */
     NOT_TAKEN,
     /** All data halls are cordoned. The job was not accepted and this call did not write anything. */
--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -62,6 +62,9 @@
     @Option(name = "--late-first-starts", description = "With --restarts: a worker's first order may be a late start")
     private boolean lateFirstStarts;
 
+    @Option(name = "--early-cancels", description = "Callers cancel jobs whose submission is under way")
+    private boolean earlyCancels;
+
     @Option(name = "--cordons", description = "Operators cordon data halls and lift the cordons")
     private boolean cordons;
 
@@ -139,6 +142,9 @@
         if (lateFirstStarts) {
             w.withLateFirstStarts();
         }
+        if (earlyCancels) {
+            w.withEarlyCancellations(s);
+        }
         if (cordons) {
             w.withCordons(s);
         }
--- a/model/src/main/java/org/lupinpaddle/model/SimCaller.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimCaller.java
@@ -37,6 +37,8 @@
     private static final long VISIBLE_MILLIS = 3_000;
     private static final int MAX_ATTEMPTS = 5;
     private static final int CANCEL_ONE_IN = 8;
+    private static final int EARLY_CANCEL_ONE_IN = 4;
+    private static final int MAX_EARLY_CANCEL_MILLIS = 2_000;
 
     private final World world;
     private final History history;
@@ -77,8 +79,14 @@
     }
 
     void submit() {
+        if (job.cancelSent) {
+            return;
+        }
         if (attempts == 0) {
             job.submittedAt = world.time.now();
+            world.earlyCancellations()
+                    .filter(r -> r.nextInt(EARLY_CANCEL_ONE_IN) == 0)
+                    .ifPresent(r -> world.time.schedule(r.nextInt(MAX_EARLY_CANCEL_MILLIS), this::cancel));
         }
         attempts++;
         SimEntry e = pickEntry();
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -55,6 +55,7 @@
     private static final int JOBS = 16;
     private static final int MAX_ATTEMPTS = 3;
     private static final long RACK_PREFERENCE_SEED = 0x7acc;
+    private static final long EARLY_CANCELLATION_SEED = 0xca9c;
     private static final long TRAFFIC_START = 5_000;
     private static final long TRAFFIC_MILLIS = 20_000;
     private static final long SETTLE_MILLIS = 40_000;
@@ -80,6 +81,7 @@
     private @Nullable SimWorkspaces workspaces;
     private @Nullable LateHolds lateHolds;
     private boolean lateFirstStarts;
+    private @Nullable Random earlyCancellations;
     private @Nullable SimCordons cordons;
     private @Nullable HeldOrders heldOrders;
     private @Nullable SimReroutes reroutes;
@@ -215,6 +217,17 @@
         return this;
     }
 
+    /** Lets callers cancel their jobs while the submission is under way. */
+    World withEarlyCancellations(long seed) {
+        earlyCancellations = new Random(seed ^ EARLY_CANCELLATION_SEED);
+        return this;
+    }
+
+    /** Returns which jobs are cancelled while they are being submitted, if any are in this history. */
+    Optional<Random> earlyCancellations() {
+        return Optional.ofNullable(earlyCancellations);
+    }
+
     /** Adds configuration changes that give queues other services, and repeated submissions of accepted jobs. */
     World withReroutes(long seed) {
         SimReroutes r = new SimReroutes(this, seed);
