Apply the newest configuration of a queue to the jobs accepted before

When its task fails it is started some 20 times a second without a ticket, is rejected each time, and never runs again; GET says running.

Cause: the queue's policy was copied into the job's record at acceptance, and every pass read it there. A rejection that shows that the worker goes by another configuration changed nothing in the next start. Ruled out: an owner that does not know the configuration (a later job of the queue is started with a ticket), and advice that is asked for and refused (no call names the earlier job's step).

Change: QueuePolicies holds the policies in force, and all passes read LiveJob.policy; the record's copy is used once the queue has left the configuration. A start without a ticket that is rejected for want of one makes the queue count as requiring advice until the next configuration (event TICKET_REQUIRED). Tickets that are rejected again and again are requested with growing delays. The model changes the requirement while jobs run, at workers and entries at different times (--advice-changes).

Why it works: the requirement is read when a start is decided, and where that knowledge is behind the worker's own answer corrects it.

Tests: four contexts of hosts have one more argument, no configuration.

--- a/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/JobSpec.java
@@ -30,7 +30,8 @@
  * @param text the caller's text for each task, passed on unchanged
  * @param steps the steps, in the caller's order
  * @param repeat the schedule of the repetitions
- * @param policy the policy of its queue at the time of acceptance
+ * @param policy the policy of its queue at the time of acceptance, which applies once the queue has left the
+ *     configuration
  * @param acceptedMillis the time of acceptance, in milliseconds since 1970 by the accepting entry's clock
  * @param workspace the name of the workspace that the job belongs to; null for a job of a public queue and in records
  *     written by versions without workspaces
--- a/core/src/main/java/org/lupinpaddle/core/job/Policy.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/Policy.java
@@ -16,8 +16,8 @@
 package org.lupinpaddle.core.job;
 
 /**
- * The scheduling policy of a job. It is copied from the configuration of the queue when the job is
- * accepted, and does not change.
+ * The scheduling policy of a queue's jobs. A job's record keeps the one that it was accepted with; the newest
+ * configuration of the queue overrides it.
  *
  * @param priority the priority; 0 is the highest
  * @param maxAttempts the maximum number of failed runs of a task
@@ -31,6 +31,11 @@
     /** A job that exceeds its objective is late up to this multiple of it; a later completion does not count. */
     public static final int LATE_FACTOR = 3;
 
+    /** Returns the same policy for a queue that requires advice. */
+    public Policy withAdvice() {
+        return new Policy(priority, maxAttempts, extension, sloMillis, true);
+    }
+
     /** Returns whether all values are within their valid ranges. */
     boolean isValid() {
         return priority >= 0 && maxAttempts >= 0 && sloMillis >= 0 && Double.isFinite(extension) && extension >= 0;
--- a/core/src/main/java/org/lupinpaddle/core/run/Advisor.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Advisor.java
@@ -37,6 +37,7 @@
     private static final int MAX_WORKERS_PER_REQUEST = 30;
     private static final long MIN_RETRY_MILLIS = 250;
     private static final long MAX_RETRY_MILLIS = 8_000;
+    private static final int MAX_DOUBLINGS = 5;
     // Covers the time from the placement to the start: a store write and the call.
     private static final long MIN_REMAINING_MILLIS = 600;
     private static final long EXPIRED = Long.MIN_VALUE / 2;
@@ -69,6 +70,8 @@
         long retryMillis;
 
         long nextRequestAt;
+        /** How many starts with a ticket were rejected since the last one that was accepted. */
+        int ticketsRefused;
 
         void requestFailed(long now) {
             retryMillis = Math.min(MAX_RETRY_MILLIS, Math.max(MIN_RETRY_MILLIS, 2 * retryMillis));
@@ -190,11 +193,27 @@
                 .forEach(k.refused::add);
     }
 
-    /** Discards the step's ticket for a worker that rejected it. */
+    /**
+     * Discards the step's ticket for a worker that rejected it. The first time, it has probably expired; if new tickets
+     * are rejected as well, the next ones are requested with increasing delays.
+     */
     void onTicketRefused(LiveStep step, LiveWorker w) {
         Knowledge k = knowledgeByStep.get(step);
         if (k != null) {
             k.tickets.computeIfPresent(w.facts().id(), (id, t) -> new Ticket(t.text, EXPIRED));
+            if (k.ticketsRefused > 0) {
+                int doublings = Math.min(k.ticketsRefused - 1, MAX_DOUBLINGS);
+                k.nextRequestAt = state.now() + Math.min(MAX_RETRY_MILLIS, MIN_RETRY_MILLIS << doublings);
+            }
+            k.ticketsRefused++;
+        }
+    }
+
+    /** Records that a worker accepted a start of the step. */
+    void onTicketAccepted(LiveStep step) {
+        Knowledge k = knowledgeByStep.get(step);
+        if (k != null) {
+            k.ticketsRefused = 0;
         }
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/IterationPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/IterationPass.java
@@ -28,7 +28,7 @@
 final class IterationPass {
 
     private static final Comparator<Iteration> MOST_URGENT_FIRST = Comparator.<Iteration>comparingInt(
-                    i -> i.job.spec.policy().priority())
+                    i -> i.job.policy.priority())
             .thenComparingLong(i -> i.job.dueMillis(i.time))
             .thenComparing(i -> i.job.spec.key().toString())
             .thenComparingInt(i -> i.time);
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveJob.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.JobState;
+import org.lupinpaddle.core.job.Policy;
 import org.lupinpaddle.core.job.StepOrder;
 import org.lupinpaddle.core.job.StepSpec;
 import org.lupinpaddle.core.job.TaskId;
@@ -46,6 +47,8 @@
 
     final JobSpec spec;
     final WorkspaceQuota quota;
+    /** The policy that applies now; see {@link QueuePolicies}. */
+    Policy policy;
 
     JobState state = JobState.QUEUED;
     /** Why it failed, or will fail once nothing else is running. */
@@ -77,19 +80,18 @@
 
     private final long[] stepMillis;
     private final long[] criticalPaths;
-    private final long objectiveMillis;
+    private final long longestPathMillis;
 
     LiveJob(JobSpec spec, WorkspaceQuota quota, RunTimeEstimator times) {
         this.spec = spec;
         this.quota = quota;
+        policy = spec.policy();
         completed = new CompletedIterations(spec);
         stepMillis = IntStream.range(0, spec.steps().size())
                 .mapToLong(s -> ownMillis(s, times))
                 .toArray();
         criticalPaths = criticalPaths(stepMillis);
-        long criticalPath = Arrays.stream(criticalPaths).max().orElse(0);
-        objectiveMillis = Math.round(spec.policy().extension() * criticalPath)
-                + spec.policy().sloMillis();
+        longestPathMillis = Arrays.stream(criticalPaths).max().orElse(0);
     }
 
     /**
@@ -219,7 +221,7 @@
 
     /** Returns the time after its due time within which the job should end, by the expected duration of its steps. */
     long objectiveMillis() {
-        return objectiveMillis;
+        return Math.round(policy.extension() * longestPathMillis) + policy.sloMillis();
     }
 
     /** Returns whether a task may still run, now or later. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -319,10 +319,7 @@
     }
 
     private boolean isAtLastAttempt() {
-        return !step.longRunning()
-                && !step.gang()
-                && !failedOnProvenWorker
-                && failures == job.spec.policy().maxAttempts() - 1;
+        return !step.longRunning() && !step.gang() && !failedOnProvenWorker && failures == job.policy.maxAttempts() - 1;
     }
 
     /** Makes the next runs avoid the worker: strictly for a while, then only where there is an alternative. */
--- a/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/PlacementPass.java
@@ -86,7 +86,7 @@
         if (!s.spec.gang() || !s.hasWaiting() || usable.stream().noneMatch(LiveWorker::areStartsLimited)) {
             return false;
         }
-        List<LiveWorker> permitted = s.job.spec.policy().advised() ? advisor.allowed(s, usable) : usable;
+        List<LiveWorker> permitted = s.job.policy.advised() ? advisor.allowed(s, usable) : usable;
         StepRoom room = StepRoom.of(s, state.now());
         return room != null
                 && !room.fits(permitted, LiveWorker::roomFor)
@@ -112,7 +112,7 @@
 
     /** Places a step; if its queue requires advice, only on permitted workers. */
     private void placeWithAdvice(LiveStep step, List<LiveWorker> usable) {
-        if (!step.job.spec.policy().advised()) {
+        if (!step.job.policy.advised()) {
             place(step, usable);
             return;
         }
@@ -220,7 +220,7 @@
     private void reserve(LiveTask t, LiveWorker w) {
         t.worker = w;
         t.incarnation = w.incarnation();
-        t.ticket = advisor.ticket(t.liveStep, w);
+        t.ticket = t.job.policy.advised() ? advisor.ticket(t.liveStep, w) : "";
         t.enterPhase(Phase.PLACED, state.now());
         w.add(t);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -276,6 +276,7 @@
         String clock = clockMillis.isPresent() ? " clock=" + clockMillis.getAsLong() : "";
         state.note(SchedulerEvent.Kind.START_ANSWERED, t, outcome.name(), "unanswered=" + t.unansweredStarts + clock);
         if (outcome == OrderOutcome.ACCEPTED) {
+            advisor.onTicketAccepted(t.liveStep);
             runStarted(t, now);
         } else if (outcome == OrderOutcome.UNKNOWN) {
             t.unansweredStarts++;
@@ -296,7 +297,7 @@
     private void startRefused(LiveTask t, LiveWorker w, OrderOutcome outcome) {
         long now = state.now();
         switch (outcome) {
-            case NO_TICKET -> advisor.onTicketRefused(t.liveStep, w);
+            case NO_TICKET -> ticketRefused(t, w);
             case NO_ROOM -> w.avoidUntil = now + NO_ROOM_AVOID_MILLIS;
             default -> w.avoidUntil = now + UNHEALTHY_AVOID_MILLIS;
         }
@@ -308,6 +309,31 @@
         failIfExhausted(t);
     }
 
+    private void ticketRefused(LiveTask t, LiveWorker w) {
+        if (t.ticket.isEmpty()) {
+            // The worker applies another configuration than the known one.
+            state.note(SchedulerEvent.Kind.TICKET_REQUIRED, t, "", "");
+            state.policies.requireTickets(t.job.spec.key().queue());
+            state.applyPolicies();
+        } else {
+            advisor.onTicketRefused(t.liveStep, w);
+        }
+    }
+
+    /**
+     * Ends the jobs that have already failed as often as the newest configuration allows. Runs in progress are not
+     * interrupted.
+     */
+    void applyMaxAttempts() {
+        state.applyPolicies();
+        for (LiveJob job : List.copyOf(state.activeJobs.values())) {
+            job.tasks()
+                    .filter(t -> t.failures > 0 && !t.phase.occupiesWorker() && t.phase != Phase.DONE)
+                    .toList()
+                    .forEach(this::failIfExhausted);
+        }
+    }
+
     /** Stops the other gang members, which would otherwise occupy their room without making progress. */
     void stopOthersOfGang(LiveTask t) {
         if (t.step.gang()) {
@@ -602,9 +628,7 @@
         int failures = t.step.gang()
                 ? t.liveStep.tasks.stream().mapToInt(m -> m.failures).sum()
                 : t.failures;
-        if (!t.step.longRunning()
-                && !t.job.state.ended()
-                && failures >= t.job.spec.policy().maxAttempts()) {
+        if (!t.step.longRunning() && !t.job.state.ended() && failures >= t.job.policy.maxAttempts()) {
             state.endJob(t.job, JobState.FAILED, "task " + t.id + " failed " + failures + " times");
         }
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -61,6 +61,8 @@
         RUN_FOUND,
         /** A worker reported results of outdated runs or of unknown tasks. */
         OTHER_ENDS_TOLD,
+        /** A worker rejects starts of a queue without a ticket, though the known configuration requires none. */
+        TICKET_REQUIRED,
         /** A stop was ordered. */
         STOP_ORDERED,
         /** The pace of a task that uses spare capacity was changed. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -38,6 +38,7 @@
 import org.lupinpaddle.core.job.TaskRecord;
 import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.run.LiveTask.Phase;
 import org.lupinpaddle.core.workspace.QuotaTable;
 
@@ -218,6 +219,13 @@
         state.cordons = cordons;
     }
 
+    /** Takes over a configuration, which applies to the jobs accepted before as well. */
+    public void onConfiguration(JobConfiguration configuration) {
+        if (!handingOver && state.policies.update(configuration)) {
+            runs.applyMaxAttempts();
+        }
+    }
+
     /** Sets the maximum number of starts per second on each cold worker; 0 for no limit. */
     public void onColdStartsPerSecond(double rate) {
         state.coldStarts.setRate(rate, state.now());
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -63,6 +63,7 @@
     final FencingTokens fences;
     final RecentLosses losses = new RecentLosses();
     final RunTimeEstimator runTimes = new RunTimeEstimator();
+    final QueuePolicies policies = new QueuePolicies();
     final DemandTrend trend = new DemandTrend();
     final ArrivalRate arrivals = new ArrivalRate();
     final Set<String> evacuating = new HashSet<>();
@@ -115,6 +116,7 @@
 
     void add(LiveJob job) {
         jobs.put(job.spec.key(), job);
+        job.policy = policies.of(job.spec);
         jobBytes += JobSize.bytes(job.spec);
         activeJobs.put(job.spec.key(), job);
         LiveJob holder = byCallerId(job.spec.key().id());
@@ -125,6 +127,11 @@
         }
     }
 
+    /** Applies the policies in force to all jobs. */
+    void applyPolicies() {
+        jobs.values().forEach(job -> job.policy = policies.of(job.spec));
+    }
+
     /** Returns whether a new job must run before another with the same id: it may have begun, or was accepted earlier. */
     private static boolean precedes(LiveJob job, LiveJob holder) {
         boolean isEarlier = job.spec.acceptedMillis() < holder.spec.acceptedMillis();
--- a/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/StepUrgency.java
@@ -77,7 +77,7 @@
     /** Returns the urgency of a step at this wall-clock time. */
     static StepUrgency of(LiveStep s, long wallMillis) {
         LiveJob job = s.job;
-        int priority = job.spec.policy().priority();
+        int priority = job.policy.priority();
         long dueAt = job.dueMillis(s.time);
         if (s.spec.longRunning()) {
             return new StepUrgency(s, priority, Tier.ON_TIME, true, dueAt);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
@@ -69,6 +69,7 @@
                     TASK_PACED,
                     STOP_ORDERED,
                     RUN_IN_DOUBT,
+                    TICKET_REQUIRED,
                     RUN_FOUND,
                     OTHER_ENDS_TOLD,
                     WORKER_RESTARTED,
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobNode.java
@@ -141,6 +141,7 @@
                 p.meters(),
                 unreadable,
                 configuration::workspaces,
+                configuration::current,
                 configuration::cordons,
                 configuration::coldStartsPerSecond,
                 () -> ownership.memory().maxTasksPerService(hosts.size()));
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -42,6 +42,7 @@
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.SchedulerKeys;
 import org.lupinpaddle.core.placement.WorkerFacts;
+import org.lupinpaddle.core.queue.JobConfiguration;
 import org.lupinpaddle.core.run.AdviceCallQueue;
 import org.lupinpaddle.core.run.AdviceRequest;
 import org.lupinpaddle.core.run.AdviceResponse;
@@ -128,6 +129,7 @@
      * @param meters the entry's metrics
      * @param unreadable the unreadable entries of the store
      * @param workspaces supplies the workspaces of the current configuration
+     * @param configuration supplies the newest known configuration
      * @param cordons supplies the current view of cordoned data halls
      * @param coldStartsPerSecond returns a service's configured rate limit of starts on a cold worker; 0 for no limit
      * @param maxTasks returns how many tasks a service may have in progress
@@ -144,6 +146,7 @@
             JobMetrics meters,
             UnreadableEntries unreadable,
             Supplier<ActiveWorkspaces> workspaces,
+            Supplier<Optional<JobConfiguration>> configuration,
             Supplier<HallCordons> cordons,
             ToDoubleFunction<String> coldStartsPerSecond,
             IntSupplier maxTasks) {}
@@ -391,6 +394,7 @@
                 scheduler.onWorkersConfirmed(Math.min(workers.confirmedAt(), inputs.confirmedAt()));
             }
             scheduler.onCordons(context.cordons.get());
+            context.configuration.get().ifPresent(scheduler::onConfiguration);
             scheduler.onColdStartsPerSecond(context.coldStartsPerSecond.applyAsDouble(service));
             scheduler.onMaxTasks(context.maxTasks.getAsInt());
             scheduler.tick();
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/EmptiedWorkerTest.java
@@ -187,6 +187,7 @@
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
+                Optional::empty,
                 () -> HallCordons.DISABLED,
                 service -> 0,
                 () -> Integer.MAX_VALUE);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OddRecordOwnersTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/OddRecordOwnersTest.java
@@ -20,6 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -159,6 +160,7 @@
                 new JobMetrics(),
                 unreadable,
                 () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
+                Optional::empty,
                 () -> HallCordons.DISABLED,
                 service -> 0,
                 () -> Integer.MAX_VALUE);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaManagerTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/QuotaManagerTest.java
@@ -21,6 +21,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lupinpaddle.core.cordon.HallCordons;
@@ -58,6 +59,7 @@
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(
                         FakeRecords.CONFIGURATION, revision, true, new Workspaces(List.copyOf(workspaces), List.of())),
+                Optional::empty,
                 () -> HallCordons.DISABLED,
                 service -> 0,
                 () -> Integer.MAX_VALUE);
--- a/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
+++ b/daemon/src/test/java/org/lupinpaddle/daemon/jobs/SchedulerHostTest.java
@@ -21,6 +21,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -87,6 +88,7 @@
                 new JobMetrics(),
                 new UnreadableEntries(new JobMetrics()),
                 () -> new ActiveWorkspaces(FakeRecords.CONFIGURATION, 0, true, Workspaces.NONE),
+                Optional::empty,
                 () -> HallCordons.DISABLED,
                 service -> 0,
                 () -> Integer.MAX_VALUE);
--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -83,6 +83,9 @@
     @Option(name = "--refusals", description = "With --advice: workers are refused for long-running steps too")
     private boolean refusals;
 
+    @Option(name = "--advice-changes", description = "A queue requires advice from some configuration on, or no more")
+    private boolean adviceChanges;
+
     @Option(name = "--racks", description = "Some steps prefer one rack, with one task a worker")
     private boolean racks;
 
@@ -163,6 +166,9 @@
         if (advice) {
             w.withAdvice(s, refusals);
         }
+        if (adviceChanges) {
+            w.withAdviceChanges(s);
+        }
         if (racks) {
             w.withRackPreferences(s);
         }
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -250,6 +250,12 @@
         return this;
     }
 
+    /** As {@link #withAdvice(long)}, with configurations that add the requirement to the queue or remove it. */
+    World withAdviceChanges(long seed) {
+        withAdvice(seed).advice().ifPresent(a -> a.planChanges(TRAFFIC_START, TRAFFIC_MILLIS));
+        return this;
+    }
+
     /** Returns the advice service, if this history has one. */
     Optional<SimAdvice> advice() {
         return Optional.ofNullable(advice);
@@ -381,7 +387,8 @@
         configurationVersion++;
         List<QueueConfig> queues = new ArrayList<>();
         for (String s : site.services()) {
-            boolean advised = advice().filter(a -> a.queue().equals(s)).isPresent();
+            boolean advised =
+                    advice().filter(a -> a.queue().equals(s) && a.isRequired()).isPresent();
             Policy policy = new Policy(queues.size(), MAX_ATTEMPTS, 1.5, 500, advised);
             String service = reroutes().map(r -> r.configuredService(s)).orElse(s);
             queues.add(new QueueConfig("q-" + s, "host", "/" + s + "/", service, policy, workspaces != null));
--- a/model/src/test/java/org/lupinpaddle/model/AdviceTest.java
+++ b/model/src/test/java/org/lupinpaddle/model/AdviceTest.java
@@ -33,6 +33,17 @@
                 .forEach(seed -> assertRulesHold(seed, 0, new World(seed, 0).withAdvice(seed)));
     }
 
+    /** Guards against jobs that go by the configuration under which they were accepted. */
+    @Test
+    void satisfiesRulesWhileTheRequirementChanges() {
+        LongStream.range(0, 100)
+                .parallel()
+                .forEach(seed -> assertRulesHold(seed, 0, new World(seed, 0).withAdviceChanges(seed)));
+        LongStream.range(0, 60)
+                .parallel()
+                .forEach(seed -> assertRulesHold(seed, 4, new World(seed, 4).withAdviceChanges(seed)));
+    }
+
     /** The service is slow, loses calls or refuses them, while owners, entries and workers are lost. */
     @Test
     void satisfiesRulesUnderOtherFaults() {
