Measure the wait for a late start from the loss that caused it

Cause: a run that was in doubt and then found at work kept the time of that doubt, so a later loss logged a wait that was too long. Change: a run that its worker lists is no longer in doubt. Log only; no decision reads the time.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -162,7 +162,7 @@
     long lastProgressAt = Long.MAX_VALUE;
     /** How many answers of its worker have shown the same progress since then. */
     int answersWithoutProgress;
-    /** Since when its worker is known to be lost while a start may still be executed; otherwise {@code NEVER}. */
+    /** Since when its worker is known to be lost while a start may be executed; {@link LiveWorker#NEVER} otherwise. */
     long inDoubtSince = LiveWorker.NEVER;
     /** Whether an earlier owner started its run, and may have ordered a stop. */
     boolean inherited;
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -453,6 +453,7 @@
             return;
         }
         listed.add(t);
+        t.inDoubtSince = LiveWorker.NEVER;
         if (t.belongsToEarlierIncarnation()) {
             // The start's deadline refers to the clock of the earlier incarnation.
             state.expectForeignDeadlines(w, state.now());
