Tell when the runs of a worker that answers are not extended

RUNS_NOT_EXTENDED notes a worker that answers and whose runs have not been extended for 3 s, with the reason why its newest poll carried no deadline (INCARNATION_UNCONFIRMED, RECORDS_UNSAVED); RUN_ENDED with the outcome LAPSED has the same fields. The condition of a deadline stands in one place, ServiceState.extensionHindrance. No decision changes.

--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -150,6 +150,10 @@
     private long clockMillis;
     private long clockReadAt;
     private long latestDeadline;
+    /** When an order last carried a later deadline than the ones before; {@link #NEVER} if none has. */
+    private long extendedAt = NEVER;
+    /** Why the newest poll carried no deadline; null if it carried one. */
+    private @Nullable ExtensionHindrance extensionHindrance;
     /** Until when orders of an earlier owner may keep runs alive here. */
     private long inheritedUntil;
     /** Whether it has answered a hold of this owner, also as an earlier incarnation or before it was given up. */
@@ -592,12 +596,31 @@
         if (!fenced) {
             return 0;
         }
-        if (now - lastAnswerAt <= EXTENSION_WINDOW_MILLIS) {
-            latestDeadline = Math.max(latestDeadline, clockMillis + (now - clockReadAt) + millis);
+        long deadline = clockMillis + (now - clockReadAt) + millis;
+        if (now - lastAnswerAt <= EXTENSION_WINDOW_MILLIS && deadline > latestDeadline) {
+            latestDeadline = deadline;
+            extendedAt = now;
         }
         return latestDeadline;
     }
 
+    /** Returns for how long no order has extended the deadline of its runs. */
+    long unextendedMillis(long now) {
+        return now - Math.max(extendedAt, fencedAt);
+    }
+
+    /** Records why a poll that is being sent carries no deadline; null if it carries one. */
+    void pollSent(@Nullable ExtensionHindrance hindrance) {
+        extensionHindrance = hindrance;
+    }
+
+    /** Describes when its runs were last extended, for the log. */
+    String describeExtension(long now) {
+        String extended = extendedAt == NEVER ? "never" : String.valueOf(now - extendedAt);
+        return "extended-millis-ago=" + extended
+                + (extensionHindrance == null ? "" : " last-poll-without-deadline=" + extensionHindrance);
+    }
+
     /** Records that this incarnation has answered a hold with a fencing token and rejects lower ones from then on. */
     void confirmFence(long fence) {
         confirmedFence = Math.max(confirmedFence, fence);
--- a/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/RunTracker.java
@@ -593,7 +593,9 @@
                 ? ""
                 : " took-millis=" + (state.now() - t.startedAt) + " expected-millis="
                         + state.expectedMillis(t.liveStep);
-        return "number=" + e.number() + " attempts=" + t.failures + times;
+        String extension =
+                e.kind() == EndKind.LAPSED && t.worker != null ? " " + t.worker.describeExtension(state.now()) : "";
+        return "number=" + e.number() + " attempts=" + t.failures + times + extension;
     }
 
     private void recordRunTime(LiveTask t, EndKind kind) {
--- a/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/SchedulerEvent.java
@@ -87,6 +87,8 @@
         WORKER_REACH,
         /** A worker gets no new tasks for some time. */
         WORKER_AVOIDED,
+        /** A worker answers, but the deadline of its runs has not been extended for a while. */
+        RUNS_NOT_EXTENDED,
         /** A long-running task has had no confirmed run for a while; the outcome is the reason of its wait. */
         RUN_OVERDUE
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -57,6 +57,10 @@
     // Delay for a worker that is about to leave: a result that it has listed for 100 ms must be known to its owner,
     // and the worker may be gone before the store answers. Each such poll costs one call.
     private static final long HOLD_LEAVING_MILLIS = 100;
+    // Runs are extended once a second; after two more their deadline is near.
+    private static final long UNEXTENDED_NOTE_MILLIS = 3_000;
+    // Limits the lines of one review when many workers are affected.
+    private static final int MAX_UNEXTENDED_NOTES = 5;
     // An unlisted worker that still answers is kept for this long.
     private static final long UNLISTED_KEEP_MILLIS = 3_000;
 
@@ -519,7 +523,9 @@
                     || w.results().hasPending()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             long waitMillis = immediate ? 0 : longPollMillis;
-            long deadline = confirmed && state.mayExtendRuns(w) ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
+            ExtensionHindrance hindrance = state.extensionHindrance(w);
+            long deadline = hindrance == null ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
+            w.pollSent(hindrance);
             HoldOrder hold =
                     new HoldOrder(w.facts(), deadline, w.acknowledgeableResult(now), waitMillis, state.nextFence(w));
             w.holdSent(hold, now + waitMillis);
@@ -557,6 +563,20 @@
         if (!handingOver) {
             runWaits.review();
         }
+        noteUnextendedRuns();
+    }
+
+    /** Notes the workers that answer while the deadline of their runs is not extended. */
+    private void noteUnextendedRuns() {
+        long now = state.now();
+        state.workers.values().stream()
+                .filter(w -> !w.tasks.isEmpty() && w.fenced && !state.isSilent(w))
+                .filter(w -> w.unextendedMillis(now) > UNEXTENDED_NOTE_MILLIS)
+                .limit(MAX_UNEXTENDED_NOTES)
+                .forEach(w -> state.note(
+                        SchedulerEvent.Kind.RUNS_NOT_EXTENDED,
+                        w,
+                        "tasks=" + w.tasks.size() + " " + w.describeExtension(now) + " " + w.describe()));
     }
 
     /**
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -314,6 +314,15 @@
         return w.mayExtendRuns(timing.holdMillis(), now());
     }
 
+    /** Returns why a poll sent now may not extend the runs on the worker; null if it may. */
+    @Nullable
+    ExtensionHindrance extensionHindrance(LiveWorker w) {
+        if (!w.isIncarnationConfirmed(now())) {
+            return ExtensionHindrance.INCARNATION_UNCONFIRMED;
+        }
+        return mayExtendRuns(w) ? null : ExtensionHindrance.RECORDS_UNSAVED;
+    }
+
     /** Returns the fencing token for the next order to the worker. */
     long nextFence(LiveWorker w) {
         return fences.next(w.facts().id());
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/JobMetrics.java
@@ -82,7 +82,8 @@
                     CRASH_DISCOUNTED,
                     TASK_GIVEN_UP,
                     WORKER_REACH,
-                    WORKER_AVOIDED -> count("decisions", e.kind());
+                    WORKER_AVOIDED,
+                    RUNS_NOT_EXTENDED -> count("decisions", e.kind());
         }
     }
 
