Take an instance that was ordered away, or has another worker, for the end of its worker

What callers saw: a long-running task had nothing running for 18 s and more after its worker was lost (LOST).

Cause: a start without an answer keeps its task on a lost worker for up to 17.7 s, since the worker may come back under its id and execute the start. The list of instances was only asked whether the worker is up. It also tells when that cannot happen any more: an accepted move or upkeep ends the worker at once, and what runs on the instance afterwards is another worker.

Change: the owner remembers the instance of each worker with long-running tasks, also in their records. A silent worker whose instance is later listed as moving, in upkeep or with another worker has ended for good, and its tasks run again at once. A list counts only if it is newer than the one that showed the worker there. An instance that is down under the worker's id proves no more than before. Records have one more column, which earlier releases ignore; one list of instances more is read, at most every 3 s, while the instance of a long-running task is not known.

--- a/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
+++ b/core/src/main/java/org/lupinpaddle/core/job/TaskRecord.java
@@ -43,6 +43,8 @@
  *     milliseconds since 1970; null if all starts were answered, or if written by a version that does not record it
  * @param endsByMillis when the latest run ends at the latest unless a later owner reaches its worker, in milliseconds
  *     since 1970; null if the writer had reached the worker, or if written by a version that does not record it
+ * @param instance the instance of the worker; null if it is not known, or if written by a version that does not
+ *     record it
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -58,7 +60,8 @@
     "doubtfulCrashes",
     "workerBornMillis",
     "lateStartUntilMillis",
-    "endsByMillis"
+    "endsByMillis",
+    "instance"
 })
 public record TaskRecord(
         int time,
@@ -83,7 +86,9 @@
         Long lateStartUntilMillis,
 
         @JsonDeserialize(using = LenientStartTimeDeserializer.class) @Nullable
-        Long endsByMillis) {
+        Long endsByMillis,
+
+        @Nullable String instance) {
 
     /** The time of a start that no worker can execute late. */
     public static final long NEVER = Long.MIN_VALUE;
@@ -93,7 +98,7 @@
     /** Creates the record of a task that has not crashed any worker. */
     public TaskRecord(
             int time, int step, int index, int run, int failures, boolean done, String worker, String checkpoint) {
-        this(time, step, index, run, failures, done, worker, checkpoint, 0, 0, null, null, null);
+        this(time, step, index, run, failures, done, worker, checkpoint, 0, 0, null, null, null, null);
     }
 
     /** Creates the record of a task whose starts have all been answered. */
@@ -122,6 +127,7 @@
                 doubtfulCrashes,
                 workerBornMillis,
                 null,
+                null,
                 null);
     }
 
@@ -173,6 +179,11 @@
         return endsByMillis == null || endsByMillis < 0 ? ANY_TIME : endsByMillis;
     }
 
+    /** Returns the instance of the worker; empty if it is not known. */
+    public String knownInstance() {
+        return instance == null ? "" : instance;
+    }
+
     private static int known(@Nullable Integer count) {
         return count == null ? 0 : Math.max(0, count);
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveTask.java
@@ -482,6 +482,12 @@
                 doubtfulCrashes + unsettledCrashes,
                 bornMillis,
                 lateStartUntilMillis == TaskRecord.NEVER ? null : (Long) lateStartUntilMillis,
-                worker == null || endsByMillis == TaskRecord.ANY_TIME ? null : (Long) endsByMillis);
+                worker == null || endsByMillis == TaskRecord.ANY_TIME ? null : (Long) endsByMillis,
+                recordedInstance());
+    }
+
+    /** Returns the instance that is worth recording; null for tasks that end by themselves, to keep records small. */
+    private @Nullable String recordedInstance() {
+        return worker == null || !step.longRunning() || worker.instance().isEmpty() ? null : worker.instance();
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.placement.Candidate;
 import org.lupinpaddle.core.placement.Resources;
 import org.lupinpaddle.core.placement.StepRepetition;
@@ -171,6 +172,11 @@
     /** The position in the worker's results; kept when polling resumes after a gap. */
     private ResultCursor results = new ResultCursor();
 
+    /** The instance that it runs on; empty if no list has shown it. */
+    private String instance = "";
+    /** When the first list that showed it there was requested. */
+    private long locatedAt = Long.MAX_VALUE;
+
     /** Whether its newest answer lists a run of a job whose records cannot be read. */
     boolean runsUnreadableJobs;
     /** Whether an unreadable birth of the worker has been logged. */
@@ -192,6 +198,7 @@
         successor.incarnationKnownAt = now;
         successor.reached = true;
         successor.takeAwaitedRecords(this);
+        successor.takeInstance(this);
         successor.listed = listed;
         successor.unlistedSince = unlistedSince;
         successor.coldPeriod = coldPeriod.ofIncarnation(next, facts, now);
@@ -567,6 +574,34 @@
         extendableUntil = previous.extendableUntil;
     }
 
+    private void takeInstance(LiveWorker previous) {
+        instance = previous.instance;
+        locatedAt = previous.locatedAt;
+    }
+
+    /** Records the instance that it runs on, by a list requested at {@code askedAt} or by an earlier owner's record. */
+    void locate(String runsOn, long askedAt) {
+        if (instance.isEmpty()) {
+            instance = runsOn;
+            locatedAt = askedAt;
+        }
+    }
+
+    /** Returns the instance that it runs on; empty if it is not known. */
+    String instance() {
+        return instance;
+    }
+
+    /**
+     * Returns whether a row of its instance, which is not older than {@code rowAt}, shows that it has ended for good: the
+     * instance has been ordered away, which ends its worker at once, or has another worker. No later worker there has
+     * its id.
+     */
+    boolean isReplacedOn(PlatformInstance row, long rowAt) {
+        boolean hasOther = !row.worker().isEmpty() && !row.worker().equals(facts.id());
+        return locatedAt <= rowAt && (hasOther || row.state().isOrderedAway());
+    }
+
     /** Returns whether it has answered a hold of this owner, so that this owner may have extended its deadlines. */
     boolean wasReached() {
         return reached;
@@ -757,6 +792,7 @@
     void resumeIncarnation(LiveWorker previous) {
         reached = previous.reached;
         takeAwaitedRecords(previous);
+        takeInstance(previous);
         incarnation = previous.incarnation;
         incarnationKnownAt = previous.incarnationKnownAt;
         foreignDeadlinesUntil = previous.foreignDeadlinesUntil;
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.cordon.HallCordons;
+import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
@@ -63,6 +64,8 @@
     private static final long UNEXTENDED_NOTE_MILLIS = 3_000;
     // Limits the lines of one review when many workers are affected.
     private static final int MAX_UNEXTENDED_NOTES = 5;
+    // Instances change their workers within seconds; a list is one call for all workers.
+    private static final long LOCATION_INTERVAL_MILLIS = 3_000;
     // An unlisted worker that still answers is kept for this long.
     private static final long UNLISTED_KEEP_MILLIS = 3_000;
 
@@ -85,6 +88,7 @@
     private final long startedAt;
     private boolean handingOver;
     private int lastNeeded;
+    private long nextLocationAt;
 
     /** Creates the scheduler of a service whose ownership has just been acquired. */
     public ServiceScheduler(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
@@ -187,6 +191,7 @@
             return;
         }
         LiveWorker w = state.workerOrUnknown(r.worker(), state.earlierOwnersUntil());
+        w.locate(r.knownInstance(), state.now());
         t.worker = w;
         w.add(t);
         t.enterPhase(Phase.RECOVERING, state.now());
@@ -272,6 +277,53 @@
         return !w.tasks.isEmpty() && state.isSilent(w);
     }
 
+    /**
+     * Returns whether the platform's list of instances should be requested: a silent worker still has tasks, or it is
+     * not known on which instance a long-running task runs.
+     */
+    public boolean needsInstances() {
+        long now = state.now();
+        boolean locates = now >= nextLocationAt
+                && state.workers.values().stream()
+                        .anyMatch(w -> w.listed
+                                && w.longRunningCount() > 0
+                                && w.instance().isEmpty());
+        if (locates) {
+            nextLocationAt = now + LOCATION_INTERVAL_MILLIS;
+        }
+        return locates || hasSilentWorkersWithTasks();
+    }
+
+    /**
+     * Handles the platform's list of instances, requested at {@code askedAt}. A worker that was silent by then has ended
+     * for good if its instance is shown with another worker or as ordered away: unlike an instance that is down, it
+     * cannot have a worker with that id again, so that starts without an answer are never executed.
+     */
+    public void onInstances(Collection<PlatformInstance> instances, long askedAt) {
+        Map<String, PlatformInstance> byId =
+                instances.stream().collect(Collectors.toMap(PlatformInstance::id, i -> i, (a, b) -> b));
+        long listedAt = askedAt - state.timing.silentMillis();
+        for (LiveWorker w : List.copyOf(state.workers.values())) {
+            PlatformInstance i = byId.get(w.instance());
+            if (i != null && !w.tasks.isEmpty() && state.wasSilentAt(w, askedAt) && w.isReplacedOn(i, listedAt)) {
+                runs.workerLost(w, LossEvidence.REPLACED);
+            }
+        }
+        List<PlatformInstance> up = instances.stream()
+                .filter(i -> i.state() == PlatformInstance.State.UP)
+                .toList();
+        up.forEach(i -> locate(state.workers.get(i.worker()), i.id(), askedAt));
+        onRunningWorkers(up.stream().map(PlatformInstance::worker).collect(Collectors.toSet()), askedAt);
+    }
+
+    /** Notes the instance of a worker, also in the records of its long-running tasks, for later owners. */
+    private void locate(@Nullable LiveWorker w, String instance, long askedAt) {
+        if (w != null && w.instance().isEmpty()) {
+            w.locate(instance, askedAt);
+            w.tasks.stream().filter(t -> t.step.longRunning()).forEach(t -> state.markChanged(t.job));
+        }
+    }
+
     /**
      * Handles the platform's list of workers on instances that are up, requested at {@code askedAt}. A worker that
      * was silent by then and is not on the list has ended, whatever its deadline. The list lags by less than the time
--- a/core/src/test/java/org/lupinpaddle/core/common/RecordCodecProperties.java
+++ b/core/src/test/java/org/lupinpaddle/core/common/RecordCodecProperties.java
@@ -59,15 +59,18 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private static final JobProgress PROGRESS =
-            new JobProgress(JobState.RUNNING, List.of(new TaskRecord(0, 0, 1, 2, 1, false, "w1", "cp")), "why", 9);
+    private static final JobProgress PROGRESS = new JobProgress(
+            JobState.RUNNING,
+            List.of(new TaskRecord(0, 0, 1, 2, 1, false, "w1", "cp", 0, 0, null, null, null, "m1")),
+            "why",
+            9);
 
     /** The members that may be invalid without making the rest of the record unreadable. */
     private static final Set<String> LENIENT_PATHS =
             Set.of("/tasks/0/8", "/tasks/0/9", "/tasks/0/10", "/tasks/0/11", "/tasks/0/12");
 
     /** The members that records of an earlier version lack. */
-    private static final Set<String> ADDED_PATHS = Set.of("/endedWaitMillisByInstance", "/writtenAt");
+    private static final Set<String> ADDED_PATHS = Set.of("/endedWaitMillisByInstance", "/writtenAt", "/tasks/0/13");
 
     private static final RecentOrders RECENT_ORDERS =
             new RecentOrders(Map.of("m1", "entry/1"), Map.of("m1", 4_000L), Map.of("m1", 900L), 1_700_000L);
@@ -319,10 +322,11 @@
     }
 
     @Property(tries = 50)
-    void preservesLateStartAndEnd(
+    void preservesLateStartEndAndInstance(
             @ForAll @LongRange(min = 1, max = Long.MAX_VALUE - 1) long until,
-            @ForAll @LongRange(min = 1, max = Long.MAX_VALUE - 1) long end) {
-        TaskRecord t = new TaskRecord(0, 0, 1, 2, 1, false, "w1", "cp", 0, 0, 7L, until, end);
+            @ForAll @LongRange(min = 1, max = Long.MAX_VALUE - 1) long end,
+            @ForAll String instance) {
+        TaskRecord t = new TaskRecord(0, 0, 1, 2, 1, false, "w1", "cp", 0, 0, 7L, until, end, instance);
         JobProgress p = new JobProgress(JobState.RUNNING, List.of(t), "", 9);
         assertEquals(
                 p, RecordCodec.read(RecordCodec.write(p), JobProgress.class).get());
@@ -332,6 +336,7 @@
     @Example
     void readsTaskWithoutCrashCounts() {
         JsonNode tree = tree(PROGRESS);
+        ((ArrayNode) tree.at("/tasks/0")).remove(13);
         ((ArrayNode) tree.at("/tasks/0")).remove(12);
         ((ArrayNode) tree.at("/tasks/0")).remove(11);
         ((ArrayNode) tree.at("/tasks/0")).remove(10);
--- a/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
+++ b/daemon/src/main/java/org/lupinpaddle/daemon/jobs/SchedulerHost.java
@@ -38,7 +38,6 @@
 import org.lupinpaddle.core.common.Unreadable;
 import org.lupinpaddle.core.cordon.HallCordons;
 import org.lupinpaddle.core.fleet.InstanceList;
-import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobSpec;
 import org.lupinpaddle.core.job.SchedulerKeys;
@@ -358,7 +357,7 @@
     }
 
     private void findMissingWorkers() {
-        if (scheduler == null || !scheduler.hasSilentWorkersWithTasks()) {
+        if (scheduler == null || !scheduler.needsInstances()) {
             return;
         }
         long askedAt = context.loop.clock().millis();
@@ -377,7 +376,7 @@
         InstanceListUse use = InstanceListUse.of(all);
         countInstanceList(use, unreadableRows(all));
         if (use == InstanceListUse.USED) {
-            notifyScheduler(s -> s.onRunningWorkers(living(all.instances()), askedAt));
+            notifyScheduler(s -> s.onInstances(all.instances(), askedAt));
         }
     }
 
@@ -397,13 +396,6 @@
                         .collect(Collectors.joining(", "));
     }
 
-    private static Set<String> living(List<PlatformInstance> all) {
-        return all.stream()
-                .filter(i -> i.state() == PlatformInstance.State.UP)
-                .map(PlatformInstance::worker)
-                .collect(Collectors.toSet());
-    }
-
     /**
      * Schedules one tick for several events, because a pass over all jobs and workers is too expensive for each
      * single event.
