Do not repeat an order against the next worker of a busy instance

Cause: FleetPlanner repeated an order every 300 ms after a refusal as busy. For an evacuated worker, busy means that the instance is down or leaving. Its next worker, which nobody has evacuated, could be up at a repetition while the lagging list still named the old one.

What callers saw: that worker and the tasks placed on it were lost.

Change: after such a refusal the operation ends, and no move or upkeep begins on the instance until a list is received 2,500 ms or more after the refusal. If an order may have been carried out unnoticed (no answer, or resumed from a predecessor), the operation goes on, and orders wait for such a list. An order that requires an evacuation is sent only if the list shows its worker as up, or the instance where an unnoticed order of the operation has put it. Instances of service pools listed without a worker are treated alike.

The new tests were not run on the old code when this was committed.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.cordon.HallCordons;
@@ -75,6 +76,7 @@
      */
     public void onInstances(InstanceList list) {
         listReceived = true;
+        state.listReceivedAt = state.now();
         state.listComplete = list.isComplete();
         if (list.isComplete()) {
             state.instances.clear();
@@ -194,10 +196,7 @@
         state.port.logDecision("errand-ordered", instance, "errand=" + operation + " outcome=" + outcome);
         switch (outcome) {
             case TAKEN -> onOrderAccepted(ongoing);
-            case BUSY -> {
-                ongoing.refused(state.now());
-                ongoing.orderDueAt = state.now() + RETRY_MILLIS;
-            }
+            case BUSY -> onBusy(ongoing);
             case REFUSED, UNKNOWN, FENCED -> ongoing.orderDueAt = state.now() + RETRY_MILLIS;
             case NOT_OF_WAVE -> {
                 recordBegun(ongoing);
@@ -211,6 +210,27 @@
         }
     }
 
+    /**
+     * A busy instance is down or leaving, so its next worker may run before it is listed. An order that was made for
+     * an evacuated worker must not be repeated against that one, which may already have tasks.
+     */
+    private void onBusy(OngoingOperation ongoing) {
+        ongoing.refused(state.now());
+        ongoing.orderDueAt = state.now() + RETRY_MILLIS;
+        if (!requiresEvacuation(ongoing)) {
+            return;
+        }
+        state.holdBack(ongoing.instance, state.now() + MAX_LIST_LAG_MILLIS);
+        if (!ongoing.mayBeOrderedUnnoticed()) {
+            state.endOperation(ongoing, "the instance is down or leaving after its evacuation");
+        }
+    }
+
+    /** Returns whether the instance was in a pool whose workers run tasks when the operation began. */
+    private boolean requiresEvacuation(OngoingOperation ongoing) {
+        return !ongoing.worker.isEmpty() || !state.isHeadroom(ongoing.service);
+    }
+
     private void onOrderAccepted(OngoingOperation ongoing) {
         ongoing.phase = Phase.AWAITING_COMPLETION;
         ongoing.acceptedAt = state.now();
@@ -318,6 +338,10 @@
             state.endOperation(ongoing, "the instance went down after its evacuation");
             return;
         }
+        if (i == null && requiresEvacuation(ongoing) && !ongoing.orderInFlight) {
+            state.endOperation(ongoing, "the instance is no longer listed");
+            return;
+        }
         if (ongoing.isRefusedForGood(state.now())) {
             // The instance would count as supply of its new pool for ever.
             state.refusedUntil.put(ongoing.instance, state.now() + REFUSED_MILLIS);
@@ -326,6 +350,7 @@
         }
         boolean unknown = i != null && i.state() == PlatformInstance.State.UNKNOWN;
         if (!unknown
+                && (!requiresEvacuation(ongoing) || isKnownToReachNoOtherWorker(ongoing, i))
                 && !isUnorderedMoveOfCordonedHall(ongoing)
                 && state.mayOrder(ongoing.instance)
                 && !ongoing.orderInFlight
@@ -335,6 +360,23 @@
         }
     }
 
+    /**
+     * Returns whether an order can not take out a worker that was not evacuated, as far as the list shows: the
+     * evacuated worker is up, or the instance is where an unnoticed order of this operation has put it, so that the
+     * platform treats a repetition as already done.
+     */
+    private boolean isKnownToReachNoOtherWorker(OngoingOperation ongoing, @Nullable PlatformInstance i) {
+        if (i == null || state.isHeldBack(i)) {
+            return false;
+        }
+        return switch (i.state()) {
+            case UP -> i.worker().equals(ongoing.worker);
+            case MOVING -> ongoing.mayBeOrderedUnnoticed() && ongoing.isMoveTo(i.pool());
+            case UPKEEP -> ongoing.mayBeOrderedUnnoticed() && !ongoing.isMove();
+            case DOWN, UNKNOWN -> false;
+        };
+    }
+
     private void advanceCompletion(OngoingOperation ongoing) {
         PlatformInstance i = state.instances.get(ongoing.instance);
         if (i == null) {
--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetState.java
@@ -67,12 +67,16 @@
     private final Set<String> movedDuringCordon = new HashSet<>();
     /** Until when instances are not moved because the platform kept refusing it. */
     final Map<String, Long> refusedUntil = new HashMap<>();
+    /** Instances that were busy when ordered, with the time from which a received list shows what became of them. */
+    private final Map<String, Long> listRequiredSince = new HashMap<>();
     /** Moves that the platform rejected as impossible, as {@code instance>pool}. */
     final Set<String> impossibleMoves = new HashSet<>();
 
     List<ServiceConfig> services = List.of();
     /** The cordoned data halls. */
     HallCordons cordons = HallCordons.DISABLED;
+    /** When the latest instance list was received. */
+    long listReceivedAt = Long.MIN_VALUE;
     /** Whether the latest instance list was complete. */
     boolean listComplete = true;
     /**
@@ -138,6 +142,16 @@
         return orders != null && at >= orders.getOrDefault(instance, Long.MIN_VALUE);
     }
 
+    /** Holds an instance back from orders and operations until a list is received at or after the given time. */
+    void holdBack(String instance, long listTime) {
+        listRequiredSince.put(instance, listTime);
+    }
+
+    /** Returns whether an instance is held back: another worker than the listed one may run there. */
+    boolean isHeldBack(PlatformInstance i) {
+        return listReceivedAt < listRequiredSince.getOrDefault(i.id(), Long.MIN_VALUE);
+    }
+
     long now() {
         return clock.millis();
     }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/OngoingOperation.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/OngoingOperation.java
@@ -104,6 +104,11 @@
         return isMove() && operation.target().equals(pool);
     }
 
+    /** Returns whether an order of this operation, by this owner or a predecessor, may have been carried out unnoticed. */
+    boolean mayBeOrderedUnnoticed() {
+        return orderUnanswered || resumed;
+    }
+
     /** Returns whether an order of this operation has been accepted, or may still be carried out. */
     boolean mayBeOrdered() {
         return phase == Phase.AWAITING_COMPLETION || orderInFlight || orderUnanswered;
--- a/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PoolSizer.java
@@ -177,6 +177,7 @@
 
     private boolean mayMove(PlatformInstance i, String pool) {
         return state.mayOrderOnceEvacuated(i)
+                && !state.isHeldBack(i)
                 && state.now() >= state.refusedUntil.getOrDefault(i.id(), Long.MIN_VALUE)
                 && !state.impossibleMoves.contains(i.id() + ">" + pool);
     }
--- a/core/src/main/java/org/lupinpaddle/core/fleet/UpkeepScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/UpkeepScheduler.java
@@ -133,6 +133,7 @@
         return i.state() == PlatformInstance.State.UP
                 && !state.ongoingOperations.containsKey(i.id())
                 && !state.mayBeDownByPredecessor(i)
+                && !state.isHeldBack(i)
                 && !state.begunInstances(w.number()).contains(i.id());
     }
 
--- a/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/fleet/FleetPlannerTest.java
@@ -199,6 +199,133 @@
         }
     }
 
+    @Nested
+    class AnOrderForAnEvacuatedWorkerThatFindsTheInstanceBusy {
+
+        private static final long LIST_LAG_MILLIS = 2_500;
+
+        private final InstanceOperation operation = InstanceOperation.upkeep(1);
+
+        private void orderUpkeep() {
+            givenFleet(1, up("m1", "clips", "w1"), up("m2", "clips", "w2"));
+            planner.onWaves(List.of(new UpkeepWave(1, List.of("m2"), 20_000, 1)));
+            advanceClock(0);
+            completeEvacuation("w2", "m2", operation);
+            assertEquals(List.of("m2 UPKEEP:1"), port.orders);
+        }
+
+        private void show(PlatformInstance.State state, String worker) {
+            PlatformInstance shown = new PlatformInstance("m2", "clips", state, "north", worker);
+            planner.onInstances(InstanceList.of(List.of(up("m1", "clips", "w1"), shown)));
+        }
+
+        /** Lets time pass while the list shows m2 with the given state and worker. */
+        private void pass(long millis, PlatformInstance.State state, String worker) {
+            for (long t = 0; t < millis; t += 100) {
+                show(state, worker);
+                advanceClock(100);
+            }
+        }
+
+        private void leaveUnanswered() {
+            planner.onOrderOutcome("m2", operation, InstanceOrderOutcome.UNKNOWN);
+            advanceClock(300);
+            assertEquals(2, port.orders.size());
+            planner.onOrderOutcome("m2", operation, InstanceOrderOutcome.BUSY);
+        }
+
+        /** Guards against taking out the next worker, which is up but not listed yet, together with its tasks. */
+        @Test
+        void isNotRepeatedAgainstTheNextWorker() {
+            orderUpkeep();
+            planner.onOrderOutcome("m2", operation, InstanceOrderOutcome.BUSY);
+            assertEquals(List.of("w2"), port.releasedWorkers);
+            pass(LIST_LAG_MILLIS, PlatformInstance.State.UP, "w2");
+            assertEquals(List.of("m2 UPKEEP:1"), port.orders);
+            assertEquals(1, port.evacuationRequests.size(), "w2 may be gone");
+        }
+
+        /** Guards against a wave that is never completed because an instance was busy once. */
+        @Test
+        void isMadeAnewForTheWorkerListedLater() {
+            orderUpkeep();
+            planner.onOrderOutcome("m2", operation, InstanceOrderOutcome.BUSY);
+            pass(LIST_LAG_MILLIS + 200, PlatformInstance.State.UP, "w3");
+            assertEquals("w3", port.evacuationRequests.get(1).worker());
+            completeEvacuation("w3", "m2", operation);
+            assertEquals(List.of("m2 UPKEEP:1", "m2 UPKEEP:1"), port.orders);
+            planner.onOrderOutcome("m2", operation, InstanceOrderOutcome.TAKEN);
+            pass(UPKEEP_MILLIS + LIST_LAG_MILLIS + 200, PlatformInstance.State.UP, "w4");
+            assertEquals(List.of(1L), port.completedWaves);
+        }
+
+        /** Guards against evacuating a worker that is gone, as time alone does not show it while lists fail. */
+        @Test
+        void holdsTheInstanceBackUntilANewerListIsReceived() {
+            orderUpkeep();
+            planner.onOrderOutcome("m2", operation, InstanceOrderOutcome.BUSY);
+            advanceClock(2 * LIST_LAG_MILLIS);
+            assertEquals(1, port.evacuationRequests.size());
+            show(PlatformInstance.State.UP, "w3");
+            advanceClock(0);
+            assertEquals("w3", port.evacuationRequests.get(1).worker());
+        }
+
+        /** Guards against the same loss by a move that is begun instead of the upkeep that was refused. */
+        @Test
+        void holdsTheInstanceBackFromMoves() {
+            givenFleet(0, up("m1", "clips", "w1"), up("m2", "clips", "w2"), up("m3", "clips", "w3"));
+            planner.onWaves(List.of(new UpkeepWave(1, List.of("m2"), 20_000, 1)));
+            advanceClock(0);
+            completeEvacuation("w2", "m2", operation);
+            planner.onOrderOutcome("m2", operation, InstanceOrderOutcome.BUSY);
+            for (int t = 0; t < LIST_LAG_MILLIS; t += 100) {
+                advanceClock(100);
+            }
+            assertEquals(
+                    1,
+                    port.evacuationRequests.stream()
+                            .filter(r -> r.instance().equals("m2"))
+                            .count());
+        }
+
+        /**
+         * Guards against the same loss if the instance crashed before an order without an answer, which was then never
+         * carried out.
+         */
+        @Test
+        void isNotRepeatedAfterAnUnansweredOrderBeforeANewerListIsReceived() {
+            orderUpkeep();
+            leaveUnanswered();
+            pass(LIST_LAG_MILLIS, PlatformInstance.State.UP, "w2");
+            assertEquals(2, port.orders.size());
+            pass(500, PlatformInstance.State.UP, "w3");
+            assertEquals(2, port.orders.size(), "w3 has not been evacuated");
+            assertEquals("w3", port.evacuationRequests.get(1).worker());
+        }
+
+        /** Guards against an operation that is abandoned or never confirmed although its order is being carried out. */
+        @Test
+        void isConfirmedIfAnUnansweredOrderIsListedAsBeingCarriedOut() {
+            orderUpkeep();
+            leaveUnanswered();
+            pass(LIST_LAG_MILLIS, PlatformInstance.State.UPKEEP, "");
+            assertEquals(2, port.orders.size());
+            pass(100, PlatformInstance.State.UPKEEP, "");
+            assertEquals(3, port.orders.size());
+            assertTrue(port.releasedWorkers.isEmpty());
+        }
+
+        /** Guards against the same loss after an operation of another owner, whose end the list shows later. */
+        @Test
+        void isNotRepeatedWhileTheInstanceIsListedInAnotherOperation() {
+            orderUpkeep();
+            planner.onOrderOutcome("m2", operation, InstanceOrderOutcome.REFUSED);
+            pass(1_000, PlatformInstance.State.MOVING, "");
+            assertEquals(List.of("m2 UPKEEP:1"), port.orders);
+        }
+    }
+
     @Nested
     class AMoveThatIsRefused {
 
