Model: check lapses on reachable workers, and store outages of 3 to 9 s

Nothing looked at the lapse itself.

Change: LapseCheck, on in every history, breaks LOST if a run lapses on a worker that is up and whose calls with the steady owner of its service have worked for 7 s.

--- a/model/src/main/java/org/lupinpaddle/model/ModelMain.java
+++ b/model/src/main/java/org/lupinpaddle/model/ModelMain.java
@@ -92,6 +92,9 @@
     @Option(name = "--long-running-check", description = "Checks at any time that long-running tasks have runs")
     private boolean longRunningCheck;
 
+    @Option(name = "--store-outages", description = "The store is away, slow or loses answers while short tasks end")
+    private boolean storeOutages;
+
     @Option(name = "--racks", description = "Some steps prefer one rack, with one task a worker")
     private boolean racks;
 
@@ -180,6 +183,9 @@
         } else if (longRunningCheck) {
             w.withLongRunningCheck();
         }
+        if (storeOutages) {
+            w.withStoreOutages(s);
+        }
         if (racks) {
             w.withRackPreferences(s);
         }
--- a/model/src/main/java/org/lupinpaddle/model/Network.java
+++ b/model/src/main/java/org/lupinpaddle/model/Network.java
@@ -86,10 +86,20 @@
         return storeFault;
     }
 
-    CallFault faultToWorker(String entryHall, SimWorker w, boolean order) {
+    /** Returns whether the store answers nobody. */
+    boolean isStoreAway() {
+        return storeFault == CallFault.SILENT || storeFault == CallFault.REFUSED;
+    }
+
+    /** Returns whether no call from the hall reaches the worker. */
+    boolean isSeparated(String entryHall, SimWorker w) {
         boolean crossesIsolation =
                 !entryHall.equals(w.hall()) && (isolatedHalls.contains(entryHall) || isolatedHalls.contains(w.hall()));
-        if (crossesIsolation || unreachableWorkers.contains(w.id())) {
+        return crossesIsolation || unreachableWorkers.contains(w.id());
+    }
+
+    CallFault faultToWorker(String entryHall, SimWorker w, boolean order) {
+        if (isSeparated(entryHall, w)) {
             return CallFault.SILENT;
         }
         if (order && workersWithLateOrders.contains(w.id()) && random.nextInt(2) == 0) {
--- a/model/src/main/java/org/lupinpaddle/model/Rules.java
+++ b/model/src/main/java/org/lupinpaddle/model/Rules.java
@@ -95,6 +95,7 @@
     private @Nullable SimWorkspaces workspaces;
     private @Nullable SimCordons cordons;
     private @Nullable SimReroutes reroutes;
+    private @Nullable LapseCheck lapseCheck;
 
     /**
      * The sender of an order.
@@ -253,6 +254,11 @@
         reroutes = simulatedReroutes;
     }
 
+    /** Checks lapses of runs on workers that are up. */
+    void checkLapsesBy(LapseCheck check) {
+        lapseCheck = check;
+    }
+
     TrackedJob track(String id, String service, int maxAttempts, Submission s) {
         return jobs.computeIfAbsent(id, i -> new TrackedJob(i, service, maxAttempts, s));
     }
@@ -409,6 +415,10 @@
             t.lastRunEndedAt = time.now();
             setServing(t, false);
         }
+        LapseCheck lapses = lapseCheck;
+        if (kind == EndKind.LAPSED && w.isUp() && lapses != null) {
+            lapses.onLapsed(w, jobId + "." + id + " run " + run);
+        }
         if (kind == EndKind.DONE) {
             t.done = true;
             t.completedRunIds.add(w.incarnationId() + "/" + run);
--- a/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
+++ b/model/src/main/java/org/lupinpaddle/model/SimWorkerPort.java
@@ -157,7 +157,11 @@
         }
         CallFault fault = world.net.faultToWorker(hall, w, true);
         out.transfer(bytes, () -> !future.isDone(), () -> arrive(w, to, action, fence, executesFirst, fault, future));
-        world.time.schedule(CALL_TIMEOUT_MILLIS, () -> future.complete(OrderOutcome.UNKNOWN));
+        world.time.schedule(CALL_TIMEOUT_MILLIS, () -> {
+            if (future.complete(OrderOutcome.UNKNOWN)) {
+                world.lapseCheck().onCallFailed(w);
+            }
+        });
         return future;
     }
 
@@ -216,9 +220,11 @@
                             world.net.latency(),
                             () -> arrive(w, effective(o), effective(o.fence(), o.worker()), future)));
         }
-        world.time.schedule(
-                o.waitMillis() + CALL_TIMEOUT_MILLIS,
-                () -> future.complete(new HoldResult(OrderOutcome.UNKNOWN, null)));
+        world.time.schedule(o.waitMillis() + CALL_TIMEOUT_MILLIS, () -> {
+            if (future.complete(new HoldResult(OrderOutcome.UNKNOWN, null)) && w != null) {
+                world.lapseCheck().onCallFailed(w);
+            }
+        });
         return future;
     }
 
--- a/model/src/main/java/org/lupinpaddle/model/World.java
+++ b/model/src/main/java/org/lupinpaddle/model/World.java
@@ -88,6 +88,7 @@
     private @Nullable SimAdvice advice;
     private @Nullable Random rackPreferences;
     private @Nullable OwnerChains ownerChains;
+    private final LapseCheck lapseCheck;
     private final boolean hasFaults;
 
     /** Creates the world of a seed with at most the given number of faults. */
@@ -115,6 +116,8 @@
         fleet = new SimFleet(time, store, rules, random, site.room(), this::crashingTasks, this::keepsId);
         hasFaults = maxFaults > 0;
         faults = new FaultPlan(this, history, maxFaults);
+        lapseCheck = new LapseCheck(this);
+        rules.checkLapsesBy(lapseCheck);
     }
 
     /** Adds a writer that puts malformed records into the store until the traffic ends. */
@@ -290,6 +293,19 @@
         return this;
     }
 
+    /**
+     * Adds times in which the store is away, slow or loses answers, and short tasks that end beside long-running ones.
+     */
+    World withStoreOutages(long seed) {
+        new StoreOutages(this, seed).plan(TRAFFIC_START, TRAFFIC_MILLIS);
+        return this;
+    }
+
+    /** Returns the check of runs that lapse on workers that can be reached. */
+    LapseCheck lapseCheck() {
+        return lapseCheck;
+    }
+
     private boolean prefersOneRack() {
         return rackPreferences != null && rackPreferences.nextBoolean();
     }
@@ -403,6 +419,7 @@
             }
         }
         entries.forEach(e -> time.schedule(random.nextInt(300), e::start));
+        lapseCheck.start();
     }
 
     /** Writes the configuration with a new version; the names of its queues and services stay the same. */
