Report workers as needed that are lacking because advice has refused others

Cause: the report of a service's owner sums the room that its work needs and leaves refusals out, while the fleet's owner counts refused workers as supply. The advice service does not change its decision on a worker, so a long-running task with too few permitted workers waited for ever in a pool that looked large enough.

Callers saw: a job that is "running" while one of its long-running tasks never runs, until by chance another worker joined the pool.

Change: RefusalDemand looks at the waiting tasks of each long-running step of a queue that requires advice. If some current workers are refused and the others lack room for them, the report requests the current workers and the lacking ones, in `needed` and `firm`. The request of a step is kept while the step is in progress, and is at most the demand regardless of refusals plus the workers refused at present.

Why it works: a pool of that size has as many workers that are not refused as the demand needs. If a new worker is refused too, the limit and the request grow by one. Once the tasks run the request stays, so the pool does not give their workers away only to grow again; a refused worker that leaves lowers the limit by one. Without refusals nothing changes, nor while a worker that is not refused has room.

Open: a new owner does not know earlier refusals, so a pool may shrink once and grow again after a change of owner. Workers without the label of a step count as not refused but give it no room, so the limit can be too low for a step with a label. Finite steps whose every worker is refused are not covered.

--- a/core/src/main/java/org/lupinpaddle/core/run/Advisor.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/Advisor.java
@@ -95,6 +95,12 @@
         return t == null || t.validUntil - MIN_REMAINING_MILLIS < state.now() ? "" : t.text;
     }
 
+    /** Returns whether the service has refused the worker for the step's tasks. */
+    boolean isRefused(LiveStep step, LiveWorker w) {
+        Knowledge k = knowledgeByStep.get(step);
+        return k != null && k.refused.contains(w.facts().id());
+    }
+
     /** Prepares for a placement pass. */
     void beginPass() {
         first = null;
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceReportBuilder.java
@@ -30,6 +30,7 @@
 final class ServiceReportBuilder {
 
     private final ServiceState state;
+    private final RefusalDemand refusals;
 
     /** The demand of the service's jobs, grouped by whether they can still meet their objective. */
     private static final class Demands {
@@ -38,8 +39,9 @@
         final Demand late = new Demand();
     }
 
-    ServiceReportBuilder(ServiceState state) {
+    ServiceReportBuilder(ServiceState state, RefusalDemand refusals) {
         this.state = state;
+        this.refusals = refusals;
     }
 
     ServiceReport build() {
@@ -51,11 +53,13 @@
             }
             add(job, demands);
         }
-        Resources smallestRoom = smallestWorkerRoom();
+        Resources smallestRoom = smallestWorkerRoom(state);
+        refusals.update();
         double ahead = state.trend.forecast(state.now(), demands.all.requiredWorkers(smallestRoom));
-        int needed = (int) Math.max(demands.all.minWorkers(), Math.ceil(ahead));
+        int needed = refusals.requiredWorkers(Math.max(demands.all.minWorkers(), (int) Math.ceil(ahead)));
         demands.onTime.setArrivals(state.arrivals.averageResources(state.now()));
-        int firm = (int) Math.max(demands.onTime.minWorkers(), Math.ceil(demands.onTime.requiredWorkers(smallestRoom)));
+        int required = (int) Math.ceil(demands.onTime.requiredWorkers(smallestRoom));
+        int firm = refusals.requiredWorkers(Math.max(demands.onTime.minWorkers(), required));
         int late = (int) Math.ceil(demands.late.requiredWorkers(smallestRoom));
         return new ServiceReport(pending, needed, firm, late, workerLoads());
     }
@@ -133,7 +137,7 @@
     }
 
     /** Returns the room of the smallest worker: a task that fits there fits everywhere. */
-    private Resources smallestWorkerRoom() {
+    static Resources smallestWorkerRoom(ServiceState state) {
         return state.workers.values().stream()
                 .map(w -> w.facts().capacity())
                 .filter(r -> r.cpuMillis() > 0)
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -85,6 +85,7 @@
     private final PersistencePass persistence;
     private final IterationPass iterations;
     private final RunWaits runWaits;
+    private final RefusalDemand refusals;
     private final long startedAt;
     private boolean handingOver;
     private int lastNeeded;
@@ -115,6 +116,7 @@
         evacuator = new Evacuator(state);
         cordons = new CordonPass(state, evacuator);
         runWaits = new RunWaits(state, advisor, cordonWaits);
+        refusals = new RefusalDemand(state, advisor);
         startedAt = state.now();
     }
 
@@ -600,7 +602,7 @@
 
     /** Returns the report that the rest of the system gets on this service. */
     public ServiceReport report() {
-        ServiceReport r = new ServiceReportBuilder(state).build();
+        ServiceReport r = new ServiceReportBuilder(state, refusals).build();
         lastNeeded = r.needed();
         return r;
     }
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -252,6 +252,16 @@
         return mayStartOn(w) && isUsableIfNotCordoned(w);
     }
 
+    /** Returns the workers that may be given new tasks now or within seconds. */
+    List<LiveWorker> suppliedWorkers() {
+        return workers.values().stream().filter(this::isSupplied).toList();
+    }
+
+    private boolean isSupplied(LiveWorker w) {
+        UnusableReason reason = unusableBecause(w);
+        return (reason == null || reason.isTemporary()) && !w.isUnreachable() && !isCordoned(w);
+    }
+
     /** Returns whether the worker's hall is cordoned. */
     boolean isCordoned(LiveWorker w) {
         return cordons.isCordoned(w.facts().hall());
--- a/core/src/main/java/org/lupinpaddle/core/run/UnusableReason.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/UnusableReason.java
@@ -26,5 +26,13 @@
     SILENT,
     UNRESPONSIVE,
     RECORDS_UNSAVED,
-    AVOIDED
+    AVOIDED;
+
+    /** Returns whether the worker may be given new tasks again within seconds, as far as is known. */
+    boolean isTemporary() {
+        return switch (this) {
+            case UNRESPONSIVE, RECORDS_UNSAVED, AVOIDED -> true;
+            case UNLISTED, NOT_ANSWERED_YET, OTHER_INCARNATION, DRAINING, EVACUATING, OTHER_SERVICE, SILENT -> false;
+        };
+    }
 }
