--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -29,6 +29,7 @@
 import org.lupinpaddle.core.capacity.ServiceReport;
 import org.lupinpaddle.core.common.Clock;
 import org.lupinpaddle.core.cordon.HallCordons;
+import org.lupinpaddle.core.fleet.PlatformInstance;
 import org.lupinpaddle.core.job.JobKey;
 import org.lupinpaddle.core.job.JobProgress;
 import org.lupinpaddle.core.job.JobSpec;
@@ -52,11 +53,19 @@
 public final class ServiceScheduler {
 
     private static final long HOLD_RETRY_MILLIS = 250;
-    // Longest delay of the next hold while results are being saved. Holds also extend the deadlines of running tasks.
+    // Longest delay of the next hold while results are being saved.
     private static final long HOLD_WITH_ENDS_MILLIS = 1_000;
+    // A worker without unsaved results is polled as often, and each of these polls extends its runs.
+    private static final long EXTENSION_INTERVAL_MILLIS = 1_000;
     // Delay for a worker that is about to leave: a result that it has listed for 100 ms must be known to its owner,
     // and the worker may be gone before the store answers. Each such poll costs one call.
     private static final long HOLD_LEAVING_MILLIS = 100;
+    // Runs are extended once a second; after two more their deadline is near.
+    private static final long UNEXTENDED_NOTE_MILLIS = 3_000;
+    // Limits the lines of one review when many workers are affected.
+    private static final int MAX_UNEXTENDED_NOTES = 5;
+    // Instances change their workers within seconds; a list is one call for all workers.
+    private static final long LOCATION_INTERVAL_MILLIS = 3_000;
     // An unlisted worker that still answers is kept for this long.
     private static final long UNLISTED_KEEP_MILLIS = 3_000;
 
@@ -76,9 +85,11 @@
     private final PersistencePass persistence;
     private final IterationPass iterations;
     private final RunWaits runWaits;
+    private final RefusalDemand refusals;
     private final long startedAt;
     private boolean handingOver;
     private int lastNeeded;
+    private long nextLocationAt;
 
     /** Creates the scheduler of a service whose ownership has just been acquired. */
     public ServiceScheduler(String service, SchedulerTiming timing, SchedulerPort port, Clock steady, Clock wall) {
@@ -105,6 +116,7 @@
         evacuator = new Evacuator(state);
         cordons = new CordonPass(state, evacuator);
         runWaits = new RunWaits(state, advisor, cordonWaits);
+        refusals = new RefusalDemand(state, advisor);
         startedAt = state.now();
     }
 
@@ -181,6 +193,7 @@
             return;
         }
         LiveWorker w = state.workerOrUnknown(r.worker(), state.earlierOwnersUntil());
+        w.locate(r.knownInstance(), state.now());
         t.worker = w;
         w.add(t);
         t.enterPhase(Phase.RECOVERING, state.now());
@@ -266,6 +279,53 @@
         return !w.tasks.isEmpty() && state.isSilent(w);
     }
 
+    /**
+     * Returns whether the platform's list of instances should be requested: a silent worker still has tasks, or it is
+     * not known on which instance a long-running task runs.
+     */
+    public boolean needsInstances() {
+        long now = state.now();
+        boolean locates = now >= nextLocationAt
+                && state.workers.values().stream()
+                        .anyMatch(w -> w.listed
+                                && w.longRunningCount() > 0
+                                && w.instance().isEmpty());
+        if (locates) {
+            nextLocationAt = now + LOCATION_INTERVAL_MILLIS;
+        }
+        return locates || hasSilentWorkersWithTasks();
+    }
+
+    /**
+     * Handles the platform's list of instances, requested at {@code askedAt}. A worker that was silent by then has ended
+     * for good if its instance is shown with another worker or as ordered away: unlike an instance that is down, it
+     * cannot have a worker with that id again, so that starts without an answer are never executed.
+     */
+    public void onInstances(Collection<PlatformInstance> instances, long askedAt) {
+        Map<String, PlatformInstance> byId =
+                instances.stream().collect(Collectors.toMap(PlatformInstance::id, i -> i, (a, b) -> b));
+        long listedAt = askedAt - state.timing.silentMillis();
+        for (LiveWorker w : List.copyOf(state.workers.values())) {
+            PlatformInstance i = byId.get(w.instance());
+            if (i != null && !w.tasks.isEmpty() && state.wasSilentAt(w, askedAt) && w.isReplacedOn(i, listedAt)) {
+                runs.workerLost(w, LossEvidence.REPLACED);
+            }
+        }
+        List<PlatformInstance> up = instances.stream()
+                .filter(i -> i.state() == PlatformInstance.State.UP)
+                .toList();
+        up.forEach(i -> locate(state.workers.get(i.worker()), i.id(), askedAt));
+        onRunningWorkers(up.stream().map(PlatformInstance::worker).collect(Collectors.toSet()), askedAt);
+    }
+
+    /** Notes the instance of a worker, also in the records of its long-running tasks, for later owners. */
+    private void locate(@Nullable LiveWorker w, String instance, long askedAt) {
+        if (w != null && w.instance().isEmpty()) {
+            w.locate(instance, askedAt);
+            w.tasks.stream().filter(t -> t.step.longRunning()).forEach(t -> state.markChanged(t.job));
+        }
+    }
+
     /**
      * Handles the platform's list of workers on instances that are up, requested at {@code askedAt}. A worker that
      * was silent by then and is not on the list has ended, whatever its deadline. The list lags by less than the time
@@ -367,11 +427,21 @@
         }
         w.holdAwaitsRecords = w.results().hasPending();
         if (newest) {
-            boolean pause = w.holdAwaitsRecords && !state.needsFenceConfirmation(w);
+            boolean pause = w.holdAwaitsRecords && !state.needsFenceConfirmation(w) && !isExtensionDue(w);
             w.nextHoldAt = pause ? now + holdPauseMillis(w) : now;
         }
     }
 
+    /**
+     * Returns whether the next poll should extend the runs on the worker. Only a poll that follows an answer at once can
+     * do so, since the worker may restart during a pause.
+     */
+    private boolean isExtensionDue(LiveWorker w) {
+        return !w.tasks.isEmpty()
+                && state.mayExtendRuns(w)
+                && w.unextendedMillis(state.now()) >= EXTENSION_INTERVAL_MILLIS;
+    }
+
     /** Returns the delay until the next hold while the worker's results are being saved. */
     private static long holdPauseMillis(LiveWorker w) {
         boolean mayEndSoon = !w.listed || w.facts().draining();
@@ -430,8 +500,9 @@
 
     /**
      * Starts the hand-over of the service: nothing more is placed, started or stopped, and all unsaved progress is
-     * written at once. Only workers that are leaving are still polled, since they may be gone before the next owner
-     * polls them; all others report their results again to the next owner.
+     * written at once. Only the results of workers that are leaving are still processed, since these may be gone before
+     * the next owner polls them; all others report them again to the next owner, and are polled only to extend their
+     * runs until then.
      */
     public void handOver() {
         handingOver = true;
@@ -504,7 +575,7 @@
     private void sendHolds() {
         long now = state.now();
         for (LiveWorker w : state.workers.values()) {
-            boolean shouldPoll = !handingOver || isLeaving(w);
+            boolean shouldPoll = !handingOver || isLeaving(w) || isExtensionDue(w);
             if (!shouldPoll
                     || w.isHoldPending()
                     || now < w.nextHoldAt
@@ -519,7 +590,9 @@
                     || w.results().hasPending()
                     || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
             long waitMillis = immediate ? 0 : longPollMillis;
-            long deadline = confirmed && state.mayExtendRuns(w) ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
+            ExtensionHindrance hindrance = state.extensionHindrance(w);
+            long deadline = hindrance == null ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
+            w.pollSent(hindrance);
             HoldOrder hold =
                     new HoldOrder(w.facts(), deadline, w.acknowledgeableResult(now), waitMillis, state.nextFence(w));
             w.holdSent(hold, now + waitMillis);
@@ -529,7 +602,7 @@
 
     /** Returns the report that the rest of the system gets on this service. */
     public ServiceReport report() {
-        ServiceReport r = new ServiceReportBuilder(state).build();
+        ServiceReport r = new ServiceReportBuilder(state, refusals).build();
         lastNeeded = r.needed();
         return r;
     }
@@ -557,6 +630,20 @@
         if (!handingOver) {
             runWaits.review();
         }
+        noteUnextendedRuns();
+    }
+
+    /** Notes the workers that answer while the deadline of their runs is not extended. */
+    private void noteUnextendedRuns() {
+        long now = state.now();
+        state.workers.values().stream()
+                .filter(w -> !w.tasks.isEmpty() && w.fenced && !state.isSilent(w))
+                .filter(w -> w.unextendedMillis(now) > UNEXTENDED_NOTE_MILLIS)
+                .limit(MAX_UNEXTENDED_NOTES)
+                .forEach(w -> state.note(
+                        SchedulerEvent.Kind.RUNS_NOT_EXTENDED,
+                        w,
+                        "tasks=" + w.tasks.size() + " " + w.describeExtension(now) + " " + w.describe()));
     }
 
     /**
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceState.java
@@ -252,6 +252,16 @@
         return mayStartOn(w) && isUsableIfNotCordoned(w);
     }
 
+    /** Returns the workers that may be given new tasks now or within seconds. */
+    List<LiveWorker> suppliedWorkers() {
+        return workers.values().stream().filter(this::isSupplied).toList();
+    }
+
+    private boolean isSupplied(LiveWorker w) {
+        UnusableReason reason = unusableBecause(w);
+        return (reason == null || reason.isTemporary()) && !w.isUnreachable() && !isCordoned(w);
+    }
+
     /** Returns whether the worker's hall is cordoned. */
     boolean isCordoned(LiveWorker w) {
         return cordons.isCordoned(w.facts().hall());
@@ -314,6 +324,15 @@
         return w.mayExtendRuns(timing.holdMillis(), now());
     }
 
+    /** Returns why a poll sent now may not extend the runs on the worker; null if it may. */
+    @Nullable
+    ExtensionHindrance extensionHindrance(LiveWorker w) {
+        if (!w.isIncarnationConfirmed(now())) {
+            return ExtensionHindrance.INCARNATION_UNCONFIRMED;
+        }
+        return mayExtendRuns(w) ? null : ExtensionHindrance.RECORDS_UNSAVED;
+    }
+
     /** Returns the fencing token for the next order to the worker. */
     long nextFence(LiveWorker w) {
         return fences.next(w.facts().id());
