Do not evacuate the worker of a busy instance again for another move

An instance whose move was refused is left alone for 10 s, as after the refusals of the spare pool. An operation whose order has no answer does not end because its instance is not listed: the order may still be carried out, and it counts against the wave's limit.

--- a/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/FleetPlanner.java
@@ -222,6 +222,10 @@
         }
         state.holdBack(ongoing.instance, state.now() + MAX_LIST_LAG_MILLIS);
         if (!ongoing.mayBeOrderedUnnoticed()) {
+            if (ongoing.isMove()) {
+                // Each further move would evacuate the worker anew.
+                state.refusedUntil.put(ongoing.instance, state.now() + REFUSED_MILLIS);
+            }
             state.endOperation(ongoing, "the instance is down or leaving after its evacuation");
         }
     }
@@ -338,7 +342,7 @@
             state.endOperation(ongoing, "the instance went down after its evacuation");
             return;
         }
-        if (i == null && requiresEvacuation(ongoing) && !ongoing.orderInFlight) {
+        if (i == null && requiresEvacuation(ongoing) && !ongoing.orderInFlight && !ongoing.orderUnanswered) {
             state.endOperation(ongoing, "the instance is no longer listed");
             return;
         }
