--- a/core/src/main/java/org/lupinpaddle/core/fleet/PlatformInstance.java
+++ b/core/src/main/java/org/lupinpaddle/core/fleet/PlatformInstance.java
@@ -42,11 +42,6 @@
         /** The instance is out of service. */
         DOWN,
         /** The state could not be read, so the instance may be in any of the other states. */
-        UNKNOWN;
-
-        /** Returns whether an accepted order has taken the instance out, which ended its worker. */
-        public boolean isOrderedAway() {
-            return this == MOVING || this == UPKEEP;
-        }
+        UNKNOWN
     }
 }
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -593,13 +593,11 @@
     }
 
     /**
-     * Returns whether a row of its instance, which is not older than {@code rowAt}, shows that it has ended for good: the
-     * instance has been ordered away, which ends its worker at once, or has another worker. No later worker there has
-     * its id.
+     * Returns whether a row of its instance, which is not older than {@code rowAt}, shows another worker there. Then it
+     * has ended for good, since a worker can only restart under its id as the next one on its instance.
      */
     boolean isReplacedOn(PlatformInstance row, long rowAt) {
-        boolean hasOther = !row.worker().isEmpty() && !row.worker().equals(facts.id());
-        return locatedAt <= rowAt && (hasOther || row.state().isOrderedAway());
+        return locatedAt <= rowAt && !row.worker().isEmpty() && !row.worker().equals(facts.id());
     }
 
     /** Returns whether it has answered a hold of this owner, so that this owner may have extended its deadlines. */
--- a/core/src/main/java/org/lupinpaddle/core/run/LossEvidence.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LossEvidence.java
@@ -23,8 +23,8 @@
     RESTARTED("its worker has restarted under its id", true),
     /** The worker was silent, and the platform lists no such incarnation. */
     NOT_LIVING("silent, and the platform lists it on no instance that is up", true),
-    /** The worker was silent, and its instance has been ordered away or has another worker. */
-    REPLACED("silent, and the platform lists its instance as ordered away or with another worker", true),
+    /** The worker was silent, and its instance has another worker. */
+    REPLACED("silent, and the platform lists another worker on its instance", true),
     /** The worker is unreachable; it may be alive, but nothing runs on it any more. */
     PAST_DEADLINES("silent, and past every deadline it was given", false);
 
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -298,8 +298,8 @@
 
     /**
      * Handles the platform's list of instances, requested at {@code askedAt}. A worker that was silent by then has ended
-     * for good if its instance is shown with another worker or as ordered away: unlike an instance that is down, it
-     * cannot have a worker with that id again, so that starts without an answer are never executed.
+     * for good if its instance is shown with another one, so that its starts without an answer are never executed. An
+     * instance that is down, moving or in upkeep does not exclude that the next worker there has the same id.
      */
     public void onInstances(Collection<PlatformInstance> instances, long askedAt) {
         Map<String, PlatformInstance> byId =
--- a/core/src/test/java/org/lupinpaddle/core/run/ReplacedWorkerTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/ReplacedWorkerTest.java
@@ -85,15 +85,16 @@
             f.run(SILENT_MILLIS);
         }
 
-        /** Guards against a task that waits for a late start although the platform has ended its worker for good. */
+        /** Guards against a second run beside the late start's, if the worker after the move has the same id. */
         @Test
-        void hasBeenOrderedAway() {
+        void isMoving() {
             lose();
             listInstances(State.MOVING, "");
-            assertTrue(other.runs("lasting"));
+            listInstances(State.UPKEEP, "");
+            assertFalse(other.runs("lasting"));
         }
 
-        /** Guards against the same where the instance has returned with another worker. */
+        /** Guards against a task that waits for a late start although its worker cannot return any more. */
         @Test
         void hasAnotherWorker() {
             lose();
