Send the poll that extends runs with the answer before it

What callers saw: long-running tasks end as lapsed on workers that are up (LOST), while the store works.

A poll carries a deadline within 100 ms of the answer before it, and it was sent by the next tick. On an entry whose ticks take longer no poll ever carried one.

Change: where an extension is due, the poll is sent as the answer is processed. Only polls count as extensions; a start that is lost or refused no longer postpones one.

--- a/core/src/main/java/org/lupinpaddle/core/run/InheritedRuns.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/InheritedRuns.java
@@ -54,12 +54,15 @@
     }
 
     void run() {
-        for (LiveWorker w : state.workers.values()) {
-            if (w.wasReached()) {
-                w.tasks.forEach(t -> removeEnd(w, t));
-            } else if (state.wasSilentAt(w, state.now() - LIST_MILLIS)) {
-                w.tasks.forEach(this::recordEnd);
-            }
+        state.workers.values().forEach(this::review);
+    }
+
+    /** Adds or removes the recorded ends of the runs on a worker. Call this before its runs are extended. */
+    void review(LiveWorker w) {
+        if (w.wasReached()) {
+            w.tasks.forEach(t -> removeEnd(w, t));
+        } else if (state.wasSilentAt(w, state.now() - LIST_MILLIS)) {
+            w.tasks.forEach(this::recordEnd);
         }
     }
 
--- a/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/LiveWorker.java
@@ -151,7 +151,7 @@
     private long clockMillis;
     private long clockReadAt;
     private long latestDeadline;
-    /** When an order last carried a later deadline than the ones before; {@link #NEVER} if none has. */
+    /** When a poll last carried a deadline; {@link #NEVER} if none has. */
     private long extendedAt = NEVER;
     /** Why the newest poll carried no deadline; null if it carried one. */
     private @Nullable ExtensionHindrance extensionHindrance;
@@ -629,22 +629,23 @@
         if (!fenced) {
             return 0;
         }
-        long deadline = clockMillis + (now - clockReadAt) + millis;
-        if (now - lastAnswerAt <= EXTENSION_WINDOW_MILLIS && deadline > latestDeadline) {
-            latestDeadline = deadline;
-            extendedAt = now;
+        if (now - lastAnswerAt <= EXTENSION_WINDOW_MILLIS) {
+            latestDeadline = Math.max(latestDeadline, clockMillis + (now - clockReadAt) + millis);
         }
         return latestDeadline;
     }
 
-    /** Returns for how long no order has extended the deadline of its runs. */
+    /** Returns for how long no poll has extended the deadline of its runs. */
     long unextendedMillis(long now) {
         return now - Math.max(extendedAt, fencedAt);
     }
 
     /** Records why a poll that is being sent carries no deadline; null if it carries one. */
-    void pollSent(@Nullable ExtensionHindrance hindrance) {
+    void pollSent(@Nullable ExtensionHindrance hindrance, long now) {
         extensionHindrance = hindrance;
+        if (hindrance == null) {
+            extendedAt = now;
+        }
     }
 
     /** Describes when its runs were last extended, for the log. */
--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -427,8 +427,14 @@
         }
         w.holdAwaitsRecords = w.results().hasPending();
         if (newest) {
-            boolean pause = w.holdAwaitsRecords && !state.needsFenceConfirmation(w) && !isExtensionDue(w);
+            boolean extend = isExtensionDue(w);
+            boolean pause = w.holdAwaitsRecords && !state.needsFenceConfirmation(w) && !extend;
             w.nextHoldAt = pause ? now + holdPauseMillis(w) : now;
+            if (extend) {
+                // On a busy entry the next tick may come too late for a poll with a deadline.
+                inheritedRuns.review(w);
+                sendHold(w, now);
+            }
         }
     }
 
@@ -576,30 +582,33 @@
         long now = state.now();
         for (LiveWorker w : state.workers.values()) {
             boolean shouldPoll = !handingOver || isLeaving(w) || isExtensionDue(w);
-            if (!shouldPoll
-                    || w.isHoldPending()
-                    || now < w.nextHoldAt
-                    || w.facts().address().isEmpty()) {
-                continue;
+            if (shouldPoll && !w.isHoldPending() && now >= w.nextHoldAt) {
+                sendHold(w, now);
             }
-            long longPollMillis = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
-            boolean confirmed = w.isIncarnationConfirmed(now);
-            boolean immediate = !confirmed
-                    || state.needsFenceConfirmation(w)
-                    || w.isUnresponsive()
-                    || w.results().hasPending()
-                    || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
-            long waitMillis = immediate ? 0 : longPollMillis;
-            ExtensionHindrance hindrance = state.extensionHindrance(w);
-            long deadline = hindrance == null ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
-            w.pollSent(hindrance);
-            HoldOrder hold =
-                    new HoldOrder(w.facts(), deadline, w.acknowledgeableResult(now), waitMillis, state.nextFence(w));
-            w.holdSent(hold, now + waitMillis);
-            state.port.hold(hold);
         }
     }
 
+    private void sendHold(LiveWorker w, long now) {
+        if (w.facts().address().isEmpty()) {
+            return;
+        }
+        long longPollMillis = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
+        boolean confirmed = w.isIncarnationConfirmed(now);
+        boolean immediate = !confirmed
+                || state.needsFenceConfirmation(w)
+                || w.isUnresponsive()
+                || w.results().hasPending()
+                || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
+        long waitMillis = immediate ? 0 : longPollMillis;
+        ExtensionHindrance hindrance = state.extensionHindrance(w);
+        long deadline = hindrance == null ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
+        w.pollSent(hindrance, now);
+        HoldOrder hold =
+                new HoldOrder(w.facts(), deadline, w.acknowledgeableResult(now), waitMillis, state.nextFence(w));
+        w.holdSent(hold, now + waitMillis);
+        state.port.hold(hold);
+    }
+
     /** Returns the report that the rest of the system gets on this service. */
     public ServiceReport report() {
         ServiceReport r = new ServiceReportBuilder(state, refusals).build();
--- a/core/src/test/java/org/lupinpaddle/core/run/RunExtensionTest.java
+++ b/core/src/test/java/org/lupinpaddle/core/run/RunExtensionTest.java
@@ -30,6 +30,9 @@
 class RunExtensionTest {
 
     private static final long BIRTH = 1_000_000;
+    private static final long LONGEST_HOLD_MILLIS = 10_000;
+    // Longer than an answer proves that its worker has not restarted.
+    private static final long LATE_TICK_MILLIS = 120;
     private static final StepSpec.Need NEED = new StepSpec.Need(500, 100, 0);
     private static final StepSpec LASTING =
             StepSpec.builder(1, NEED).longRunning(true, 0).build();
@@ -97,6 +100,25 @@
         }
     }
 
+    @Nested
+    class ABusyEntry {
+
+        /** Guards against runs that lapse because the poll after each answer is sent by a late tick. */
+        @Test
+        void extendsRunsThoughItsTicksAreLate() {
+            ScriptedFleet slow = new ScriptedFleet(LONGEST_HOLD_MILLIS, LATE_TICK_MILLIS);
+            ScriptedWorker v = slow.add("w1", BIRTH, 600_000);
+            v.progress = t -> 100;
+            slow.list();
+            slow.run(1_000);
+            slow.driver().submit("lasting", LASTING);
+            slow.runUntil(() -> v.runs("lasting"));
+            slow.run(OUTAGE_MILLIS);
+            assertTrue(v.runs("lasting"), "the run has lapsed");
+            assertEquals(1, slow.driver().port.starts.size());
+        }
+    }
+
     @Nested
     class TheLog {
 
