Ask once per poll whether the incarnation is confirmed

A poll asked twice whether its worker has answered within 100 ms: for its deadline, and for whether it is answered at once. With a clock that moves on between both, the two could differ.

--- a/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
+++ b/core/src/main/java/org/lupinpaddle/core/run/ServiceScheduler.java
@@ -593,14 +593,13 @@
             return;
         }
         long longPollMillis = w.tasks.isEmpty() ? state.timing.idleWaitMillis() : state.timing.busyWaitMillis();
-        boolean confirmed = w.isIncarnationConfirmed(now);
-        boolean immediate = !confirmed
+        ExtensionHindrance hindrance = state.extensionHindrance(w);
+        boolean immediate = hindrance == ExtensionHindrance.INCARNATION_UNCONFIRMED
                 || state.needsFenceConfirmation(w)
                 || w.isUnresponsive()
                 || w.results().hasPending()
                 || w.tasks.stream().anyMatch(t -> t.phase == Phase.STOPPING);
         long waitMillis = immediate ? 0 : longPollMillis;
-        ExtensionHindrance hindrance = state.extensionHindrance(w);
         long deadline = hindrance == null ? w.deadlineIn(state.timing.holdMillis(), now) : 0;
         w.pollSent(hindrance, now);
         HoldOrder hold =
